Add the workspace, the design page and the shared interfaces

Cause: the repository was empty. Modules need fixed interfaces before they can be written side by side. Change: workspace with the library, the binary and the stand-ins crate; error, kernel, timer and id modules; traits and message types of the log, engines, services, peers, limits, claims, routing and dispatch; the operator schema; docs/design.md.

--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,59 @@
+//! Claims that let a non-repeatable request run at most once.
+
+use std::future::Future;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::Result;
+use crate::ids::{KeyDigest, RecordId};
+
+/// What identifies a non-repeatable request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ClaimKey {
+    pub team: SmolStr,
+    /// Digest of the idempotency key and the route name.
+    pub key: KeyDigest,
+}
+
+/// The recorded result of a non-repeatable request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimOutcome {
+    /// HTTP status of the answer.
+    pub status: u16,
+    pub content_type: Option<SmolStr>,
+    /// The body, or `None` if it was larger than the limit for recorded bodies.
+    pub body: Option<Bytes>,
+}
+
+/// Result of a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// This daemon alone may dispatch the request, once.
+    Granted(RecordId),
+    /// The request ran before; this is its answer.
+    Recorded(ClaimOutcome),
+}
+
+/// Decides which daemon may dispatch a non-repeatable request.
+pub trait ClaimKeeper: Send + Sync + 'static {
+    /// Claims `key` for a request with this body.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` with `NotRun` if the log cannot be reached (the claim is then never dispatched);
+    /// `Conflict` with `MayHaveRun` if another claim is open; `Invalid` if the body differs from that of the
+    /// earlier claim.
+    fn claim(
+        &self,
+        key: ClaimKey,
+        body: KeyDigest,
+    ) -> impl Future<Output = Result<ClaimVerdict>> + Send;
+
+    /// Records the outcome of a granted claim. Retries in the background until the log has it.
+    fn record(&self, claim: RecordId, outcome: ClaimOutcome);
+
+    /// Voids a granted claim of which no byte was sent, so that the request may be submitted again.
+    fn release(&self, claim: RecordId);
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,167 @@
+//! The error type of the crate and the verdict on whether a request may have run.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Says whether a backend server may have executed a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunVerdict {
+    /// No byte of the request left for a backend server, or the backend server itself refused it.
+    NotRun,
+    /// Some bytes may have reached a backend server and its answer is unknown.
+    MayHaveRun,
+    /// A backend server is known to have executed the request.
+    Ran,
+}
+
+impl RunVerdict {
+    /// Returns the name used in refusal bodies and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::MayHaveRun => "may_have_run",
+            Self::Ran => "ran",
+        }
+    }
+}
+
+impl fmt::Display for RunVerdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Groups errors by what a caller can do about them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Category {
+    /// The input is malformed or out of range.
+    Invalid,
+    /// No key, or a key that is not known, came with the request.
+    Unauthenticated,
+    /// The key is known and does not allow the request.
+    Forbidden,
+    /// The named thing does not exist.
+    NotFound,
+    /// The change or idempotency key conflicts with an earlier one.
+    Conflict,
+    /// The team's rate or burst is used up.
+    RateLimited,
+    /// The request is in quarantine because backend servers died under it.
+    Quarantined,
+    /// Capacity is used up; waiting helps.
+    Overloaded,
+    /// A dependency cannot be reached.
+    Unavailable,
+    /// A deadline passed.
+    Timeout,
+    /// A peer or backend server broke its protocol.
+    Protocol,
+    /// The process is shutting down.
+    ShuttingDown,
+    /// A fault of this program.
+    Internal,
+}
+
+impl Category {
+    /// Returns the name used in refusal bodies, metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Invalid => "invalid",
+            Self::Unauthenticated => "unauthenticated",
+            Self::Forbidden => "forbidden",
+            Self::NotFound => "not_found",
+            Self::Conflict => "conflict",
+            Self::RateLimited => "rate_limited",
+            Self::Quarantined => "quarantined",
+            Self::Overloaded => "overloaded",
+            Self::Unavailable => "unavailable",
+            Self::Timeout => "timeout",
+            Self::Protocol => "protocol",
+            Self::ShuttingDown => "shutting_down",
+            Self::Internal => "internal",
+        }
+    }
+}
+
+/// An error with a category, a run verdict and a lower-case message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    category: Category,
+    verdict: RunVerdict,
+    message: String,
+    retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Creates an error whose verdict is [`RunVerdict::NotRun`].
+    pub fn new(category: Category, message: impl Into<String>) -> Self {
+        Self {
+            category,
+            verdict: RunVerdict::NotRun,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Creates an error of [`Category::Invalid`].
+    pub fn invalid(message: impl Into<String>) -> Self {
+        Self::new(Category::Invalid, message)
+    }
+
+    /// Creates an error of [`Category::Unavailable`].
+    pub fn unavailable(message: impl Into<String>) -> Self {
+        Self::new(Category::Unavailable, message)
+    }
+
+    /// Creates an error of [`Category::Internal`].
+    pub fn internal(message: impl Into<String>) -> Self {
+        Self::new(Category::Internal, message)
+    }
+
+    /// Replaces the run verdict.
+    pub fn with_verdict(mut self, verdict: RunVerdict) -> Self {
+        self.verdict = verdict;
+        self
+    }
+
+    /// Sets how long the caller should wait before it tries again.
+    pub fn with_retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Returns the category.
+    pub fn category(&self) -> Category {
+        self.category
+    }
+
+    /// Returns whether the request may have run.
+    pub fn verdict(&self) -> RunVerdict {
+        self.verdict
+    }
+
+    /// Returns the message without category or verdict.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns how long the caller should wait before it tries again, where waiting helps.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.category.as_str(), self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,103 @@
+//! Identifiers and keys that several modules share.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+slotmap::new_key_type! {
+    /// Key of a model in the catalog's arena.
+    pub struct ModelKey;
+    /// Key of a team in the catalog's arena.
+    pub struct TeamKey;
+    /// Key of a backend server in the catalog's arena.
+    pub struct BackendKey;
+}
+
+/// Offset of a record in one stream of the platform's log. Offsets start at 0 and have no gaps.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LogOffset(pub u64);
+
+impl LogOffset {
+    /// Returns the offset that follows.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for LogOffset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One incarnation of a daemon: a random number drawn at start, never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VmId(pub u64);
+
+impl VmId {
+    /// Draws a new incarnation.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl fmt::Display for VmId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Random identifier of a record, by which an append whose answer was lost is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RecordId(pub u128);
+
+impl RecordId {
+    /// Draws a new identifier.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl fmt::Display for RecordId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// SHA-256 digest of a caller's or operator's key, an idempotency key or a body.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeyDigest(pub [u8; 32]);
+
+impl KeyDigest {
+    /// Digests `secret`.
+    pub fn of(secret: &[u8]) -> Self {
+        Self(Sha256::digest(secret).into())
+    }
+
+    /// Parses 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut digest = [0; 32];
+        for (index, byte) in digest.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(digest))
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}…", &self.to_string()[..8])
+    }
+}
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,123 @@
+//! The micro-kernel: services register by name, tasks are spawned in groups and joined on shutdown.
+
+use std::any::Any;
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::{Error, Result};
+
+/// Registry in which the services of one daemon find each other by name.
+///
+/// Look-ups happen while a daemon starts, never on the request path.
+#[derive(Default)]
+pub struct ServiceKernel {
+    services: Mutex<HashMap<&'static str, Arc<dyn Any + Send + Sync>>>,
+}
+
+impl ServiceKernel {
+    /// Creates an empty registry.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers `service` under `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is taken.
+    pub fn register<T: Any + Send + Sync>(
+        &self,
+        name: &'static str,
+        service: Arc<T>,
+    ) -> Result<Arc<T>> {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if services.contains_key(name) {
+            return Err(Error::internal(format!(
+                "service `{name}` is already registered"
+            )));
+        }
+        services.insert(name, service.clone());
+        Ok(service)
+    }
+
+    /// Finds the service registered under `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such service or it has another type.
+    pub fn find<T: Any + Send + Sync>(&self, name: &'static str) -> Result<Arc<T>> {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let service = services
+            .get(name)
+            .cloned()
+            .ok_or_else(|| Error::internal(format!("service `{name}` is not registered")))?;
+        service
+            .downcast()
+            .map_err(|_| Error::internal(format!("service `{name}` has another type")))
+    }
+}
+
+/// Tasks that one parent spawned and joins.
+///
+/// Clones share the group. Tasks watch [`TaskGroup::cancelled`] and return when it resolves.
+#[derive(Clone, Default)]
+pub struct TaskGroup {
+    token: CancellationToken,
+    tasks: Arc<Mutex<JoinSet<()>>>,
+}
+
+impl TaskGroup {
+    /// Creates an empty group.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Spawns a task that the group joins. Finished tasks are reaped here.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+
+    /// Spawns a task that is dropped at its next await point once the group is cancelled.
+    pub fn spawn_cancellable(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let token = self.token.clone();
+        self.spawn(async move {
+            token.run_until_cancelled(task).await;
+        });
+    }
+
+    /// Resolves when the group is asked to stop.
+    pub async fn cancelled(&self) {
+        self.token.cancelled().await;
+    }
+
+    /// Returns whether the group was asked to stop.
+    pub fn is_cancelled(&self) -> bool {
+        self.token.is_cancelled()
+    }
+
+    /// Asks all tasks to stop, without waiting for them.
+    pub fn cancel(&self) {
+        self.token.cancel();
+    }
+
+    /// Asks all tasks to stop and joins them.
+    pub async fn shutdown(&self) {
+        self.token.cancel();
+        loop {
+            let mut tasks = {
+                let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+                std::mem::take(&mut *tasks)
+            };
+            if tasks.is_empty() {
+                return;
+            }
+            while tasks.join_next().await.is_some() {}
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! Serves many language models and their adapters on fewer accelerators.
+
+pub mod catalog;
+pub mod claim;
+pub mod dispatch;
+pub mod engine;
+pub mod error;
+pub mod ids;
+pub mod journal;
+pub mod kernel;
+pub mod limit;
+pub mod peer;
+pub mod platform;
+pub mod routing;
+pub mod timer;
+
+pub use crate::error::{Category, Error, Result, RunVerdict};
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,97 @@
+//! Calls between daemons: h2 with bincode bodies.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::Result;
+use crate::ids::{KeyDigest, LogOffset, VmId};
+
+/// What a daemon reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    pub vm: VmId,
+    pub name: SmolStr,
+    /// Next offset of each stream that the daemon has not applied yet.
+    pub config_next: LogOffset,
+    pub members_next: LogOffset,
+    /// Whether the daemon reached the log within the last second.
+    pub log_reachable: bool,
+    /// The sender will not append `Expire` for the receiver of this message for this long after it sent it.
+    pub no_expire_for: Duration,
+    /// Spare tokens per team name, for borrowers to choose a lender by.
+    pub spare: Vec<(SmolStr, u64)>,
+    /// Names of backend servers that the sender has seen as leaving.
+    pub leaving: Vec<SmolStr>,
+}
+
+/// A loan of tokens. The borrower counts `lifetime` from before it asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenLoan {
+    pub id: u64,
+    pub tokens: u64,
+    pub lifetime: Duration,
+}
+
+/// Notice that backend servers died under a request, or that it finished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNotice {
+    /// Digest of team, route and body.
+    pub fingerprint: KeyDigest,
+    /// Number of backend servers that died under it; 0 clears it.
+    pub deaths: u32,
+}
+
+/// A call from one daemon to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Exchanges status.
+    Status(PeerStatus),
+    /// Asks for a loan of up to `tokens` for `team`, by the member `borrower`.
+    Borrow {
+        borrower: VmId,
+        team: SmolStr,
+        tokens: u64,
+    },
+    /// Pushes records of the `config` stream: offset of the first and the data of each.
+    PushConfig {
+        first: LogOffset,
+        records: Vec<Vec<u8>>,
+    },
+    /// Spreads notices about suspect requests.
+    Suspects(Vec<SuspectNotice>),
+    /// Asks for the whole catalog state, for a daemon that starts during a log outage.
+    FetchState,
+}
+
+/// Answer to a [`PeerRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerReply {
+    Status(PeerStatus),
+    Loan(Option<TokenLoan>),
+    /// The next `config` offset that the receiver has not applied yet.
+    Applied(LogOffset),
+    /// An encoded catalog snapshot.
+    State(Vec<u8>),
+    Done,
+}
+
+/// Serves the calls that a [`PeerServer`] accepts.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Handles one call.
+    fn handle(&self, request: PeerRequest) -> impl Future<Output = Result<PeerReply>> + Send;
+}
+
+/// Transport of calls to other daemons.
+pub trait PeerCaller: Send + Sync + 'static {
+    /// Calls the daemon at `peer` and waits up to `wait` for the reply.
+    fn call(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        wait: Duration,
+    ) -> impl Future<Output = Result<PeerReply>> + Send;
+}
