Add the HTTP adapters and the first stand-ins

Cause: nothing could reach a log, a VM list, a weight store, an engine or a plain service, and there was nothing to reach. Change: HttpJournal, HttpVmList, HttpWeightStore, HttpEngine and HttpService on a shared caller that keeps connections, bounds each call and never repeats a request; engine and platform become module directories with the same public types; prefix_hashes defines the hashes in cache events. Stand-ins for all five, with deterministic tokens, faults and records for checkers, and the binary foxtailhill-standin. The length header of a caller is ruled out as a source of wrong bodies: it is not forwarded. Balancer, fault proxy, cluster harness and load driver are not part of this change.

--- a/src/engine.rs
+++ b/src/engine/mod.rs
@@ -1,5 +1,10 @@
 //! Model engines and plain services: the traits and their request and answer types.
 
+mod client;
+mod prefix;
+mod service;
+mod sse;
+
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -8,6 +13,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::client::{EngineTimeouts, HttpEngine, HttpTokens};
+pub use self::prefix::{PREFIX_BLOCK, prefix_hashes};
+pub use self::service::{HttpService, ServiceTimeouts};
 use crate::error::Result;
 
 /// A model call as an engine receives it. It never carries a caller's key.
--- /dev/null
+++ b/src/engine/service.rs
@@ -0,0 +1,93 @@
+//! HTTP adapter of plain services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+
+use crate::engine::{ServiceAnswer, ServiceClient, ServiceRequest};
+use crate::error::{Error, Result};
+use crate::wire::{self, HttpCaller};
+
+/// Headers that belong to one connection and are never passed on.
+const CONNECTION_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::HOST,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Limits of calls to plain services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceTimeouts {
+    /// Time to open a connection.
+    pub connect: Duration,
+    /// Time to the whole answer.
+    pub answer: Duration,
+    /// Longest answer, in bytes.
+    pub answer_limit: usize,
+}
+
+impl Default for ServiceTimeouts {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            answer: Duration::from_secs(30),
+            answer_limit: 8 << 20,
+        }
+    }
+}
+
+/// Client of plain services that speak HTTP. It never repeats a request.
+#[derive(Clone, Debug)]
+pub struct HttpService {
+    caller: HttpCaller,
+    timeouts: ServiceTimeouts,
+}
+
+impl HttpService {
+    /// Creates a client; connections are opened on use and kept.
+    pub fn open(timeouts: ServiceTimeouts) -> Self {
+        Self {
+            caller: HttpCaller::open(timeouts.connect),
+            timeouts,
+        }
+    }
+}
+
+impl Default for HttpService {
+    fn default() -> Self {
+        Self::open(ServiceTimeouts::default())
+    }
+}
+
+impl ServiceClient for HttpService {
+    async fn call(&self, server: SocketAddr, request: ServiceRequest) -> Result<ServiceAnswer> {
+        let mut headers = request.headers;
+        remove_connection_headers(&mut headers);
+        let id = HeaderValue::from_str(&request.id)
+            .map_err(|_| Error::invalid("request id is not a header value"))?;
+        headers.insert(REQUEST_ID, id);
+        let mut call = wire::request(server, request.method, &request.path, request.body)?;
+        *call.headers_mut() = headers;
+        let mut answer = self
+            .caller
+            .call(call, self.timeouts.answer, self.timeouts.answer_limit)
+            .await?;
+        remove_connection_headers(&mut answer.headers);
+        Ok(ServiceAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: answer.body,
+        })
+    }
+}
+
+fn remove_connection_headers(headers: &mut HeaderMap) {
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod platform;
 pub mod routing;
 pub mod timer;
+mod wire;
 
 pub use crate::error::{Category, Error, Result, RunVerdict};
--- a/src/platform.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,16 @@
 //! The platform's weight store and VM list: the traits and their answer types.
 
+mod vms;
+mod weights;
+
 use std::future::Future;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::vms::HttpVmList;
+pub use self::weights::HttpWeightStore;
 use crate::error::Result;
 
 /// Life-cycle state of a VM on the platform's list.
--- /dev/null
+++ b/src/platform/vms.rs
@@ -0,0 +1,44 @@
+//! HTTP adapter of the platform's VM list: `GET /vms` answers an array of [`ListedVm`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+
+use crate::error::{Result, RunVerdict};
+use crate::platform::{ListedVm, VmList};
+use crate::wire::{self, HttpCaller};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// Client of a VM list that speaks HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    server: SocketAddr,
+    caller: HttpCaller,
+}
+
+impl HttpVmList {
+    /// Creates a client of the list at `server`; connections are opened on use.
+    pub fn open(server: SocketAddr) -> Self {
+        Self {
+            server,
+            caller: HttpCaller::open(CONNECT_TIMEOUT),
+        }
+    }
+}
+
+impl VmList for HttpVmList {
+    async fn list(&self) -> Result<Vec<ListedVm>> {
+        let request = wire::request(self.server, Method::GET, "/vms", Bytes::new())?;
+        self.caller
+            .call(request, CALL_TIMEOUT, ANSWER_LIMIT)
+            .await
+            .and_then(|answer| wire::decode(&answer))
+            // A read has no effect, however it ended.
+            .map_err(|error| error.with_verdict(RunVerdict::NotRun))
+    }
+}
--- /dev/null
+++ b/src/platform/weights.rs
@@ -0,0 +1,44 @@
+//! HTTP adapter of the weight store's control interface: `GET /load` answers a [`StoreLoad`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+
+use crate::error::{Result, RunVerdict};
+use crate::platform::{StoreLoad, WeightStore};
+use crate::wire::{self, HttpCaller};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const ANSWER_LIMIT: usize = 64 << 10;
+
+/// Client of a weight store that speaks HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpWeightStore {
+    server: SocketAddr,
+    caller: HttpCaller,
+}
+
+impl HttpWeightStore {
+    /// Creates a client of the store at `server`; connections are opened on use.
+    pub fn open(server: SocketAddr) -> Self {
+        Self {
+            server,
+            caller: HttpCaller::open(CONNECT_TIMEOUT),
+        }
+    }
+}
+
+impl WeightStore for HttpWeightStore {
+    async fn load(&self) -> Result<StoreLoad> {
+        let request = wire::request(self.server, Method::GET, "/load", Bytes::new())?;
+        self.caller
+            .call(request, CALL_TIMEOUT, ANSWER_LIMIT)
+            .await
+            .and_then(|answer| wire::decode(&answer))
+            // A read has no effect, however it ended.
+            .map_err(|error| error.with_verdict(RunVerdict::NotRun))
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,194 @@
+//! HTTP/1.1 calls shared by the adapters: kept connections, time limits and run verdicts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Category, Error, Result, RunVerdict};
+
+/// Connections that stay idle longer are closed, before the far end is likely to do so.
+const IDLE_CONNECTION: Duration = Duration::from_secs(20);
+
+/// Client for HTTP/1.1 calls to addresses given by number. It sends each request at most once.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct WireAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct RefusalBody {
+    error: Refusal,
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    message: String,
+    #[serde(default)]
+    not_run: bool,
+}
+
+impl HttpCaller {
+    /// Creates a client that gives up connecting after `connect`.
+    pub(crate) fn open(connect: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_CONNECTION)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends `request` and waits up to `wait` for the head of the answer.
+    ///
+    /// The verdict is `NotRun` only if no connection could be opened.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Response<Incoming>> {
+        match tokio::time::timeout(wait, self.client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Error::unavailable(format!(
+                "cannot connect: {}",
+                root_cause(&error)
+            ))),
+            Ok(Err(error)) => Err(Error::unavailable(format!(
+                "connection failed: {}",
+                root_cause(&error)
+            ))
+            .with_verdict(RunVerdict::MayHaveRun)),
+            Err(_) => Err(timed_out("no answer", wait)),
+        }
+    }
+
+    /// Sends `request` and waits up to `wait` for an answer whose body has at most `limit` bytes.
+    pub(crate) async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+        limit: usize,
+    ) -> Result<WireAnswer> {
+        let deadline = tokio::time::Instant::now() + wait;
+        let (head, body) = self.send(request, wait).await?.into_parts();
+        let body = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect())
+            .await
+            .map_err(|_| timed_out("no whole answer", wait))?
+            .map_err(|error| protocol(format!("answer broke off: {error}")))?
+            .to_bytes();
+        Ok(WireAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+/// Builds a request for `server`; `path` starts with `/` and may contain a query.
+pub(crate) fn request(
+    server: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>> {
+    if !path.starts_with('/') {
+        return Err(Error::invalid("path does not start with `/`"));
+    }
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(server.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(|error| Error::invalid(format!("path is malformed: {error}")))?;
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .body(Full::new(body))
+        .map_err(|error| Error::invalid(format!("request is malformed: {error}")))
+}
+
+/// Builds a request with a JSON body.
+pub(crate) fn json_request(
+    server: SocketAddr,
+    method: Method,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>> {
+    let mut request = request(server, method, path, body.into())?;
+    request.headers_mut().insert(
+        header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    Ok(request)
+}
+
+/// Decodes the JSON body of a successful answer; other answers become errors.
+pub(crate) fn decode<T: DeserializeOwned>(answer: &WireAnswer) -> Result<T> {
+    if !answer.status.is_success() {
+        return Err(refusal(answer.status, &answer.body));
+    }
+    serde_json::from_slice(&answer.body)
+        .map_err(|error| protocol(format!("answer is malformed: {error}")))
+}
+
+/// Turns an answer that is not a success into an error.
+///
+/// The verdict is `NotRun` only if the server states it in the body.
+pub(crate) fn refusal(status: StatusCode, body: &[u8]) -> Error {
+    let category = match status {
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => Category::Invalid,
+        StatusCode::NOT_FOUND => Category::NotFound,
+        StatusCode::CONFLICT => Category::Conflict,
+        StatusCode::TOO_MANY_REQUESTS => Category::Overloaded,
+        StatusCode::SERVICE_UNAVAILABLE => Category::Unavailable,
+        _ => Category::Protocol,
+    };
+    match serde_json::from_slice::<RefusalBody>(body) {
+        Ok(RefusalBody { error }) if error.not_run => Error::new(category, error.message),
+        Ok(RefusalBody { error }) => {
+            Error::new(category, error.message).with_verdict(RunVerdict::MayHaveRun)
+        }
+        Err(_) => Error::new(category, format!("server answered {status}"))
+            .with_verdict(RunVerdict::MayHaveRun),
+    }
+}
+
+/// Creates an error for an answer that breaks the protocol; the request may have run.
+pub(crate) fn protocol(message: impl Into<String>) -> Error {
+    Error::new(Category::Protocol, message).with_verdict(RunVerdict::MayHaveRun)
+}
+
+/// Creates an error for a passed deadline; the request may have run.
+pub(crate) fn timed_out(what: &str, wait: Duration) -> Error {
+    Error::new(
+        Category::Timeout,
+        format!("{what} within {} ms", wait.as_millis()),
+    )
+    .with_verdict(RunVerdict::MayHaveRun)
+}
+
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/standins/src/bin/foxtailhill-standin.rs
@@ -0,0 +1,225 @@
+//! Runs one stand-in as a process. It prints `{"address": "…"}` on standard output once it serves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use argh::FromArgs;
+use foxtailhill_standins::engine::{EngineOptions, EngineStandin};
+use foxtailhill_standins::service::{ServiceOptions, ServiceStandin};
+use foxtailhill_standins::stream_log::{LogOptions, LogStandin};
+use foxtailhill_standins::vm_list::{VmListControl, VmListOptions, VmListStandin};
+use foxtailhill_standins::weight_store::{WeightStoreOptions, WeightStoreStandin};
+
+/// Stand-ins of the platform and of backend servers.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Log(LogArguments),
+    Weights(WeightsArguments),
+    Vms(VmsArguments),
+    Engine(EngineArguments),
+    Service(ServiceArguments),
+}
+
+/// The append-only log.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "log")]
+struct LogArguments {
+    /// address to bind
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// appends per second over all streams
+    #[argh(option, default = "400.0")]
+    appends_per_s: f64,
+    /// records that each stream keeps
+    #[argh(option)]
+    max_records: Option<usize>,
+    /// age in seconds at which records are removed
+    #[argh(option)]
+    max_age_s: Option<u64>,
+}
+
+/// The weight store.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "weights")]
+struct WeightsArguments {
+    /// address to bind
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// loads that may start per second
+    #[argh(option, default = "1.5")]
+    loads_per_s: f64,
+    /// loads in flight at full speed
+    #[argh(option, default = "7")]
+    full_speed_loads: u32,
+    /// adapter loads in flight at full speed
+    #[argh(option, default = "55")]
+    full_speed_adapters: u32,
+    /// factor on all times
+    #[argh(option, default = "1.0")]
+    time_scale: f64,
+}
+
+/// The VM list; entries come through the control endpoints.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "vms")]
+struct VmsArguments {
+    /// address to bind
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// time in milliseconds until a change is shown
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+/// A model engine.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineArguments {
+    /// address to bind
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// accelerator memory in bytes
+    #[argh(option, default = "80 << 30")]
+    memory_bytes: u64,
+    /// requests batched at once
+    #[argh(option, default = "16")]
+    slots: usize,
+    /// address of the weight store
+    #[argh(option)]
+    weight_store: Option<SocketAddr>,
+    /// factor on all times
+    #[argh(option, default = "1.0")]
+    time_scale: f64,
+    /// ignore fencing numbers
+    #[argh(switch)]
+    ignore_fencing: bool,
+    /// do not keep received requests
+    #[argh(switch)]
+    forget_received: bool,
+}
+
+/// A plain service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceArguments {
+    /// address to bind
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// time of a call in milliseconds
+    #[argh(option, default = "0")]
+    delay_ms: u64,
+    /// do not keep received requests
+    #[argh(switch)]
+    forget_received: bool,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Log(arguments) => run_log(arguments).await,
+        Command::Weights(arguments) => run_weights(arguments).await,
+        Command::Vms(arguments) => run_vms(arguments).await,
+        Command::Engine(arguments) => run_engine(arguments).await,
+        Command::Service(arguments) => run_service(arguments).await,
+    }
+}
+
+/// Prints the bound address and waits for SIGTERM or SIGINT.
+async fn serve_until_stopped(address: SocketAddr) -> eyre::Result<()> {
+    use std::io::Write;
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let line = serde_json::json!({"address": address});
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}")?;
+    out.flush()?;
+    drop(out);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn run_log(arguments: LogArguments) -> eyre::Result<()> {
+    let log = LogStandin::open(LogOptions {
+        bind: arguments.bind,
+        appends_per_s: arguments.appends_per_s,
+        max_records: arguments.max_records,
+        max_age: arguments.max_age_s.map(Duration::from_secs),
+    })
+    .await?;
+    serve_until_stopped(log.address()).await?;
+    log.shutdown().await;
+    Ok(())
+}
+
+async fn run_weights(arguments: WeightsArguments) -> eyre::Result<()> {
+    let store = WeightStoreStandin::open(WeightStoreOptions {
+        bind: arguments.bind,
+        loads_per_s: arguments.loads_per_s,
+        full_speed_loads: arguments.full_speed_loads,
+        full_speed_adapters: arguments.full_speed_adapters,
+        time_scale: arguments.time_scale,
+        ..WeightStoreOptions::default()
+    })
+    .await?;
+    serve_until_stopped(store.address()).await?;
+    store.shutdown().await;
+    Ok(())
+}
+
+async fn run_vms(arguments: VmsArguments) -> eyre::Result<()> {
+    let list = VmListStandin::open(VmListOptions {
+        bind: arguments.bind,
+        entries: Vec::new(),
+        control: VmListControl {
+            lag_ms: arguments.lag_ms,
+            down: false,
+        },
+    })
+    .await?;
+    serve_until_stopped(list.address()).await?;
+    list.shutdown().await;
+    Ok(())
+}
+
+async fn run_engine(arguments: EngineArguments) -> eyre::Result<()> {
+    let engine = EngineStandin::open(EngineOptions {
+        bind: arguments.bind,
+        memory_bytes: arguments.memory_bytes,
+        slots: arguments.slots,
+        weight_store: arguments.weight_store,
+        time_scale: arguments.time_scale,
+        checks_fencing: !arguments.ignore_fencing,
+        keep_received: !arguments.forget_received,
+        exit_on_crash: true,
+        ..EngineOptions::default()
+    })
+    .await?;
+    serve_until_stopped(engine.address()).await?;
+    engine.shutdown().await;
+    Ok(())
+}
+
+async fn run_service(arguments: ServiceArguments) -> eyre::Result<()> {
+    let service = ServiceStandin::open(ServiceOptions {
+        bind: arguments.bind,
+        delay: Duration::from_millis(arguments.delay_ms),
+        exit_on_crash: true,
+        keep_received: !arguments.forget_received,
+    })
+    .await?;
+    serve_until_stopped(service.address()).await?;
+    service.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/client.rs
@@ -0,0 +1,80 @@
+//! Small HTTP/1.1 client with JSON bodies, for stand-ins, the test cluster and tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{WrapErr, ensure};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+
+/// Client that opens connections on use and keeps them.
+#[derive(Clone, Debug)]
+pub struct JsonClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl JsonClient {
+    /// Creates a client whose calls take at most `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            timeout,
+        }
+    }
+
+    /// Sends a request and returns the status and the whole body.
+    pub async fn send(
+        &self,
+        method: Method,
+        server: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> eyre::Result<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{server}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body.into()))?;
+        let exchange = async {
+            let response = self.client.request(request).await?;
+            let status = response.status();
+            let body = response.into_body().collect().await?.to_bytes();
+            Ok::<_, eyre::Report>((status, body))
+        };
+        tokio::time::timeout(self.timeout, exchange)
+            .await
+            .wrap_err_with(|| format!("no answer from {server}{path}"))?
+    }
+
+    /// Reads a JSON document; other statuses than 2xx are errors.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        server: SocketAddr,
+        path: &str,
+    ) -> eyre::Result<T> {
+        let (status, body) = self.send(Method::GET, server, path, Bytes::new()).await?;
+        ensure!(status.is_success(), "{server}{path} answered {status}");
+        serde_json::from_slice(&body).wrap_err_with(|| format!("answer of {server}{path}"))
+    }
+
+    /// Posts a JSON document; other statuses than 2xx are errors.
+    pub async fn post<T: serde::Serialize>(
+        &self,
+        server: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> eyre::Result<Bytes> {
+        let body = serde_json::to_vec(body)?;
+        let (status, body) = self.send(Method::POST, server, path, body).await?;
+        ensure!(status.is_success(), "{server}{path} answered {status}");
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/standins/src/engine/cache.rs
@@ -0,0 +1,101 @@
+//! Prefix cache of a stand-in engine, with events that are published late and with gaps.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use foxtailhill::engine::CacheEvent;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Events that are kept; older ones are missed by slow readers.
+const KEPT_EVENTS: usize = 10_000;
+
+/// Cached blocks, the least recently used of which is evicted first.
+pub(super) struct PrefixCache {
+    capacity: usize,
+    /// Time of last use, in uses of the cache, by hash.
+    used: HashMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    uses: u64,
+    next_sequence: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+    delay: Duration,
+    loss: f64,
+    random: StdRng,
+}
+
+impl PrefixCache {
+    /// Creates a cache of `capacity` blocks.
+    pub(super) fn new(capacity: usize, delay: Duration, loss: f64, seed: u64) -> Self {
+        Self {
+            capacity,
+            used: HashMap::new(),
+            by_use: BTreeMap::new(),
+            uses: 0,
+            next_sequence: 0,
+            events: VecDeque::new(),
+            delay,
+            loss,
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns how many of the leading blocks are cached.
+    pub(super) fn cached_blocks(&self, hashes: &[u64]) -> usize {
+        let cached = hashes
+            .iter()
+            .take_while(|hash| self.used.contains_key(hash));
+        cached.count()
+    }
+
+    /// Caches all blocks of a prompt.
+    pub(super) fn insert(&mut self, hashes: &[u64]) {
+        for hash in hashes {
+            self.touch(*hash);
+        }
+        while self.used.len() > self.capacity {
+            let Some((_, hash)) = self.by_use.pop_first() else {
+                return;
+            };
+            self.used.remove(&hash);
+            self.publish(hash, false);
+        }
+    }
+
+    fn touch(&mut self, hash: u64) {
+        self.uses += 1;
+        self.by_use.insert(self.uses, hash);
+        match self.used.insert(hash, self.uses) {
+            Some(earlier) => {
+                self.by_use.remove(&earlier);
+            }
+            None => self.publish(hash, true),
+        }
+    }
+
+    fn publish(&mut self, prefix_hash: u64, present: bool) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        if self.random.random_bool(self.loss) {
+            return;
+        }
+        let event = CacheEvent {
+            sequence,
+            prefix_hash,
+            present,
+        };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the published events from `sequence` on.
+    pub(super) fn events(&self, sequence: u64) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        let due = self.events.iter().filter(|(at, event)| {
+            event.sequence >= sequence && now.duration_since(*at) >= self.delay
+        });
+        due.map(|(_, event)| event.clone()).collect()
+    }
+}
--- /dev/null
+++ b/standins/src/engine/journal.rs
@@ -0,0 +1,61 @@
+//! What a stand-in engine ran, for checkers.
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::engine::memory::OrderRecord;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunOutcome {
+    /// Waiting or running.
+    Open,
+    Finished,
+    Cancelled,
+    /// The engine died.
+    Crashed,
+}
+
+/// One accepted completion.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunRecord {
+    pub request_id: SmolStr,
+    pub model: SmolStr,
+    pub version: SmolStr,
+    pub adapter: Option<SmolStr>,
+    pub priority: u8,
+    /// Hash of the messages' JSON text.
+    pub messages_hash: u64,
+    /// Whether the request entered the batch.
+    pub started: bool,
+    /// Index of the first token of this run; not 0 if a stream was resumed.
+    pub first_index: u32,
+    pub next_index: u32,
+    /// Whether the tokens given for the resume are those that an engine would have generated.
+    pub resume_matches: bool,
+    pub outcome: RunOutcome,
+}
+
+/// Everything that a stand-in engine recorded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineJournal {
+    pub runs: Vec<RunRecord>,
+    pub orders: Vec<OrderRecord>,
+    /// Highest level of weights and adapters, in bytes.
+    pub memory_peak: u64,
+    /// Present level of weights and adapters, in bytes.
+    pub memory_level: u64,
+    /// Levels above the capacity that were reached, in bytes.
+    pub overcommits: Vec<u64>,
+    /// Role that an order set last.
+    pub role: Option<SmolStr>,
+}
+
+impl EngineJournal {
+    /// Returns the runs of one request.
+    pub fn runs_of(&self, request_id: &str) -> Vec<&RunRecord> {
+        let runs = self.runs.iter();
+        runs.filter(|run| run.request_id == request_id).collect()
+    }
+}
--- /dev/null
+++ b/standins/src/engine/memory.rs
@@ -0,0 +1,226 @@
+//! Accelerator memory of a stand-in engine: what is resident, loading or about to go.
+
+use std::collections::BTreeMap;
+
+use foxtailhill::engine::{EngineOrder, OrderAction, OrderReply, ResidentItem};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ItemPhase {
+    Loading,
+    Resident,
+    /// Gone as soon as no request uses it and its load, if any, has ended.
+    Unloading,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ItemState {
+    bytes: u64,
+    phase: ItemPhase,
+    users: u32,
+    load_running: bool,
+}
+
+/// An order with the answer it got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    pub order: EngineOrder,
+    pub reply: OrderReply,
+}
+
+/// Memory accounting. It records levels above the capacity and never prevents them.
+#[derive(Debug)]
+pub(super) struct WeightMemory {
+    capacity: u64,
+    checks_fencing: bool,
+    highest_fence: u64,
+    items: BTreeMap<ResidentItem, ItemState>,
+    pub(super) peak: u64,
+    /// Each level above the capacity that was reached, in bytes.
+    pub(super) overcommits: Vec<u64>,
+    pub(super) orders: Vec<OrderRecord>,
+}
+
+impl WeightMemory {
+    pub(super) fn new(
+        capacity: u64,
+        checks_fencing: bool,
+        resident: &[(ResidentItem, u64)],
+    ) -> Self {
+        let items = resident.iter().map(|(item, bytes)| {
+            let state = ItemState {
+                bytes: *bytes,
+                phase: ItemPhase::Resident,
+                users: 0,
+                load_running: false,
+            };
+            (item.clone(), state)
+        });
+        let mut memory = Self {
+            capacity,
+            checks_fencing,
+            highest_fence: 0,
+            items: items.collect(),
+            peak: 0,
+            overcommits: Vec::new(),
+            orders: Vec::new(),
+        };
+        memory.note_level();
+        memory
+    }
+
+    pub(super) fn level(&self) -> u64 {
+        self.items.values().map(|state| state.bytes).sum()
+    }
+
+    fn note_level(&mut self) {
+        let level = self.level();
+        self.peak = self.peak.max(level);
+        if level > self.capacity {
+            self.overcommits.push(level);
+        }
+    }
+
+    /// Returns the refusal of an old fencing number, or notes the number.
+    pub(super) fn check_fence(&mut self, fence: u64) -> bool {
+        if self.checks_fencing && fence < self.highest_fence {
+            return false;
+        }
+        self.highest_fence = self.highest_fence.max(fence);
+        true
+    }
+
+    /// Carries out an order; the flag says whether the caller must start a load.
+    pub(super) fn order(&mut self, order: &EngineOrder) -> (OrderReply, bool) {
+        let (reply, start) = if self.check_fence(order.fence) {
+            match &order.action {
+                OrderAction::Load { item, bytes } => self.load(item, *bytes),
+                OrderAction::Unload { item } => (self.unload(item), false),
+            }
+        } else {
+            (OrderReply::Fenced, false)
+        };
+        self.record(order, reply);
+        (reply, start)
+    }
+
+    pub(super) fn record(&mut self, order: &EngineOrder, reply: OrderReply) {
+        self.orders.push(OrderRecord {
+            order: order.clone(),
+            reply,
+        });
+    }
+
+    fn load(&mut self, item: &ResidentItem, bytes: u64) -> (OrderReply, bool) {
+        if let Some(state) = self.items.get_mut(item) {
+            if state.load_running {
+                state.phase = ItemPhase::Loading;
+                return (OrderReply::Started, false);
+            }
+            state.phase = ItemPhase::Resident;
+            return (OrderReply::Done, false);
+        }
+        let state = ItemState {
+            bytes,
+            phase: ItemPhase::Loading,
+            users: 0,
+            load_running: true,
+        };
+        self.items.insert(item.clone(), state);
+        self.note_level();
+        (OrderReply::Started, true)
+    }
+
+    fn unload(&mut self, item: &ResidentItem) -> OrderReply {
+        let Some(state) = self.items.get_mut(item) else {
+            return OrderReply::Done;
+        };
+        state.phase = ItemPhase::Unloading;
+        self.remove_if_gone(item);
+        if self.items.contains_key(item) {
+            OrderReply::Started
+        } else {
+            OrderReply::Done
+        }
+    }
+
+    fn remove_if_gone(&mut self, item: &ResidentItem) {
+        let gone = self.items.get(item).is_some_and(|state| {
+            state.phase == ItemPhase::Unloading && state.users == 0 && !state.load_running
+        });
+        if gone {
+            self.items.remove(item);
+        }
+    }
+
+    /// Returns whether a load is still wanted.
+    pub(super) fn wants_load(&self, item: &ResidentItem) -> bool {
+        let state = self.items.get(item);
+        state.is_some_and(|state| state.phase == ItemPhase::Loading)
+    }
+
+    /// Notes the end of a load.
+    pub(super) fn finish_load(&mut self, item: &ResidentItem) {
+        if let Some(state) = self.items.get_mut(item) {
+            state.load_running = false;
+            if state.phase == ItemPhase::Loading {
+                state.phase = ItemPhase::Resident;
+            }
+        }
+        self.remove_if_gone(item);
+    }
+
+    /// Pins the items that a request needs, or names the one that is missing.
+    pub(super) fn pin(
+        &mut self,
+        model: &str,
+        version: &str,
+        adapter: Option<&str>,
+    ) -> Result<Vec<ResidentItem>, String> {
+        let weights = self
+            .find(|item| item.model == model && item.version == version && item.adapter.is_none())
+            .ok_or_else(|| format!("model `{model}@{version}` is not resident"))?;
+        let mut items = vec![weights];
+        if let Some(adapter) = adapter {
+            let found =
+                self.find(|item| item.model == model && item.adapter.as_deref() == Some(adapter));
+            items.push(found.ok_or_else(|| format!("adapter `{adapter}` is not resident"))?);
+        }
+        for item in &items {
+            if let Some(state) = self.items.get_mut(item) {
+                state.users += 1;
+            }
+        }
+        Ok(items)
+    }
+
+    fn find(&self, matches: impl Fn(&ResidentItem) -> bool) -> Option<ResidentItem> {
+        let mut items = self.items.iter();
+        items
+            .find(|(item, state)| state.phase == ItemPhase::Resident && matches(item))
+            .map(|(item, _)| item.clone())
+    }
+
+    pub(super) fn unpin(&mut self, items: &[ResidentItem]) {
+        for item in items {
+            if let Some(state) = self.items.get_mut(item) {
+                state.users -= 1;
+            }
+            self.remove_if_gone(item);
+        }
+    }
+
+    /// Returns resident and loading items. An item that is going counts as resident until it is gone.
+    #[allow(clippy::type_complexity)]
+    pub(super) fn report(&self) -> (Vec<(ResidentItem, u64)>, Vec<(ResidentItem, u64)>) {
+        let all = self.items.iter();
+        let (loading, resident): (Vec<_>, Vec<_>) = all.partition(|(_, state)| state.load_running);
+        let list = |items: Vec<(&ResidentItem, &ItemState)>| {
+            let entries = items.into_iter();
+            entries
+                .map(|(item, state)| (item.clone(), state.bytes))
+                .collect()
+        };
+        (list(resident), list(loading))
+    }
+}
--- /dev/null
+++ b/standins/src/tokens.rs
@@ -0,0 +1,81 @@
+//! The tokens that a stand-in engine generates: a pure function of the request, so that checkers can compare
+//! whole answers.
+
+use serde_json::Value;
+use smol_str::{SmolStr, format_smolstr};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A prompt that contains `<tokens=N>` is answered with exactly N tokens, bounds permitting.
+const LENGTH_MARKER: &str = "<tokens=";
+/// Bounds of the length of an answer to a prompt without a marker, in tokens.
+const NATURAL_LENGTH: std::ops::Range<u64> = 16..144;
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// The answer to one request, of any length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerScript {
+    seed: u64,
+    natural_length: u32,
+    prompt_tokens: u32,
+}
+
+impl AnswerScript {
+    /// Derives the answer. `messages` is the JSON text of the chat; spacing and field order do not matter.
+    pub fn new(model: &str, version: &str, adapter: Option<&str>, messages: &[u8]) -> Self {
+        let text = canonical(messages);
+        let adapter = adapter.map_or_else(|| "-".to_owned(), |name| format!("+{name}"));
+        let identity = format!("{model}\0{version}\0{adapter}\0{text}");
+        let seed = xxh3_64(identity.as_bytes());
+        let span = NATURAL_LENGTH.end - NATURAL_LENGTH.start;
+        let natural = NATURAL_LENGTH.start + seed % span;
+        let prompt = text.len().div_ceil(BYTES_PER_TOKEN);
+        Self {
+            seed,
+            natural_length: marked_length(&text).unwrap_or(natural as u32),
+            prompt_tokens: u32::try_from(prompt).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the token at `index`, counted from 0.
+    pub fn token(&self, index: u32) -> SmolStr {
+        let mut input = [0; 12];
+        input[..8].copy_from_slice(&self.seed.to_le_bytes());
+        input[8..].copy_from_slice(&index.to_le_bytes());
+        format_smolstr!("{:05x} ", xxh3_64(&input) & 0xf_ffff)
+    }
+
+    /// Returns the number of tokens of the answer under a bound.
+    pub fn length(&self, max_tokens: u32) -> u32 {
+        self.natural_length.min(max_tokens)
+    }
+
+    /// Returns whether the answer is cut off by the bound.
+    pub fn is_cut(&self, max_tokens: u32) -> bool {
+        self.natural_length > max_tokens
+    }
+
+    /// Returns the whole answer under a bound.
+    pub fn text(&self, max_tokens: u32) -> String {
+        (0..self.length(max_tokens)).fold(String::new(), |text, index| text + &self.token(index))
+    }
+
+    /// Returns the number of tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.prompt_tokens
+    }
+}
+
+/// Returns the chat with sorted fields and without spacing, or the text itself if it is not JSON.
+fn canonical(messages: &[u8]) -> String {
+    serde_json::from_slice::<Value>(messages).map_or_else(
+        |_| String::from_utf8_lossy(messages).into_owned(),
+        |value| value.to_string(),
+    )
+}
+
+fn marked_length(text: &str) -> Option<u32> {
+    let (_, rest) = text.split_once(LENGTH_MARKER)?;
+    let (number, _) = rest.split_once('>')?;
+    number.parse().ok()
+}
