--- a/src/journal/follower.rs
+++ b/src/journal/follower.rs
@@ -1,8 +1,33 @@
 //! Replays one stream in offset order.
 
-use std::time::Instant;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::error::{Category, Error, Result};
 use crate::ids::LogOffset;
+use crate::journal::{JournalClient, LogRecord, ReadBatch, StreamBounds, StreamName};
+use crate::kernel::TaskGroup;
+
+/// Longest wait of one read for the first record. The end of an idle stream is seen once per wait, so the age of
+/// [`FollowerStatus::end_seen_at`] stays under twice this value while the log answers.
+const POLL_WAIT: Duration = Duration::from_millis(400);
+
+/// Time beyond [`POLL_WAIT`] after which a read counts as failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Records asked for by one read.
+const READ_RECORDS: usize = 256;
+
+/// Wait after a read without records, which keeps a log that ignores the long poll from being read in a tight loop.
+const IDLE_WAIT: Duration = Duration::from_millis(20);
+
+/// First and longest wait between failed reads.
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Where a follower stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,5 +38,278 @@
     pub end_seen_at: Option<Instant>,
 }
 
+/// Records between a follower's position and the oldest that retention left are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamGap {
+    /// Next offset that the follower needs.
+    pub next: LogOffset,
+    /// Oldest offset that the stream still holds.
+    pub first: LogOffset,
+}
+
+/// Consumer of a stream.
+pub trait RecordSink: Send + 'static {
+    /// Called once before the first read, as to install a snapshot.
+    fn prepare(&mut self) -> impl Future<Output = ()> + Send {
+        async {}
+    }
+
+    /// Returns the next offset that the sink needs. It may move between calls, as when a peer pushed records.
+    fn next_offset(&self) -> LogOffset;
+
+    /// Applies records in offset order without gaps, the first at or before [`Self::next_offset`]. Records before it
+    /// must be passed over.
+    fn apply(&mut self, records: &[LogRecord]);
+
+    /// Called when retention has passed the sink's position, again after a backoff for as long as it has.
+    fn recover(&mut self, gap: StreamGap) -> impl Future<Output = ()> + Send;
+}
+
 /// Handle to a task that replays a stream.
-pub struct StreamFollower {}
+#[derive(Clone, Debug)]
+pub struct StreamFollower {
+    status: watch::Receiver<FollowerStatus>,
+    gap: watch::Receiver<Option<StreamGap>>,
+    answered_at: watch::Receiver<Option<Instant>>,
+}
+
+impl StreamFollower {
+    /// Starts a task in `group` that calls `apply` with each record from `start` on, in order, each once.
+    ///
+    /// A record that retention removed before it was read is never passed over: the follower then stops, and
+    /// [`Self::gap`] says so.
+    pub fn spawn<J, F>(
+        group: &TaskGroup,
+        journal: Arc<J>,
+        stream: StreamName,
+        start: LogOffset,
+        apply: F,
+    ) -> Self
+    where
+        J: JournalClient,
+        F: FnMut(&LogRecord) + Send + 'static,
+    {
+        let sink = CallbackSink { next: start, apply };
+        Self::spawn_sink(group, journal, stream, sink)
+    }
+
+    /// Starts a task in `group` that feeds `sink`.
+    pub fn spawn_sink<J, S>(group: &TaskGroup, journal: Arc<J>, stream: StreamName, sink: S) -> Self
+    where
+        J: JournalClient,
+        S: RecordSink,
+    {
+        let (status_sender, status) = watch::channel(FollowerStatus {
+            next: sink.next_offset(),
+            end_seen_at: None,
+        });
+        let (gap_sender, gap) = watch::channel(None);
+        let (answered_sender, answered_at) = watch::channel(None);
+        let mut task = FollowerTask {
+            journal,
+            stream,
+            sink,
+            status: status_sender,
+            gap: gap_sender,
+            answered_at: answered_sender,
+        };
+        group.spawn_cancellable(async move { task.run().await });
+        Self {
+            status,
+            gap,
+            answered_at,
+        }
+    }
+
+    /// Returns where the follower stands.
+    pub fn status(&self) -> FollowerStatus {
+        *self.status.borrow()
+    }
+
+    /// Subscribes to the status.
+    pub fn subscribe(&self) -> watch::Receiver<FollowerStatus> {
+        self.status.clone()
+    }
+
+    /// Returns the gap that stops the follower, if any.
+    pub fn gap(&self) -> Option<StreamGap> {
+        *self.gap.borrow()
+    }
+
+    /// Returns when the log last answered a read.
+    pub fn answered_at(&self) -> Option<Instant> {
+        *self.answered_at.borrow()
+    }
+
+    /// Waits until every record before `next` is applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `ShuttingDown` once the follower has stopped.
+    pub async fn reached(&self, next: LogOffset) -> Result<()> {
+        let mut status = self.status.clone();
+        let reached = status.wait_for(|status| status.next >= next).await;
+        reached.map(|_| ()).map_err(|_| stopped())
+    }
+
+    /// Waits until a read that began at `since` or later has shown the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `ShuttingDown` once the follower has stopped.
+    pub async fn end_seen(&self, since: Instant) -> Result<()> {
+        let mut status = self.status.clone();
+        let seen = status
+            .wait_for(|status| status.end_seen_at.is_some_and(|at| at >= since))
+            .await;
+        seen.map(|_| ()).map_err(|_| stopped())
+    }
+}
+
+/// Reads which offsets a stream holds.
+///
+/// # Errors
+///
+/// Fails if the log cannot be reached.
+pub async fn read_bounds<J: JournalClient>(
+    journal: &J,
+    stream: StreamName,
+) -> Result<StreamBounds> {
+    let read = journal.read(stream, LogOffset(0), 1, Duration::ZERO);
+    Ok(bounded_read(READ_TIMEOUT, read).await?.bounds)
+}
+
+pub(super) async fn bounded_read(
+    limit: Duration,
+    read: impl Future<Output = Result<ReadBatch>>,
+) -> Result<ReadBatch> {
+    match timeout(limit, read).await {
+        Ok(batch) => batch,
+        Err(_) => Err(Error::new(Category::Timeout, "the log did not answer")),
+    }
+}
+
+fn stopped() -> Error {
+    Error::new(Category::ShuttingDown, "the follower has stopped")
+}
+
+struct CallbackSink<F> {
+    next: LogOffset,
+    apply: F,
+}
+
+impl<F: FnMut(&LogRecord) + Send + 'static> RecordSink for CallbackSink<F> {
+    fn next_offset(&self) -> LogOffset {
+        self.next
+    }
+
+    fn apply(&mut self, records: &[LogRecord]) {
+        for record in records {
+            if record.offset == self.next {
+                (self.apply)(record);
+                self.next = self.next.next();
+            }
+        }
+    }
+
+    async fn recover(&mut self, gap: StreamGap) {
+        log::error!(
+            "records {} to {} were removed before they were read",
+            gap.next,
+            gap.first
+        );
+    }
+}
+
+struct FollowerTask<J, S> {
+    journal: Arc<J>,
+    stream: StreamName,
+    sink: S,
+    status: watch::Sender<FollowerStatus>,
+    gap: watch::Sender<Option<StreamGap>>,
+    answered_at: watch::Sender<Option<Instant>>,
+}
+
+impl<J: JournalClient, S: RecordSink> FollowerTask<J, S> {
+    async fn run(&mut self) {
+        let mut backoff = MIN_BACKOFF;
+        self.sink.prepare().await;
+        loop {
+            match self.step().await {
+                Ok(()) => backoff = MIN_BACKOFF,
+                Err(cause) => {
+                    log::debug!("stream {}: {cause}", self.stream.as_str());
+                    sleep(backoff).await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<()> {
+        let before = Instant::now();
+        let from = self.sink.next_offset();
+        let read = self
+            .journal
+            .read(self.stream, from, READ_RECORDS, POLL_WAIT);
+        let batch = bounded_read(POLL_WAIT + READ_TIMEOUT, read).await?;
+        self.answered_at.send_replace(Some(Instant::now()));
+        let needed = self.sink.next_offset();
+        if needed < batch.bounds.first {
+            return self.report_gap(needed, batch.bounds.first).await;
+        }
+        check_batch(from, &batch)?;
+        self.gap.send_if_modified(|gap| gap.take().is_some());
+        self.sink.apply(&batch.records);
+        self.publish(before, batch.bounds.next);
+        if batch.records.is_empty() {
+            sleep(IDLE_WAIT).await;
+        }
+        Ok(())
+    }
+
+    async fn report_gap(&mut self, next: LogOffset, first: LogOffset) -> Result<()> {
+        let gap = StreamGap { next, first };
+        self.gap.send_replace(Some(gap));
+        self.sink.recover(gap).await;
+        let next = self.sink.next_offset();
+        self.status.send_if_modified(|status| {
+            let moved = status.next != next;
+            status.next = next;
+            moved
+        });
+        if next >= first {
+            self.gap.send_replace(None);
+            return Ok(());
+        }
+        Err(Error::unavailable(format!(
+            "offset {next} is needed and {first} is the oldest left"
+        )))
+    }
+
+    fn publish(&self, before: Instant, end: LogOffset) {
+        let next = self.sink.next_offset();
+        self.status.send_modify(|status| {
+            status.next = next;
+            if next >= end {
+                status.end_seen_at = Some(before);
+            }
+        });
+    }
+}
+
+/// A read that does not continue at the asked offset would be applied at wrong offsets.
+fn check_batch(from: LogOffset, batch: &ReadBatch) -> Result<()> {
+    let expected = (from.0..).map(LogOffset);
+    let offsets = batch.records.iter().map(|record| record.offset);
+    if offsets
+        .zip(expected)
+        .any(|(offset, wanted)| offset != wanted)
+    {
+        return Err(Error::new(
+            Category::Protocol,
+            format!("the log's answer does not continue at offset {from}"),
+        ));
+    }
+    Ok(())
+}
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -1,6 +1,7 @@
 //! Access to the platform's append-only log.
 
 mod client;
+mod commit;
 mod follower;
 
 use std::future::Future;
@@ -9,7 +10,8 @@
 use bytes::Bytes;
 
 pub use self::client::HttpJournal;
-pub use self::follower::{FollowerStatus, StreamFollower};
+pub use self::commit::commit_record;
+pub use self::follower::{FollowerStatus, RecordSink, StreamFollower, StreamGap, read_bounds};
 use crate::error::Result;
 use crate::ids::LogOffset;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,11 @@
 pub mod journal;
 pub mod kernel;
 pub mod limit;
+pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod proto;
+pub mod replica;
 pub mod routing;
 pub mod timer;
 
--- /dev/null
+++ b/src/operator/service.rs
@@ -0,0 +1,238 @@
+//! Calls of the operator schema on a catalog replica.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::Stream;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::CancellationToken;
+use tonic::metadata::{MetadataMap, MetadataValue};
+use tonic::{Code, Request, Response, Status};
+
+use crate::catalog::{
+    ApplyVerdict, BOOTSTRAP_AUTHOR, ChangeCommand, FleetCatalog, Revision, digests_match,
+};
+use crate::error::{Category, Error, RunVerdict};
+use crate::ids::{KeyDigest, LogOffset};
+use crate::journal::JournalClient;
+use crate::operator::MemberLister;
+use crate::operator::convert::{
+    change_from_proto, command_id_from, kind_from_proto, listed_to_proto,
+};
+use crate::proto::operator_service_server::OperatorService;
+use crate::proto::{
+    ApplyReply, ApplyRequest, ListReply, ListRequest, MembersReply, MembersRequest, WatchReply,
+    WatchRequest,
+};
+use crate::replica::{CatalogReplica, ChangeReport, Confirmations};
+
+/// Metadata entry of an ABORTED status that holds the entity's current revision.
+pub const CURRENT_REVISION_KEY: &str = "current-revision";
+
+/// Wait for confirmations if the request names none, and the longest one.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+const MAX_WAIT: Duration = Duration::from_secs(120);
+
+/// Shortest wait for a change to be read back. A request that asks for no longer wait than this for confirmations
+/// still gets to know what its change did.
+const MIN_SUBMIT_WAIT: Duration = Duration::from_secs(5);
+
+/// Serves operators from a replica.
+pub(super) struct CatalogOperator<J> {
+    replica: Arc<CatalogReplica<J>>,
+    bootstrap: Option<KeyDigest>,
+    members: MemberLister,
+    stop: CancellationToken,
+}
+
+impl<J: JournalClient> CatalogOperator<J> {
+    pub(super) fn new(
+        replica: Arc<CatalogReplica<J>>,
+        bootstrap: Option<KeyDigest>,
+        members: MemberLister,
+        stop: CancellationToken,
+    ) -> Self {
+        Self {
+            replica,
+            bootstrap,
+            members,
+            stop,
+        }
+    }
+
+    /// Returns the name of the operator that calls.
+    fn authenticate(&self, metadata: &MetadataMap) -> Result<SmolStr, Status> {
+        // Before the state is loaded the catalog looks empty, and the bootstrap key must not pass for that reason.
+        if !self.replica.is_ready() {
+            return Err(Status::unavailable("the configuration is not loaded yet"));
+        }
+        let secret = metadata
+            .get("authorization")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or_else(|| Status::unauthenticated("an operator's key is needed"))?;
+        self.operator_named(&self.replica.current(), secret)
+            .ok_or_else(|| Status::unauthenticated("the key is not an operator's"))
+    }
+
+    fn operator_named(&self, catalog: &FleetCatalog, secret: &str) -> Option<SmolStr> {
+        if catalog.has_operators() {
+            return catalog.operator_of_key(secret).cloned();
+        }
+        let digest = KeyDigest::of(secret.as_bytes());
+        let matches = digests_match(self.bootstrap.as_ref()?, &digest);
+        matches.then(|| BOOTSTRAP_AUTHOR.into())
+    }
+}
+
+#[tonic::async_trait]
+impl<J: JournalClient> OperatorService for CatalogOperator<J> {
+    type WatchStream = Pin<Box<dyn Stream<Item = Result<WatchReply, Status>> + Send>>;
+
+    async fn apply(&self, request: Request<ApplyRequest>) -> Result<Response<ApplyReply>, Status> {
+        let start = Instant::now();
+        let author = self.authenticate(request.metadata())?;
+        let request = request.into_inner();
+        let wait = wait_of(request.wait_ms);
+        let command = ChangeCommand {
+            id: command_id_from(&request.command_id).map_err(|cause| status_of(&cause))?,
+            base: Revision(request.base_revision),
+            author,
+            change: change_from_proto(request.change).map_err(|cause| status_of(&cause))?,
+        };
+        let (id, target) = (command.id, command.change.target());
+        let submit = self.replica.submit(command, wait.max(MIN_SUBMIT_WAIT));
+        let report = submit.await.map_err(|cause| status_of(&cause))?;
+        log::info!("change {id} of {target}: {:?}", report.verdict);
+        let revision = accepted_revision(&report)?;
+        let left = wait.saturating_sub(start.elapsed());
+        let confirmations = self.replica.wait_confirmed(report.offset, left).await;
+        let (confirmed, pending) = names_of(confirmations);
+        Ok(Response::new(ApplyReply {
+            revision: revision.0,
+            offset: report.offset.0,
+            confirmed,
+            pending,
+        }))
+    }
+
+    async fn list(&self, request: Request<ListRequest>) -> Result<Response<ListReply>, Status> {
+        self.authenticate(request.metadata())?;
+        let kind = kind_from_proto(request.into_inner().kind).map_err(|cause| status_of(&cause))?;
+        let catalog = self.replica.current();
+        let entities = catalog.entities();
+        let listed = entities
+            .iter()
+            .filter(|listed| kind.is_none_or(|kind| listed.declaration.target().kind == kind));
+        Ok(Response::new(ListReply {
+            entities: listed.map(listed_to_proto).collect(),
+            next_offset: catalog.next_offset().0,
+        }))
+    }
+
+    async fn watch(
+        &self,
+        request: Request<WatchRequest>,
+    ) -> Result<Response<Self::WatchStream>, Status> {
+        self.authenticate(request.metadata())?;
+        let offset = LogOffset(request.into_inner().offset);
+        let (replies, stream) = mpsc::channel(1);
+        let (replica, stop) = (self.replica.clone(), self.stop.clone());
+        // The task ends with the stream, when all VMs have confirmed, or when the server stops.
+        tokio::spawn(async move {
+            stop.run_until_cancelled(watch_offset(replica, offset, replies))
+                .await;
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
+    }
+
+    async fn members(
+        &self,
+        request: Request<MembersRequest>,
+    ) -> Result<Response<MembersReply>, Status> {
+        self.authenticate(request.metadata())?;
+        let members = (self.members)();
+        Ok(Response::new(MembersReply { members }))
+    }
+}
+
+async fn watch_offset<J: JournalClient>(
+    replica: Arc<CatalogReplica<J>>,
+    offset: LogOffset,
+    replies: mpsc::Sender<Result<WatchReply, Status>>,
+) {
+    let mut changes = replica.confirmation_changes();
+    let mut last = None;
+    loop {
+        let confirmations = replica.confirmations(offset);
+        let complete = confirmations.pending.is_empty();
+        if last.as_ref() != Some(&confirmations) {
+            last = Some(confirmations.clone());
+            let (confirmed, pending) = names_of(confirmations);
+            let reply = WatchReply { confirmed, pending };
+            if replies.send(Ok(reply)).await.is_err() {
+                return;
+            }
+        }
+        if complete {
+            return;
+        }
+        tokio::select! {
+            change = changes.next() => {
+                if change.is_none() {
+                    return;
+                }
+            }
+            () = replies.closed() => return,
+        }
+    }
+}
+
+fn wait_of(wait_ms: u32) -> Duration {
+    match wait_ms {
+        0 => DEFAULT_WAIT,
+        wait_ms => Duration::from_millis(wait_ms.into()).min(MAX_WAIT),
+    }
+}
+
+fn names_of(confirmations: Confirmations) -> (Vec<String>, Vec<String>) {
+    let names = |names: Vec<SmolStr>| names.into_iter().map(String::from).collect();
+    (names(confirmations.confirmed), names(confirmations.pending))
+}
+
+fn accepted_revision(report: &ChangeReport) -> Result<Revision, Status> {
+    match &report.verdict {
+        ApplyVerdict::Accepted(revision) => Ok(*revision),
+        ApplyVerdict::Conflict { current } => {
+            let message = format!("conflict: the entity is at revision {}", current.0);
+            let mut status = Status::aborted(message);
+            let value = MetadataValue::from(current.0);
+            status.metadata_mut().insert(CURRENT_REVISION_KEY, value);
+            Err(status)
+        }
+        ApplyVerdict::Invalid(reason) => Err(Status::invalid_argument(reason)),
+    }
+}
+
+/// Maps an error to a gRPC status; its message names the run verdict unless that is `not_run`.
+pub fn status_of(cause: &Error) -> Status {
+    let code = match cause.category() {
+        Category::Invalid => Code::InvalidArgument,
+        Category::Unauthenticated => Code::Unauthenticated,
+        Category::Forbidden => Code::PermissionDenied,
+        Category::NotFound => Code::NotFound,
+        Category::Conflict => Code::Aborted,
+        Category::RateLimited | Category::Overloaded => Code::ResourceExhausted,
+        Category::Quarantined => Code::FailedPrecondition,
+        Category::Unavailable | Category::ShuttingDown => Code::Unavailable,
+        Category::Timeout => Code::DeadlineExceeded,
+        Category::Protocol | Category::Internal => Code::Internal,
+    };
+    match cause.verdict() {
+        RunVerdict::NotRun => Status::new(code, cause.message()),
+        verdict => Status::new(code, format!("{} ({verdict})", cause.message())),
+    }
+}
--- /dev/null
+++ b/src/replica/confirm.rs
@@ -0,0 +1,100 @@
+//! Which VMs have a configuration offset in force.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use crate::catalog::FleetCatalog;
+use crate::ids::LogOffset;
+
+/// VMs that have applied a record, and those that have not.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Confirmations {
+    pub confirmed: Vec<SmolStr>,
+    pub pending: Vec<SmolStr>,
+}
+
+/// Signals that confirmations may have changed.
+pub struct ConfirmationChanges {
+    pub(super) reports: watch::Receiver<()>,
+    pub(super) catalogs: watch::Receiver<Arc<FleetCatalog>>,
+}
+
+impl ConfirmationChanges {
+    /// Waits for the next change; `None` once the replica is gone.
+    pub async fn next(&mut self) -> Option<()> {
+        tokio::select! {
+            changed = self.reports.changed() => changed.ok(),
+            changed = self.catalogs.changed() => changed.ok(),
+        }
+    }
+}
+
+/// Latest report of each VM.
+pub(super) struct ConfirmTable {
+    own: SmolStr,
+    inner: Mutex<TableInner>,
+    changes: watch::Sender<()>,
+}
+
+#[derive(Default)]
+struct TableInner {
+    expected: BTreeSet<SmolStr>,
+    reports: BTreeMap<SmolStr, LogOffset>,
+}
+
+impl ConfirmTable {
+    pub(super) fn new(own: SmolStr) -> Self {
+        Self {
+            own,
+            inner: Mutex::default(),
+            changes: watch::Sender::new(()),
+        }
+    }
+
+    pub(super) fn note(&self, name: &SmolStr, next: LogOffset) {
+        let earlier = self.with(|inner| inner.reports.insert(name.clone(), next));
+        if earlier != Some(next) {
+            self.wake();
+        }
+    }
+
+    /// Reports of VMs that are not expected are kept: a VM may report before it is on any list.
+    pub(super) fn expect(&self, names: BTreeSet<SmolStr>) {
+        self.with(|inner| inner.expected = names);
+        self.wake();
+    }
+
+    pub(super) fn at(&self, offset: LogOffset, own_next: LogOffset) -> Confirmations {
+        let mut confirmations = Confirmations::default();
+        self.with(|inner| {
+            let mut expected = inner.expected.clone();
+            expected.insert(self.own.clone());
+            for name in expected {
+                let next = match name == self.own {
+                    true => Some(&own_next),
+                    false => inner.reports.get(&name),
+                };
+                match next.is_some_and(|next| *next > offset) {
+                    true => confirmations.confirmed.push(name),
+                    false => confirmations.pending.push(name),
+                }
+            }
+        });
+        confirmations
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    fn wake(&self) {
+        self.changes.send_replace(());
+    }
+
+    fn with<T>(&self, work: impl FnOnce(&mut TableInner) -> T) -> T {
+        work(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- /dev/null
+++ b/src/replica/mod.rs
@@ -0,0 +1,316 @@
+//! Keeps the catalog current from the `config` stream, makes changes and tells which VMs have them in force.
+
+mod confirm;
+mod snapshot;
+mod state;
+mod sync;
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::catalog::{ApplyVerdict, ChangeCommand, FleetCatalog};
+use crate::error::{Category, Error, Result, RunVerdict};
+use crate::ids::LogOffset;
+use crate::journal::{FollowerStatus, JournalClient, StreamFollower, StreamGap, StreamName};
+use crate::kernel::TaskGroup;
+use crate::replica::confirm::ConfirmTable;
+use crate::replica::state::{RecordSource, ReplicaState};
+use crate::replica::sync::{CatalogSink, SnapshotMemo, watch_readiness, write_snapshots};
+use crate::timer::TimerService;
+
+pub use self::confirm::{ConfirmationChanges, Confirmations};
+pub use self::snapshot::{decode_state, encode_state};
+
+/// Wait for a command to be read back before it is appended again. A repeated record has no effect.
+const RESUBMIT_WAIT: Duration = Duration::from_secs(1);
+
+/// What a command did, and the offset of the record that did it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeReport {
+    pub offset: LogOffset,
+    pub verdict: ApplyVerdict,
+}
+
+/// Consecutive records of the `config` stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigRecords {
+    pub first: LogOffset,
+    pub records: Vec<Vec<u8>>,
+}
+
+/// What a replica needs of the other daemons.
+pub trait ReplicaPeers: Send + Sync + 'static {
+    /// Fetches the encoded states of all peers that can be reached.
+    fn fetch_states(&self) -> impl Future<Output = Vec<Vec<u8>>> + Send;
+
+    /// Returns whether this daemon is the one to write snapshots. More than one writer does no harm.
+    fn writes_snapshots(&self) -> bool;
+}
+
+/// Peers of a daemon that runs alone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+impl ReplicaPeers for NoPeers {
+    async fn fetch_states(&self) -> Vec<Vec<u8>> {
+        Vec::new()
+    }
+
+    fn writes_snapshots(&self) -> bool {
+        true
+    }
+}
+
+/// Settings of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaOptions {
+    /// Name of this VM.
+    pub vm: SmolStr,
+    /// Longest time between two snapshots; well under the retention of `config` and of `snapshots`.
+    pub snapshot_period: Duration,
+}
+
+/// The catalog of one daemon.
+pub struct CatalogReplica<J> {
+    journal: Arc<J>,
+    state: Arc<ReplicaState>,
+    follower: StreamFollower,
+    ready: watch::Receiver<bool>,
+    confirms: ConfirmTable,
+    may_append: AtomicBool,
+}
+
+impl<J: JournalClient> CatalogReplica<J> {
+    /// Starts the tasks that load and follow the configuration. Returns at once; see [`Self::wait_ready`].
+    pub fn spawn<P: ReplicaPeers>(
+        group: &TaskGroup,
+        timer: &TimerService,
+        journal: Arc<J>,
+        peers: Arc<P>,
+        options: ReplicaOptions,
+    ) -> Self {
+        let state = Arc::new(ReplicaState::new());
+        let memo = Arc::new(SnapshotMemo::default());
+        let sink = CatalogSink {
+            journal: journal.clone(),
+            peers: peers.clone(),
+            state: state.clone(),
+            memo: memo.clone(),
+        };
+        let follower = StreamFollower::spawn_sink(group, journal.clone(), StreamName::Config, sink);
+        let (ready_sender, ready) = watch::channel(false);
+        group.spawn_cancellable(watch_readiness(
+            follower.clone(),
+            peers.clone(),
+            state.clone(),
+            ready_sender,
+        ));
+        group.spawn_cancellable(write_snapshots(
+            journal.clone(),
+            peers,
+            state.clone(),
+            memo,
+            timer.clone(),
+            options.snapshot_period,
+        ));
+        Self {
+            journal,
+            state,
+            follower,
+            ready,
+            confirms: ConfirmTable::new(options.vm),
+            may_append: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the catalog at the latest applied offset. Cheap enough for every request.
+    pub fn current(&self) -> Arc<FleetCatalog> {
+        self.state.current()
+    }
+
+    /// Subscribes to new catalogs.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<FleetCatalog>> {
+        self.state.subscribe()
+    }
+
+    /// Returns the next `config` offset that is not applied yet.
+    pub fn next_offset(&self) -> LogOffset {
+        self.current().next_offset()
+    }
+
+    /// Returns where the follower of the log stands. `next` leaves out records that a peer pushed since the last read.
+    pub fn status(&self) -> FollowerStatus {
+        self.follower.status()
+    }
+
+    /// Returns when the log last answered.
+    pub fn log_answered_at(&self) -> Option<Instant> {
+        self.follower.answered_at()
+    }
+
+    /// Returns the part of the log that was removed before it was read, if neither a snapshot nor a peer closed it.
+    pub fn gap(&self) -> Option<StreamGap> {
+        self.follower.gap()
+    }
+
+    /// Returns whether the state is at least as new as the log's end was after start or, while the log is down, as
+    /// the newest reachable peer's. Stays true once it is.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// Waits until [`Self::is_ready`].
+    ///
+    /// # Errors
+    ///
+    /// Fails with `ShuttingDown` once the replica has stopped.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let mut ready = self.ready.clone();
+        let waited = ready.wait_for(|ready| *ready).await;
+        waited
+            .map(|_| ())
+            .map_err(|_| Error::new(Category::ShuttingDown, "the replica has stopped"))
+    }
+
+    /// Allows or refuses appends; they are refused at first. A daemon may append only after it has been on the VM
+    /// list for the list's longest lag, so that daemons that judge their view by the list cannot miss it.
+    pub fn allow_append(&self, allowed: bool) {
+        self.may_append.store(allowed, Ordering::Relaxed);
+    }
+
+    /// Appends `command`, reads it back and returns what it did. Waits up to `wait`.
+    ///
+    /// # Errors
+    ///
+    /// The verdict is `NotRun` if the command is surely not on the log. It is `MayHaveRun` at the deadline; the
+    /// outcome then shows when the same command is submitted again.
+    pub async fn submit(&self, command: ChangeCommand, wait: Duration) -> Result<ChangeReport> {
+        if !self.is_ready() {
+            return Err(Error::unavailable("the configuration is not loaded yet"));
+        }
+        if let Some(report) = self.earlier_report(&command) {
+            return Ok(report);
+        }
+        if !self.may_append.load(Ordering::Relaxed) {
+            return Err(Error::unavailable(
+                "this daemon has not been on the VM list for long enough",
+            ));
+        }
+        let record = Bytes::from(command.encode()?);
+        let mut report = self.state.wait_for(&command);
+        let mut unresolved = None;
+        let submission = async {
+            loop {
+                let appended = self.journal.append(StreamName::Config, record.clone());
+                match appended.await {
+                    Err(cause) if unresolved.is_none() && cause.verdict() == RunVerdict::NotRun => {
+                        return Err(cause);
+                    }
+                    Err(cause) => unresolved = Some(cause),
+                    Ok(_) => return (&mut report).await.map_err(|_| not_read_back()),
+                }
+                if let Ok(Ok(report)) = timeout(RESUBMIT_WAIT, &mut report).await {
+                    return Ok(report);
+                }
+            }
+        };
+        match timeout(wait, submission).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                let cause = unresolved.unwrap_or_else(not_read_back);
+                let message = format!("change {} is not confirmed: {cause}", command.id);
+                Err(Error::new(Category::Timeout, message).with_verdict(RunVerdict::MayHaveRun))
+            }
+        }
+    }
+
+    fn earlier_report(&self, command: &ChangeCommand) -> Option<ChangeReport> {
+        let catalog = self.current();
+        let applied = catalog.applied_command(command.id)?;
+        (applied.digest == command.digest()).then(|| ChangeReport {
+            offset: applied.offset,
+            verdict: applied.verdict.clone(),
+        })
+    }
+
+    /// Applies records that a peer read from the log; those beyond a gap are left to the log. Returns the next offset.
+    pub fn push(&self, first: LogOffset, records: &[Vec<u8>]) -> LogOffset {
+        let records = records.iter().map(Vec::as_slice);
+        self.state.apply(first, records, RecordSource::Peer)
+    }
+
+    /// Returns recent records from `from` on for a peer that lags, or `None` if it must read them from the log.
+    pub fn records_from(&self, from: LogOffset) -> Option<ConfigRecords> {
+        self.state.records_from(from)
+    }
+
+    /// Encodes the state for a peer that starts while the log is down.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Unavailable` while this replica is not ready itself.
+    pub fn encode_state(&self) -> Result<Vec<u8>> {
+        if !self.is_ready() {
+            return Err(Error::unavailable("the configuration is not loaded yet"));
+        }
+        encode_state(&self.current())
+    }
+
+    /// Installs a peer's state if it is newer than the own one. Returns the next offset.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Protocol` if the state is malformed.
+    pub fn install_state(&self, state: &[u8]) -> Result<LogOffset> {
+        Ok(self.state.install(decode_state(state)?))
+    }
+
+    /// Notes the next `config` offset that the VM `name` reported. The latest report counts, as a VM that was
+    /// restarted under its old name may be behind.
+    pub fn note_peer(&self, name: &SmolStr, next: LogOffset) {
+        self.confirms.note(name, next);
+    }
+
+    /// Sets the names of the VMs that must confirm a change. This VM is always one of them.
+    pub fn expect_peers(&self, names: BTreeSet<SmolStr>) {
+        self.confirms.expect(names);
+    }
+
+    /// Returns which VMs have applied the record at `offset`.
+    pub fn confirmations(&self, offset: LogOffset) -> Confirmations {
+        self.confirms.at(offset, self.next_offset())
+    }
+
+    /// Waits until all expected VMs have applied the record at `offset`, for up to `wait`. Returns the last view.
+    pub async fn wait_confirmed(&self, offset: LogOffset, wait: Duration) -> Confirmations {
+        let mut changes = self.confirmation_changes();
+        let all = async {
+            while !self.confirmations(offset).pending.is_empty() && changes.next().await.is_some() {
+            }
+        };
+        // The view after the deadline tells which VMs are still pending.
+        let _ = timeout(wait, all).await;
+        self.confirmations(offset)
+    }
+
+    /// Subscribes to changes of what [`Self::confirmations`] returns.
+    pub fn confirmation_changes(&self) -> ConfirmationChanges {
+        ConfirmationChanges {
+            reports: self.confirms.subscribe(),
+            catalogs: self.state.subscribe(),
+        }
+    }
+}
+
+fn not_read_back() -> Error {
+    Error::new(Category::Timeout, "its record was not read back in time")
+        .with_verdict(RunVerdict::MayHaveRun)
+}
--- /dev/null
+++ b/src/replica/state.rs
@@ -0,0 +1,180 @@
+//! The replica's state behind one lock: catalog, recent records and waiting commands.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{oneshot, watch};
+
+use crate::catalog::{AppliedCommand, ChangeCommand, FleetCatalog};
+use crate::ids::{LogOffset, RecordId};
+use crate::replica::{ChangeReport, ConfigRecords};
+
+/// Records kept for peers that lag; longer lags are made up from the log.
+const RECENT_RECORDS: usize = 256;
+
+/// Records in one push to a peer.
+const PUSH_RECORDS: usize = 64;
+
+/// Where records come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RecordSource {
+    Log,
+    Peer,
+}
+
+/// Shared by the replica's handle and its tasks.
+pub(super) struct ReplicaState {
+    inner: Mutex<StateInner>,
+    current: watch::Sender<Arc<FleetCatalog>>,
+}
+
+#[derive(Default)]
+struct StateInner {
+    catalog: Arc<FleetCatalog>,
+    /// Latest records, the last one at the offset before the catalog's next.
+    recent: VecDeque<Vec<u8>>,
+    waiters: HashMap<RecordId, Vec<oneshot::Sender<ChangeReport>>>,
+}
+
+impl ReplicaState {
+    pub(super) fn new() -> Self {
+        let (current, _) = watch::channel(Arc::default());
+        Self {
+            inner: Mutex::default(),
+            current,
+        }
+    }
+
+    pub(super) fn current(&self) -> Arc<FleetCatalog> {
+        self.current.borrow().clone()
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<Arc<FleetCatalog>> {
+        self.current.subscribe()
+    }
+
+    /// Applies records, the first at offset `first`. Those already applied are passed over; nothing is applied
+    /// beyond a gap. Returns the next offset.
+    pub(super) fn apply<'a>(
+        &self,
+        first: LogOffset,
+        records: impl Iterator<Item = &'a [u8]>,
+        source: RecordSource,
+    ) -> LogOffset {
+        let mut inner = self.lock();
+        let before = inner.catalog.next_offset();
+        for (offset, data) in (first.0..).map(LogOffset).zip(records) {
+            if offset < inner.catalog.next_offset() {
+                continue;
+            }
+            if offset > inner.catalog.next_offset() || !inner.apply_one(offset, data, source) {
+                break;
+            }
+        }
+        let next = inner.catalog.next_offset();
+        if next > before {
+            self.current.send_replace(inner.catalog.clone());
+        }
+        next
+    }
+
+    /// Replaces the catalog if `catalog` is newer. Returns the next offset.
+    pub(super) fn install(&self, catalog: FleetCatalog) -> LogOffset {
+        let mut inner = self.lock();
+        if catalog.next_offset() > inner.catalog.next_offset() {
+            inner.catalog = Arc::new(catalog);
+            inner.recent.clear();
+            inner.answer_known();
+            self.current.send_replace(inner.catalog.clone());
+        }
+        inner.catalog.next_offset()
+    }
+
+    /// Registers a wait for the verdict of `command`.
+    pub(super) fn wait_for(&self, command: &ChangeCommand) -> oneshot::Receiver<ChangeReport> {
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        for waiters in inner.waiters.values_mut() {
+            waiters.retain(|waiter| !waiter.is_closed());
+        }
+        inner.waiters.retain(|_, waiters| !waiters.is_empty());
+        inner.waiters.entry(command.id).or_default().push(sender);
+        receiver
+    }
+
+    /// Returns records from `from` on, or `None` if there are none or they are no longer kept.
+    pub(super) fn records_from(&self, from: LogOffset) -> Option<ConfigRecords> {
+        let inner = self.lock();
+        let next = inner.catalog.next_offset().0;
+        let first = next - inner.recent.len() as u64;
+        if from.0 < first || from.0 >= next {
+            return None;
+        }
+        let skipped = usize::try_from(from.0 - first).ok()?;
+        let records = inner.recent.iter().skip(skipped).take(PUSH_RECORDS);
+        Some(ConfigRecords {
+            first: from,
+            records: records.cloned().collect(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StateInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StateInner {
+    /// Applies the record at the next offset. Returns whether it did.
+    fn apply_one(&mut self, offset: LogOffset, data: &[u8], source: RecordSource) -> bool {
+        match ChangeCommand::decode(data) {
+            Ok(command) => {
+                let catalog = Arc::make_mut(&mut self.catalog);
+                let verdict = catalog.apply(offset, &command);
+                self.answer(command.id, ChangeReport { offset, verdict });
+            }
+            // Only the log can tell whether the record really is malformed on all daemons.
+            Err(_) if source == RecordSource::Peer => return false,
+            Err(cause) => {
+                log::error!("config record {offset} is passed over: {cause}");
+                Arc::make_mut(&mut self.catalog).skip(offset);
+            }
+        }
+        if self.recent.len() == RECENT_RECORDS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(data.to_vec());
+        true
+    }
+
+    fn answer(&mut self, id: RecordId, mut report: ChangeReport) {
+        let Some(waiters) = self.waiters.remove(&id) else {
+            return;
+        };
+        // A repeated command reports the offset at which it took effect.
+        if let Some(applied) = self.catalog.applied_command(id)
+            && applied.verdict == report.verdict
+        {
+            report.offset = applied.offset;
+        }
+        for waiter in waiters {
+            // The waiting call may have ended at its deadline.
+            let _ = waiter.send(report.clone());
+        }
+    }
+
+    /// Answers the commands whose records were passed over by installing a state.
+    fn answer_known(&mut self) {
+        let known: Vec<AppliedCommand> = self
+            .waiters
+            .keys()
+            .filter_map(|id| self.catalog.applied_command(*id).cloned())
+            .collect();
+        for applied in known {
+            let report = ChangeReport {
+                offset: applied.offset,
+                verdict: applied.verdict,
+            };
+            self.answer(applied.id, report);
+        }
+    }
+}
--- /dev/null
+++ b/tests/config_support/mod.rs
@@ -0,0 +1,195 @@
+//! A log in memory that loses answers, is down, or drops old records when a test says so.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhill::catalog::{ChangeCommand, EntityChange, FleetPolicy, Revision, TeamSpec};
+use foxtailhill::error::{Category, Error, Result, RunVerdict};
+use foxtailhill::ids::{LogOffset, RecordId};
+use foxtailhill::journal::{JournalClient, LogRecord, ReadBatch, StreamBounds, StreamName};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Longest wait of a test for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+#[derive(Default)]
+struct Streams {
+    records: HashMap<StreamName, (u64, Vec<Bytes>)>,
+    down: bool,
+    /// Appends whose answer is lost although they take effect.
+    lose_after: u32,
+    /// Appends that are lost before they take effect, with an unclear answer.
+    lose_before: u32,
+}
+
+#[derive(Default)]
+pub struct FakeLog {
+    streams: Mutex<Streams>,
+    appended: Notify,
+}
+
+impl FakeLog {
+    pub fn set_down(&self, down: bool) {
+        self.streams.lock().unwrap().down = down;
+        self.appended.notify_waiters();
+    }
+
+    pub fn lose_answers(&self, count: u32) {
+        self.streams.lock().unwrap().lose_after = count;
+    }
+
+    pub fn lose_appends(&self, count: u32) {
+        self.streams.lock().unwrap().lose_before = count;
+    }
+
+    /// Removes the records before `first`.
+    pub fn retain_from(&self, stream: StreamName, first: u64) {
+        let mut streams = self.streams.lock().unwrap();
+        let (base, records) = streams.records.entry(stream).or_default();
+        let removed = usize::try_from(first - *base).unwrap();
+        records.drain(..removed);
+        *base = first;
+    }
+
+    /// Appends without faults.
+    pub fn put(&self, stream: StreamName, record: impl Into<Bytes>) -> LogOffset {
+        let mut streams = self.streams.lock().unwrap();
+        let (base, records) = streams.records.entry(stream).or_default();
+        records.push(record.into());
+        self.appended.notify_waiters();
+        LogOffset(*base + records.len() as u64 - 1)
+    }
+
+    pub fn records(&self, stream: StreamName) -> Vec<Bytes> {
+        let streams = self.streams.lock().unwrap();
+        let found = streams.records.get(&stream);
+        found
+            .map(|(_, records)| records.clone())
+            .unwrap_or_default()
+    }
+
+    /// Flips a bit in the last byte of a record.
+    pub fn corrupt(&self, stream: StreamName, index: usize) {
+        let mut streams = self.streams.lock().unwrap();
+        let (_, records) = streams.records.get_mut(&stream).unwrap();
+        let mut record = records[index].to_vec();
+        *record.last_mut().unwrap() ^= 1;
+        records[index] = record.into();
+    }
+
+    fn read_now(&self, stream: StreamName, from: LogOffset, max: usize) -> Result<ReadBatch> {
+        let streams = self.streams.lock().unwrap();
+        if streams.down {
+            return Err(Error::unavailable("the log is down"));
+        }
+        let empty = (0, Vec::new());
+        let (base, held) = streams.records.get(&stream).unwrap_or(&empty);
+        let next = base + held.len() as u64;
+        let records = (*base..next)
+            .zip(held)
+            .filter(|(offset, _)| *offset >= from.0)
+            .take(max)
+            .map(|(offset, data)| LogRecord {
+                offset: LogOffset(offset),
+                data: data.clone(),
+            });
+        Ok(ReadBatch {
+            records: records.collect(),
+            bounds: StreamBounds {
+                first: LogOffset(*base),
+                next: LogOffset(next),
+            },
+        })
+    }
+}
+
+impl JournalClient for FakeLog {
+    async fn append(&self, stream: StreamName, record: Bytes) -> Result<LogOffset> {
+        let unclear =
+            || Error::new(Category::Timeout, "answer lost").with_verdict(RunVerdict::MayHaveRun);
+        {
+            let mut streams = self.streams.lock().unwrap();
+            if streams.down {
+                return Err(Error::unavailable("the log is down"));
+            }
+            if streams.lose_before > 0 {
+                streams.lose_before -= 1;
+                return Err(unclear());
+            }
+        }
+        let offset = self.put(stream, record);
+        let mut streams = self.streams.lock().unwrap();
+        if streams.lose_after > 0 {
+            streams.lose_after -= 1;
+            return Err(unclear());
+        }
+        Ok(offset)
+    }
+
+    async fn read(
+        &self,
+        stream: StreamName,
+        from: LogOffset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<ReadBatch> {
+        let found = timeout(wait, async {
+            loop {
+                let appended = self.appended.notified();
+                let batch = self.read_now(stream, from, max);
+                if !matches!(&batch, Ok(batch) if batch.records.is_empty()) {
+                    return batch;
+                }
+                appended.await;
+            }
+        });
+        match found.await {
+            Ok(batch) => batch,
+            Err(_) => self.read_now(stream, from, max),
+        }
+    }
+}
+
+/// A command that creates or changes a team.
+pub fn put_team(name: &str, rate: u64, base: u64) -> ChangeCommand {
+    command(
+        base,
+        EntityChange::PutTeam(TeamSpec {
+            name: name.into(),
+            rate,
+            burst: rate,
+        }),
+    )
+}
+
+/// A command that changes the grace period.
+pub fn put_policy(grace_ms: u64, base: u64) -> ChangeCommand {
+    let policy = FleetPolicy {
+        key_grace: Duration::from_millis(grace_ms),
+        ..FleetPolicy::default()
+    };
+    command(base, EntityChange::PutPolicy(policy))
+}
+
+pub fn command(base: u64, change: EntityChange) -> ChangeCommand {
+    ChangeCommand {
+        id: RecordId::random(),
+        base: Revision(base),
+        author: "root".into(),
+        change,
+    }
+}
+
+/// Waits until `done` holds.
+pub async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let waited = timeout(PATIENCE, async {
+        while !done() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "gave up waiting until {what}");
+}
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,191 @@
+//! The operator interface over a real connection.
+
+mod config_support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtailhill::ids::KeyDigest;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::operator::{CURRENT_REVISION_KEY, OperatorServer};
+use foxtailhill::proto;
+use foxtailhill::proto::operator_service_client::OperatorServiceClient;
+use foxtailhill::replica::{CatalogReplica, NoPeers, ReplicaOptions};
+use foxtailhill::timer::TimerService;
+use tonic::transport::Channel;
+use tonic::{Code, Request};
+
+use crate::config_support::FakeLog;
+
+type Client = OperatorServiceClient<Channel>;
+
+struct Daemon {
+    group: TaskGroup,
+    replica: Arc<CatalogReplica<FakeLog>>,
+    server: OperatorServer,
+}
+
+impl Daemon {
+    async fn start(journal: &Arc<FakeLog>, vm: &str) -> Self {
+        let group = TaskGroup::new();
+        let timer = TimerService::spawn(&group);
+        let options = ReplicaOptions {
+            vm: vm.into(),
+            snapshot_period: Duration::from_secs(600),
+        };
+        let replica =
+            CatalogReplica::spawn(&group, &timer, journal.clone(), Arc::new(NoPeers), options);
+        let replica = Arc::new(replica);
+        replica.wait_ready().await.unwrap();
+        replica.allow_append(true);
+        let server = OperatorServer::bind(
+            &group,
+            "127.0.0.1:0".parse().unwrap(),
+            replica.clone(),
+            Some(KeyDigest::of(b"first")),
+            Arc::new(Vec::new),
+        )
+        .await
+        .unwrap();
+        Self {
+            group,
+            replica,
+            server,
+        }
+    }
+
+    async fn client(&self) -> Client {
+        let address = format!("http://{}", self.server.address());
+        Client::connect(address).await.unwrap()
+    }
+}
+
+fn with_key<T>(key: &str, message: T) -> Request<T> {
+    let mut request = Request::new(message);
+    let value = format!("Bearer {key}").parse().unwrap();
+    request.metadata_mut().insert("authorization", value);
+    request
+}
+
+fn put(entity: proto::entity::Entity, base_revision: u64) -> proto::ApplyRequest {
+    let entity = proto::Entity {
+        entity: Some(entity),
+    };
+    proto::ApplyRequest {
+        base_revision,
+        change: Some(proto::apply_request::Change::Put(entity)),
+        wait_ms: 100,
+        ..Default::default()
+    }
+}
+
+fn operator(name: &str, key: &str) -> proto::entity::Entity {
+    proto::entity::Entity::Operator(proto::Operator {
+        name: name.into(),
+        digest: KeyDigest::of(key.as_bytes()).to_string(),
+    })
+}
+
+fn team(rate: u64) -> proto::entity::Entity {
+    proto::entity::Entity::Team(proto::Team {
+        name: "desks".into(),
+        rate,
+        burst: 10,
+    })
+}
+
+/// Guards against a bootstrap key that goes on working, and against calls without an operator's key.
+#[tokio::test]
+async fn bootstrap_key_ends_with_the_first_operator() {
+    let journal = Arc::new(FakeLog::default());
+    let daemon = Daemon::start(&journal, "vm-1").await;
+    let mut client = daemon.client().await;
+    let refused = client.apply(with_key("guess", put(team(5), 0))).await;
+    assert_eq!(refused.unwrap_err().code(), Code::Unauthenticated);
+    let refused = client.apply(Request::new(put(team(5), 0))).await;
+    assert_eq!(refused.unwrap_err().code(), Code::Unauthenticated);
+    let declared = client
+        .apply(with_key("first", put(operator("ada", "a"), 0)))
+        .await;
+    assert_eq!(declared.unwrap().into_inner().revision, 1);
+    let refused = client
+        .list(with_key("first", proto::ListRequest::default()))
+        .await;
+    assert_eq!(refused.unwrap_err().code(), Code::Unauthenticated);
+    let listed = client
+        .list(with_key("a", proto::ListRequest::default()))
+        .await;
+    assert_eq!(listed.unwrap().into_inner().next_offset, 1);
+    daemon.group.shutdown().await;
+}
+
+/// Guards against two operators that overwrite each other's change from the same revision on different VMs.
+#[tokio::test]
+async fn one_of_two_racing_operators_wins() {
+    let journal = Arc::new(FakeLog::default());
+    let daemons = [
+        Daemon::start(&journal, "vm-1").await,
+        Daemon::start(&journal, "vm-2").await,
+    ];
+    let mut client = daemons[0].client().await;
+    for (name, key, author) in [("ada", "a", "first"), ("eve", "e", "a")] {
+        let request = with_key(author, put(operator(name, key), 0));
+        client.apply(request).await.unwrap();
+    }
+    let next = daemons[0].replica.next_offset();
+    config_support::until("both daemons know the operators", || {
+        daemons[1].replica.next_offset() == next
+    })
+    .await;
+    let mut base = 0;
+    for round in 1..=20 {
+        let mut clients = [daemons[0].client().await, daemons[1].client().await];
+        let [left, right] = &mut clients;
+        let (left, right) = tokio::join!(
+            left.apply(with_key("a", put(team(round * 2), base))),
+            right.apply(with_key("e", put(team(round * 2 + 1), base))),
+        );
+        let (won, lost) = match (left, right) {
+            (Ok(won), Err(lost)) | (Err(lost), Ok(won)) => (won.into_inner(), lost),
+            other => panic!("round {round}: {other:?}"),
+        };
+        assert_eq!(lost.code(), Code::Aborted);
+        let current = lost.metadata().get(CURRENT_REVISION_KEY).unwrap();
+        assert_eq!(current.to_str().unwrap(), won.revision.to_string());
+        base = won.revision;
+    }
+    for daemon in daemons {
+        daemon.group.shutdown().await;
+    }
+}
+
+/// Guards against a change that is reported as in force on a VM that has not applied it.
+#[tokio::test]
+async fn apply_and_watch_name_pending_vms() {
+    let journal = Arc::new(FakeLog::default());
+    let daemon = Daemon::start(&journal, "vm-1").await;
+    daemon.replica.expect_peers(["vm-2".into()].into());
+    let mut client = daemon.client().await;
+    let reply = client.apply(with_key("first", put(team(5), 0))).await;
+    let reply = reply.unwrap().into_inner();
+    assert_eq!(
+        (reply.confirmed, reply.pending),
+        (vec!["vm-1".into()], vec!["vm-2".into()])
+    );
+    let request = proto::WatchRequest {
+        offset: reply.offset,
+    };
+    let mut watch = client
+        .watch(with_key("first", request))
+        .await
+        .unwrap()
+        .into_inner();
+    let first = watch.message().await.unwrap().unwrap();
+    assert_eq!(first.pending, ["vm-2"]);
+    let next = daemon.replica.next_offset();
+    daemon.replica.note_peer(&"vm-2".into(), next);
+    let last = watch.message().await.unwrap().unwrap();
+    assert_eq!(last.confirmed, ["vm-1", "vm-2"]);
+    assert_eq!(watch.message().await.unwrap(), None);
+    daemon.group.shutdown().await;
+}
