Add claims of non-repeatable requests

Cause: a non-repeatable request may reach several daemons at once, and an append to the log may take effect although its answer is lost.

Change: ClaimTable replays the claims stream as a pure function; the first claim of a key in offset order holds it. Entries live for the memory after the key's newest claim, on a clock that needs the stamps of two daemons, so that one wrong clock cannot expire claims. ClaimService appends in batches, grants only what it reads back before the wait ends, resolves a lost answer by a read that began after it, and releases own claims that win without a waiter. Outcomes and releases stay in the outbox until the log has them.

--- a/src/claim.rs
+++ b/src/claim/mod.rs
@@ -1,4 +1,13 @@
 //! Claims that let a non-repeatable request run at most once.
+//!
+//! [`ClaimTable`] is the pure state that every daemon replays from the `claims` stream; [`ClaimService`]
+//! appends claims, reads them back and answers the dispatcher.
+
+mod key_time;
+mod record;
+mod service;
+mod table;
+mod writer;
 
 use std::future::Future;
 
@@ -6,6 +15,10 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::key_time::{check_key_age, key_time_ms};
+pub use self::record::{ClaimBatch, ClaimRecord, MAX_RECORDED_BODY};
+pub use self::service::{ClaimDump, ClaimService, ClaimSettings};
+pub use self::table::{ClaimChange, ClaimTable, ClaimView};
 use crate::error::Result;
 use crate::ids::{KeyDigest, RecordId};
 
