--- /dev/null
+++ b/src/dispatch/demand.rs
@@ -0,0 +1,72 @@
+//! Counts demand per model for the planner.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Demand for one model, or one adapter of it, since the last count.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    pub model: SmolStr,
+    pub adapter: Option<SmolStr>,
+    /// Requests that arrived.
+    pub arrivals: u32,
+    /// Tokens that they asked for at most.
+    pub tokens: u64,
+    /// Requests that no backend server could take in time.
+    pub misses: u32,
+    /// Requests that wait now.
+    pub waiting: u32,
+}
+
+type DemandKey = (SmolStr, Option<SmolStr>);
+
+/// Counts demand until it is taken.
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    counts: Mutex<BTreeMap<DemandKey, ModelDemand>>,
+}
+
+impl DemandMeter {
+    /// Creates a meter with no demand.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request for a model and, if it names one, an adapter.
+    pub fn arrived(&self, model: &SmolStr, adapter: Option<&SmolStr>, tokens: u64) {
+        self.change(model, adapter, |demand| {
+            demand.arrivals += 1;
+            demand.tokens += tokens;
+        });
+    }
+
+    /// Counts a request that no backend server could take in time.
+    pub fn missed(&self, model: &SmolStr) {
+        self.change(model, None, |demand| demand.misses += 1);
+    }
+
+    /// Takes the counts, and adds the numbers of requests that wait now.
+    pub fn take(&self, waiting: &[(SmolStr, u32)]) -> Vec<ModelDemand> {
+        for (model, count) in waiting {
+            self.change(model, None, |demand| demand.waiting = *count);
+        }
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *counts).into_values().collect()
+    }
+
+    fn change(
+        &self,
+        model: &SmolStr,
+        adapter: Option<&SmolStr>,
+        change: impl FnOnce(&mut ModelDemand),
+    ) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let demand = counts.entry((model.clone(), adapter.cloned())).or_insert_with(|| {
+            ModelDemand { model: model.clone(), adapter: adapter.cloned(), ..ModelDemand::default() }
+        });
+        change(demand);
+    }
+}
--- /dev/null
+++ b/src/dispatch/room.rs
@@ -0,0 +1,285 @@
+//! Requests that wait at this VM for a backend server.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use crate::catalog::RequestClass;
+use crate::error::{Category, Error, Result};
+use crate::ids::KeyDigest;
+use crate::queue::{QueuePolicy, WaitEntry, WaitId};
+use crate::routing::{DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy};
+use crate::suspect::SuspectTable;
+
+/// Weight of the newest interval in the running mean of the time between two grants.
+const GRANT_WEIGHT: f64 = 0.1;
+/// `Retry-After` of requests that are refused because the queue is full or too long.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Source of the latest view of all backend servers.
+pub trait FleetSource: Send + Sync + 'static {
+    /// Returns the latest snapshot.
+    fn snapshot(&self) -> Arc<FleetSnapshot>;
+
+    /// Notes that a call to a server failed.
+    fn call_failed(&self, server: &str);
+}
+
+/// What a model call needs from a backend server.
+#[derive(Clone, Debug)]
+pub struct ModelNeed {
+    /// `version` holds the preferred version.
+    pub route: RouteNeed,
+    /// Versions that may serve the call instead while no server holds the preferred one.
+    pub fallbacks: Vec<SmolStr>,
+    /// Set if a backend server died under this request.
+    pub suspect: Option<KeyDigest>,
+}
+
+/// A place on a backend server, held until it is dropped.
+#[derive(Debug)]
+pub struct ServerSlot {
+    pub name: SmolStr,
+    pub address: SocketAddr,
+    /// Version that the server holds.
+    pub version: SmolStr,
+    /// Incarnation of the engine as last reported.
+    pub incarnation: u64,
+    _guard: DispatchGuard,
+}
+
+/// A request in a queue.
+pub struct Waiter {
+    need: ModelNeed,
+    grant: oneshot::Sender<ServerSlot>,
+}
+
+struct ModelQueue<Q> {
+    queue: Q,
+    granted_at: Instant,
+    /// Running mean of the time between two grants while requests waited.
+    interval: Duration,
+}
+
+/// The queues of all models on this VM.
+pub struct WaitRoom<R, Q, F> {
+    routing: R,
+    fleet: F,
+    suspects: Arc<Mutex<SuspectTable>>,
+    capacity: usize,
+    new_queue: fn(usize) -> Q,
+    queues: Mutex<HashMap<SmolStr, ModelQueue<Q>>>,
+}
+
+/// Number of waiting requests by class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaitCount {
+    pub interactive: usize,
+    pub overnight: usize,
+}
+
+impl<R: RoutingPolicy, Q: QueuePolicy<Waiter>, F: FleetSource> WaitRoom<R, Q, F> {
+    /// Creates empty queues of up to `capacity` requests per model.
+    pub fn new(
+        routing: R,
+        fleet: F,
+        suspects: Arc<Mutex<SuspectTable>>,
+        capacity: usize,
+        new_queue: fn(usize) -> Q,
+    ) -> Self {
+        Self { routing, fleet, suspects, capacity, new_queue, queues: Mutex::default() }
+    }
+
+    /// Returns the source of snapshots.
+    pub fn fleet(&self) -> &F {
+        &self.fleet
+    }
+
+    /// Waits for a place on a backend server until the deadline in `entry`.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if the queue is full or the deadline cannot be met, `Timeout` if it passed.
+    pub async fn acquire(&self, need: ModelNeed, entry: WaitEntry) -> Result<ServerSlot> {
+        let model = need.route.model.clone();
+        let deadline = entry.deadline;
+        let (id, granted) = {
+            let mut queues = self.queues();
+            let queue = self.queue(&mut queues, &model);
+            let now = Instant::now();
+            if queue.queue.is_empty()
+                && let Some(slot) = self.choose(&need, now)
+            {
+                queue.queue.served(&entry.team, entry.tokens as i64);
+                queue.granted_at = now;
+                return Ok(slot);
+            }
+            queue.check_wait(&entry, now)?;
+            let (grant, granted) = oneshot::channel();
+            let id = queue
+                .queue
+                .push(entry, Waiter { need, grant })
+                .map_err(|_| overloaded("the queue is full"))?;
+            (id, granted)
+        };
+        let mut guard = LeaveGuard { room: self, model: &model, id: Some(id) };
+        let result = tokio::time::timeout_at(deadline.into(), granted).await;
+        match result {
+            Ok(Ok(slot)) => {
+                guard.id = None;
+                Ok(slot)
+            }
+            // The sender is dropped when the request is expired early.
+            Ok(Err(_)) => {
+                guard.id = None;
+                Err(overloaded("the deadline cannot be met"))
+            }
+            Err(_) => Err(Error::new(Category::Timeout, "no backend server was free in time")),
+        }
+    }
+
+    /// Grants places to waiting requests. Called when a place became free or the fleet changed.
+    pub fn pump(&self) {
+        let now = Instant::now();
+        let mut queues = self.queues();
+        for queue in queues.values_mut() {
+            if queue.queue.is_empty() {
+                continue;
+            }
+            drop(queue.queue.expire(now, |_| Duration::ZERO));
+            while self.grant_next(queue, now) {}
+        }
+    }
+
+    /// Corrects a team's served tokens once its request has ended.
+    pub fn served(&self, model: &SmolStr, team: &SmolStr, tokens: i64) {
+        if let Some(queue) = self.queues().get_mut(model) {
+            queue.queue.served(team, tokens);
+        }
+    }
+
+    /// Returns the number of waiting requests of each model that has any.
+    pub fn waiting(&self) -> Vec<(SmolStr, WaitCount)> {
+        let queues = self.queues();
+        let counts = queues.iter().map(|(model, queue)| {
+            let count = WaitCount {
+                interactive: queue.queue.len(RequestClass::Interactive),
+                overnight: queue.queue.len(RequestClass::Overnight),
+            };
+            (model.clone(), count)
+        });
+        counts.filter(|(_, count)| *count != WaitCount::default()).collect()
+    }
+
+    fn grant_next(&self, queue: &mut ModelQueue<Q>, now: Instant) -> bool {
+        let mut slot = None;
+        let popped = queue.queue.pop_next(now, |waiter| {
+            slot = self.choose(&waiter.need, now);
+            slot.is_some()
+        });
+        let (Some((_, waiter)), Some(slot)) = (popped, slot) else {
+            return false;
+        };
+        queue.note_grant(now);
+        // The slot is given back here if the caller went away meanwhile.
+        let _ = waiter.grant.send(slot);
+        true
+    }
+
+    fn choose(&self, need: &ModelNeed, now: Instant) -> Option<ServerSlot> {
+        let fleet = self.fleet.snapshot();
+        let mut route = need.route.clone();
+        if !fleet.is_reachable(&route.model, &route.version) {
+            let other = need.fallbacks.iter().find(|v| fleet.is_reachable(&route.model, v));
+            route.version = other.cloned().unwrap_or(route.version);
+        }
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        let tried = route.avoid.len();
+        let busy = fleet.views().iter().filter(|view| suspects.is_busy(&view.name));
+        route.avoid.extend(busy.map(|view| view.name.clone()));
+        let mut position = self.routing.choose_in(&route, &fleet, now);
+        if position.is_none() && need.suspect.is_none() && route.avoid.len() > tried {
+            // Sharing a server with a suspect is better than waiting for it to end.
+            route.avoid.truncate(tried);
+            position = self.routing.choose_in(&route, &fleet, now);
+        }
+        let position = position?;
+        let view = &fleet.views()[position];
+        if let Some(fingerprint) = need.suspect {
+            suspects.start(&view.name, fingerprint);
+        }
+        Some(ServerSlot {
+            name: view.name.clone(),
+            address: view.address,
+            version: route.version,
+            incarnation: view.report.incarnation,
+            _guard: fleet.handle(position).begin(),
+        })
+    }
+
+    fn queue<'a>(
+        &self,
+        queues: &'a mut HashMap<SmolStr, ModelQueue<Q>>,
+        model: &SmolStr,
+    ) -> &'a mut ModelQueue<Q> {
+        queues.entry(model.clone()).or_insert_with(|| ModelQueue {
+            queue: (self.new_queue)(self.capacity),
+            granted_at: Instant::now(),
+            interval: Duration::ZERO,
+        })
+    }
+
+    fn queues(&self) -> MutexGuard<'_, HashMap<SmolStr, ModelQueue<Q>>> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn leave(&self, model: &SmolStr, id: WaitId) {
+        if let Some(queue) = self.queues().get_mut(model) {
+            queue.queue.remove(id);
+        }
+    }
+}
+
+impl<Q: QueuePolicy<Waiter>> ModelQueue<Q> {
+    /// Refuses an interactive request whose deadline would pass before its turn comes.
+    fn check_wait(&self, entry: &WaitEntry, now: Instant) -> Result<()> {
+        if entry.class == RequestClass::Overnight {
+            return Ok(());
+        }
+        let ahead = self.queue.len(RequestClass::Interactive);
+        let wait = self.interval.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX));
+        if now + wait + entry.work > entry.deadline {
+            return Err(overloaded("the queue is longer than the deadline allows"));
+        }
+        Ok(())
+    }
+
+    fn note_grant(&mut self, now: Instant) {
+        let last = now.saturating_duration_since(self.granted_at);
+        self.interval = self.interval.mul_f64(1.0 - GRANT_WEIGHT) + last.mul_f64(GRANT_WEIGHT);
+        self.granted_at = now;
+    }
+}
+
+/// Removes a waiting request whose caller went away.
+struct LeaveGuard<'a, R: RoutingPolicy, Q: QueuePolicy<Waiter>, F: FleetSource> {
+    room: &'a WaitRoom<R, Q, F>,
+    model: &'a SmolStr,
+    id: Option<WaitId>,
+}
+
+impl<R: RoutingPolicy, Q: QueuePolicy<Waiter>, F: FleetSource> Drop for LeaveGuard<'_, R, Q, F> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.room.leave(self.model, id);
+        }
+    }
+}
+
+fn overloaded(message: &str) -> Error {
+    Error::new(Category::Overloaded, message).with_retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/src/dispatch/service.rs
@@ -0,0 +1,299 @@
+//! Calls to plain services, repeatable or not.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use http::header::{ACCEPT, ACCEPT_LANGUAGE, CONTENT_ENCODING, CONTENT_TYPE, HeaderName};
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
+
+use crate::catalog::{RouteSpec, RouteTarget};
+use crate::claim::{ClaimKeeper, ClaimKey, ClaimOutcome, ClaimVerdict, MAX_RECORDED_BODY};
+use crate::dispatch::access::AccessGrant;
+use crate::dispatch::model::{fingerprint, refuse_repeated_key};
+use crate::dispatch::room::FleetSource;
+use crate::dispatch::{DispatchParts, RequestDispatcher, ServiceCall};
+use crate::engine::{ServiceAnswer, ServiceClient, ServiceRequest};
+use crate::error::{Category, Error, Result, RunVerdict};
+use crate::history::RequestStage;
+use crate::ids::{KeyDigest, RecordId};
+use crate::limit::{TokenCharge, TokenLimiter};
+
+/// Backend servers that one call tries at most.
+const MAX_ATTEMPTS: usize = 3;
+/// Longest wait for a free plain service.
+const SERVICE_WAIT: Duration = Duration::from_secs(5);
+/// Pause between two looks for a free plain service.
+const SERVICE_POLL: Duration = Duration::from_millis(10);
+/// Header by which a caller names a non-repeatable request; it is sent on to the service.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that backend servers may see. Everything else, a key above all, stays here.
+const FORWARDED_HEADERS: [HeaderName; 5] =
+    [ACCEPT, ACCEPT_LANGUAGE, CONTENT_ENCODING, CONTENT_TYPE, IDEMPOTENCY_KEY];
+
+/// An admitted call.
+struct ServiceJob<C> {
+    call: ServiceCall,
+    route: RouteSpec,
+    group: SmolStr,
+    grant: AccessGrant,
+    fingerprint: KeyDigest,
+    charge: Option<C>,
+    _admission: OwnedSemaphorePermit,
+}
+
+impl<P: DispatchParts> RequestDispatcher<P> {
+    /// Carries out a call to a plain service.
+    pub(super) async fn start_service(self: &Arc<Self>, call: ServiceCall) -> Result<ServiceAnswer> {
+        let mut job = self.admit_service(call).await?;
+        let charge = job.charge.take();
+        let cost = job.route.cost;
+        let result = if job.route.repeatable {
+            self.retries.request();
+            self.call_any(&job, MAX_ATTEMPTS).await
+        } else {
+            self.call_once(job).await
+        };
+        let not_run = matches!(&result, Err(error) if error.verdict() == RunVerdict::NotRun);
+        if let Some(charge) = charge {
+            charge.settle(if not_run { 0 } else { cost });
+        }
+        result
+    }
+
+    async fn admit_service(
+        &self,
+        call: ServiceCall,
+    ) -> Result<ServiceJob<<P::Limiter as TokenLimiter>::Charge>> {
+        let catalog = self.gate.catalog();
+        let path = call.path.split('?').next().unwrap_or_default();
+        let route = catalog
+            .route_for_path(path)
+            .ok_or_else(|| Error::new(Category::NotFound, "no route leads to this path"))?;
+        let RouteTarget::Service(group) = &route.target else {
+            let message = "this route takes model calls at /v1/chat/completions";
+            return Err(Error::new(Category::NotFound, message));
+        };
+        let grant = self.gate.route(&catalog, route, call.key.as_deref())?;
+        refuse_repeated_key(call.key.as_deref(), &sent_parts(&call))?;
+        self.note_grant(&call.id, &grant);
+        let admission = self.admit()?;
+        let fingerprint = fingerprint(&grant, &call.path, &call.body);
+        self.check_suspect(&fingerprint)?;
+        if !route.repeatable {
+            self.check_idempotency_key(&call)?;
+        }
+        let charge = match route.cost {
+            0 => None,
+            cost => self.charge(&call.id, &grant, cost).await?,
+        };
+        Ok(ServiceJob {
+            group: group.clone(),
+            route: route.clone(),
+            call,
+            grant,
+            fingerprint,
+            charge,
+            _admission: admission,
+        })
+    }
+
+    fn check_idempotency_key(&self, call: &ServiceCall) -> Result<()> {
+        match call.idempotency_key.as_deref() {
+            None | Some("") => {
+                Err(Error::invalid("this route needs the header idempotency-key"))
+            }
+            Some(key) => self.claims.check_key(key),
+        }
+    }
+
+    /// Runs a non-repeatable call at most once. It goes on when the caller goes away, so that its outcome is kept.
+    async fn call_once(
+        self: &Arc<Self>,
+        job: ServiceJob<<P::Limiter as TokenLimiter>::Charge>,
+    ) -> Result<ServiceAnswer> {
+        let (sender, receiver) = oneshot::channel();
+        let dispatcher = self.clone();
+        self.group.spawn(crate::logging::in_request(job.call.id.clone(), async move {
+            // The caller may have gone away.
+            let _ = sender.send(dispatcher.run_once(job).await);
+        }));
+        receiver.await.unwrap_or_else(|_| {
+            Err(Error::internal("the call ended without an answer")
+                .with_verdict(RunVerdict::MayHaveRun))
+        })
+    }
+
+    async fn run_once(
+        &self,
+        job: ServiceJob<<P::Limiter as TokenLimiter>::Charge>,
+    ) -> Result<ServiceAnswer> {
+        let key = claim_key(&job);
+        let asked = Instant::now();
+        let verdict = self.claims.claim(key, body_digest(&job.call)).await;
+        self.note_stage(&job.call.id, RequestStage::Claim, asked);
+        let claim = match verdict? {
+            ClaimVerdict::Granted(claim) => claim,
+            ClaimVerdict::Recorded(outcome) => return recorded_answer(outcome),
+        };
+        // The key may have been withdrawn while the claim was on its way.
+        if let Err(error) = self.gate.recheck(&job.grant) {
+            self.claims.release(claim);
+            return Err(error);
+        }
+        let result = self.call_any(&job, MAX_ATTEMPTS).await;
+        self.end_claim(claim, &result);
+        result
+    }
+
+    fn end_claim(&self, claim: RecordId, result: &Result<ServiceAnswer>) {
+        match result {
+            Ok(answer) => self.claims.record(claim, outcome_of(answer)),
+            Err(error) if error.verdict() == RunVerdict::NotRun => self.claims.release(claim),
+            // The outcome is unknown, so the claim stays open and nobody sends the request again.
+            Err(error) => log::warn!("the outcome of a non-repeatable call is unknown: {error}"),
+        }
+    }
+
+    /// Calls one server of the group after another until one answers. After a failure that may have run the call
+    /// goes to another server only if the route is repeatable.
+    async fn call_any(
+        &self,
+        job: &ServiceJob<<P::Limiter as TokenLimiter>::Charge>,
+        max_attempts: usize,
+    ) -> Result<ServiceAnswer> {
+        let mut avoid = Vec::new();
+        let mut verdict = RunVerdict::NotRun;
+        loop {
+            let result = self.call_one(job, &mut avoid).await;
+            let error = match result {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            if error.verdict() != RunVerdict::NotRun {
+                verdict = error.verdict();
+            }
+            let stop = verdict != RunVerdict::NotRun && !job.route.repeatable;
+            let exhausted = avoid.len() >= max_attempts || error.category() == Category::Overloaded;
+            if stop || exhausted || !self.try_retry() {
+                return Err(error.with_verdict(verdict));
+            }
+        }
+    }
+
+    async fn call_one(
+        &self,
+        job: &ServiceJob<<P::Limiter as TokenLimiter>::Charge>,
+        avoid: &mut Vec<SmolStr>,
+    ) -> Result<ServiceAnswer> {
+        let asked = Instant::now();
+        let (name, address, _guard) = self.wait_for_service(&job.group, avoid).await?;
+        self.note_stage(&job.call.id, RequestStage::Queue, asked);
+        self.history.update(&job.call.id, |record| record.add_server(name.clone()));
+        let sent = Instant::now();
+        let result = self.service.call(address, service_request(&job.call)).await;
+        self.note_stage(&job.call.id, RequestStage::FirstToken, sent);
+        match &result {
+            Ok(_) => self.clear_suspect(&job.fingerprint),
+            Err(error) => {
+                self.room.fleet().call_failed(&name);
+                let broken = error.category() == Category::Unavailable;
+                if broken && error.verdict() == RunVerdict::MayHaveRun {
+                    self.record_death(job.fingerprint);
+                }
+                avoid.push(name);
+            }
+        }
+        result
+    }
+
+    async fn wait_for_service(
+        &self,
+        group: &str,
+        avoid: &[SmolStr],
+    ) -> Result<(SmolStr, std::net::SocketAddr, crate::routing::DispatchGuard)> {
+        let until = Instant::now() + SERVICE_WAIT;
+        loop {
+            let fleet = self.room.fleet().snapshot();
+            if let Some(position) = fleet.choose_service(group, &self.zone, avoid) {
+                let view = &fleet.views()[position];
+                return Ok((view.name.clone(), view.address, fleet.handle(position).begin()));
+            }
+            if Instant::now() >= until {
+                let message = format!("no server of `{group}` is free");
+                return Err(Error::new(Category::Overloaded, message)
+                    .with_retry_after(Duration::from_secs(1)));
+            }
+            tokio::time::sleep(SERVICE_POLL).await;
+        }
+    }
+}
+
+/// Returns the parts of a call that reach a backend server.
+fn sent_parts(call: &ServiceCall) -> Vec<&[u8]> {
+    let headers = FORWARDED_HEADERS.iter().flat_map(|name| call.headers.get_all(name));
+    let mut parts: Vec<&[u8]> = headers.map(|value| value.as_bytes()).collect();
+    parts.push(call.path.as_bytes());
+    parts.push(&call.body);
+    parts
+}
+
+fn service_request(call: &ServiceCall) -> ServiceRequest {
+    let mut headers = HeaderMap::new();
+    for name in FORWARDED_HEADERS {
+        for value in call.headers.get_all(&name) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    ServiceRequest {
+        id: call.id.clone(),
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers,
+        body: call.body.clone(),
+    }
+}
+
+fn claim_key<C>(job: &ServiceJob<C>) -> ClaimKey {
+    let key = job.call.idempotency_key.as_deref().unwrap_or_default();
+    ClaimKey {
+        team: job.grant.team().cloned().unwrap_or_default(),
+        key: KeyDigest::of(format!("{}\0{key}", job.route.name).as_bytes()),
+    }
+}
+
+fn body_digest(call: &ServiceCall) -> KeyDigest {
+    let mut text = format!("{} {}\0", call.method, call.path).into_bytes();
+    text.extend_from_slice(&call.body);
+    KeyDigest::of(&text)
+}
+
+fn outcome_of(answer: &ServiceAnswer) -> ClaimOutcome {
+    let content_type = answer.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let keep = answer.body.len() <= MAX_RECORDED_BODY;
+    ClaimOutcome {
+        status: answer.status.as_u16(),
+        content_type: content_type.map(|text| text.to_smolstr()),
+        body: keep.then(|| answer.body.clone()),
+    }
+}
+
+fn recorded_answer(outcome: ClaimOutcome) -> Result<ServiceAnswer> {
+    let Some(body) = outcome.body else {
+        let message = format!(
+            "the request ran before with status {}; its answer was too large to keep",
+            outcome.status
+        );
+        return Err(Error::new(Category::Conflict, message).with_verdict(RunVerdict::Ran));
+    };
+    let status = http::StatusCode::from_u16(outcome.status)
+        .map_err(|_| Error::internal("the recorded status is not valid"))?;
+    let mut headers = HeaderMap::new();
+    let content_type = outcome.content_type.and_then(|text| text.parse().ok());
+    if let Some(value) = content_type {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    Ok(ServiceAnswer { status, headers, body })
+}
