Add the transport of peer calls

Cause: daemons exchange status, loans, configuration and suspects, and had only the trait. Change: PeerServer serves one h2 stream per call with bincode bodies, bounded in connections, streams, headers, body size and read time; a shutdown finishes open calls. PeerClient keeps one connection per peer, reconnects, and drops a connection on which a call timed out without any reply since. Seen to fail with the mechanism off: graceful shutdown (call cut), body limit (oversized body accepted), check for trailing bytes (accepted). A forged record count allocates nothing beyond the decoder's limit. Ruled out: closing the connection on bad input, because other calls share it.

--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,176 @@
+//! Calls other daemons over one kept connection per peer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::{Method, Request};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::error::{Category, Error, Result};
+use crate::kernel::TaskGroup;
+use crate::peer::codec::{self, MAX_REPLY_BYTES, MAX_REQUEST_BYTES};
+use crate::peer::{PeerCaller, PeerReply, PeerRequest};
+
+/// Peers above which those without a connection are forgotten; VMs are replaced and addresses change.
+const MAX_IDLE_PEERS: usize = 640;
+
+/// Client of peer calls. Clones share the connections.
+#[derive(Clone)]
+pub struct PeerClient {
+    group: TaskGroup,
+    peers: Arc<Mutex<HashMap<SocketAddr, Arc<PeerSlot>>>>,
+}
+
+#[derive(Default)]
+struct PeerSlot {
+    connection: tokio::sync::Mutex<Option<KeptConnection>>,
+}
+
+#[derive(Clone)]
+struct KeptConnection {
+    sender: SendRequest<Bytes>,
+    /// Replies received so far, by which a timed-out call tells a dead connection from a slow reply.
+    replies: Arc<AtomicU64>,
+}
+
+impl PeerClient {
+    /// Creates a client whose connections are driven by tasks in `group`.
+    pub fn open(group: &TaskGroup) -> Self {
+        Self {
+            group: group.clone(),
+            peers: Arc::default(),
+        }
+    }
+
+    fn slot(&self, peer: SocketAddr) -> Arc<PeerSlot> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if peers.len() >= MAX_IDLE_PEERS && !peers.contains_key(&peer) {
+            peers.retain(|_, slot| !slot.is_idle());
+        }
+        peers.entry(peer).or_default().clone()
+    }
+
+    /// Returns the kept connection to `peer`, or connects.
+    async fn connection(&self, peer: SocketAddr, slot: &PeerSlot) -> Result<KeptConnection> {
+        let mut kept = slot.connection.lock().await;
+        if let Some(connection) = kept.take()
+            && let Ok(sender) = connection.sender.ready().await
+        {
+            let connection = KeptConnection {
+                sender,
+                replies: connection.replies,
+            };
+            return Ok(kept.insert(connection).clone());
+        }
+        let connection = self.connect(peer).await?;
+        Ok(kept.insert(connection).clone())
+    }
+
+    async fn connect(&self, peer: SocketAddr) -> Result<KeptConnection> {
+        let socket = TcpStream::connect(peer)
+            .await
+            .map_err(|error| Error::unavailable(format!("cannot connect to {peer}: {error}")))?;
+        // Small messages must not wait for the acknowledgement of earlier ones.
+        let _ = socket.set_nodelay(true);
+        let (sender, connection) = h2::client::handshake(socket)
+            .await
+            .map_err(|error| codec::transport(&error))?;
+        self.group.spawn_cancellable(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to peer {peer} ended: {error}");
+            }
+        });
+        Ok(KeptConnection {
+            sender,
+            replies: Arc::default(),
+        })
+    }
+}
+
+impl PeerSlot {
+    fn is_idle(&self) -> bool {
+        self.connection
+            .try_lock()
+            .is_ok_and(|connection| connection.is_none())
+    }
+
+    /// Drops the kept connection if it is still `dead`, so that the next call connects anew.
+    fn discard(&self, dead: &KeptConnection) {
+        if let Ok(mut kept) = self.connection.try_lock()
+            && kept
+                .as_ref()
+                .is_some_and(|kept| Arc::ptr_eq(&kept.replies, &dead.replies))
+        {
+            *kept = None;
+        }
+    }
+}
+
+impl PeerCaller for PeerClient {
+    async fn call(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        wait: Duration,
+    ) -> Result<PeerReply> {
+        let body = codec::encode(&request)?;
+        if body.len() > MAX_REQUEST_BYTES {
+            let size = body.len();
+            return Err(Error::invalid(format!(
+                "peer message of {size} bytes is longer than {MAX_REQUEST_BYTES} bytes"
+            )));
+        }
+        let deadline = tokio::time::Instant::now() + wait;
+        let slot = self.slot(peer);
+        let connection = tokio::time::timeout_at(deadline, self.connection(peer, &slot))
+            .await
+            .map_err(|_| late(peer, wait))??;
+        let replies = connection.replies.load(Ordering::Relaxed);
+        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+        match timeout(left, exchange(connection.clone(), peer, body)).await {
+            Ok(result) => result,
+            Err(_) => {
+                if connection.replies.load(Ordering::Relaxed) == replies {
+                    slot.discard(&connection);
+                }
+                Err(late(peer, wait))
+            }
+        }
+    }
+}
+
+async fn exchange(
+    mut connection: KeptConnection,
+    peer: SocketAddr,
+    body: Bytes,
+) -> Result<PeerReply> {
+    let head = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{peer}/peer"))
+        .body(())
+        .map_err(|error| Error::internal(format!("cannot build a peer call: {error}")))?;
+    let (response, mut stream) = connection
+        .sender
+        .send_request(head, false)
+        .map_err(|error| codec::transport(&error))?;
+    stream
+        .send_data(body, true)
+        .map_err(|error| codec::transport(&error))?;
+    let response = response.await.map_err(|error| codec::transport(&error))?;
+    let body = codec::read_body(&mut response.into_body(), MAX_REPLY_BYTES).await?;
+    connection.replies.fetch_add(1, Ordering::Relaxed);
+    codec::decode::<Result<PeerReply>>(&body)?
+}
+
+fn late(peer: SocketAddr, wait: Duration) -> Error {
+    Error::new(
+        Category::Timeout,
+        format!("peer {peer} did not answer within {wait:?}"),
+    )
+}
--- /dev/null
+++ b/src/peer/codec.rs
@@ -0,0 +1,61 @@
+//! Encoding of bodies and their size limits.
+
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Category, Error, Result};
+
+/// Longest request body, in bytes. A push of configuration records is the longest request.
+pub const MAX_REQUEST_BYTES: usize = 1 << 20;
+
+/// Longest reply body, in bytes. The state of the whole catalog is the longest reply.
+pub const MAX_REPLY_BYTES: usize = 16 << 20;
+
+/// Encodes `message`.
+pub(super) fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map(Bytes::from)
+        .map_err(|error| Error::internal(format!("cannot encode a peer message: {error}")))
+}
+
+/// Decodes a message that fills `body` exactly.
+pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    // The limit stops a forged length from allocating more than the body could hold.
+    let config = bincode::config::standard().with_limit::<{ 2 * MAX_REPLY_BYTES }>();
+    let (message, read) = bincode::serde::decode_from_slice(body, config)
+        .map_err(|error| protocol(format!("cannot decode a peer message: {error}")))?;
+    if read != body.len() {
+        let extra = body.len() - read;
+        return Err(protocol(format!("{extra} bytes follow a peer message")));
+    }
+    Ok(message)
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(super) async fn read_body(body: &mut RecvStream, limit: usize) -> Result<Bytes> {
+    let mut buffer = BytesMut::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|error| transport(&error))?;
+        if buffer.len() + chunk.len() > limit {
+            return Err(Error::invalid(format!(
+                "peer message is longer than {limit} bytes"
+            )));
+        }
+        // A closed stream needs no more window, so a failure here is harmless.
+        let _ = body.flow_control().release_capacity(chunk.len());
+        buffer.extend_from_slice(&chunk);
+    }
+    Ok(buffer.freeze())
+}
+
+/// Creates an error of [`Category::Protocol`].
+pub(super) fn protocol(message: impl Into<String>) -> Error {
+    Error::new(Category::Protocol, message)
+}
+
+/// Converts a failure of the connection.
+pub(super) fn transport(error: &h2::Error) -> Error {
+    Error::unavailable(format!("peer connection failed: {error}"))
+}
--- a/src/peer.rs
+++ b/src/peer/mod.rs
@@ -1,4 +1,12 @@
 //! Calls between daemons: h2 with bincode bodies.
+//!
+//! A call is one h2 stream: `POST /peer` with an encoded [`PeerRequest`], answered by an encoded
+//! `Result<PeerReply, Error>`. [`PeerServer`] accepts calls, [`PeerClient`] makes them over one kept connection
+//! per peer.
+
+mod client;
+mod codec;
+mod server;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -7,6 +15,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use self::client::PeerClient;
+pub use self::codec::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES};
+pub use self::server::PeerServer;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
 
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,296 @@
+//! Transport of calls between daemons: bad input, slow peers, concurrency, reconnect and shutdown.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxtailhill::ids::{KeyDigest, LogOffset};
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::peer::{
+    MAX_REQUEST_BYTES, PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerServer,
+    SuspectNotice,
+};
+use foxtailhill::{Category, Error, Result};
+use futures_util::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+
+const WAIT: Duration = Duration::from_secs(20);
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Answers pushes with the offset sent; holds `FetchState` until released; fails on `Suspects`.
+#[derive(Default)]
+struct TestHandler {
+    started: Notify,
+    open: AtomicUsize,
+    release: Option<Semaphore>,
+}
+
+impl PeerHandler for TestHandler {
+    async fn handle(&self, request: PeerRequest) -> Result<PeerReply> {
+        match request {
+            PeerRequest::PushConfig { first, .. } => Ok(PeerReply::Applied(first)),
+            PeerRequest::FetchState => {
+                self.open.fetch_add(1, Ordering::SeqCst);
+                self.started.notify_one();
+                if let Some(release) = &self.release {
+                    release.acquire().await.unwrap().forget();
+                }
+                Ok(PeerReply::State(vec![7; 3 << 20]))
+            }
+            _ => Err(Error::new(Category::Overloaded, "test refusal")),
+        }
+    }
+}
+
+fn push(offset: u64, bytes: usize) -> PeerRequest {
+    PeerRequest::PushConfig {
+        first: LogOffset(offset),
+        records: vec![vec![1; bytes]],
+    }
+}
+
+fn held_handler() -> Arc<TestHandler> {
+    Arc::new(TestHandler {
+        release: Some(Semaphore::new(0)),
+        ..TestHandler::default()
+    })
+}
+
+async fn assert_answers(client: &PeerClient, peer: SocketAddr, offset: u64) {
+    let reply = client.call(peer, push(offset, 10), WAIT).await.unwrap();
+    assert_eq!(reply, PeerReply::Applied(LogOffset(offset)));
+}
+
+/// Guards against replies that go to another call when hundreds share one connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_calls_get_their_own_replies() {
+    let group = TaskGroup::new();
+    let server = PeerServer::bind(&group, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let client = PeerClient::open(&group);
+    let calls = (0..1_000).map(|offset| {
+        let client = client.clone();
+        async move {
+            let size = usize::try_from(offset % 50).unwrap() * 1_000;
+            let reply = client
+                .call(server.address(), push(offset, size), WAIT)
+                .await;
+            assert_eq!(reply.unwrap(), PeerReply::Applied(LogOffset(offset)));
+        }
+    });
+    join_all(calls).await;
+    group.shutdown().await;
+}
+
+/// Guards against lost error details: the handler's refusal must reach the caller with its category.
+#[tokio::test]
+async fn refusals_and_large_replies_arrive_whole() {
+    let group = TaskGroup::new();
+    let server = PeerServer::bind(&group, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let client = PeerClient::open(&group);
+    let notice = SuspectNotice {
+        fingerprint: KeyDigest([0; 32]),
+        deaths: 1,
+    };
+    let refused = client
+        .call(server.address(), PeerRequest::Suspects(vec![notice]), WAIT)
+        .await;
+    assert_eq!(refused.unwrap_err().category(), Category::Overloaded);
+    let state = client
+        .call(server.address(), PeerRequest::FetchState, WAIT)
+        .await;
+    assert_eq!(state.unwrap(), PeerReply::State(vec![7; 3 << 20]));
+    group.shutdown().await;
+}
+
+/// Sends raw bodies on one h2 connection, the first of which the server must refuse.
+async fn raw_calls(
+    peer: SocketAddr,
+    bodies: Vec<Bytes>,
+) -> Vec<std::result::Result<u16, h2::Error>> {
+    let socket = TcpStream::connect(peer).await.unwrap();
+    let (sender, connection) = h2::client::handshake(socket).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let mut statuses = Vec::new();
+    for body in bodies {
+        let mut sender = sender.clone().ready().await.unwrap();
+        let head = http::Request::post(format!("http://{peer}/peer"))
+            .body(())
+            .unwrap();
+        let (response, mut stream) = sender.send_request(head, false).unwrap();
+        stream.send_data(body, true).unwrap();
+        statuses.push(response.await.map(|response| response.status().as_u16()));
+    }
+    driver.abort();
+    statuses
+}
+
+/// Guards against an oversized or malformed body that ends the connection or other calls with it.
+#[tokio::test]
+async fn bad_bodies_are_refused_and_harm_no_other_call() {
+    let group = TaskGroup::new();
+    let server = PeerServer::bind(&group, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let good = bincode::serde::encode_to_vec(push(5, 1), bincode::config::standard()).unwrap();
+    let oversized = push(5, MAX_REQUEST_BYTES + 1);
+    let oversized = bincode::serde::encode_to_vec(oversized, bincode::config::standard()).unwrap();
+    let mut trailing = good.clone();
+    trailing.push(0);
+    // A `PushConfig` whose record count claims 2^62 entries.
+    let forged = [2, 0, 1, 253, 0, 0, 0, 0, 0, 0, 0, 64];
+    let bodies = vec![
+        Bytes::from(vec![0xff; 64]),
+        Bytes::from(oversized),
+        Bytes::copy_from_slice(&forged),
+        Bytes::from(trailing),
+        Bytes::new(),
+        Bytes::from(good),
+    ];
+    let statuses = raw_calls(server.address(), bodies).await;
+    let last = statuses.len() - 1;
+    for status in &statuses[..last] {
+        assert!(matches!(status, Ok(400) | Err(_)), "{status:?}");
+    }
+    assert_eq!(*statuses[last].as_ref().unwrap(), 200);
+    let client = PeerClient::open(&group);
+    assert_answers(&client, server.address(), 6).await;
+    group.shutdown().await;
+}
+
+/// Guards against bytes that are no HTTP/2, and silent connections, blocking other peers.
+#[tokio::test]
+async fn garbage_and_silent_connections_do_not_block_others() {
+    let group = TaskGroup::new();
+    let server = PeerServer::bind(&group, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let silent = TcpStream::connect(server.address()).await.unwrap();
+    let mut garbage = TcpStream::connect(server.address()).await.unwrap();
+    garbage.write_all(&[0xa5; 4_096]).await.unwrap();
+    let mut framed = TcpStream::connect(server.address()).await.unwrap();
+    framed
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+        .await
+        .unwrap();
+    framed.write_all(&[0xff; 4_096]).await.unwrap();
+    let client = PeerClient::open(&group);
+    assert_answers(&client, server.address(), 1).await;
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(WAIT, garbage.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "the garbage connection was left open");
+    assert_answers(&client, server.address(), 2).await;
+    drop(silent);
+    group.shutdown().await;
+}
+
+/// Guards against a peer that accepts and never answers: the call ends at its deadline, others go on.
+#[tokio::test]
+async fn a_peer_that_never_answers_costs_only_its_deadline() {
+    let group = TaskGroup::new();
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let mute = listener.local_addr().unwrap();
+    let server = PeerServer::bind(&group, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let client = PeerClient::open(&group);
+    let late = client
+        .call(mute, push(1, 1), Duration::from_millis(100))
+        .await;
+    assert_eq!(late.unwrap_err().category(), Category::Timeout);
+    assert_answers(&client, server.address(), 2).await;
+    group.shutdown().await;
+}
+
+/// Guards against one slow call that delays the other calls on the same connection.
+#[tokio::test]
+async fn a_slow_call_does_not_delay_others() {
+    let group = TaskGroup::new();
+    let handler = held_handler();
+    let server = PeerServer::bind(&group, ANY, handler.clone())
+        .await
+        .unwrap();
+    let client = PeerClient::open(&group);
+    let slow = {
+        let client = client.clone();
+        tokio::spawn(async move {
+            client
+                .call(server.address(), PeerRequest::FetchState, WAIT)
+                .await
+        })
+    };
+    handler.started.notified().await;
+    for offset in 0..100 {
+        assert_answers(&client, server.address(), offset).await;
+    }
+    assert!(!slow.is_finished());
+    handler.release.as_ref().unwrap().add_permits(1);
+    assert!(slow.await.unwrap().is_ok());
+    group.shutdown().await;
+}
+
+/// Guards against a client that keeps using the connection of a server that has restarted.
+#[tokio::test]
+async fn the_client_reconnects_after_the_server_restarted() {
+    let first = TaskGroup::new();
+    let server = PeerServer::bind(&first, ANY, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let address = server.address();
+    let group = TaskGroup::new();
+    let client = PeerClient::open(&group);
+    assert_answers(&client, address, 1).await;
+    first.shutdown().await;
+    assert!(client.call(address, push(2, 1), WAIT).await.is_err());
+    PeerServer::bind(&group, address, Arc::new(TestHandler::default()))
+        .await
+        .unwrap();
+    let bound = Instant::now() + WAIT;
+    while client.call(address, push(3, 1), WAIT).await.is_err() {
+        assert!(Instant::now() < bound, "no reconnect");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    group.shutdown().await;
+}
+
+/// Guards against a shutdown that cuts calls that the server has accepted.
+#[tokio::test]
+async fn shutdown_finishes_open_calls() {
+    let serving = TaskGroup::new();
+    let handler = held_handler();
+    let server = PeerServer::bind(&serving, ANY, handler.clone())
+        .await
+        .unwrap();
+    let group = TaskGroup::new();
+    let client = PeerClient::open(&group);
+    let call = {
+        let client = client.clone();
+        tokio::spawn(async move {
+            client
+                .call(server.address(), PeerRequest::FetchState, WAIT)
+                .await
+        })
+    };
+    handler.started.notified().await;
+    let stopping = {
+        let serving = serving.clone();
+        tokio::spawn(async move { serving.shutdown().await })
+    };
+    while !serving.is_cancelled() {
+        tokio::task::yield_now().await;
+    }
+    handler.release.as_ref().unwrap().add_permits(1);
+    assert_eq!(
+        call.await.unwrap().unwrap(),
+        PeerReply::State(vec![7; 3 << 20])
+    );
+    tokio::time::timeout(WAIT, stopping).await.unwrap().unwrap();
+    group.shutdown().await;
+}
