Add membership, view currency and token limits

Cause: the daemon needs shares of each team's rate, the planner of each zone, a rule for isolated daemons, and charges that borrow from peers. LimitService borrows before it refuses; EvenSplitLimiter is the baseline.

--- /dev/null
+++ b/src/limit/budget.rs
@@ -0,0 +1,272 @@
+//! The budgets of all teams on one daemon.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::catalog::TeamSpec;
+use crate::limit::{BucketLimit, ChargeMark, LoanLedger, TokenBucket};
+use crate::member::ShareGrant;
+use crate::peer::TokenLoan;
+
+/// Budget of one team for the state dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct BudgetDump {
+    pub team: SmolStr,
+    pub rate: u64,
+    pub burst: u64,
+    /// Tokens of the own share.
+    pub balance: u64,
+    /// Tokens of unsettled charges.
+    pub reserved: u64,
+    /// Tokens lent to peers.
+    pub lent: u64,
+    /// Tokens borrowed and not yet spent.
+    pub borrowed: u64,
+}
+
+/// State of the limiter for the state dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct LimitDump {
+    /// Share in parts per million; `None` outside a term.
+    pub ppm: Option<u32>,
+    pub teams: Vec<BudgetDump>,
+}
+
+#[derive(Debug)]
+struct TeamBudget {
+    spec: TeamSpec,
+    bucket: TokenBucket,
+    loans: LoanLedger,
+    /// Distinguishes budgets of the same team, so that no refund crosses from one to the next.
+    epoch: u64,
+}
+
+/// A charge against one budget.
+#[derive(Debug)]
+pub(super) struct BudgetCharge {
+    epoch: u64,
+    mark: ChargeMark,
+    borrowed: u64,
+}
+
+/// Why a charge was not possible at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shortage {
+    /// The team has no budget here.
+    UnknownTeam,
+    /// This daemon is outside its term.
+    NoShare,
+    /// The request is larger than the whole burst.
+    AboveBurst { burst: u64 },
+    /// Tokens are missing.
+    Missing {
+        tokens: u64,
+        /// Fleet-wide tokens per second.
+        rate: u64,
+    },
+}
+
+/// Budgets of all teams.
+#[derive(Debug, Default)]
+pub(super) struct BudgetTable {
+    grant: Option<ShareGrant>,
+    teams: HashMap<SmolStr, TeamBudget>,
+    next_epoch: u64,
+    next_loan: u64,
+}
+
+impl BudgetTable {
+    /// Takes over the declared teams. A new team starts with an empty bucket.
+    pub(super) fn set_teams(&mut self, teams: &[TeamSpec], now: Instant) {
+        self.teams
+            .retain(|name, _| teams.iter().any(|team| team.name == *name));
+        for spec in teams {
+            let limit = self.limit_of(spec);
+            match self.teams.get_mut(&spec.name) {
+                Some(budget) => {
+                    budget.spec = spec.clone();
+                    budget.bucket.set_limit(limit, now);
+                }
+                None => self.insert(spec.clone(), limit, now),
+            }
+        }
+    }
+
+    fn insert(&mut self, spec: TeamSpec, limit: BucketLimit, now: Instant) {
+        self.next_epoch += 1;
+        let budget = TeamBudget {
+            bucket: TokenBucket::new(limit, now),
+            loans: LoanLedger::new(),
+            epoch: self.next_epoch,
+            spec,
+        };
+        self.teams.insert(budget.spec.name.clone(), budget);
+    }
+
+    /// Takes over the share; returns when all loans fit into it.
+    pub(super) fn set_grant(&mut self, grant: Option<ShareGrant>, now: Instant) -> Instant {
+        if grant.map(|grant| grant.vm) != self.grant.map(|grant| grant.vm) {
+            return self.restart(grant, now);
+        }
+        self.grant = grant;
+        let mut settled = now;
+        let limits: Vec<(SmolStr, BucketLimit)> = self
+            .teams
+            .iter()
+            .map(|(name, budget)| (name.clone(), self.limit_of(&budget.spec)))
+            .collect();
+        for (name, limit) in limits {
+            if let Some(budget) = self.teams.get_mut(&name) {
+                budget.bucket.set_limit(limit, now);
+                settled = settled.max(budget.bucket.settled_at(now));
+            }
+        }
+        settled
+    }
+
+    /// Empties all budgets for another incarnation; returns when the loans of the former one have lapsed.
+    fn restart(&mut self, grant: Option<ShareGrant>, now: Instant) -> Instant {
+        self.grant = grant;
+        let mut settled = now;
+        let budgets: Vec<TeamBudget> = self.teams.drain().map(|(_, budget)| budget).collect();
+        for mut budget in budgets {
+            settled = settled.max(budget.bucket.loans_end(now));
+            let limit = self.limit_of(&budget.spec);
+            self.insert(budget.spec, limit, now);
+        }
+        settled
+    }
+
+    fn limit_of(&self, spec: &TeamSpec) -> BucketLimit {
+        BucketLimit {
+            rate: spec.rate,
+            burst: spec.burst,
+            ppm: self.grant.map_or(0, |grant| grant.ppm),
+            until: self.grant.map(|grant| grant.until),
+        }
+    }
+
+    fn in_term(&self, now: Instant) -> bool {
+        self.grant.is_some_and(|grant| now < grant.until)
+    }
+
+    /// Charges `tokens` to `team` from loans, which lapse, and then from the own bucket.
+    pub(super) fn charge(
+        &mut self,
+        team: &str,
+        tokens: u64,
+        now: Instant,
+    ) -> Result<BudgetCharge, Shortage> {
+        let in_term = self.in_term(now);
+        let budget = self.teams.get_mut(team).ok_or(Shortage::UnknownTeam)?;
+        let burst = budget.spec.burst;
+        if tokens > burst {
+            return Err(Shortage::AboveBurst { burst });
+        }
+        if !in_term {
+            return Err(Shortage::NoShare);
+        }
+        let held = budget.bucket.balance(now);
+        let held = held.saturating_add(budget.loans.available(now));
+        let missing = Shortage::Missing {
+            tokens: tokens.saturating_sub(held),
+            rate: budget.spec.rate,
+        };
+        if held < tokens {
+            return Err(missing);
+        }
+        let borrowed = budget.loans.take(tokens, now);
+        let mark = budget.bucket.charge(tokens - borrowed, now);
+        mark.map(|mark| BudgetCharge {
+            epoch: budget.epoch,
+            mark,
+            borrowed,
+        })
+        .ok_or(missing)
+    }
+
+    /// Ends a charge. Borrowed tokens count as used first; those left over have lapsed and are not refunded.
+    pub(super) fn settle(&mut self, team: &str, charge: BudgetCharge, used: u64, now: Instant) {
+        let Some(budget) = self.teams.get_mut(team) else {
+            return;
+        };
+        if budget.epoch != charge.epoch {
+            return;
+        }
+        let own = used
+            .saturating_sub(charge.borrowed)
+            .min(charge.mark.tokens());
+        budget.bucket.settle(charge.mark, own, now);
+    }
+
+    /// Debits a loan of up to `tokens`.
+    pub(super) fn lend(
+        &mut self,
+        team: &str,
+        tokens: u64,
+        lifetime: Duration,
+        now: Instant,
+    ) -> Option<TokenLoan> {
+        if !self.in_term(now) {
+            return None;
+        }
+        let budget = self.teams.get_mut(team)?;
+        let (tokens, lifetime) = budget.bucket.lend(tokens, lifetime, now)?;
+        self.next_loan += 1;
+        Some(TokenLoan {
+            id: self.next_loan,
+            tokens,
+            lifetime,
+        })
+    }
+
+    /// Adds a loan from a peer.
+    pub(super) fn add_loan(
+        &mut self,
+        team: &str,
+        lender: SocketAddr,
+        loan: TokenLoan,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        if let Some(budget) = self.teams.get_mut(team) {
+            budget.loans.add(lender, loan, asked_at, now);
+        }
+    }
+
+    /// Returns the spare tokens of each team.
+    pub(super) fn spare(&mut self, now: Instant) -> Vec<(SmolStr, u64)> {
+        if !self.in_term(now) {
+            return Vec::new();
+        }
+        let spare = self
+            .teams
+            .iter_mut()
+            .map(|(name, budget)| (name.clone(), budget.bucket.balance(now)));
+        spare.collect()
+    }
+
+    /// Returns the state for the dump, teams in order of name.
+    pub(super) fn dump(&mut self, now: Instant) -> LimitDump {
+        let ppm = self
+            .grant
+            .filter(|grant| now < grant.until)
+            .map(|grant| grant.ppm);
+        let teams = self.teams.values_mut().map(|budget| BudgetDump {
+            team: budget.spec.name.clone(),
+            rate: budget.spec.rate,
+            burst: budget.spec.burst,
+            balance: budget.bucket.balance(now),
+            reserved: budget.bucket.reserved(),
+            lent: budget.bucket.lent(now),
+            borrowed: budget.loans.available(now),
+        });
+        let mut teams: Vec<BudgetDump> = teams.collect();
+        teams.sort_by(|one, other| one.team.cmp(&other.team));
+        LimitDump { ppm, teams }
+    }
+}
--- /dev/null
+++ b/src/limit/even.rs
@@ -0,0 +1,77 @@
+//! Baseline without loans: every member holds the same fixed share.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use smol_str::SmolStr;
+
+use crate::catalog::TeamSpec;
+use crate::error::{Category, Error, Result};
+use crate::ids::VmId;
+use crate::limit::budget::{BudgetCharge, BudgetTable, Shortage};
+use crate::limit::{TokenCharge, TokenLimiter};
+use crate::member::{ShareGrant, WHOLE_PPM};
+
+/// Limiter with the share `1/members` that never borrows. Kept to measure what loans gain.
+#[derive(Clone)]
+pub struct EvenSplitLimiter {
+    budgets: Arc<Mutex<BudgetTable>>,
+}
+
+/// A charge of an [`EvenSplitLimiter`].
+pub struct EvenSplitCharge {
+    budgets: Arc<Mutex<BudgetTable>>,
+    team: SmolStr,
+    charge: BudgetCharge,
+}
+
+impl EvenSplitLimiter {
+    /// Creates empty buckets with `1/members` of each team's rate and burst until `until`.
+    pub fn new(teams: &[TeamSpec], members: u32, until: Instant) -> Self {
+        let now = Instant::now();
+        let mut budgets = BudgetTable::default();
+        budgets.set_teams(teams, now);
+        let grant = ShareGrant {
+            vm: VmId(0),
+            ppm: WHOLE_PPM / members.max(1),
+            until,
+        };
+        budgets.set_grant(Some(grant), now);
+        Self {
+            budgets: Arc::new(Mutex::new(budgets)),
+        }
+    }
+}
+
+impl TokenLimiter for EvenSplitLimiter {
+    type Charge = EvenSplitCharge;
+
+    async fn charge(
+        &self,
+        team: &SmolStr,
+        tokens: u64,
+        _deadline: Instant,
+    ) -> Result<Self::Charge> {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let charge = budgets
+            .charge(team, tokens, Instant::now())
+            .map_err(|shortage| refuse(team, shortage))?;
+        Ok(EvenSplitCharge {
+            budgets: self.budgets.clone(),
+            team: team.clone(),
+            charge,
+        })
+    }
+}
+
+impl TokenCharge for EvenSplitCharge {
+    fn settle(self, used: u64) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.settle(&self.team, self.charge, used, Instant::now());
+    }
+}
+
+fn refuse(team: &str, shortage: Shortage) -> Error {
+    let message = format!("team `{team}` lacks tokens in its even share: {shortage:?}");
+    Error::new(Category::RateLimited, message)
+}
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -1,10 +1,26 @@
 //! Rate and burst of teams across the fleet.
+//!
+//! Each daemon holds a share of every team's rate and burst in a [`TokenBucket`] and borrows what peers have
+//! spare before it refuses. Tokens are created only by buckets inside a term; a lent token leaves the lender's
+//! balance and capacity before the borrower hears of it. [`LimitService`] does this for all teams;
+//! [`EvenSplitLimiter`] is the baseline without loans.
+
+mod bucket;
+mod budget;
+mod even;
+mod loan;
+mod service;
 
 use std::future::Future;
 use std::time::Instant;
 
 use smol_str::SmolStr;
 
+pub use self::bucket::{BucketLimit, ChargeMark, TokenBucket};
+pub use self::budget::{BudgetDump, LimitDump};
+pub use self::even::{EvenSplitCharge, EvenSplitLimiter};
+pub use self::loan::LoanLedger;
+pub use self::service::{LimitCharge, LimitService};
 use crate::error::Result;
 
 /// Charges teams for tokens.
--- /dev/null
+++ b/src/limit/service.rs
@@ -0,0 +1,251 @@
+//! Charges teams, borrowing from peers before it refuses.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+use crate::catalog::TeamSpec;
+use crate::error::{Category, Error, Result};
+use crate::ids::VmId;
+use crate::kernel::TaskGroup;
+use crate::limit::budget::{BudgetCharge, BudgetTable, Shortage};
+use crate::limit::{LimitDump, TokenCharge, TokenLimiter};
+use crate::member::{Lender, PeerBoard, ShareGrant, ShareSink};
+use crate::peer::{PeerCaller, PeerReply, PeerRequest, TokenLoan};
+
+/// Lifetime of a loan.
+pub const LOAN_LIFETIME: Duration = Duration::from_secs(2);
+/// Peers that one request asks at once.
+const MAX_LENDERS: usize = 4;
+/// Rounds of asking per request; with nine daemons two rounds reach all others.
+const MAX_ROUNDS: usize = 3;
+/// Longest wait for one round, so that an unreachable lender does not use up the deadline.
+const ROUND_WAIT: Duration = Duration::from_millis(250);
+/// Shortest `Retry-After`, below which callers would only add load.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+type SharedBudgets = Arc<Mutex<BudgetTable>>;
+
+/// Fleet-wide limits of all teams on this daemon. Clones share the budgets.
+pub struct LimitService<C> {
+    budgets: SharedBudgets,
+    board: Arc<PeerBoard>,
+    caller: Arc<C>,
+    own: Arc<Mutex<Option<VmId>>>,
+}
+
+impl<C> Clone for LimitService<C> {
+    fn clone(&self) -> Self {
+        Self {
+            budgets: self.budgets.clone(),
+            board: self.board.clone(),
+            caller: self.caller.clone(),
+            own: self.own.clone(),
+        }
+    }
+}
+
+/// A charge of a [`LimitService`].
+pub struct LimitCharge {
+    budgets: SharedBudgets,
+    team: SmolStr,
+    charge: BudgetCharge,
+}
+
+impl<C: PeerCaller> LimitService<C> {
+    /// Starts with the teams in `teams` and follows changes in a task of `group`. All buckets are empty until a
+    /// share is adopted.
+    pub fn open(
+        group: &TaskGroup,
+        teams: watch::Receiver<Vec<TeamSpec>>,
+        board: Arc<PeerBoard>,
+        caller: Arc<C>,
+    ) -> Self {
+        let budgets: SharedBudgets = Arc::default();
+        lock(&budgets).set_teams(&teams.borrow(), Instant::now());
+        group.spawn_cancellable(follow_teams(teams, budgets.clone()));
+        Self {
+            budgets,
+            board,
+            caller,
+            own: Arc::default(),
+        }
+    }
+
+    /// Lends up to `tokens` of `team` to `borrower`. The tokens are debited before this returns.
+    pub fn lend(&self, borrower: VmId, team: &str, tokens: u64) -> Option<TokenLoan> {
+        let loan = lock(&self.budgets).lend(team, tokens, LOAN_LIFETIME, Instant::now())?;
+        log::trace!("lent {} tokens of team {team} to {borrower}", loan.tokens);
+        Some(loan)
+    }
+
+    /// Returns the spare tokens of each team, for the status.
+    pub fn spare(&self) -> Vec<(SmolStr, u64)> {
+        lock(&self.budgets).spare(Instant::now())
+    }
+
+    /// Returns the state for the dump.
+    pub fn dump(&self) -> LimitDump {
+        lock(&self.budgets).dump(Instant::now())
+    }
+
+    fn try_charge(
+        &self,
+        team: &SmolStr,
+        tokens: u64,
+    ) -> std::result::Result<LimitCharge, Shortage> {
+        let charge = lock(&self.budgets).charge(team, tokens, Instant::now())?;
+        Ok(LimitCharge {
+            budgets: self.budgets.clone(),
+            team: team.clone(),
+            charge,
+        })
+    }
+
+    /// Asks the peers with the most spare tokens. Returns whether any was asked.
+    async fn borrow(&self, team: &SmolStr, missing: u64, deadline: Instant) -> bool {
+        let now = Instant::now();
+        let wait = deadline.saturating_duration_since(now).min(ROUND_WAIT);
+        let lenders = choose_lenders(self.board.lenders(team, now), missing);
+        if lenders.is_empty() || wait.is_zero() {
+            return false;
+        }
+        let calls = lenders
+            .into_iter()
+            .map(|(lender, tokens)| self.borrow_from(lender, team, tokens, wait));
+        join_all(calls).await;
+        true
+    }
+
+    async fn borrow_from(&self, lender: Lender, team: &SmolStr, tokens: u64, wait: Duration) {
+        let Some(borrower) = *self.own.lock().unwrap_or_else(PoisonError::into_inner) else {
+            return;
+        };
+        let asked_at = Instant::now();
+        // Reserving the amount on the board keeps concurrent requests from asking for the same tokens.
+        let left = lender.spare.saturating_sub(tokens);
+        self.board.set_spare(lender.address, team, left);
+        let request = PeerRequest::Borrow {
+            borrower,
+            team: team.clone(),
+            tokens,
+        };
+        let reply = self.caller.call(lender.address, request, wait).await;
+        let lent = match reply {
+            Ok(PeerReply::Loan(Some(loan))) => {
+                let now = Instant::now();
+                lock(&self.budgets).add_loan(team, lender.address, loan, asked_at, now);
+                loan.tokens
+            }
+            Ok(_) => 0,
+            Err(error) => {
+                log::debug!("cannot borrow from {}: {error}", lender.address);
+                0
+            }
+        };
+        if lent < tokens {
+            // The peer has no more; asking again before its next status only adds load.
+            self.board.set_spare(lender.address, team, 0);
+        }
+    }
+
+    /// Creates the refusal of a request for which tokens are missing fleet-wide.
+    fn refusal(&self, team: &SmolStr, missing: u64, rate: u64) -> Error {
+        let lenders = self.board.lenders(team, Instant::now());
+        let spare = lenders
+            .iter()
+            .fold(0, |sum: u64, lender| sum.saturating_add(lender.spare));
+        let short = missing.saturating_sub(spare);
+        let error = Error::new(
+            Category::RateLimited,
+            format!("team `{team}` is {missing} tokens short of its rate"),
+        );
+        if rate == 0 {
+            return error;
+        }
+        let millis = short.saturating_mul(1_000).div_ceil(rate);
+        error.with_retry_after(Duration::from_millis(millis).max(MIN_RETRY_AFTER))
+    }
+}
+
+impl<C: PeerCaller> TokenLimiter for LimitService<C> {
+    type Charge = LimitCharge;
+
+    async fn charge(&self, team: &SmolStr, tokens: u64, deadline: Instant) -> Result<Self::Charge> {
+        for _ in 0..MAX_ROUNDS {
+            let missing = match self.try_charge(team, tokens) {
+                Ok(charge) => return Ok(charge),
+                Err(Shortage::Missing { tokens, .. }) => tokens,
+                Err(shortage) => return Err(refuse_at_once(team, tokens, shortage)),
+            };
+            if !self.borrow(team, missing, deadline).await {
+                break;
+            }
+        }
+        self.try_charge(team, tokens)
+            .map_err(|shortage| match shortage {
+                Shortage::Missing {
+                    tokens: missing,
+                    rate,
+                } => self.refusal(team, missing, rate),
+                other => refuse_at_once(team, tokens, other),
+            })
+    }
+}
+
+impl<C: PeerCaller> ShareSink for LimitService<C> {
+    fn adopt_share(&self, grant: Option<ShareGrant>, now: Instant) -> Instant {
+        *self.own.lock().unwrap_or_else(PoisonError::into_inner) = grant.map(|grant| grant.vm);
+        lock(&self.budgets).set_grant(grant, now)
+    }
+}
+
+impl TokenCharge for LimitCharge {
+    fn settle(self, used: u64) {
+        lock(&self.budgets).settle(&self.team, self.charge, used, Instant::now());
+    }
+}
+
+fn refuse_at_once(team: &str, tokens: u64, shortage: Shortage) -> Error {
+    match shortage {
+        Shortage::UnknownTeam => {
+            Error::new(Category::NotFound, format!("team `{team}` has no budget"))
+        }
+        Shortage::AboveBurst { burst } => Error::new(
+            Category::RateLimited,
+            format!("request of {tokens} tokens is larger than the burst of {burst}"),
+        ),
+        Shortage::NoShare | Shortage::Missing { .. } => {
+            Error::unavailable("this daemon holds no share of the rates now")
+        }
+    }
+}
+
+/// Picks the fewest lenders whose spare tokens cover `missing` and what to ask of each.
+fn choose_lenders(lenders: Vec<Lender>, missing: u64) -> Vec<(Lender, u64)> {
+    let mut left = missing;
+    let mut chosen = Vec::new();
+    for lender in lenders.into_iter().take(MAX_LENDERS) {
+        if left == 0 {
+            break;
+        }
+        let tokens = lender.spare.min(left);
+        left -= tokens;
+        chosen.push((lender, tokens));
+    }
+    chosen
+}
+
+async fn follow_teams(mut teams: watch::Receiver<Vec<TeamSpec>>, budgets: SharedBudgets) {
+    while teams.changed().await.is_ok() {
+        let specs = teams.borrow_and_update().clone();
+        lock(&budgets).set_teams(&specs, Instant::now());
+    }
+}
+
+fn lock(budgets: &Mutex<BudgetTable>) -> MutexGuard<'_, BudgetTable> {
+    budgets.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/member/board.rs
@@ -0,0 +1,116 @@
+//! The latest status of each peer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::ids::VmId;
+use crate::peer::PeerStatus;
+
+/// Age above which a status no longer makes its sender a lender.
+const MAX_LENDER_AGE: Duration = Duration::from_secs(30);
+
+/// The latest answer of one peer.
+#[derive(Clone, Debug)]
+pub struct PeerEntry {
+    pub address: SocketAddr,
+    pub status: PeerStatus,
+    /// Time before the question whose answer this is.
+    pub asked_at: Instant,
+}
+
+/// A peer that may have spare tokens of a team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lender {
+    pub address: SocketAddr,
+    pub vm: VmId,
+    /// Spare tokens by its latest status, less what it has lent since.
+    pub spare: u64,
+}
+
+/// Statuses of peers by address, shared by the membership service, the limiter and the state dump.
+#[derive(Debug, Default)]
+pub struct PeerBoard {
+    entries: Mutex<HashMap<SocketAddr, PeerEntry>>,
+}
+
+impl PeerBoard {
+    /// Creates an empty board.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerEntry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records the answer of the peer at `address` to a question asked at `asked_at`; older answers are dropped.
+    pub fn note(&self, address: SocketAddr, status: PeerStatus, asked_at: Instant) {
+        let mut entries = self.lock();
+        if entries
+            .get(&address)
+            .is_some_and(|entry| entry.asked_at > asked_at)
+        {
+            return;
+        }
+        let entry = PeerEntry {
+            address,
+            status,
+            asked_at,
+        };
+        entries.insert(address, entry);
+    }
+
+    /// Forgets the peers for which `keep` is false.
+    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.lock().retain(|address, _| keep(*address));
+    }
+
+    /// Returns the latest answer of the peer at `address`.
+    pub fn entry(&self, address: SocketAddr) -> Option<PeerEntry> {
+        self.lock().get(&address).cloned()
+    }
+
+    /// Returns all entries.
+    pub fn entries(&self) -> Vec<PeerEntry> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Returns the peers with spare tokens of `team`, the most first.
+    pub fn lenders(&self, team: &str, now: Instant) -> Vec<Lender> {
+        let entries = self.lock();
+        let mut lenders: Vec<Lender> = entries
+            .values()
+            .filter(|entry| now.saturating_duration_since(entry.asked_at) <= MAX_LENDER_AGE)
+            .map(|entry| Lender {
+                address: entry.address,
+                vm: entry.status.vm,
+                spare: spare_of(&entry.status, team),
+            })
+            .filter(|lender| lender.spare > 0)
+            .collect();
+        lenders.sort_by_key(|lender| (std::cmp::Reverse(lender.spare), lender.vm));
+        lenders
+    }
+
+    /// Corrects the spare tokens of `team` at the peer until its next status.
+    pub fn set_spare(&self, address: SocketAddr, team: &str, spare: u64) {
+        let mut entries = self.lock();
+        let Some(entry) = entries.get_mut(&address) else {
+            return;
+        };
+        for (name, tokens) in &mut entry.status.spare {
+            if name == team {
+                *tokens = spare;
+            }
+        }
+    }
+}
+
+fn spare_of(status: &PeerStatus, team: &str) -> u64 {
+    let spare: Option<&(SmolStr, u64)> = status.spare.iter().find(|(name, _)| name == team);
+    spare.map_or(0, |(_, tokens)| *tokens)
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -1,5 +1,10 @@
 //! Transport of calls between daemons: bad input, slow peers, concurrency, reconnect and shutdown.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "a broken test set-up fails by panicking"
+)]
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
