--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod catalog;
 pub mod claim;
+pub mod currency;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
@@ -10,6 +11,7 @@
 pub mod kernel;
 pub mod limit;
 pub mod operator;
+pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod proto;
