Add the op command, declaration files and tests of catalog and follower

Cause: operators need a command line and files that say what a fleet consists of; the catalog's rules had no check against a second implementation.

Change: `declaration` parses JSON with comments and reports file:line:column; `op` applies a file, makes single changes, grants keys, lists and watches. tests/catalog.rs compares `apply` with a naive twin; tests/follower.rs covers outages, gaps and lost answers.

--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -18,6 +18,9 @@
 /// Longest change record, in bytes. A reader refuses longer ones before it allocates memory for them.
 const MAX_RECORD_BYTES: usize = 64 * 1_024;
 
+/// Name of the only policy.
+pub const POLICY_NAME: &str = "policy";
+
 /// Revision of an entity: one more than the offset of the record that last changed it; 0 if it does not exist.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -134,7 +137,7 @@
 }
 
 impl EntityChange {
-    /// Returns the entity that the change is about. The policy's name is `policy`.
+    /// Returns the entity that the change is about. The policy's name is [`POLICY_NAME`].
     pub fn target(&self) -> EntityName {
         match self {
             Self::PutModel(spec) => EntityName::new(EntityKind::Model, spec.name.clone()),
@@ -145,7 +148,7 @@
             Self::PutOperator(spec) => EntityName::new(EntityKind::Operator, spec.name.clone()),
             Self::PutRoute(spec) => EntityName::new(EntityKind::Route, spec.name.clone()),
             Self::PutBackend(spec) => EntityName::new(EntityKind::Backend, spec.name.clone()),
-            Self::PutPolicy(_) => EntityName::new(EntityKind::Policy, "policy"),
+            Self::PutPolicy(_) => EntityName::new(EntityKind::Policy, POLICY_NAME),
             Self::Retire(target) => target.clone(),
         }
     }
--- a/src/catalog/lookup.rs
+++ b/src/catalog/lookup.rs
@@ -4,7 +4,7 @@
 
 use crate::catalog::{
     AdapterSpec, BackendSpec, EntityChange, EntityKind, EntityName, FleetCatalog, FleetPolicy,
-    KeySpec, ModelSpec, OperatorSpec, Revision, RouteSpec, TeamSpec, VersionSpec,
+    KeySpec, ModelSpec, OperatorSpec, POLICY_NAME, Revision, RouteSpec, TeamSpec, VersionSpec,
 };
 use crate::ids::{BackendKey, KeyDigest, ModelKey, TeamKey};
 
@@ -185,7 +185,7 @@
             }
             EntityKind::Route => self.routes.get(name).map(|declared| declared.revision),
             EntityKind::Backend => self.backends.get(name).map(|declared| declared.revision),
-            EntityKind::Policy => Some(self.policy.revision),
+            EntityKind::Policy => (name == POLICY_NAME).then_some(self.policy.revision),
         };
         revision.unwrap_or_default()
     }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,7 +12,9 @@
 };
 pub use self::arena::Declared;
 pub(crate) use self::arena::digests_match;
-pub use self::change::{ChangeCommand, EntityChange, EntityKind, EntityName, Revision};
+pub use self::change::{
+    ChangeCommand, EntityChange, EntityKind, EntityName, POLICY_NAME, Revision,
+};
 pub use self::lookup::ListedEntity;
 pub use self::rules::{MAX_AMOUNT, MAX_DURATION, MAX_NAME_BYTES, MAX_PREFIX_BYTES};
 pub use self::spec::{
--- a/src/catalog/spec.rs
+++ b/src/catalog/spec.rs
@@ -122,7 +122,7 @@
 
 /// What runs on a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum BackendKind {
     /// A model engine.
     Engine {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod catalog;
 pub mod claim;
+pub mod declaration;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
@@ -9,6 +10,7 @@
 pub mod journal;
 pub mod kernel;
 pub mod limit;
+pub mod op;
 pub mod operator;
 pub mod peer;
 pub mod platform;
--- a/tests/config_support/mod.rs
+++ b/tests/config_support/mod.rs
@@ -34,30 +34,30 @@
 
 impl FakeLog {
     pub fn set_down(&self, down: bool) {
-        self.streams.lock().unwrap().down = down;
+        self.streams.lock().expect("log lock").down = down;
         self.appended.notify_waiters();
     }
 
     pub fn lose_answers(&self, count: u32) {
-        self.streams.lock().unwrap().lose_after = count;
+        self.streams.lock().expect("log lock").lose_after = count;
     }
 
     pub fn lose_appends(&self, count: u32) {
-        self.streams.lock().unwrap().lose_before = count;
+        self.streams.lock().expect("log lock").lose_before = count;
     }
 
     /// Removes the records before `first`.
     pub fn retain_from(&self, stream: StreamName, first: u64) {
-        let mut streams = self.streams.lock().unwrap();
+        let mut streams = self.streams.lock().expect("log lock");
         let (base, records) = streams.records.entry(stream).or_default();
-        let removed = usize::try_from(first - *base).unwrap();
+        let removed = usize::try_from(first - *base).expect("offset fits");
         records.drain(..removed);
         *base = first;
     }
 
     /// Appends without faults.
     pub fn put(&self, stream: StreamName, record: impl Into<Bytes>) -> LogOffset {
-        let mut streams = self.streams.lock().unwrap();
+        let mut streams = self.streams.lock().expect("log lock");
         let (base, records) = streams.records.entry(stream).or_default();
         records.push(record.into());
         self.appended.notify_waiters();
@@ -65,7 +65,7 @@
     }
 
     pub fn records(&self, stream: StreamName) -> Vec<Bytes> {
-        let streams = self.streams.lock().unwrap();
+        let streams = self.streams.lock().expect("log lock");
         let found = streams.records.get(&stream);
         found
             .map(|(_, records)| records.clone())
@@ -74,15 +74,15 @@
 
     /// Flips a bit in the last byte of a record.
     pub fn corrupt(&self, stream: StreamName, index: usize) {
-        let mut streams = self.streams.lock().unwrap();
-        let (_, records) = streams.records.get_mut(&stream).unwrap();
+        let mut streams = self.streams.lock().expect("log lock");
+        let (_, records) = streams.records.get_mut(&stream).expect("stream exists");
         let mut record = records[index].to_vec();
-        *record.last_mut().unwrap() ^= 1;
+        *record.last_mut().expect("record is not empty") ^= 1;
         records[index] = record.into();
     }
 
     fn read_now(&self, stream: StreamName, from: LogOffset, max: usize) -> Result<ReadBatch> {
-        let streams = self.streams.lock().unwrap();
+        let streams = self.streams.lock().expect("log lock");
         if streams.down {
             return Err(Error::unavailable("the log is down"));
         }
@@ -112,7 +112,7 @@
         let unclear =
             || Error::new(Category::Timeout, "answer lost").with_verdict(RunVerdict::MayHaveRun);
         {
-            let mut streams = self.streams.lock().unwrap();
+            let mut streams = self.streams.lock().expect("log lock");
             if streams.down {
                 return Err(Error::unavailable("the log is down"));
             }
@@ -122,7 +122,7 @@
             }
         }
         let offset = self.put(stream, record);
-        let mut streams = self.streams.lock().unwrap();
+        let mut streams = self.streams.lock().expect("log lock");
         if streams.lose_after > 0 {
             streams.lose_after -= 1;
             return Err(unclear());
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -36,17 +36,17 @@
         let replica =
             CatalogReplica::spawn(&group, &timer, journal.clone(), Arc::new(NoPeers), options);
         let replica = Arc::new(replica);
-        replica.wait_ready().await.unwrap();
+        replica.wait_ready().await.expect("daemon runs");
         replica.allow_append(true);
         let server = OperatorServer::bind(
             &group,
-            "127.0.0.1:0".parse().unwrap(),
+            "127.0.0.1:0".parse().expect("daemon runs"),
             replica.clone(),
             Some(KeyDigest::of(b"first")),
             Arc::new(Vec::new),
         )
         .await
-        .unwrap();
+        .expect("daemon runs");
         Self {
             group,
             replica,
@@ -56,13 +56,13 @@
 
     async fn client(&self) -> Client {
         let address = format!("http://{}", self.server.address());
-        Client::connect(address).await.unwrap()
+        Client::connect(address).await.expect("daemon runs")
     }
 }
 
 fn with_key<T>(key: &str, message: T) -> Request<T> {
     let mut request = Request::new(message);
-    let value = format!("Bearer {key}").parse().unwrap();
+    let value = format!("Bearer {key}").parse().expect("daemon runs");
     request.metadata_mut().insert("authorization", value);
     request
 }
