--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod currency;
+pub mod declaration;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
@@ -10,6 +11,7 @@
 pub mod journal;
 pub mod kernel;
 pub mod limit;
+pub mod op;
 pub mod operator;
 pub mod member;
 pub mod peer;
