--- /dev/null
+++ b/src/http/connection.rs
@@ -0,0 +1,402 @@
+//! Accepts connections and serves a router on them, with bounds on time, header size and number.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use axum::body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::Sleep;
+use tokio_util::sync::CancellationToken;
+use tower::ServiceExt;
+
+use crate::error::{Error, Result};
+use crate::kernel::TaskGroup;
+use crate::settings::LimitSettings;
+
+/// Wait after a failed accept, which mostly means that file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Streams that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 1_000;
+/// Bytes of answers that one HTTP/2 stream buffers for its caller.
+const STREAM_BUFFER: usize = 64 << 10;
+
+/// A bound listener whose connections are tasks of a group.
+pub(crate) struct HttpListener {
+    address: SocketAddr,
+    stop: CancellationToken,
+    /// Each connection holds a receiver, so that `closed` tells when all have ended.
+    open: watch::Sender<()>,
+}
+
+struct Acceptor {
+    listener: TcpListener,
+    router: Router,
+    limits: Arc<LimitSettings>,
+    group: TaskGroup,
+    stop: CancellationToken,
+    slots: Arc<Semaphore>,
+    /// Shared with the accepting task so that the listener counts as open until it is closed.
+    open: watch::Receiver<()>,
+}
+
+impl HttpListener {
+    /// Binds `address` and serves `router` on it.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if the address cannot be bound.
+    pub(crate) async fn bind(
+        group: &TaskGroup,
+        address: SocketAddr,
+        limits: &LimitSettings,
+        router: Router,
+    ) -> Result<Self> {
+        let failed = |error| Error::unavailable(format!("cannot bind {address}: {error}"));
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let stop = CancellationToken::new();
+        let (open, receiver) = watch::channel(());
+        let acceptor = Acceptor {
+            listener,
+            router,
+            limits: Arc::new(limits.clone()),
+            group: group.clone(),
+            stop: stop.clone(),
+            slots: Arc::new(Semaphore::new(limits.connections)),
+            open: receiver,
+        };
+        group.spawn_cancellable(acceptor.run());
+        Ok(Self {
+            address,
+            stop,
+            open,
+        })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, tells callers to go elsewhere and waits until all connections have ended.
+    pub(crate) async fn drain(&self) {
+        self.stop.cancel();
+        self.open.closed().await;
+    }
+}
+
+impl Acceptor {
+    async fn run(self) {
+        loop {
+            let Some((stream, slot)) = self.stop.run_until_cancelled(self.accept()).await else {
+                return;
+            };
+            let connection = serve(
+                stream,
+                self.router.clone(),
+                self.limits.clone(),
+                self.group.clone(),
+                self.stop.clone(),
+            );
+            let open = self.open.clone();
+            self.group.spawn_cancellable(async move {
+                connection.await;
+                drop((open, slot));
+            });
+        }
+    }
+
+    async fn accept(&self) -> (TcpStream, OwnedSemaphorePermit) {
+        loop {
+            let Ok(slot) = self.slots.clone().acquire_owned().await else {
+                return std::future::pending().await;
+            };
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    // Tokens are small writes; a socket without the option still works.
+                    let _ = stream.set_nodelay(true);
+                    return (stream, slot);
+                }
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    router: Router,
+    limits: Arc<LimitSettings>,
+    group: TaskGroup,
+    stop: CancellationToken,
+) {
+    let state = Arc::new(ConnectionState::new());
+    let io = TokioIo::new(TimedStream::new(stream, limits.write_time, state.clone()));
+    let service = service_fn({
+        let state = state.clone();
+        move |request| respond(router.clone(), request, state.clone())
+    });
+    let builder = builder(&limits, group);
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!("connection ended: {error}");
+                }
+                return;
+            }
+            () = stop.cancelled(), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = state.expired(&limits) => return,
+        }
+    }
+}
+
+async fn respond(
+    router: Router,
+    request: http::Request<Incoming>,
+    state: Arc<ConnectionState>,
+) -> std::result::Result<http::Response<Body>, std::convert::Infallible> {
+    let active = state.begin();
+    let response = router.oneshot(request.map(Body::new)).await?;
+    // The mapping keeps the request active until the body has been sent or dropped.
+    Ok(response.map(|body| {
+        Body::new(body.map_frame(move |frame| {
+            let _ = &active;
+            frame
+        }))
+    }))
+}
+
+fn builder(limits: &LimitSettings, group: TaskGroup) -> Builder<GroupExecutor> {
+    let mut builder = Builder::new(GroupExecutor(group));
+    // The library's header timeout also ends idle connections, so `ConnectionState` replaces it.
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_send_buf_size(STREAM_BUFFER)
+        .keep_alive_interval(limits.idle_time)
+        .keep_alive_timeout(limits.write_time);
+    builder
+}
+
+/// Runs the streams of an HTTP/2 connection as tasks of the group.
+#[derive(Clone)]
+struct GroupExecutor(TaskGroup);
+
+impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for GroupExecutor {
+    fn execute(&self, future: F) {
+        self.0.spawn_cancellable(future);
+    }
+}
+
+/// Tells an idle connection from one with slow headers. Times are milliseconds since `started`, 0 is none.
+struct ConnectionState {
+    started: Instant,
+    active: AtomicUsize,
+    idle_since: AtomicU64,
+    head_since: AtomicU64,
+    http2: AtomicBool,
+}
+
+/// Marks a request as active until it is dropped.
+struct ActiveRequest(Arc<ConnectionState>);
+
+impl ConnectionState {
+    fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            active: AtomicUsize::new(0),
+            idle_since: AtomicU64::new(1),
+            head_since: AtomicU64::new(0),
+            http2: AtomicBool::new(false),
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1
+    }
+
+    fn begin(self: &Arc<Self>) -> ActiveRequest {
+        self.active.fetch_add(1, Ordering::SeqCst);
+        self.head_since.store(0, Ordering::SeqCst);
+        ActiveRequest(self.clone())
+    }
+
+    /// Notes that bytes arrived. On HTTP/2 bytes between requests need not belong to a request.
+    fn received(&self) {
+        let between = self.active.load(Ordering::SeqCst) == 0;
+        if between && !self.http2.load(Ordering::SeqCst) {
+            let now = self.now();
+            let _ = self
+                .head_since
+                .compare_exchange(0, now, Ordering::SeqCst, Ordering::SeqCst);
+        }
+    }
+
+    /// Resolves when headers are too slow or the connection has been idle for too long.
+    async fn expired(&self, limits: &LimitSettings) {
+        loop {
+            let (idle, header) = (millis(limits.idle_time), millis(limits.header_time));
+            if self.active.load(Ordering::SeqCst) == 0 {
+                let now = self.now();
+                let head_since = self.head_since.load(Ordering::SeqCst);
+                let idle_since = self.idle_since.load(Ordering::SeqCst);
+                if head_since != 0 && now >= head_since + header || now >= idle_since + idle {
+                    return;
+                }
+            }
+            let check = limits.header_time.min(limits.idle_time) / 2;
+            tokio::time::sleep(check).await;
+        }
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        let now = self.0.now();
+        self.0.idle_since.store(now, Ordering::SeqCst);
+        self.0.active.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX / 2)
+}
+
+/// A TCP stream that fails when the other side reads nothing for too long.
+struct TimedStream {
+    stream: TcpStream,
+    write_time: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+    state: Arc<ConnectionState>,
+    /// Number of bytes that matched the start of the HTTP/2 preface, or `None` once that is decided.
+    preface: Option<usize>,
+}
+
+/// No HTTP/1.1 method starts with these bytes.
+const PREFACE: &[u8] = b"PRI";
+
+impl TimedStream {
+    fn new(stream: TcpStream, write_time: Duration, state: Arc<ConnectionState>) -> Self {
+        Self {
+            stream,
+            write_time,
+            stalled: None,
+            state,
+            preface: Some(0),
+        }
+    }
+
+    fn inspect(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            let Some(matched) = self.preface else { break };
+            self.preface = (PREFACE.get(matched) == Some(byte)).then_some(matched + 1);
+            if self.preface == Some(PREFACE.len()) {
+                self.state.http2.store(true, Ordering::SeqCst);
+                self.state.head_since.store(0, Ordering::SeqCst);
+                self.preface = None;
+            }
+        }
+        self.state.received();
+    }
+
+    fn check_stall(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
+        let write_time = self.write_time;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(write_time)));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "caller reads nothing of the answer",
+        ))
+    }
+
+    fn bounded<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if result.is_pending() {
+            return self.check_stall(cx).map(Err);
+        }
+        self.stalled = None;
+        result
+    }
+}
+
+impl AsyncRead for TimedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if buffer.filled().len() > before {
+            self.inspect(&buffer.filled()[before..]);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for TimedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, data);
+        self.bounded(cx, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.bounded(cx, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/http/exchange.rs
@@ -0,0 +1,133 @@
+//! One request from its arrival to the end of its answer, for history and metrics.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::error::{Category, Error};
+use crate::history::{RequestHistory, RequestRecord, RequestStage};
+use crate::http::CallerSettings;
+use crate::kernel::TaskGroup;
+use crate::metrics::{DaemonMetrics, RouteKind};
+use crate::settings::LimitSettings;
+
+/// Wait that a refusal for too many requests in flight proposes.
+const OVERLOAD_WAIT: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// What all requests of a server share.
+pub(super) struct EdgeState<D> {
+    pub(super) dispatcher: Arc<D>,
+    pub(super) limits: LimitSettings,
+    pub(super) group: TaskGroup,
+    history: Arc<RequestHistory>,
+    metrics: Arc<DaemonMetrics>,
+    admission: Arc<Semaphore>,
+}
+
+/// A request in progress. Dropping it unfinished counts as cancelled by the caller.
+pub(super) struct Exchange {
+    pub(super) id: SmolStr,
+    pub(super) arrived: Instant,
+    pub(super) metrics: Arc<DaemonMetrics>,
+    route: RouteKind,
+    history: Arc<RequestHistory>,
+    permit: Option<OwnedSemaphorePermit>,
+    finished: bool,
+}
+
+impl<D> EdgeState<D> {
+    /// Combines the parts of a server.
+    pub(super) fn new(group: &TaskGroup, settings: CallerSettings, dispatcher: Arc<D>) -> Self {
+        Self {
+            dispatcher,
+            admission: Arc::new(Semaphore::new(settings.limits.in_flight)),
+            limits: settings.limits,
+            group: group.clone(),
+            history: settings.history,
+            metrics: settings.metrics,
+        }
+    }
+
+    /// Starts the record of a request.
+    pub(super) fn begin(&self, route: RouteKind, target: &str) -> Exchange {
+        let id = SmolStr::from(format!("{:016x}", rand::random::<u64>()));
+        self.history.begin(RequestRecord::new(id.clone(), target));
+        self.metrics.in_flight.inc();
+        Exchange {
+            id,
+            arrived: Instant::now(),
+            metrics: self.metrics.clone(),
+            route,
+            history: self.history.clone(),
+            permit: None,
+            finished: false,
+        }
+    }
+
+    /// Admits a request while the process has room for it.
+    pub(super) fn admit(&self, exchange: &mut Exchange) -> Result<(), Error> {
+        match self.admission.clone().try_acquire_owned() {
+            Ok(permit) => {
+                exchange.permit = Some(permit);
+                Ok(())
+            }
+            Err(_) => {
+                let message = "too many requests are in flight on this server";
+                Err(Error::new(Category::Overloaded, message).with_retry_after(OVERLOAD_WAIT))
+            }
+        }
+    }
+}
+
+impl Exchange {
+    /// Adds the time since `from` to a stage.
+    pub(super) fn stage(&self, stage: RequestStage, from: Instant) {
+        let time = from.elapsed();
+        self.history
+            .update(&self.id, |record| record.add_stage(stage, time));
+    }
+
+    /// Sets what the request is for, once that is known.
+    pub(super) fn target(&self, target: SmolStr) {
+        self.history
+            .update(&self.id, |record| record.target = target);
+    }
+
+    /// Ends the request with success.
+    pub(super) fn complete(mut self) {
+        self.finished = true;
+        self.history.update(&self.id, RequestRecord::complete);
+        self.metrics.finish_request(self.route, None);
+    }
+
+    /// Ends the request with an error.
+    pub(super) fn fail(mut self, error: &Error) {
+        self.finished = true;
+        self.history.update(&self.id, |record| record.fail(error));
+        self.metrics.finish_request(self.route, Some(error));
+        log::debug!("request failed: {error} ({})", error.verdict());
+    }
+
+    /// Ends a request whose caller went away or reads too slowly.
+    pub(super) fn cancel(mut self, cause: &str) {
+        self.cancelled(cause);
+    }
+
+    fn cancelled(&mut self, cause: &str) {
+        self.finished = true;
+        self.history.update(&self.id, |record| record.cancel(cause));
+        self.metrics.cancel_request(self.route);
+        log::debug!("request cancelled: {cause}");
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.cancelled("the caller closed the connection");
+        }
+        self.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/src/http/input.rs
@@ -0,0 +1,410 @@
+//! Reads and checks what callers send: body, key, path and the fields of a model call.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::{Bytes, BytesMut};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT};
+use http::{HeaderMap, StatusCode, Uri};
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+use smol_str::SmolStr;
+
+use crate::catalog::RequestClass;
+use crate::dispatch::ModelCall;
+use crate::error::{Category, Error};
+use crate::http::refusal::Refusal;
+use crate::settings::LimitSettings;
+
+/// Header with the request class, `interactive` or `overnight`.
+pub const CLASS_HEADER: &str = "x-foxtailhill-class";
+/// Header with the time in milliseconds until the answer is useless.
+pub const DEADLINE_HEADER: &str = "x-foxtailhill-deadline-ms";
+/// Header with the idempotency key of a non-repeatable call.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// Output bound of a model call that states none.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+const HIGHEST_MAX_TOKENS: u32 = 131_072;
+/// One week; longer deadlines are mistakes of unit.
+const MAX_DEADLINE_MS: u64 = 7 * 24 * 3_600_000;
+const MAX_KEY_BYTES: usize = 512;
+const MAX_MODEL_BYTES: usize = 256;
+const MAX_IDEMPOTENCY_BYTES: usize = 255;
+/// Engines parse messages recursively; deeper ones could exhaust their stack.
+const MAX_DEPTH: usize = 32;
+/// A refused body is read on within these bounds. Closing a socket with unread data resets it, and the caller
+/// might lose the refusal.
+const DISCARD_BYTES: usize = 4 << 20;
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: SmolStr,
+    messages: Box<RawValue>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    n: Option<u32>,
+    #[serde(default)]
+    class: Option<RequestClass>,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: Option<bool>,
+}
+
+/// A model call and how its answer is to be sent.
+pub(super) struct ChatInput {
+    pub(super) call: ModelCall,
+    pub(super) stream: bool,
+    pub(super) include_usage: bool,
+}
+
+/// Reads a whole body within the limits on size and time.
+pub(super) async fn read_body(
+    headers: &HeaderMap,
+    mut body: Body,
+    limits: &LimitSettings,
+) -> Result<Bytes, Refusal> {
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    let result = if length.is_some_and(|length| length > limits.body_bytes) {
+        Err(too_large(limits))
+    } else {
+        let read = collect(&mut body, limits);
+        match tokio::time::timeout(limits.body_time, read).await {
+            Ok(result) => result,
+            Err(_) => return Err(too_slow(limits)),
+        }
+    };
+    if result.is_err() && !headers.contains_key(EXPECT) {
+        let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
+    }
+    result
+}
+
+async fn collect(body: &mut Body, limits: &LimitSettings) -> Result<Bytes, Refusal> {
+    let mut whole = Bytes::new();
+    let mut joined = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Error::invalid("body is truncated or malformed"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + joined.len() + data.len() > limits.body_bytes {
+            return Err(too_large(limits));
+        }
+        if whole.is_empty() && joined.is_empty() {
+            whole = data;
+            continue;
+        }
+        joined.extend_from_slice(&std::mem::take(&mut whole));
+        joined.extend_from_slice(&data);
+    }
+    Ok(if joined.is_empty() {
+        whole
+    } else {
+        joined.freeze()
+    })
+}
+
+async fn discard(body: &mut Body) {
+    let mut left = DISCARD_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        match left.checked_sub(size) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
+fn too_large(limits: &LimitSettings) -> Refusal {
+    let message = format!("body is larger than {} bytes", limits.body_bytes);
+    Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, Error::invalid(message))
+}
+
+fn too_slow(limits: &LimitSettings) -> Refusal {
+    let wait = humantime::format_duration(limits.body_time);
+    let message = format!("body did not arrive within {wait}");
+    let error = Error::new(Category::Timeout, message);
+    Refusal::new(StatusCode::REQUEST_TIMEOUT, error)
+}
+
+/// Takes the key from `Authorization: Bearer` and refuses keys in other places.
+pub(super) fn take_key(headers: &mut HeaderMap, uri: &Uri) -> Result<Option<SmolStr>, Error> {
+    refuse_stray_keys(headers, uri)?;
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (value, second) = (values.next(), values.next());
+    if second.is_some() {
+        return Err(Error::invalid("more than one authorization header"));
+    }
+    let key = value.map(bearer).transpose()?;
+    headers.remove(AUTHORIZATION);
+    Ok(key)
+}
+
+fn bearer(value: &http::HeaderValue) -> Result<SmolStr, Error> {
+    let malformed = || {
+        let message = "authorization header is not `Bearer` followed by a key";
+        Error::new(Category::Unauthenticated, message)
+    };
+    let text = value.to_str().map_err(|_| malformed())?;
+    let (scheme, key) = text.split_once(' ').ok_or_else(malformed)?;
+    let key = key.trim();
+    if !scheme.eq_ignore_ascii_case("bearer")
+        || key.is_empty()
+        || key.len() > MAX_KEY_BYTES
+        || key.contains(char::is_whitespace)
+    {
+        return Err(malformed());
+    }
+    Ok(key.into())
+}
+
+/// Refuses keys in the query or in other headers: they end up in logs and caches on the way.
+fn refuse_stray_keys(headers: &HeaderMap, uri: &Uri) -> Result<(), Error> {
+    let pairs = uri.query().unwrap_or_default().split(['&', ';']);
+    let names = pairs.map(|pair| pair.split('=').next().unwrap_or_default());
+    if names.map(decode).any(|name| is_key_like(&name)) {
+        return Err(Error::invalid(
+            "keys are not accepted in the query; send `Authorization: Bearer`",
+        ));
+    }
+    match headers.keys().find(|name| is_key_like(name.as_str())) {
+        Some(name) => Err(Error::invalid(format!(
+            "keys are not accepted in the header `{name}`; send `Authorization: Bearer`"
+        ))),
+        None => Ok(()),
+    }
+}
+
+/// Returns whether a query, header or field name usually carries a secret.
+pub(crate) fn is_key_like(name: &str) -> bool {
+    let plain: String = name
+        .chars()
+        .filter(char::is_ascii_alphanumeric)
+        .map(|c| c.to_ascii_lowercase())
+        .collect();
+    let plain = plain.strip_prefix('x').unwrap_or(&plain);
+    matches!(
+        plain,
+        "key" | "authkey" | "accesskey" | "secretkey" | "accesstoken" | "authtoken" | "bearertoken"
+    ) || plain.ends_with("apikey")
+}
+
+/// Decodes percent signs; malformed sequences stay as they are.
+fn decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut index = 0;
+    while index < bytes.len() {
+        let digits = bytes
+            .get(index + 1..index + 3)
+            .filter(|_| bytes[index] == b'%');
+        let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
+        match digits.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                decoded.push(byte);
+                index += 3;
+            }
+            None => {
+                decoded.push(bytes[index]);
+                index += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+/// Returns path and query for a plain service. Dot segments are refused: a backend server might resolve them
+/// to a path of another route.
+pub(super) fn service_path(uri: &Uri) -> Result<String, Error> {
+    let path = uri.path();
+    if !path.starts_with('/') {
+        return Err(Error::invalid("path does not start with `/`"));
+    }
+    let decoded = decode(path);
+    if decoded
+        .split(['/', '\\'])
+        .any(|part| part == "." || part == "..")
+    {
+        return Err(Error::invalid("path contains a dot segment"));
+    }
+    let target = uri.path_and_query().map_or(path, |target| target.as_str());
+    Ok(target.into())
+}
+
+/// Reads the idempotency key, if any.
+pub(super) fn idempotency_key(headers: &HeaderMap) -> Result<Option<SmolStr>, Error> {
+    let Some(text) = single_header(headers, IDEMPOTENCY_HEADER)? else {
+        return Ok(None);
+    };
+    if text.is_empty() || text.len() > MAX_IDEMPOTENCY_BYTES {
+        return Err(Error::invalid(format!(
+            "header `{IDEMPOTENCY_HEADER}` is not 1 to {MAX_IDEMPOTENCY_BYTES} bytes long"
+        )));
+    }
+    Ok(Some(text.into()))
+}
+
+fn single_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Error> {
+    let mut values = headers.get_all(name).iter();
+    let (value, second) = (values.next(), values.next());
+    if second.is_some() {
+        return Err(Error::invalid(format!("more than one header `{name}`")));
+    }
+    let text = value.map(|value| value.to_str().map(str::trim)).transpose();
+    text.map_err(|_| Error::invalid(format!("header `{name}` is not visible ASCII")))
+}
+
+/// Checks a model call.
+pub(super) fn parse_chat(
+    id: &SmolStr,
+    key: Option<SmolStr>,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<ChatInput, Error> {
+    let text = std::str::from_utf8(body).map_err(|error| {
+        let at = error.valid_up_to();
+        Error::invalid(format!("body is not valid UTF-8 at byte {at}"))
+    })?;
+    let body: ChatBody = parse_json(text)?;
+    if body.model.is_empty() || body.model.len() > MAX_MODEL_BYTES {
+        return Err(Error::invalid("`model` is empty or too long"));
+    }
+    let messages = body.messages.get();
+    if !messages.starts_with('[') || messages[1..].trim_start().starts_with(']') {
+        return Err(Error::invalid(
+            "`messages` is not an array with at least one message",
+        ));
+    }
+    if depth(messages) > MAX_DEPTH {
+        return Err(Error::invalid(format!(
+            "`messages` is nested deeper than {MAX_DEPTH} levels"
+        )));
+    }
+    if body.n.is_some_and(|n| n != 1) {
+        return Err(Error::invalid(
+            "`n` is not 1; one answer a request is supported",
+        ));
+    }
+    let call = ModelCall {
+        id: id.clone(),
+        key,
+        max_tokens: max_tokens(&body)?,
+        class: class(&body, headers)?,
+        deadline: deadline(&body, headers)?,
+        model: body.model,
+        messages: Bytes::copy_from_slice(messages.as_bytes()),
+    };
+    let options = body.stream_options;
+    Ok(ChatInput {
+        call,
+        stream: body.stream.unwrap_or(false),
+        include_usage: options.is_some_and(|options| options.include_usage.unwrap_or(false)),
+    })
+}
+
+fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    serde_json::from_str(text).map_err(|error| {
+        let detail = error.to_string();
+        // The part before this echoes the value, which may be a key in the wrong place.
+        let detail = match detail.find(", expected") {
+            Some(at) => format!("unexpected value{}", &detail[at..]),
+            None => detail,
+        };
+        Error::invalid(format!("body is not a valid chat request: {detail}"))
+    })
+}
+
+/// Returns how deep arrays and objects are nested in valid JSON.
+fn depth(json: &str) -> usize {
+    let (mut depth, mut deepest) = (0_usize, 0);
+    let (mut in_string, mut escaped) = (false, false);
+    for byte in json.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b'[' | b'{' if !in_string => {
+                depth += 1;
+                deepest = deepest.max(depth);
+            }
+            b']' | b'}' if !in_string => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    deepest
+}
+
+fn max_tokens(body: &ChatBody) -> Result<u32, Error> {
+    let tokens = match (body.max_tokens, body.max_completion_tokens) {
+        (Some(old), Some(new)) if old != new => {
+            let message = "`max_tokens` and `max_completion_tokens` differ";
+            return Err(Error::invalid(message));
+        }
+        (old, new) => new.or(old).unwrap_or(DEFAULT_MAX_TOKENS),
+    };
+    if tokens == 0 || tokens > HIGHEST_MAX_TOKENS {
+        return Err(Error::invalid(format!(
+            "`max_tokens` {tokens} is outside 1 to {HIGHEST_MAX_TOKENS}"
+        )));
+    }
+    Ok(tokens)
+}
+
+fn class(body: &ChatBody, headers: &HeaderMap) -> Result<Option<RequestClass>, Error> {
+    let header = match single_header(headers, CLASS_HEADER)? {
+        None => None,
+        Some("interactive") => Some(RequestClass::Interactive),
+        Some("overnight") => Some(RequestClass::Overnight),
+        Some(_) => {
+            let message = format!("header `{CLASS_HEADER}` is not `interactive` or `overnight`");
+            return Err(Error::invalid(message));
+        }
+    };
+    either("class", CLASS_HEADER, body.class, header)
+}
+
+fn deadline(body: &ChatBody, headers: &HeaderMap) -> Result<Option<Duration>, Error> {
+    let header = match single_header(headers, DEADLINE_HEADER)? {
+        None => None,
+        Some(text) => Some(text.parse().map_err(|_| {
+            Error::invalid(format!("header `{DEADLINE_HEADER}` is not a whole number"))
+        })?),
+    };
+    match either("deadline_ms", DEADLINE_HEADER, body.deadline_ms, header)? {
+        Some(ms) if ms == 0 || ms > MAX_DEADLINE_MS => Err(Error::invalid(format!(
+            "deadline of {ms} ms is outside 1 to {MAX_DEADLINE_MS}"
+        ))),
+        ms => Ok(ms.map(Duration::from_millis)),
+    }
+}
+
+fn either<T: PartialEq>(
+    field: &str,
+    header: &str,
+    from_body: Option<T>,
+    from_header: Option<T>,
+) -> Result<Option<T>, Error> {
+    match (from_body, from_header) {
+        (Some(body), Some(other)) if body != other => Err(Error::invalid(format!(
+            "field `{field}` and header `{header}` differ"
+        ))),
+        (body, other) => Ok(body.or(other)),
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,284 @@
+//! The server that callers talk to: HTTP/1.1 and HTTP/2 on one port.
+//!
+//! Model calls and the list of models have the shape of the OpenAI protocol; every other path is a call to a
+//! plain service. Each refusal carries a category and says whether the request may have run.
+
+mod answer;
+pub(crate) mod connection;
+mod exchange;
+pub(crate) mod input;
+mod refusal;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::Response;
+use axum::routing::{get, post};
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use http::{HeaderValue, StatusCode};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+pub use self::input::{CLASS_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
+pub use self::refusal::REQUEST_ID_HEADER;
+use crate::dispatch::{CallDispatcher, ServiceCall};
+use crate::error::{Category, Error, Result};
+use crate::history::{RequestHistory, RequestStage};
+use crate::http::answer::ChatFormat;
+use crate::http::connection::HttpListener;
+use crate::http::exchange::{EdgeState, Exchange};
+use crate::http::refusal::Refusal;
+use crate::kernel::TaskGroup;
+use crate::logging;
+use crate::metrics::{DaemonMetrics, RouteKind};
+use crate::settings::LimitSettings;
+
+/// What a [`CallerServer`] needs besides its dispatcher.
+#[derive(Clone)]
+pub struct CallerSettings {
+    pub limits: LimitSettings,
+    pub history: Arc<RequestHistory>,
+    pub metrics: Arc<DaemonMetrics>,
+}
+
+/// The running caller-facing server.
+pub struct CallerServer {
+    listener: HttpListener,
+}
+
+impl CallerServer {
+    /// Binds `address` and serves callers with `dispatcher`; connections are tasks of `group`.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if the address cannot be bound.
+    pub async fn bind<D: CallDispatcher>(
+        group: &TaskGroup,
+        address: SocketAddr,
+        settings: CallerSettings,
+        dispatcher: Arc<D>,
+    ) -> Result<Self> {
+        let limits = settings.limits.clone();
+        let edge = Arc::new(EdgeState::new(group, settings, dispatcher));
+        let router = Router::new()
+            .route(
+                "/v1/chat/completions",
+                post(chat::<D>).fallback(wrong_method::<D>),
+            )
+            .route("/v1/models", get(models::<D>).fallback(wrong_method::<D>))
+            .fallback(service::<D>)
+            .with_state(edge);
+        let listener = HttpListener::bind(group, address, &limits, router).await?;
+        Ok(Self { listener })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Stops accepting, sends GOAWAY and waits until all requests have ended. The wait has no bound.
+    pub async fn drain(&self) {
+        self.listener.drain().await;
+    }
+}
+
+type Edge<D> = Arc<EdgeState<D>>;
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: SmolStr,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+async fn chat<D: CallDispatcher>(State(edge): State<Edge<D>>, request: Request) -> Response {
+    let exchange = edge.begin(RouteKind::Model, request.uri().path());
+    let id = exchange.id.clone();
+    let answer = async {
+        let mut exchange = exchange;
+        match model_call(&edge, &mut exchange, request).await {
+            Ok((format, tokens)) if !format.stream => {
+                match whole(&exchange, format, tokens).await {
+                    Ok((body, write_time)) => {
+                        json(answer::bytes(&edge.group, exchange, body, write_time))
+                    }
+                    Err(error) => refuse(exchange, error.into()),
+                }
+            }
+            Ok((format, tokens)) => answer::events(&edge.group, exchange, format, tokens),
+            Err(refusal) => refuse(exchange, refusal),
+        }
+    };
+    with_id(logging::in_request(id.clone(), answer).await, &id)
+}
+
+async fn model_call<D: CallDispatcher>(
+    edge: &EdgeState<D>,
+    exchange: &mut Exchange,
+    request: Request,
+) -> std::result::Result<(ChatFormat, D::Tokens), Refusal> {
+    let (mut parts, body) = request.into_parts();
+    let key = input::take_key(&mut parts.headers, &parts.uri)?;
+    let body = receive(edge, exchange, &parts, body).await?;
+    let input = input::parse_chat(&exchange.id, key, &parts.headers, &body)?;
+    drop(body);
+    let model = input.call.model.clone();
+    exchange.target(model.clone());
+    let started = Instant::now();
+    let result = edge.dispatcher.model_call(input.call).await;
+    exchange.stage(RequestStage::FirstToken, started);
+    let (usage, tokens) = result?;
+    let format = ChatFormat {
+        model,
+        stream: input.stream,
+        include_usage: input.include_usage,
+        usage,
+        write_time: edge.limits.write_time,
+    };
+    Ok((format, tokens))
+}
+
+async fn whole<S>(
+    exchange: &Exchange,
+    mut format: ChatFormat,
+    tokens: S,
+) -> Result<(bytes::Bytes, std::time::Duration)>
+where
+    S: futures_util::Stream<Item = Result<crate::engine::EngineChunk>> + Unpin,
+{
+    let started = Instant::now();
+    let result = answer::whole(exchange, &mut format, tokens).await;
+    exchange.stage(RequestStage::Stream, started);
+    Ok((result?, format.write_time))
+}
+
+async fn receive<D>(
+    edge: &EdgeState<D>,
+    exchange: &mut Exchange,
+    parts: &Parts,
+    body: Body,
+) -> std::result::Result<bytes::Bytes, Refusal> {
+    edge.admit(exchange)?;
+    let started = Instant::now();
+    let result = input::read_body(&parts.headers, body, &edge.limits).await;
+    exchange.stage(RequestStage::Receive, started);
+    result
+}
+
+async fn models<D: CallDispatcher>(State(edge): State<Edge<D>>, request: Request) -> Response {
+    let exchange = edge.begin(RouteKind::Models, request.uri().path());
+    let id = exchange.id.clone();
+    let response = match list_models(&edge, request) {
+        Ok(body) => json(answer::bytes(
+            &edge.group,
+            exchange,
+            body.into(),
+            edge.limits.write_time,
+        )),
+        Err(error) => refuse(exchange, error.into()),
+    };
+    with_id(response, &id)
+}
+
+fn list_models<D: CallDispatcher>(edge: &EdgeState<D>, request: Request) -> Result<Vec<u8>> {
+    let (mut parts, _) = request.into_parts();
+    let key = input::take_key(&mut parts.headers, &parts.uri)?;
+    let names = edge.dispatcher.models(key.as_deref())?;
+    let entry = |id| ModelEntry {
+        id,
+        object: "model",
+        owned_by: "foxtailhill",
+    };
+    let list = ModelList {
+        object: "list",
+        data: names.into_iter().map(entry).collect(),
+    };
+    serde_json::to_vec(&list)
+        .map_err(|error| Error::internal(format!("cannot encode the answer: {error}")))
+}
+
+async fn service<D: CallDispatcher>(State(edge): State<Edge<D>>, request: Request) -> Response {
+    let exchange = edge.begin(RouteKind::Service, request.uri().path());
+    let id = exchange.id.clone();
+    let answer = async {
+        let mut exchange = exchange;
+        match service_call(&edge, &mut exchange, request).await {
+            Ok(answer) => answer::service(&edge.group, exchange, answer, edge.limits.write_time),
+            Err(refusal) => refuse(exchange, refusal),
+        }
+    };
+    with_id(logging::in_request(id.clone(), answer).await, &id)
+}
+
+async fn service_call<D: CallDispatcher>(
+    edge: &EdgeState<D>,
+    exchange: &mut Exchange,
+    request: Request,
+) -> std::result::Result<crate::engine::ServiceAnswer, Refusal> {
+    let (mut parts, body) = request.into_parts();
+    let key = input::take_key(&mut parts.headers, &parts.uri)?;
+    let path = input::service_path(&parts.uri)?;
+    let idempotency_key = input::idempotency_key(&parts.headers)?;
+    let body = receive(edge, exchange, &parts, body).await?;
+    let call = ServiceCall {
+        id: exchange.id.clone(),
+        key,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        idempotency_key,
+        body,
+    };
+    let started = Instant::now();
+    let result = edge.dispatcher.service_call(call).await;
+    exchange.stage(RequestStage::FirstToken, started);
+    result.map_err(|error| match error.category() {
+        // The input is well-formed here; it contradicts an earlier call or the route's rules.
+        Category::Invalid => Refusal::new(StatusCode::UNPROCESSABLE_ENTITY, error),
+        _ => error.into(),
+    })
+}
+
+async fn wrong_method<D: CallDispatcher>(
+    State(edge): State<Edge<D>>,
+    request: Request,
+) -> Response {
+    let exchange = edge.begin(RouteKind::Model, request.uri().path());
+    let id = exchange.id.clone();
+    let error = Error::invalid("method is not supported on this path");
+    let refusal = Refusal::new(StatusCode::METHOD_NOT_ALLOWED, error);
+    with_id(refuse(exchange, refusal), &id)
+}
+
+fn refuse(exchange: Exchange, refusal: Refusal) -> Response {
+    let response = refusal.response(&exchange.id);
+    exchange.fail(&refusal.error);
+    response
+}
+
+fn json(body: Body) -> Response {
+    let mut response = Response::new(body);
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, value);
+    response
+}
+
+fn with_id(mut response: Response, id: &str) -> Response {
+    // Request ids are hexadecimal digits and therefore always valid.
+    if let Ok(value) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,17 +1,27 @@
 //! Serves many language models and their adapters on fewer accelerators.
 
+pub mod admin;
 pub mod catalog;
 pub mod claim;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
+pub mod history;
+pub mod http;
 pub mod ids;
 pub mod journal;
 pub mod kernel;
 pub mod limit;
+pub mod logging;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod queue;
+pub mod retry;
 pub mod routing;
+pub mod settings;
+pub mod suspect;
 pub mod timer;
+pub mod watch;
 
 pub use crate::error::{Category, Error, Result, RunVerdict};
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,246 @@
+//! Counters, gauges and histograms of a daemon in the Prometheus text format.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use smol_str::SmolStr;
+
+use crate::error::{Error, RunVerdict};
+
+/// A label value; text that the process holds as [`SmolStr`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LabelText(pub SmolStr);
+
+impl EncodeLabelValue for LabelText {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        self.0.as_str().encode(encoder)
+    }
+}
+
+/// Kind of a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RouteKind {
+    Model,
+    Service,
+    Models,
+}
+
+impl RouteKind {
+    /// Returns the name used in metrics and history.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Model => "model",
+            Self::Service => "service",
+            Self::Models => "models",
+        }
+    }
+}
+
+/// Labels of finished requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    pub route: &'static str,
+    /// `ok` or the category of the error.
+    pub outcome: &'static str,
+    pub verdict: &'static str,
+}
+
+/// Label of per-team metrics.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TeamLabels {
+    pub team: LabelText,
+}
+
+/// Label of metrics by kind or class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabels {
+    pub kind: &'static str,
+}
+
+/// A gauge of fractions.
+pub type RatioGauge = Gauge<f64, AtomicU64>;
+
+/// All metrics of one daemon. Each is updated in place; [`DaemonMetrics::encode`] renders them.
+pub struct DaemonMetrics {
+    registry: Registry,
+    /// Finished requests by route kind, outcome and verdict.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Time from the arrival of a model call to its first token, in seconds.
+    pub first_token: Histogram,
+    /// Time between two tokens of one answer, in seconds.
+    pub inter_token: Histogram,
+    /// Requests that are being carried out, waiting ones included.
+    pub in_flight: Gauge,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Waiting requests by class (`interactive`, `overnight`).
+    pub queue_length: Family<KindLabels, Gauge>,
+    /// Time that a request waited for a backend server, in seconds.
+    pub queue_time: Histogram,
+    /// Share of each team's rate that this daemon holds, from 0 to 1.
+    pub share: Family<TeamLabels, RatioGauge>,
+    /// Tokens in each team's bucket.
+    pub tokens: Family<TeamLabels, Gauge>,
+    /// Loans by kind (`asked`, `borrowed`, `lent`, `denied`).
+    pub loans: Family<KindLabels, Counter>,
+    /// Retries by kind (`sent`, `over_budget`).
+    pub retries: Family<KindLabels, Counter>,
+    /// Claims by kind (`granted`, `recorded`, `conflict`, `released`, `unavailable`).
+    pub claims: Family<KindLabels, Counter>,
+    /// Orders to engines by kind (`sent`, `done`, `refused`, `fenced`, `repeated`).
+    pub orders: Family<KindLabels, Counter>,
+    /// Age of the newest proof that the configuration is current, in seconds.
+    pub currency_age: RatioGauge,
+    /// Whether keyed routes are refused for want of a current view: 0 or 1.
+    pub isolated: Gauge,
+    /// Next offset of the `config` stream that is not applied yet.
+    pub config_next: Gauge,
+    /// Requests in quarantine and suspects by kind (`suspect`, `quarantined`).
+    pub suspects: Family<KindLabels, Gauge>,
+    /// Backend servers by kind (`usable`, `leaving`, `down`).
+    pub backends: Family<KindLabels, Gauge>,
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl DaemonMetrics {
+    /// Creates and registers all metrics under the prefix `foxtailhill`.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("foxtailhill"),
+            requests: Family::default(),
+            first_token: Histogram::new(exponential_buckets(0.005, 1.6, 18)),
+            inter_token: Histogram::new(exponential_buckets(0.001, 1.6, 14)),
+            in_flight: Gauge::default(),
+            connections: Gauge::default(),
+            queue_length: Family::default(),
+            queue_time: Histogram::new(exponential_buckets(0.000_1, 4.0, 12)),
+            share: Family::default(),
+            tokens: Family::default(),
+            loans: Family::default(),
+            retries: Family::default(),
+            claims: Family::default(),
+            orders: Family::default(),
+            currency_age: RatioGauge::default(),
+            isolated: Gauge::default(),
+            config_next: Gauge::default(),
+            suspects: Family::default(),
+            backends: Family::default(),
+        };
+        metrics.register_requests();
+        metrics.register_control();
+        metrics
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Finished requests", self.requests.clone());
+        registry.register(
+            "first_token_seconds",
+            "Time to the first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "inter_token_seconds",
+            "Time between tokens of one answer",
+            self.inter_token.clone(),
+        );
+        registry.register("in_flight", "Admitted requests", self.in_flight.clone());
+        registry.register("connections", "Open connections", self.connections.clone());
+        registry.register(
+            "queue_length",
+            "Waiting requests",
+            self.queue_length.clone(),
+        );
+        registry.register(
+            "queue_seconds",
+            "Time waited for a backend server",
+            self.queue_time.clone(),
+        );
+        registry.register("retries", "Retries", self.retries.clone());
+        registry.register("suspects", "Suspect requests", self.suspects.clone());
+    }
+
+    fn register_control(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("share", "Share of the rate", self.share.clone());
+        registry.register("bucket_tokens", "Tokens in the bucket", self.tokens.clone());
+        registry.register("loans", "Loans of tokens", self.loans.clone());
+        registry.register(
+            "claims",
+            "Claims of non-repeatable requests",
+            self.claims.clone(),
+        );
+        registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "currency_age_seconds",
+            "Age of the proof that the configuration is current",
+            self.currency_age.clone(),
+        );
+        registry.register(
+            "isolated",
+            "Whether keyed routes are refused",
+            self.isolated.clone(),
+        );
+        registry.register(
+            "config_next",
+            "Next config offset to apply",
+            self.config_next.clone(),
+        );
+        registry.register("backends", "Backend servers", self.backends.clone());
+    }
+
+    /// Counts a finished request; `error` is `None` if it succeeded.
+    pub fn finish_request(&self, route: RouteKind, error: Option<&Error>) {
+        let labels = OutcomeLabels {
+            route: route.as_str(),
+            outcome: error.map_or("ok", |error| error.category().as_str()),
+            verdict: error.map_or(RunVerdict::Ran, Error::verdict).as_str(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request whose caller went away or stopped reading.
+    pub fn cancel_request(&self, route: RouteKind) {
+        let labels = OutcomeLabels {
+            route: route.as_str(),
+            outcome: "cancelled",
+            verdict: RunVerdict::MayHaveRun.as_str(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Adds 1 to a counter with a kind.
+    pub fn count(&self, family: &Family<KindLabels, Counter>, kind: &'static str) {
+        family.get_or_create(&KindLabels { kind }).inc();
+    }
+
+    /// Sets a gauge with a kind.
+    pub fn set(&self, family: &Family<KindLabels, Gauge>, kind: &'static str, value: i64) {
+        family.get_or_create(&KindLabels { kind }).set(value);
+    }
+
+    /// Observes a duration in seconds.
+    pub fn observe(&self, histogram: &Histogram, duration: Duration) {
+        histogram.observe(duration.as_secs_f64());
+    }
+
+    /// Renders all metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,343 @@
+//! Order in which waiting requests get a backend server.
+//!
+//! Interactive requests go first: across teams by served tokens, within a team by remaining time. Overnight
+//! requests fill what interactive ones leave, by slack to their deadline, and rise to the interactive class
+//! when the slack runs out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::catalog::RequestClass;
+
+/// Slack below which an overnight request rises to the interactive class.
+pub const RISE_SLACK: Duration = Duration::from_secs(60);
+
+/// Identifies a waiting request, in order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitId(pub u64);
+
+/// What the order depends on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitEntry {
+    pub team: SmolStr,
+    pub class: RequestClass,
+    /// Time after which the answer is useless.
+    pub deadline: Instant,
+    /// Estimated time that the request takes once it is sent.
+    pub work: Duration,
+    /// Tokens charged to the team's counter when the request is popped.
+    pub tokens: u64,
+}
+
+impl WaitEntry {
+    /// Returns the latest time at which the request may start, as the time its slack runs out.
+    fn latest_start(&self) -> Instant {
+        self.deadline
+            .checked_sub(self.work)
+            .unwrap_or(self.deadline)
+    }
+}
+
+/// An order of waiting requests.
+pub trait QueuePolicy<T> {
+    /// Adds a request, or returns it if the queue is full.
+    fn push(&mut self, entry: WaitEntry, item: T) -> Result<WaitId, T>;
+
+    /// Removes and returns the first request that `admissible` accepts.
+    fn pop_next(&mut self, now: Instant, admissible: impl FnMut(&T) -> bool)
+    -> Option<(WaitId, T)>;
+
+    /// Removes a request whose caller went away.
+    fn remove(&mut self, id: WaitId) -> Option<T>;
+
+    /// Removes and returns the requests that cannot meet their deadline when they wait for `estimate` more.
+    fn expire(&mut self, now: Instant, estimate: impl FnMut(&T) -> Duration) -> Vec<(WaitId, T)>;
+
+    /// Corrects a team's counter by tokens served beyond, or short of, the charge at the pop.
+    fn served(&mut self, team: &SmolStr, tokens: i64);
+
+    /// Returns the number of waiting requests of a class, as their callers declared it.
+    fn len(&self, class: RequestClass) -> usize;
+
+    /// Returns whether no request waits.
+    fn is_empty(&self) -> bool {
+        self.len(RequestClass::Interactive) + self.len(RequestClass::Overnight) == 0
+    }
+}
+
+type WaitKey = (Instant, WaitId);
+
+struct Waiting<T> {
+    place: Place,
+    entry: WaitEntry,
+    item: T,
+}
+
+#[derive(Default)]
+struct TeamQueue {
+    /// Served tokens; compared between teams.
+    counter: i64,
+    waiting: BTreeSet<WaitKey>,
+}
+
+#[derive(Clone, Copy)]
+enum Place {
+    Team(WaitKey),
+    Overnight(WaitKey),
+}
+
+/// The fair queue.
+pub struct WaitQueue<T> {
+    capacity: usize,
+    next: u64,
+    waiting: HashMap<WaitId, Waiting<T>>,
+    /// One entry a team of the catalog that ever waited.
+    teams: BTreeMap<SmolStr, TeamQueue>,
+    overnight: BTreeSet<WaitKey>,
+    /// Counter of the team served last. A team that was away is lifted to it, so it cannot save up service.
+    floor: i64,
+    declared_overnight: usize,
+}
+
+impl<T> WaitQueue<T> {
+    /// Creates a queue of up to `capacity` requests, of which at most half may be overnight ones.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            next: 0,
+            waiting: HashMap::new(),
+            teams: BTreeMap::new(),
+            overnight: BTreeSet::new(),
+            floor: 0,
+            declared_overnight: 0,
+        }
+    }
+
+    fn is_full(&self, class: RequestClass) -> bool {
+        let overnight_full = self.declared_overnight >= self.capacity / 2;
+        self.waiting.len() >= self.capacity || class == RequestClass::Overnight && overnight_full
+    }
+
+    /// Adds to a team's order; a team that had nothing waiting is lifted to the lowest active counter.
+    fn join_team(&mut self, team: &SmolStr, key: WaitKey) {
+        let active = self
+            .teams
+            .values()
+            .filter(|queue| !queue.waiting.is_empty());
+        let lowest = active.map(|queue| queue.counter).min();
+        let floor = lowest.unwrap_or(self.floor);
+        let queue = self.teams.entry(team.clone()).or_default();
+        if queue.waiting.is_empty() {
+            queue.counter = queue.counter.max(floor);
+        }
+        queue.waiting.insert(key);
+    }
+
+    /// Moves overnight requests whose slack has run out to their teams' orders.
+    fn rise(&mut self, now: Instant) {
+        while let Some(key) = self.overnight.first().copied() {
+            if key.0 > now + RISE_SLACK {
+                return;
+            }
+            self.overnight.remove(&key);
+            let Some(waiting) = self.waiting.get_mut(&key.1) else {
+                continue;
+            };
+            waiting.place = Place::Team(key);
+            let team = waiting.entry.team.clone();
+            self.join_team(&team, key);
+        }
+    }
+
+    fn first_interactive(&self, admissible: &mut impl FnMut(&T) -> bool) -> Option<WaitId> {
+        let active = self
+            .teams
+            .iter()
+            .filter(|(_, queue)| !queue.waiting.is_empty());
+        let mut order: Vec<_> = active
+            .map(|(team, queue)| (queue.counter, team, &queue.waiting))
+            .collect();
+        order.sort_by_key(|(counter, team, _)| (*counter, *team));
+        let mut ids = order.iter().flat_map(|(_, _, keys)| keys.iter());
+        ids.find(|(_, id)| admissible(&self.waiting[id].item))
+            .map(|(_, id)| *id)
+    }
+
+    fn first_overnight(&self, admissible: &mut impl FnMut(&T) -> bool) -> Option<WaitId> {
+        let mut ids = self.overnight.iter();
+        ids.find(|(_, id)| admissible(&self.waiting[id].item))
+            .map(|(_, id)| *id)
+    }
+
+    fn take(&mut self, id: WaitId) -> Option<Waiting<T>> {
+        let waiting = self.waiting.remove(&id)?;
+        match waiting.place {
+            Place::Overnight(key) => {
+                self.overnight.remove(&key);
+            }
+            Place::Team(key) => {
+                if let Some(queue) = self.teams.get_mut(&waiting.entry.team) {
+                    queue.waiting.remove(&key);
+                }
+            }
+        }
+        self.declared_overnight -= usize::from(waiting.entry.class == RequestClass::Overnight);
+        Some(waiting)
+    }
+
+    /// Charges a team that is served from its own order.
+    fn charge(&mut self, team: &SmolStr, tokens: u64) {
+        if let Some(queue) = self.teams.get_mut(team) {
+            self.floor = self.floor.max(queue.counter);
+            queue.counter = queue.counter.saturating_add_unsigned(tokens);
+        }
+    }
+}
+
+impl<T> QueuePolicy<T> for WaitQueue<T> {
+    fn push(&mut self, entry: WaitEntry, item: T) -> Result<WaitId, T> {
+        if self.is_full(entry.class) {
+            return Err(item);
+        }
+        let id = WaitId(self.next);
+        self.next += 1;
+        let key = (entry.latest_start(), id);
+        let place = match entry.class {
+            RequestClass::Interactive => {
+                self.join_team(&entry.team, key);
+                Place::Team(key)
+            }
+            RequestClass::Overnight => {
+                self.overnight.insert(key);
+                self.declared_overnight += 1;
+                Place::Overnight(key)
+            }
+        };
+        self.waiting.insert(id, Waiting { place, entry, item });
+        Ok(id)
+    }
+
+    fn pop_next(
+        &mut self,
+        now: Instant,
+        mut admissible: impl FnMut(&T) -> bool,
+    ) -> Option<(WaitId, T)> {
+        self.rise(now);
+        if let Some(id) = self.first_interactive(&mut admissible) {
+            let waiting = self.take(id)?;
+            self.charge(&waiting.entry.team, waiting.entry.tokens);
+            return Some((id, waiting.item));
+        }
+        // Overnight requests use capacity that nobody waits for, so they cost their team no precedence.
+        let id = self.first_overnight(&mut admissible)?;
+        self.take(id).map(|waiting| (id, waiting.item))
+    }
+
+    fn remove(&mut self, id: WaitId) -> Option<T> {
+        self.take(id).map(|waiting| waiting.item)
+    }
+
+    fn expire(
+        &mut self,
+        now: Instant,
+        mut estimate: impl FnMut(&T) -> Duration,
+    ) -> Vec<(WaitId, T)> {
+        let late = |waiting: &Waiting<T>, wait| now + wait > waiting.entry.deadline;
+        let entries = self.waiting.iter();
+        let mut ids: Vec<_> = entries
+            .filter(|(_, waiting)| late(waiting, estimate(&waiting.item)))
+            .map(|(id, _)| *id)
+            .collect();
+        ids.sort_unstable();
+        ids.into_iter()
+            .filter_map(|id| Some((id, self.take(id)?.item)))
+            .collect()
+    }
+
+    fn served(&mut self, team: &SmolStr, tokens: i64) {
+        let queue = self.teams.entry(team.clone()).or_default();
+        queue.counter = queue.counter.saturating_add(tokens);
+    }
+
+    fn len(&self, class: RequestClass) -> usize {
+        match class {
+            RequestClass::Interactive => self.waiting.len() - self.declared_overnight,
+            RequestClass::Overnight => self.declared_overnight,
+        }
+    }
+}
+
+/// The naive queue: order of arrival, without classes or teams.
+pub struct FifoQueue<T> {
+    capacity: usize,
+    next: u64,
+    waiting: VecDeque<(WaitId, WaitEntry, T)>,
+}
+
+impl<T> FifoQueue<T> {
+    /// Creates a queue of up to `capacity` requests.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            next: 0,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    fn take(&mut self, index: usize) -> Option<(WaitId, T)> {
+        let (id, _, item) = self.waiting.remove(index)?;
+        Some((id, item))
+    }
+}
+
+impl<T> QueuePolicy<T> for FifoQueue<T> {
+    fn push(&mut self, entry: WaitEntry, item: T) -> Result<WaitId, T> {
+        if self.waiting.len() >= self.capacity {
+            return Err(item);
+        }
+        let id = WaitId(self.next);
+        self.next += 1;
+        self.waiting.push_back((id, entry, item));
+        Ok(id)
+    }
+
+    fn pop_next(
+        &mut self,
+        _now: Instant,
+        mut admissible: impl FnMut(&T) -> bool,
+    ) -> Option<(WaitId, T)> {
+        let index = self.waiting.iter().position(|entry| admissible(&entry.2))?;
+        self.take(index)
+    }
+
+    fn remove(&mut self, id: WaitId) -> Option<T> {
+        let index = self.waiting.iter().position(|entry| entry.0 == id)?;
+        self.take(index).map(|(_, item)| item)
+    }
+
+    fn expire(
+        &mut self,
+        now: Instant,
+        mut estimate: impl FnMut(&T) -> Duration,
+    ) -> Vec<(WaitId, T)> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let late = |entry: &(WaitId, WaitEntry, T), wait| now + wait > entry.1.deadline;
+        let (expired, kept): (Vec<_>, Vec<_>) = waiting
+            .into_iter()
+            .partition(|entry| late(entry, estimate(&entry.2)));
+        self.waiting = kept.into();
+        expired
+            .into_iter()
+            .map(|(id, _, item)| (id, item))
+            .collect()
+    }
+
+    fn served(&mut self, _team: &SmolStr, _tokens: i64) {}
+
+    fn len(&self, class: RequestClass) -> usize {
+        let entries = self.waiting.iter();
+        entries.filter(|entry| entry.1.class == class).count()
+    }
+}
--- /dev/null
+++ b/src/routing/fleet.rs
@@ -0,0 +1,207 @@
+//! A snapshot of all backend servers with an index by model and live counters.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+use smol_str::SmolStr;
+
+use crate::routing::BackendView;
+
+/// Live counters of one backend server, shared by all snapshots.
+#[derive(Debug, Default)]
+pub struct ServerHandle {
+    in_flight: AtomicU32,
+    /// Requests sent so far; wraps.
+    sent: AtomicU32,
+    /// Value of `sent` when the latest report was asked for.
+    sent_at_report: AtomicU32,
+    /// Value of `in_flight` when the latest report was asked for.
+    own_at_report: AtomicU32,
+    suspected: AtomicBool,
+    leaving: AtomicBool,
+}
+
+/// Counters taken before a report is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReportMark {
+    sent: u32,
+    in_flight: u32,
+}
+
+impl ServerHandle {
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> DispatchGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        DispatchGuard(self.clone())
+    }
+
+    /// Returns the requests that this daemon has in flight on the server.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests that this daemon sent since the latest report was asked for.
+    pub fn sent_since_report(&self) -> u32 {
+        let base = self.sent_at_report.load(Ordering::Relaxed);
+        self.sent.load(Ordering::Relaxed).wrapping_sub(base)
+    }
+
+    /// Returns the requests of this daemon that the latest report includes.
+    pub(crate) fn own_at_report(&self) -> u32 {
+        self.own_at_report.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a call failed and no report has been asked for and received since.
+    pub fn is_suspected(&self) -> bool {
+        self.suspected.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether any source says that the server is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_suspected(&self, suspected: bool) {
+        self.suspected.store(suspected, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    pub(crate) fn mark(&self) -> ReportMark {
+        ReportMark {
+            sent: self.sent.load(Ordering::Relaxed),
+            in_flight: self.in_flight(),
+        }
+    }
+
+    pub(crate) fn reported(&self, mark: ReportMark) {
+        self.sent_at_report.store(mark.sent, Ordering::Relaxed);
+        self.own_at_report.store(mark.in_flight, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request as in flight on a backend server until it is dropped.
+#[derive(Debug)]
+pub struct DispatchGuard(Arc<ServerHandle>);
+
+impl Drop for DispatchGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Servers that hold one version of a model, as positions in the snapshot in ascending order.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ModelServers {
+    pub(super) servers: Vec<u32>,
+    pub(super) adapters: HashMap<SmolStr, Vec<u32>>,
+}
+
+/// All backend servers as last reported. Counters and flags are read live through the handles.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSnapshot {
+    views: Vec<BackendView>,
+    handles: Vec<Arc<ServerHandle>>,
+    models: HashMap<(SmolStr, SmolStr), ModelServers>,
+    services: HashMap<SmolStr, Vec<u32>>,
+    names: HashMap<SmolStr, u32>,
+}
+
+impl FleetSnapshot {
+    /// Builds a snapshot and its index. Each server has a view, a handle and, for a plain service, a group.
+    pub fn new(
+        servers: impl IntoIterator<Item = (BackendView, Arc<ServerHandle>, Option<SmolStr>)>,
+    ) -> Self {
+        let mut fleet = Self::default();
+        for (view, handle, group) in servers {
+            fleet.add(view, handle, group);
+        }
+        fleet
+    }
+
+    fn add(&mut self, view: BackendView, handle: Arc<ServerHandle>, group: Option<SmolStr>) {
+        // A fleet of 4 billion servers is out of scope.
+        let position = self.views.len() as u32;
+        self.names.insert(view.name.clone(), position);
+        if let Some(group) = group {
+            self.services.entry(group).or_default().push(position);
+        }
+        for (item, _) in &view.report.resident {
+            let key = (item.model.clone(), item.version.clone());
+            let model = self.models.entry(key).or_default();
+            let servers = match &item.adapter {
+                Some(adapter) => model.adapters.entry(adapter.clone()).or_default(),
+                None => &mut model.servers,
+            };
+            if servers.last() != Some(&position) {
+                servers.push(position);
+            }
+        }
+        self.views.push(view);
+        self.handles.push(handle);
+    }
+
+    /// Returns the views, with counters as of the time of the snapshot.
+    pub fn views(&self) -> &[BackendView] {
+        &self.views
+    }
+
+    /// Returns the live counters of the server at `position`.
+    pub fn handle(&self, position: usize) -> &Arc<ServerHandle> {
+        &self.handles[position]
+    }
+
+    /// Returns the position of a server.
+    pub fn position(&self, name: &str) -> Option<usize> {
+        self.names.get(name).map(|position| *position as usize)
+    }
+
+    /// Returns the positions of the servers that hold a version of a model, usable or not.
+    pub fn holders(&self, model: &SmolStr, version: &SmolStr) -> &[u32] {
+        let model = self.models.get(&(model.clone(), version.clone()));
+        model.map_or(&[], |model| &model.servers)
+    }
+
+    /// Returns whether any server that is neither leaving nor suspected holds a version of a model.
+    pub fn is_reachable(&self, model: &SmolStr, version: &SmolStr) -> bool {
+        let holders = self.holders(model, version);
+        holders
+            .iter()
+            .any(|position| self.is_usable(*position as usize))
+    }
+
+    pub(super) fn model(&self, model: &SmolStr, version: &SmolStr) -> Option<&ModelServers> {
+        self.models.get(&(model.clone(), version.clone()))
+    }
+
+    fn is_usable(&self, position: usize) -> bool {
+        let handle = &self.handles[position];
+        !handle.is_leaving() && !handle.is_suspected()
+    }
+
+    /// Picks the least busy server of a service group that has a free slot, own zone first.
+    pub fn choose_service(&self, group: &str, zone: &str, avoid: &[SmolStr]) -> Option<usize> {
+        let servers = self.services.get(group)?.iter();
+        let servers = servers.map(|position| *position as usize);
+        servers
+            .filter(|position| self.is_usable(*position))
+            .filter(|position| !avoid.contains(&self.views[*position].name))
+            .filter(|position| self.handles[*position].in_flight() < self.views[*position].slots)
+            .min_by_key(|position| {
+                let view = &self.views[*position];
+                let busy = u64::from(self.handles[*position].in_flight()) * 1_000;
+                let busy = busy / u64::from(view.slots.max(1));
+                (view.zone != zone, busy, rand::random::<u16>())
+            })
+    }
+
+    /// Returns whether a service group has any server that is neither leaving nor suspected.
+    pub fn has_service(&self, group: &str) -> bool {
+        let servers = self.services.get(group);
+        servers.is_some_and(|servers| servers.iter().any(|at| self.is_usable(*at as usize)))
+    }
+}
--- a/src/routing.rs
+++ b/src/routing/mod.rs
@@ -1,10 +1,18 @@
 //! Choice of the backend server for a request.
 
+mod fleet;
+mod policy;
+mod prefix;
+
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use smol_str::SmolStr;
 
+pub(crate) use self::fleet::ReportMark;
+pub use self::fleet::{DispatchGuard, FleetSnapshot, ServerHandle};
+pub use self::policy::{ExpectedTimePolicy, RoundRobinPolicy};
+pub use self::prefix::PrefixIndex;
 use crate::engine::LoadReport;
 
 /// What this daemon knows of one backend server.
@@ -46,4 +54,7 @@
 pub trait RoutingPolicy: Send + Sync + 'static {
     /// Returns the index of the chosen view, or `None` if no server can take the request now.
     fn choose(&self, need: &RouteNeed, views: &[BackendView], now: Instant) -> Option<usize>;
+
+    /// Like [`RoutingPolicy::choose`] on the views of `fleet`, with its index and its live counters.
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, now: Instant) -> Option<usize>;
 }
--- /dev/null
+++ b/src/routing/policy.rs
@@ -0,0 +1,232 @@
+//! Routing policies.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Instant;
+
+use smol_str::SmolStr;
+
+use crate::routing::{BackendView, FleetSnapshot, PrefixIndex, RouteNeed, RoutingPolicy};
+
+/// Computing a prompt of usual length without a cached prefix, in microseconds.
+const PREFILL_US: u64 = 40_000;
+/// Loading an adapter takes 5 to 10 ms on current engines.
+const ADAPTER_US: u64 = 10_000;
+/// Round trip between zones, 1.5 ms one way, in microseconds.
+const OTHER_ZONE_US: u64 = 3_000;
+/// Time between two tokens of an engine that has not reported one yet, in microseconds.
+const DEFAULT_TOKEN_US: u64 = 20_000;
+/// Tokens that a running request generates until it frees its slot.
+const SERVICE_TOKENS: u64 = 128;
+/// Candidates whose expected time exceeds the best by up to an eighth and this are near-equal: the lag of load
+/// reports hides smaller differences.
+const NEAR_US: u64 = 500;
+
+/// A usable server and what its ranking depends on.
+struct Candidate<'a> {
+    position: usize,
+    view: &'a BackendView,
+    /// Requests on the server, own and others'.
+    outstanding: u64,
+    has_adapter: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Ranked {
+    position: usize,
+    expected_us: u64,
+    own_zone: bool,
+}
+
+/// Ranks backend servers by expected time to the first token.
+#[derive(Debug)]
+pub struct ExpectedTimePolicy {
+    prefixes: Arc<PrefixIndex>,
+    random: AtomicU64,
+}
+
+impl ExpectedTimePolicy {
+    /// Creates a policy; `seed` determines its random choices.
+    pub fn new(prefixes: Arc<PrefixIndex>, seed: u64) -> Self {
+        Self {
+            prefixes,
+            random: AtomicU64::new(seed),
+        }
+    }
+
+    fn rank<'a>(
+        &self,
+        need: &RouteNeed,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+    ) -> Option<usize> {
+        let cached = self.prefixes.matches(&need.prefixes);
+        let ranked: Vec<_> = candidates
+            .filter(|candidate| candidate.outstanding < bound(candidate.view))
+            .filter(|candidate| !need.avoid.contains(&candidate.view.name))
+            .map(|candidate| Ranked {
+                position: candidate.position,
+                expected_us: expected_us(need, &candidate, &cached),
+                own_zone: candidate.view.zone == need.zone,
+            })
+            .collect();
+        self.pick(&ranked).map(|choice| choice.position)
+    }
+
+    /// Takes the better of two random choices among those nearly as good as the best.
+    fn pick(&self, ranked: &[Ranked]) -> Option<Ranked> {
+        let best = *ranked.iter().min_by_key(|entry| entry.expected_us)?;
+        let limit = best.expected_us + best.expected_us / 8 + NEAR_US;
+        let is_near =
+            |entry: &&Ranked| entry.expected_us <= limit && (entry.own_zone || !best.own_zone);
+        let near = ranked.iter().filter(is_near).count() as u64;
+        let random = self.random();
+        // Two halves of one random number make two draws.
+        let draw = |half: u64| ((half * near) >> 32) as usize;
+        let (first, second) = (draw(random >> 32), draw(random & u64::from(u32::MAX)));
+        let first = ranked.iter().filter(is_near).nth(first)?;
+        let second = ranked.iter().filter(is_near).nth(second)?;
+        Some(if second.expected_us < first.expected_us {
+            *second
+        } else {
+            *first
+        })
+    }
+
+    /// SplitMix64: the state advances by a constant, so that concurrent calls need one atomic addition.
+    fn random(&self) -> u64 {
+        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+        let state = self.random.fetch_add(STEP, Ordering::Relaxed);
+        let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
+
+impl RoutingPolicy for ExpectedTimePolicy {
+    fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
+        let usable = views.iter().enumerate().filter(|(_, view)| is_usable(view));
+        let resident = usable.filter(|(_, view)| holds(view, need, None));
+        let candidates = resident.map(|(position, view)| Candidate {
+            position,
+            view,
+            // What was sent since the report and has ended again no longer counts.
+            outstanding: u64::from(view.report.running)
+                + u64::from(view.report.waiting)
+                + u64::from(view.sent_since_report.min(view.in_flight)),
+            has_adapter: has_adapter(view, need),
+        });
+        self.rank(need, candidates)
+    }
+
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
+        let model = fleet.model(&need.model, &need.version)?;
+        let adapter = need.adapter.as_ref();
+        let with_adapter = adapter.map(|adapter| model.adapters.get(adapter));
+        let candidates = model.servers.iter().filter_map(|index| {
+            let position = *index as usize;
+            let handle = fleet.handle(position);
+            if handle.is_leaving() || handle.is_suspected() {
+                return None;
+            }
+            let view = &fleet.views()[position];
+            let reported = view.report.running.saturating_add(view.report.waiting);
+            let others = reported.saturating_sub(handle.own_at_report());
+            Some(Candidate {
+                position,
+                view,
+                outstanding: u64::from(others) + u64::from(handle.in_flight()),
+                has_adapter: with_adapter.is_none_or(|servers| {
+                    servers.is_some_and(|servers| servers.binary_search(index).is_ok())
+                }),
+            })
+        });
+        self.rank(need, candidates)
+    }
+}
+
+/// Requests up to which a server gets more. The excess over the slots hides the lag of load reports; the rest
+/// waits here, where the order is fair.
+fn bound(view: &BackendView) -> u64 {
+    let slots = u64::from(view.slots);
+    slots + slots / 4 + 1
+}
+
+fn expected_us(need: &RouteNeed, candidate: &Candidate<'_>, cached: &[(SmolStr, usize)]) -> u64 {
+    let view = candidate.view;
+    let slots = u64::from(view.slots.max(1));
+    let token_us = match u64::from(view.report.token_us) {
+        0 => DEFAULT_TOKEN_US,
+        token_us => token_us,
+    };
+    let held = cached.iter().find(|(server, _)| *server == view.name);
+    let held = held.map_or(0, |(_, count)| *count as u64);
+    let prefixes = need.prefixes.len().max(1) as u64;
+    let prefill = PREFILL_US - PREFILL_US * 3 / 4 * held / prefixes;
+    // A free slot joins the batch at its next step; without one, the request waits for a running one to end.
+    let step = token_us * candidate.outstanding.min(slots) / slots;
+    let excess = (candidate.outstanding + 1).saturating_sub(slots);
+    let wait = token_us * SERVICE_TOKENS * excess / slots;
+    let adapter = if candidate.has_adapter { 0 } else { ADAPTER_US };
+    let zone = if view.zone == need.zone {
+        0
+    } else {
+        OTHER_ZONE_US
+    };
+    prefill + step + wait + adapter + zone
+}
+
+fn is_usable(view: &BackendView) -> bool {
+    !view.leaving && !view.report.leaving && !view.suspected_down
+}
+
+fn holds(view: &BackendView, need: &RouteNeed, adapter: Option<&SmolStr>) -> bool {
+    let mut items = view.report.resident.iter();
+    items.any(|(item, _)| {
+        item.model == need.model && item.version == need.version && item.adapter.as_ref() == adapter
+    })
+}
+
+fn has_adapter(view: &BackendView, need: &RouteNeed) -> bool {
+    let adapter = need.adapter.as_ref();
+    adapter.is_none() || holds(view, need, adapter)
+}
+
+/// The naive policy: each usable server that holds the model in turn, without regard to load or zone.
+#[derive(Debug, Default)]
+pub struct RoundRobinPolicy {
+    turn: AtomicUsize,
+}
+
+impl RoundRobinPolicy {
+    /// Creates a policy that starts with the first server.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn take_turn(&self, count: usize, usable: impl Fn(usize) -> bool) -> Option<usize> {
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        (0..count)
+            .map(|step| (turn.wrapping_add(step)) % count)
+            .find(|index| usable(*index))
+    }
+}
+
+impl RoutingPolicy for RoundRobinPolicy {
+    fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
+        self.take_turn(views.len(), |position| {
+            let view = &views[position];
+            is_usable(view) && holds(view, need, None) && !need.avoid.contains(&view.name)
+        })
+    }
+
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
+        let holders = fleet.holders(&need.model, &need.version);
+        let choice = self.take_turn(holders.len(), |index| {
+            let position = holders[index] as usize;
+            let handle = fleet.handle(position);
+            let name = &fleet.views()[position].name;
+            !handle.is_leaving() && !handle.is_suspected() && !need.avoid.contains(name)
+        })?;
+        Some(holders[choice] as usize)
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,275 @@
+//! Settings of a daemon: JSON with comments, checked while it is parsed.
+//!
+//! Every error names the file, the line and the column. Durations and sizes carry a unit, unknown fields are
+//! refused, and numbers are checked against their range.
+//!
+//! ```
+//! use foxtailhill::settings::DaemonSettings;
+//!
+//! let text = r#"{ "vm": "entry-1", "zone": "north" /* the rest is missing */ }"#;
+//! let error = DaemonSettings::parse("example.jsonc", text).unwrap_err();
+//! assert!(error.message().starts_with("example.jsonc:1:"));
+//! ```
+
+mod parse;
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use json_comments::{CommentSettings, StripComments};
+use log::LevelFilter;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::error::{Error, Result};
+use crate::ids::KeyDigest;
+
+/// All settings of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Name of this VM, unique in the fleet.
+    #[serde(deserialize_with = "parse::name")]
+    pub vm: SmolStr,
+    /// Availability zone of this VM.
+    #[serde(deserialize_with = "parse::name")]
+    pub zone: SmolStr,
+    pub listen: ListenSettings,
+    pub platform: PlatformSettings,
+    /// SHA-256 digest of the first operator's key, as 64 hexadecimal digits.
+    #[serde(default, deserialize_with = "parse::digest")]
+    pub bootstrap_operator: Option<KeyDigest>,
+    #[serde(default)]
+    pub log: LogSettings,
+    #[serde(default)]
+    pub limits: LimitSettings,
+    #[serde(default)]
+    pub timing: TimingSettings,
+}
+
+/// Addresses that the daemon binds. Port 0 lets the operating system choose a port.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// HTTP for callers.
+    pub caller: SocketAddr,
+    /// gRPC for operators.
+    pub operator: SocketAddr,
+    /// Calls from other daemons; other daemons must reach this address.
+    pub peer: SocketAddr,
+    /// Health, metrics and state dump.
+    pub admin: SocketAddr,
+}
+
+/// Addresses and properties of the platform's services.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    #[serde(deserialize_with = "parse::remote")]
+    pub log: SocketAddr,
+    #[serde(deserialize_with = "parse::remote")]
+    pub weights: SocketAddr,
+    #[serde(deserialize_with = "parse::remote")]
+    pub vms: SocketAddr,
+    /// Longest time by which the VM list lags; default 10 s, 0 s to 10 min.
+    #[serde(default = "default_list_lag", deserialize_with = "parse::wait")]
+    pub list_lag: Duration,
+}
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for a terminal.
+    Text,
+}
+
+/// What the daemon logs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Default `info`.
+    #[serde(deserialize_with = "parse::level")]
+    pub level: LevelFilter,
+    /// Levels by module path, such as `foxtailhill::watch`; a path covers the modules below it.
+    #[serde(deserialize_with = "parse::levels")]
+    pub modules: BTreeMap<String, LevelFilter>,
+    /// Default `json`.
+    pub format: LogFormat,
+}
+
+/// Bounds on what callers may occupy.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Open connections per listener; default 8,192, 1 to 100,000. Further ones wait in the listen backlog.
+    #[serde(deserialize_with = "parse::count")]
+    pub connections: usize,
+    /// Admitted requests of the process, waiting ones included; default 4,096, 1 to 100,000.
+    #[serde(deserialize_with = "parse::count")]
+    pub in_flight: usize,
+    /// Request body; default 1 MiB, 1 KiB to 64 MiB.
+    #[serde(deserialize_with = "parse::body_size")]
+    pub body_bytes: usize,
+    /// Request line and headers; default 16 KiB, 8 KiB to 1 MiB. The HTTP library has the lower bound.
+    #[serde(deserialize_with = "parse::header_size")]
+    pub header_bytes: usize,
+    /// From the first byte of a request to the end of its headers; default 5 s, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub header_time: Duration,
+    /// From the end of the headers to the end of the body; default 20 s, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub body_time: Duration,
+    /// Connection without a request; default 60 s, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub idle_time: Duration,
+    /// Longest time in which a caller reads nothing of a pending answer; default 10 s, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub write_time: Duration,
+    /// Requests that wait for a backend server; default 2,048, 1 to 100,000.
+    #[serde(deserialize_with = "parse::count")]
+    pub queue: usize,
+}
+
+/// Periods, terms and waits.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TimingSettings {
+    /// Time for which a renewal lets this daemon create tokens; default 30 s, 1 s to 7 days.
+    #[serde(deserialize_with = "parse::term")]
+    pub term: Duration,
+    /// Time in which the balancer notices that readiness fails; default 5 s, 0 s to 10 min.
+    #[serde(deserialize_with = "parse::wait")]
+    pub balancer_lag: Duration,
+    /// Longest wait for running requests at shutdown; default 5 min, 1 s to 7 days.
+    #[serde(deserialize_with = "parse::term")]
+    pub drain: Duration,
+    /// Longest wait for a claim of a non-repeatable request; default 2 s, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub claim_wait: Duration,
+    /// Time for which idempotency keys are remembered, at most the log's retention; default 24 h, 1 s to 7 days.
+    #[serde(deserialize_with = "parse::term")]
+    pub claim_memory: Duration,
+    /// Period of status exchange with other daemons; default 500 ms, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub status_period: Duration,
+    /// Period of load reports from each backend server; default 500 ms, 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub report_period: Duration,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            modules: BTreeMap::new(),
+            format: LogFormat::Json,
+        }
+    }
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            connections: 8_192,
+            in_flight: 4_096,
+            body_bytes: 1 << 20,
+            header_bytes: 16 << 10,
+            header_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(20),
+            idle_time: Duration::from_secs(60),
+            write_time: Duration::from_secs(10),
+            queue: 2_048,
+        }
+    }
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(30),
+            balancer_lag: Duration::from_secs(5),
+            drain: Duration::from_secs(300),
+            claim_wait: Duration::from_secs(2),
+            claim_memory: Duration::from_secs(24 * 3600),
+            status_period: Duration::from_millis(500),
+            report_period: Duration::from_millis(500),
+        }
+    }
+}
+
+fn default_list_lag() -> Duration {
+    Duration::from_secs(10)
+}
+
+impl DaemonSettings {
+    /// Reads and checks the settings in `path`.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` with the path if the file cannot be read, else with path, line and column.
+    pub fn read(path: &Path) -> Result<Self> {
+        let name = path.display().to_string();
+        let bytes =
+            std::fs::read(path).map_err(|error| Error::invalid(format!("{name}: {error}")))?;
+        let text = match std::str::from_utf8(&bytes) {
+            Ok(text) => text,
+            Err(error) => {
+                let (line, column) = position(&bytes[..error.valid_up_to()]);
+                return Err(Error::invalid(format!(
+                    "{name}:{line}:{column}: text is not valid UTF-8"
+                )));
+            }
+        };
+        Self::parse(&name, text)
+    }
+
+    /// Checks the settings in `text`; `name` stands for the file in errors.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` with name, line and column.
+    pub fn parse(name: &str, text: &str) -> Result<Self> {
+        let mut plain = Vec::with_capacity(text.len());
+        // Comments become spaces, so that positions stay those of the file.
+        StripComments::with_settings(CommentSettings::c_style(), text.as_bytes())
+            .read_to_end(&mut plain)
+            .map_err(|_| {
+                let (line, column) = position(text.as_bytes());
+                Error::invalid(format!("{name}:{line}:{column}: comment is not closed"))
+            })?;
+        // The library blanks the line ends in block comments too.
+        for (byte, original) in plain.iter_mut().zip(text.bytes()) {
+            if original == b'\n' {
+                *byte = original;
+            }
+        }
+        serde_json::from_slice(&plain).map_err(|error| located(name, &error))
+    }
+}
+
+/// Returns line and column, from 1, of the byte after `before`.
+fn position(before: &[u8]) -> (usize, usize) {
+    let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+    let column = before
+        .iter()
+        .rev()
+        .take_while(|byte| **byte != b'\n')
+        .count()
+        + 1;
+    (line, column)
+}
+
+fn located(name: &str, error: &serde_json::Error) -> Error {
+    let (line, column) = (error.line(), error.column());
+    let text = error.to_string();
+    let suffix = format!(" at line {line} column {column}");
+    let message = text.strip_suffix(&suffix).unwrap_or(&text);
+    Error::invalid(format!("{name}:{line}:{column}: {message}"))
+}
--- /dev/null
+++ b/src/suspect.rs
@@ -0,0 +1,178 @@
+//! Requests whose backend server died while it ran them.
+//!
+//! A request that kills a second backend server while it is suspect goes into quarantine. A suspect is retried
+//! alone: at most one per backend server is in flight.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::ids::KeyDigest;
+use crate::peer::SuspectNotice;
+
+/// Deaths after which a request is in quarantine.
+pub const QUARANTINE_DEATHS: u32 = 2;
+
+/// Standing of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectVerdict {
+    /// No backend server died under it.
+    Clear,
+    /// It may run, alone.
+    Suspect,
+    /// It may not run until then.
+    Quarantined(Instant),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    deaths: u32,
+    /// End of the suspicion or, from [`QUARANTINE_DEATHS`] on, of the quarantine.
+    until: Instant,
+}
+
+/// Pure table of suspects, of bounded size.
+#[derive(Clone, Debug)]
+pub struct SuspectTable {
+    capacity: usize,
+    suspects: HashMap<KeyDigest, Suspect>,
+    /// Suspects in order of their end; the one that ends first makes room.
+    ends: BTreeSet<(Instant, KeyDigest)>,
+    /// The suspect in flight on each backend server.
+    running: HashMap<SmolStr, KeyDigest>,
+}
+
+impl SuspectTable {
+    /// Creates a table of up to `capacity` suspects.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity: capacity.max(1),
+            suspects: HashMap::new(),
+            ends: BTreeSet::new(),
+            running: HashMap::new(),
+        }
+    }
+
+    /// Returns the standing of a request.
+    pub fn verdict(&self, fingerprint: &KeyDigest, now: Instant) -> SuspectVerdict {
+        match self.suspects.get(fingerprint) {
+            Some(suspect) if suspect.until > now => suspect.verdict(),
+            _ => SuspectVerdict::Clear,
+        }
+    }
+
+    /// Notes that a backend server died under a request. The suspicion or quarantine lasts for `quarantine`
+    /// from now. Returns the notice for peers.
+    pub fn died(
+        &mut self,
+        fingerprint: KeyDigest,
+        quarantine: Duration,
+        now: Instant,
+    ) -> SuspectNotice {
+        let deaths = self.deaths(&fingerprint, now).saturating_add(1);
+        self.set(fingerprint, deaths, now + quarantine);
+        SuspectNotice {
+            fingerprint,
+            deaths,
+        }
+    }
+
+    /// Notes that a request completed, which clears a suspect. Returns the notice for peers if it was one.
+    ///
+    /// A quarantine stays: the copy that completed may have been sent before the second death.
+    pub fn completed(&mut self, fingerprint: &KeyDigest, now: Instant) -> Option<SuspectNotice> {
+        let suspect = self.verdict(fingerprint, now) == SuspectVerdict::Suspect;
+        (suspect && self.clear(fingerprint)).then_some(SuspectNotice {
+            fingerprint: *fingerprint,
+            deaths: 0,
+        })
+    }
+
+    /// Applies a notice from a peer.
+    pub fn notice(&mut self, notice: SuspectNotice, quarantine: Duration, now: Instant) {
+        let known = self.deaths(&notice.fingerprint, now);
+        if notice.deaths == 0 {
+            self.completed(&notice.fingerprint, now);
+        } else if notice.deaths > known {
+            self.set(notice.fingerprint, notice.deaths, now + quarantine);
+        }
+    }
+
+    /// Reserves a backend server for a suspect. Returns `false` if another suspect runs there.
+    pub fn start(&mut self, server: &SmolStr, fingerprint: KeyDigest) -> bool {
+        if self.running.contains_key(server) {
+            return false;
+        }
+        self.running.insert(server.clone(), fingerprint);
+        true
+    }
+
+    /// Returns whether a suspect runs on a backend server.
+    pub fn is_busy(&self, server: &SmolStr) -> bool {
+        self.running.contains_key(server)
+    }
+
+    /// Ends the reservation of [`SuspectTable::start`], however the request ended.
+    pub fn finish(&mut self, server: &SmolStr, fingerprint: &KeyDigest) {
+        if self.running.get(server) == Some(fingerprint) {
+            self.running.remove(server);
+        }
+    }
+
+    /// Drops suspects whose time has passed.
+    pub fn expire(&mut self, now: Instant) {
+        while let Some((until, fingerprint)) = self.ends.first().copied() {
+            if until > now {
+                return;
+            }
+            self.clear(&fingerprint);
+        }
+    }
+
+    /// Returns the numbers of suspects that may run and of requests in quarantine.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let live = self.suspects.values().filter(|suspect| suspect.until > now);
+        live.fold((0, 0), |(suspects, quarantined), suspect| {
+            match suspect.verdict() {
+                SuspectVerdict::Quarantined(_) => (suspects, quarantined + 1),
+                _ => (suspects + 1, quarantined),
+            }
+        })
+    }
+
+    fn deaths(&self, fingerprint: &KeyDigest, now: Instant) -> u32 {
+        match self.suspects.get(fingerprint) {
+            Some(suspect) if suspect.until > now => suspect.deaths,
+            _ => 0,
+        }
+    }
+
+    fn set(&mut self, fingerprint: KeyDigest, deaths: u32, until: Instant) {
+        self.clear(&fingerprint);
+        if self.suspects.len() >= self.capacity
+            && let Some((_, oldest)) = self.ends.first().copied()
+        {
+            self.clear(&oldest);
+        }
+        self.suspects.insert(fingerprint, Suspect { deaths, until });
+        self.ends.insert((until, fingerprint));
+    }
+
+    fn clear(&mut self, fingerprint: &KeyDigest) -> bool {
+        match self.suspects.remove(fingerprint) {
+            Some(suspect) => self.ends.remove(&(suspect.until, *fingerprint)),
+            None => false,
+        }
+    }
+}
+
+impl Suspect {
+    fn verdict(self) -> SuspectVerdict {
+        if self.deaths >= QUARANTINE_DEATHS {
+            SuspectVerdict::Quarantined(self.until)
+        } else {
+            SuspectVerdict::Suspect
+        }
+    }
+}
--- /dev/null
+++ b/src/watch/mod.rs
@@ -0,0 +1,374 @@
+//! Keeps the view of all backend servers current from load reports, cache events, the VM list and peers.
+//!
+//! The request path reads an [`Arc`] of the latest [`FleetSnapshot`]; counters and flags in it are live.
+
+mod server;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use self::server::{ReportEffect, ServerState};
+use crate::catalog::BackendSpec;
+use crate::engine::{EngineClient, LoadReport};
+use crate::kernel::TaskGroup;
+use crate::platform::{ListedVm, VmList, VmRole, VmState};
+use crate::routing::{FleetSnapshot, PrefixIndex, ServerHandle};
+use crate::timer::TimerService;
+
+/// Each period is cut into slices, and a server is polled in the slice that a random salt gives it. This
+/// spreads the calls of one daemon over the period and those of several daemons on one server.
+const SLICES: u32 = 8;
+/// Fleets up to this size publish each report at once; larger ones once a slice, to bound the copying.
+const SMALL_FLEET: usize = 64;
+
+/// Periods and bounds of a [`FleetWatch`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// Period of load reports and cache events.
+    pub report_period: Duration,
+    /// Period of reading the VM list.
+    pub list_period: Duration,
+    /// Longest wait for one call.
+    pub call_time: Duration,
+}
+
+/// The VM list as last read.
+#[derive(Clone, Debug, Default)]
+pub struct VmListing {
+    /// Time before the read started; `None` if no read has succeeded.
+    pub read_at: Option<Instant>,
+    pub vms: Vec<ListedVm>,
+}
+
+type ReportSink = Box<dyn Fn(&SmolStr, &LoadReport) + Send + Sync>;
+
+struct WatchShared<E, V> {
+    engine: Arc<E>,
+    list: Arc<V>,
+    prefixes: Arc<PrefixIndex>,
+    settings: WatchSettings,
+    group: TaskGroup,
+    sink: ReportSink,
+    salt: u64,
+    servers: Mutex<BTreeMap<SmolStr, ServerState>>,
+    snapshot: RwLock<Arc<FleetSnapshot>>,
+    listing: RwLock<Arc<VmListing>>,
+    unpublished: AtomicBool,
+    changes: watch::Sender<u64>,
+}
+
+/// Handle to the tasks that watch the fleet; clones share them.
+pub struct FleetWatch<E, V> {
+    shared: Arc<WatchShared<E, V>>,
+}
+
+impl<E, V> Clone for FleetWatch<E, V> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+impl<E: EngineClient, V: VmList> FleetWatch<E, V> {
+    /// Starts to watch; `sink` gets each new load report with the name of its server.
+    pub fn spawn(
+        group: &TaskGroup,
+        timer: &TimerService,
+        settings: WatchSettings,
+        clients: (Arc<E>, Arc<V>),
+        prefixes: Arc<PrefixIndex>,
+        sink: impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static,
+    ) -> Self {
+        let (engine, list) = clients;
+        let shared = Arc::new(WatchShared {
+            engine,
+            list,
+            prefixes,
+            settings,
+            group: group.clone(),
+            sink: Box::new(sink),
+            salt: rand::random(),
+            servers: Mutex::default(),
+            snapshot: RwLock::default(),
+            listing: RwLock::default(),
+            unpublished: AtomicBool::new(false),
+            changes: watch::Sender::new(0),
+        });
+        group.spawn_cancellable(watch_servers(shared.clone(), timer.clone()));
+        group.spawn_cancellable(watch_list(shared.clone(), timer.clone()));
+        Self { shared }
+    }
+
+    /// Sets the declared backend servers. New engines are polled at once.
+    pub fn set_backends(&self, specs: &[BackendSpec]) {
+        let now = Instant::now();
+        let mut added = Vec::new();
+        {
+            let mut servers = self.shared.servers();
+            let mut old = std::mem::take(&mut *servers);
+            for spec in specs {
+                let known = old.remove(&spec.name).filter(|state| state.is_for(spec));
+                let mut state = known.unwrap_or_else(|| {
+                    added.push(spec.name.clone());
+                    ServerState::new(spec)
+                });
+                state.redeclare(spec);
+                servers.insert(spec.name.clone(), state);
+            }
+            for name in old.keys().chain(&added) {
+                self.shared.prefixes.forget(name);
+            }
+        }
+        let listing = self.listing();
+        self.shared.apply_listing(&listing.vms, now);
+        self.shared.publish();
+        for name in &added {
+            self.shared.poll(name);
+        }
+    }
+
+    /// Returns the latest snapshot.
+    pub fn snapshot(&self) -> Arc<FleetSnapshot> {
+        read(&self.shared.snapshot)
+    }
+
+    /// Returns the VM list as last read.
+    pub fn listing(&self) -> Arc<VmListing> {
+        read(&self.shared.listing)
+    }
+
+    /// Subscribes to changes: the value grows whenever waiting requests should be tried again.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.shared.changes.subscribe()
+    }
+
+    /// Notes that a call to a server failed. It gets no new work until a report that is asked for after this
+    /// arrives; a plain service, which reports nothing, gets none for 2 s.
+    pub fn call_failed(&self, server: &str) {
+        if let Some(state) = self.shared.servers().get_mut(server) {
+            state.suspect(Instant::now());
+        }
+    }
+
+    /// Notes servers that a peer has seen as leaving. A notice holds for 30 s unless it is repeated.
+    pub fn note_leaving(&self, names: &[SmolStr]) {
+        let now = Instant::now();
+        let mut servers = self.shared.servers();
+        for name in names {
+            if let Some(state) = servers.get_mut(name) {
+                state.note_leaving(now);
+            }
+        }
+    }
+
+    /// Returns the servers that this daemon itself has seen as leaving, from their reports or the VM list.
+    /// Notices of peers are not among them; repeated in turn, they would never end.
+    pub fn leaving(&self) -> Vec<SmolStr> {
+        let servers = self.shared.servers();
+        let leaving = servers.iter().filter(|(_, state)| state.seen_leaving());
+        leaving.map(|(name, _)| name.clone()).collect()
+    }
+}
+
+impl<E: EngineClient, V: VmList> WatchShared<E, V> {
+    fn poll(self: &Arc<Self>, name: &SmolStr) {
+        let mut servers = self.servers();
+        let Some(state) = servers.get_mut(name) else {
+            return;
+        };
+        if let Some((address, handle)) = state.start_poll() {
+            let call = poll_server(self.clone(), name.clone(), address, handle);
+            self.group.spawn_cancellable(call);
+        }
+    }
+
+    fn poll_slice(self: &Arc<Self>, slice: u32) {
+        let in_slice = |name: &SmolStr| {
+            let hash = xxh3_64_with_seed(name.as_bytes(), self.salt);
+            hash % u64::from(SLICES) == u64::from(slice)
+        };
+        let names: Vec<_> = self
+            .servers()
+            .keys()
+            .filter(|name| in_slice(name))
+            .cloned()
+            .collect();
+        for name in &names {
+            self.poll(name);
+        }
+    }
+
+    /// Applies the passing of time and publishes what reports have changed.
+    fn tick(&self, now: Instant) {
+        let mut ended = false;
+        for state in self.servers().values_mut() {
+            ended |= state.expire(now);
+        }
+        if self.unpublished.load(Ordering::Relaxed) {
+            self.publish();
+        } else if ended {
+            self.notify();
+        }
+    }
+
+    fn publish(&self) {
+        self.unpublished.store(false, Ordering::Relaxed);
+        // The lock is held until the snapshot is stored, so that an older one never replaces a newer one.
+        let servers = self.servers();
+        let fleet = FleetSnapshot::new(servers.values().map(ServerState::entry));
+        *self
+            .snapshot
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(fleet);
+        drop(servers);
+        self.notify();
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|version| *version += 1);
+    }
+
+    fn reported(&self, name: &SmolStr, effect: ReportEffect) {
+        match effect {
+            ReportEffect::Nothing => return,
+            ReportEffect::Restarted => self.prefixes.forget(name),
+            ReportEffect::Load | ReportEffect::Residency => {}
+        }
+        let small = self.servers().len() <= SMALL_FLEET;
+        if small || effect != ReportEffect::Load {
+            self.publish();
+        } else {
+            self.unpublished.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn apply_listing(&self, vms: &[ListedVm], now: Instant) {
+        let mut servers = self.servers();
+        for vm in vms.iter().filter(|vm| vm.role == VmRole::Backend) {
+            let leaving = vm.state == VmState::Leaving;
+            if let Some(state) = servers.get_mut(&vm.name) {
+                state.listed(leaving, now);
+                continue;
+            }
+            // The platform may know the server by another name than the operators.
+            for state in servers
+                .values_mut()
+                .filter(|state| state.address() == vm.address)
+            {
+                state.listed(leaving, now);
+            }
+        }
+    }
+}
+
+impl<E, V> WatchShared<E, V> {
+    fn servers(&self) -> MutexGuard<'_, BTreeMap<SmolStr, ServerState>> {
+        self.servers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read<T>(lock: &RwLock<Arc<T>>) -> Arc<T> {
+    lock.read().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
+async fn watch_servers<E: EngineClient, V: VmList>(
+    shared: Arc<WatchShared<E, V>>,
+    timer: TimerService,
+) {
+    let mut ticks = timer.every(shared.settings.report_period / SLICES);
+    let mut slice = 0;
+    while let Some(now) = ticks.next().await {
+        shared.poll_slice(slice);
+        shared.tick(now);
+        slice = (slice + 1) % SLICES;
+    }
+}
+
+async fn poll_server<E: EngineClient, V: VmList>(
+    shared: Arc<WatchShared<E, V>>,
+    name: SmolStr,
+    address: SocketAddr,
+    handle: Arc<ServerHandle>,
+) {
+    let (asked, mark) = (Instant::now(), handle.mark());
+    let call_time = shared.settings.call_time;
+    let load = tokio::time::timeout(call_time, shared.engine.load(address)).await;
+    let report = load.ok().and_then(Result::ok);
+    let effect = {
+        let mut servers = shared.servers();
+        let state = servers.get_mut(&name);
+        let Some(state) = state.filter(|state| state.is_handle(&handle)) else {
+            return;
+        };
+        match &report {
+            Some(report) => Some(state.reported(report, mark, asked)),
+            None => {
+                state.poll_failed(asked);
+                None
+            }
+        }
+    };
+    if let (Some(effect), Some(report)) = (effect, &report) {
+        shared.reported(&name, effect);
+        if effect != ReportEffect::Nothing {
+            (shared.sink)(&name, report);
+        }
+        poll_events(&shared, &name, address).await;
+    }
+    let mut servers = shared.servers();
+    let state = servers.get_mut(&name);
+    if let Some(state) = state.filter(|state| state.is_handle(&handle)) {
+        state.end_poll();
+    }
+}
+
+async fn poll_events<E: EngineClient, V: VmList>(
+    shared: &WatchShared<E, V>,
+    name: &SmolStr,
+    address: SocketAddr,
+) {
+    let next = shared.prefixes.next_sequence(name);
+    let events = shared.engine.cache_events(address, next);
+    // Missed events only make routing less exact; the next poll reads on from the same sequence number.
+    if let Ok(Ok(events)) = tokio::time::timeout(shared.settings.call_time, events).await {
+        shared.prefixes.apply(name, &events);
+    }
+}
+
+async fn watch_list<E: EngineClient, V: VmList>(
+    shared: Arc<WatchShared<E, V>>,
+    timer: TimerService,
+) {
+    let mut ticks = timer.every(shared.settings.list_period);
+    loop {
+        let read_at = Instant::now();
+        let list = tokio::time::timeout(shared.settings.call_time, shared.list.list()).await;
+        match list {
+            Ok(Ok(vms)) => {
+                shared.apply_listing(&vms, Instant::now());
+                let listing = VmListing {
+                    read_at: Some(read_at),
+                    vms,
+                };
+                let mut latest = shared
+                    .listing
+                    .write()
+                    .unwrap_or_else(PoisonError::into_inner);
+                *latest = Arc::new(listing);
+            }
+            Ok(Err(error)) => log::debug!("cannot read the VM list: {error}"),
+            Err(_) => log::debug!("the VM list did not answer in time"),
+        }
+        if ticks.next().await.is_none() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/watch/server.rs
@@ -0,0 +1,209 @@
+//! What is known of one backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::catalog::{BackendKind, BackendSpec};
+use crate::engine::LoadReport;
+use crate::routing::{BackendView, ReportMark, ServerHandle};
+
+/// Polls in a row that must fail until a server is suspected to be down; one may be lost on the way.
+const FAILED_POLLS: u32 = 2;
+/// Suspicion of a plain service, which has no report that could end it.
+const SERVICE_SUSPICION: Duration = Duration::from_secs(2);
+/// Life of a peer's notice; peers repeat it with each status message.
+const NOTICE_LIFE: Duration = Duration::from_secs(30);
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReportEffect {
+    /// The report is not newer than the known one.
+    Nothing,
+    Load,
+    /// The resident weights or adapters.
+    Residency,
+    /// The server is another process than before.
+    Restarted,
+}
+
+pub(super) struct ServerState {
+    spec: BackendSpec,
+    handle: Arc<ServerHandle>,
+    report: LoadReport,
+    reported_at: Option<Instant>,
+    polling: bool,
+    failed_polls: u32,
+    suspected_at: Option<Instant>,
+    reports_leaving: bool,
+    listed_leaving: bool,
+    noticed_at: Option<Instant>,
+}
+
+impl ServerState {
+    pub(super) fn new(spec: &BackendSpec) -> Self {
+        Self {
+            spec: spec.clone(),
+            handle: Arc::default(),
+            report: LoadReport::default(),
+            reported_at: None,
+            polling: false,
+            failed_polls: 0,
+            suspected_at: None,
+            reports_leaving: false,
+            listed_leaving: false,
+            noticed_at: None,
+        }
+    }
+
+    /// Returns whether the state can be kept for `spec`.
+    pub(super) fn is_for(&self, spec: &BackendSpec) -> bool {
+        let same_kind =
+            std::mem::discriminant(&self.spec.kind) == std::mem::discriminant(&spec.kind);
+        same_kind && self.spec.address == spec.address
+    }
+
+    pub(super) fn redeclare(&mut self, spec: &BackendSpec) {
+        self.spec = spec.clone();
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.spec.address
+    }
+
+    pub(super) fn is_handle(&self, handle: &Arc<ServerHandle>) -> bool {
+        Arc::ptr_eq(&self.handle, handle)
+    }
+
+    /// Returns what a poll needs, unless one is under way or the server is a plain service.
+    pub(super) fn start_poll(&mut self) -> Option<(SocketAddr, Arc<ServerHandle>)> {
+        let is_engine = matches!(self.spec.kind, BackendKind::Engine { .. });
+        if self.polling || !is_engine {
+            return None;
+        }
+        self.polling = true;
+        Some((self.spec.address, self.handle.clone()))
+    }
+
+    pub(super) fn end_poll(&mut self) {
+        self.polling = false;
+    }
+
+    /// Applies a report that was asked for at `asked`.
+    pub(super) fn reported(
+        &mut self,
+        report: &LoadReport,
+        mark: ReportMark,
+        asked: Instant,
+    ) -> ReportEffect {
+        self.failed_polls = 0;
+        if self.suspected_at.is_some_and(|suspected| asked > suspected) {
+            self.suspected_at = None;
+        }
+        let first = self.reported_at.is_none();
+        let restarted = !first && report.incarnation != self.report.incarnation;
+        let newer = first || restarted || report.sequence > self.report.sequence;
+        if restarted {
+            self.reports_leaving = false;
+        }
+        // Within one incarnation leaving is final, also when an old report overtakes a newer one.
+        self.reports_leaving |= report.leaving;
+        self.set_flags();
+        if !newer {
+            return ReportEffect::Nothing;
+        }
+        let moved = first || report.resident != self.report.resident;
+        self.handle.reported(mark);
+        self.report = report.clone();
+        self.reported_at = Some(asked);
+        match (restarted, moved) {
+            (true, _) => ReportEffect::Restarted,
+            (false, true) => ReportEffect::Residency,
+            (false, false) => ReportEffect::Load,
+        }
+    }
+
+    pub(super) fn poll_failed(&mut self, asked: Instant) {
+        self.failed_polls += 1;
+        if self.failed_polls >= FAILED_POLLS {
+            self.suspect(asked);
+        }
+    }
+
+    pub(super) fn suspect(&mut self, now: Instant) {
+        self.suspected_at = self.suspected_at.max(Some(now));
+        self.set_flags();
+    }
+
+    pub(super) fn note_leaving(&mut self, now: Instant) {
+        self.noticed_at = Some(now);
+        self.set_flags();
+    }
+
+    /// Applies the state on the VM list. A live state there does not outweigh a report of leaving.
+    pub(super) fn listed(&mut self, leaving: bool, now: Instant) {
+        self.listed_leaving = leaving;
+        self.expire(now);
+        self.set_flags();
+    }
+
+    /// Returns whether this daemon itself has seen the server as leaving.
+    pub(super) fn seen_leaving(&self) -> bool {
+        self.reports_leaving || self.listed_leaving
+    }
+
+    /// Ends what time ends. Returns whether the server became usable.
+    pub(super) fn expire(&mut self, now: Instant) -> bool {
+        let before = self.is_usable();
+        let past = |since: Instant, life| now.saturating_duration_since(since) >= life;
+        if self.noticed_at.is_some_and(|at| past(at, NOTICE_LIFE)) {
+            self.noticed_at = None;
+        }
+        let is_service = matches!(self.spec.kind, BackendKind::Service { .. });
+        if is_service
+            && self
+                .suspected_at
+                .is_some_and(|at| past(at, SERVICE_SUSPICION))
+        {
+            self.suspected_at = None;
+        }
+        self.set_flags();
+        !before && self.is_usable()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.seen_leaving() || self.noticed_at.is_some()
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.is_leaving() && self.suspected_at.is_none()
+    }
+
+    fn set_flags(&self) {
+        self.handle.set_leaving(self.is_leaving());
+        self.handle.set_suspected(self.suspected_at.is_some());
+    }
+
+    /// Returns the part of a snapshot that stands for this server.
+    pub(super) fn entry(&self) -> (BackendView, Arc<ServerHandle>, Option<SmolStr>) {
+        let (slots, group) = match &self.spec.kind {
+            BackendKind::Engine { slots, .. } => (*slots, None),
+            BackendKind::Service { group, slots } => (*slots, Some(group.clone())),
+        };
+        let view = BackendView {
+            name: self.spec.name.clone(),
+            zone: self.spec.zone.clone(),
+            address: self.spec.address,
+            slots,
+            report: self.report.clone(),
+            reported_at: self.reported_at,
+            in_flight: self.handle.in_flight(),
+            sent_since_report: self.handle.sent_since_report(),
+            suspected_down: self.suspected_at.is_some(),
+            leaving: self.is_leaving(),
+        };
+        (view, self.handle.clone(), group)
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,195 @@
+//! Settings: positions of errors, units and ranges.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+use std::time::Duration;
+
+use foxtailhill::settings::DaemonSettings;
+
+const VALID: &str = r#"{
+  // entry VM
+  "vm": "entry-1", /* a comment
+  over two lines */ "zone": "north",
+  "listen": {
+    "caller": "127.0.0.1:0",
+    "operator": "127.0.0.1:0",
+    "peer": "127.0.0.1:0",
+    "admin": "127.0.0.1:0"
+  },
+  "platform": { "log": "127.0.0.1:1", "weights": "127.0.0.1:2", "vms": "127.0.0.1:3" },
+  "limits": { "body_bytes": "2MiB", "in_flight": 10 },
+  "timing": { "term": "30s" }
+}
+"#;
+
+fn error_of(from: &str, to: &str) -> String {
+    assert!(VALID.contains(from), "{from} is not in the text");
+    let text = VALID.replacen(from, to, 1);
+    let error = DaemonSettings::parse("s.jsonc", &text).expect_err("must be refused");
+    error.message().to_string()
+}
+
+/// Guards against examples that the parser of the same commit refuses.
+#[test]
+fn examples_are_valid() {
+    for name in ["navette", "grainotheque"] {
+        let path = format!(
+            "{}/examples/settings/{name}.jsonc",
+            env!("CARGO_MANIFEST_DIR")
+        );
+        let settings = DaemonSettings::read(Path::new(&path)).expect("example must be valid");
+        assert!(settings.bootstrap_operator.is_some());
+    }
+}
+
+/// Guards against comments that change values and against defaults that are lost beside given fields.
+#[test]
+fn comments_units_and_defaults() {
+    let settings = DaemonSettings::parse("s.jsonc", VALID).expect("must be valid");
+    assert_eq!(settings.limits.body_bytes, 2 << 20);
+    assert_eq!(settings.limits.in_flight, 10);
+    assert_eq!(settings.limits.queue, 2_048);
+    assert_eq!(settings.timing.term, Duration::from_secs(30));
+    assert_eq!(settings.platform.list_lag, Duration::from_secs(10));
+}
+
+/// Guards against errors that point to another line than the faulty value, also behind comments.
+#[test]
+fn errors_have_positions() {
+    let cases = [
+        (
+            r#""vm": "entry-1""#,
+            r#""vm": "entry 1""#,
+            "s.jsonc:3:",
+            "is not a name",
+        ),
+        (
+            r#""zone": "north""#,
+            r#""zone": 7"#,
+            "s.jsonc:4:",
+            "expected a name",
+        ),
+        (
+            "\"127.0.0.1:0\",\n    \"operator\"",
+            "\"host:80\",\n    \"operator\"",
+            "s.jsonc:6:",
+            "socket address",
+        ),
+        ("127.0.0.1:1", "127.0.0.1:0", "s.jsonc:11:", "has port 0"),
+        ("127.0.0.1:2", "127.0.0.1", "s.jsonc:11:", "IP:port"),
+        (
+            r#""2MiB""#,
+            "2097152",
+            "s.jsonc:12:",
+            "expected a size with a unit",
+        ),
+        (
+            r#""2MiB""#,
+            r#""2097152""#,
+            "s.jsonc:12:",
+            "not a size with a unit",
+        ),
+        (
+            r#""2MiB""#,
+            r#""2GiB""#,
+            "s.jsonc:12:",
+            "outside 1024B to 67108864B",
+        ),
+        (
+            r#""2MiB""#,
+            r#""99999999999999999999GiB""#,
+            "s.jsonc:12:",
+            "not a size",
+        ),
+        ("10 }", "0 }", "s.jsonc:12:", "0 is outside 1 to 100000"),
+        (
+            "10 }",
+            "-1 }",
+            "s.jsonc:12:",
+            "expected a number from 1 to 100000",
+        ),
+        (
+            "in_flight",
+            "inflight",
+            "s.jsonc:12:",
+            "unknown field `inflight`",
+        ),
+        (
+            r#""30s""#,
+            "30",
+            "s.jsonc:13:",
+            "expected a duration with a unit",
+        ),
+        (
+            r#""30s""#,
+            r#""30""#,
+            "s.jsonc:13:",
+            "not a duration with a unit",
+        ),
+        (
+            r#""30s""#,
+            r#""0""#,
+            "s.jsonc:13:",
+            "not a duration with a unit",
+        ),
+        (r#""30s""#, r#""1ms""#, "s.jsonc:13:", "outside 1s to 7days"),
+        ("\n}\n", "\n", "s.jsonc:14:", "EOF"),
+        ("\n}\n", "\n} x", "s.jsonc:14:", "trailing characters"),
+        (
+            "\n}\n",
+            "\n} /* open",
+            "s.jsonc:14:",
+            "comment is not closed",
+        ),
+        (
+            r#""vm": "entry-1", "#,
+            "",
+            "s.jsonc:14:",
+            "missing field `vm`",
+        ),
+        (
+            r#""vm": "#,
+            r#""vm": "a", "vm": "#,
+            "s.jsonc:3:",
+            "duplicate field `vm`",
+        ),
+    ];
+    for (from, to, position, text) in cases {
+        let message = error_of(from, to);
+        assert!(message.starts_with(position), "{from} -> {to}: {message}");
+        assert!(message.contains(text), "{from} -> {to}: {message}");
+        assert!(!message.contains(" at line "), "{message}");
+    }
+}
+
+/// Guards against a column that counts from the wrong end of the value.
+#[test]
+fn column_is_that_of_the_value() {
+    let message = error_of(r#""2MiB""#, r#""2 MB""#);
+    let line = VALID.lines().nth(11).unwrap();
+    let start = line.find(r#""2MiB""#).unwrap();
+    let column: usize = message.split(':').nth(2).unwrap().parse().unwrap();
+    assert!(column > start && column <= start + 8, "{message}");
+}
+
+/// Guards against a pasted key that ends up in an error message.
+#[test]
+fn digest_is_not_repeated() {
+    let message = error_of(
+        r#""limits""#,
+        r#""bootstrap_operator": "sk-pasted-by-mistake", "limits""#,
+    );
+    assert!(message.starts_with("s.jsonc:12:"), "{message}");
+    assert!(!message.contains("pasted"), "{message}");
+}
+
+/// Guards against errors without a position for text that is not UTF-8.
+#[test]
+fn invalid_utf8_has_a_position() {
+    let path = std::env::temp_dir().join(format!("settings-{}.jsonc", std::process::id()));
+    std::fs::write(&path, b"{\n  \"vm\": \"\xff\"").unwrap();
+    let error = DaemonSettings::read(&path).expect_err("must be refused");
+    std::fs::remove_file(&path).unwrap();
+    assert!(error.message().contains(":2:10: "), "{error}");
+}
