--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serves many language models and their adapters on fewer accelerators.
 
+pub mod admin;
 pub mod catalog;
 pub mod claim;
 pub mod currency;
@@ -7,6 +8,8 @@
 pub mod dispatch;
 pub mod engine;
 pub mod error;
+pub mod history;
+pub mod http;
 pub mod ids;
 pub mod journal;
 pub mod kernel;
@@ -18,8 +21,17 @@
 pub mod platform;
 pub mod proto;
 pub mod replica;
+pub mod logging;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod queue;
+pub mod retry;
 pub mod routing;
+pub mod settings;
+pub mod suspect;
 pub mod timer;
 mod wire;
+pub mod watch;
 
 pub use crate::error::{Category, Error, Result, RunVerdict};
