--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -51,6 +51,13 @@
 
 /// Decides which daemon may dispatch a non-repeatable request.
 pub trait ClaimKeeper: Send + Sync + 'static {
+    /// Checks that an idempotency key is not older than keys are remembered.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` with `MayHaveRun` if the key carries a time that is too old.
+    fn check_key(&self, key: &str) -> Result<()>;
+
     /// Claims `key` for a request with this body.
     ///
     /// # Errors
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -332,6 +332,10 @@
 }
 
 impl<J: JournalClient> ClaimKeeper for ClaimService<J> {
+    fn check_key(&self, key: &str) -> Result<()> {
+        Self::check_key(self, key)
+    }
+
     async fn claim(&self, key: ClaimKey, body: KeyDigest) -> Result<ClaimVerdict> {
         let claim_deadline = Instant::now() + self.shared.settings.claim_wait;
         let mut outcome_deadline = None;
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,345 @@
+//! One running daemon: all services of an entry VM wired together.
+
+mod dump;
+mod facts;
+mod parts;
+mod peers;
+mod tasks;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::admin::{AdminServer, AdminSources};
+use crate::claim::{ClaimService, ClaimSettings};
+use crate::currency::ViewCurrency;
+use crate::daemon::dump::DaemonState;
+use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
+use crate::daemon::facts::DemandBoard;
+use crate::daemon::peers::{DaemonPeers, DaemonStatus, PeerLink};
+use crate::daemon::tasks::{ReportInbox, TaskContext};
+use crate::dispatch::{
+    AccessGate, DemandMeter, DispatchContext, RequestDispatcher, WaitRoom,
+};
+use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
+use crate::error::Result;
+use crate::history::RequestHistory;
+use crate::http::{CallerServer, CallerSettings};
+use crate::journal::HttpJournal;
+use crate::kernel::{ServiceKernel, TaskGroup};
+use crate::member::{MemberParts, MemberSettings, PeerBoard};
+use crate::metrics::DaemonMetrics;
+use crate::operator::OperatorServer;
+use crate::peer::{PeerClient, PeerServer};
+use crate::platform::HttpVmList;
+use crate::replica::ReplicaOptions;
+use crate::routing::PrefixIndex;
+use crate::settings::DaemonSettings;
+use crate::suspect::SuspectTable;
+use crate::timer::TimerService;
+use crate::watch::WatchSettings;
+
+pub use self::parts::{NaiveParts, PolicyParts, StandardParts};
+
+/// Names under which services register.
+pub mod service_name {
+    pub const CLAIMS: &str = "claims";
+    pub const LIMITS: &str = "limits";
+    pub const MEMBERS: &str = "members";
+    pub const REPLICA: &str = "replica";
+    pub const WATCH: &str = "watch";
+}
+
+/// Requests that the history keeps.
+const HISTORY_SIZE: usize = 10_000;
+/// Suspect requests that are remembered.
+const SUSPECT_CAPACITY: usize = 10_000;
+/// Period between two reads of the VM list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for one load report.
+const REPORT_TIME: Duration = Duration::from_secs(1);
+/// Longest time between two configuration snapshots.
+const SNAPSHOT_PERIOD: Duration = Duration::from_secs(600);
+/// Length of a promise not to expire another member.
+const PROMISE: Duration = Duration::from_secs(5);
+/// Longest wait for the log to take this daemon's last records at shutdown.
+const FAREWELL_TIME: Duration = Duration::from_secs(5);
+
+/// Addresses that a daemon has bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundAddresses {
+    pub caller: SocketAddr,
+    pub operator: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// A running daemon.
+pub struct DaemonHandle {
+    addresses: BoundAddresses,
+    settings: DaemonSettings,
+    caller: CallerServer,
+    operator: OperatorServer,
+    admin: AdminServer,
+    members: Arc<Members>,
+    replica: Arc<Replica>,
+    claims: Arc<Claims>,
+    draining: Arc<AtomicBool>,
+    /// Tasks of requests, joined before those of services.
+    requests: TaskGroup,
+    services: TaskGroup,
+}
+
+/// Services that are there before the request path.
+struct CoreServices {
+    journal: Arc<HttpJournal>,
+    timer: TimerService,
+    link: Arc<PeerLink>,
+    board: Arc<PeerBoard>,
+    replica: Arc<Replica>,
+    limits: Arc<Limits>,
+    members: Arc<Members>,
+    claims: Arc<Claims>,
+    engine: Arc<Engine>,
+    watch: Arc<Watch>,
+    prefixes: Arc<PrefixIndex>,
+    demand: Arc<DemandBoard>,
+}
+
+/// Starts a daemon with the standard policies.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn open(settings: DaemonSettings) -> Result<DaemonHandle> {
+    open_with::<StandardParts>(settings).await
+}
+
+/// Starts a daemon with the policies of `P`.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn open_with<P: PolicyParts>(settings: DaemonSettings) -> Result<DaemonHandle> {
+    let services = TaskGroup::new();
+    let requests = TaskGroup::new();
+    let result = wire::<P>(&settings, &services, &requests).await;
+    if result.is_err() {
+        requests.shutdown().await;
+        services.shutdown().await;
+    }
+    result
+}
+
+async fn wire<P: PolicyParts>(
+    settings: &DaemonSettings,
+    services: &TaskGroup,
+    requests: &TaskGroup,
+) -> Result<DaemonHandle> {
+    let (core, reports) = open_core(settings, services)?;
+    let history = Arc::new(RequestHistory::new(HISTORY_SIZE));
+    let metrics = Arc::new(DaemonMetrics::new());
+    let currency = Arc::new(ViewCurrency::new());
+    let meter = Arc::new(DemandMeter::new());
+    let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
+    let room = WaitRoom::new(
+        P::routing(core.prefixes.clone()),
+        core.watch.clone(),
+        suspects.clone(),
+        settings.limits.queue,
+        P::queue,
+    );
+    let dispatcher = RequestDispatcher::<P>::open(DispatchContext {
+        group: requests.clone(),
+        zone: settings.zone.clone(),
+        gate: AccessGate::new(core.replica.subscribe(), currency.clone()),
+        limiter: core.limits.clone(),
+        claims: core.claims.clone(),
+        engine: core.engine.clone(),
+        service: Arc::new(HttpService::open(ServiceTimeouts::default())),
+        room,
+        suspects,
+        demand: meter.clone(),
+        history: history.clone(),
+        metrics: metrics.clone(),
+        admission_limit: settings.limits.in_flight,
+    });
+    let draining = Arc::new(AtomicBool::new(false));
+    let orders = parts::spawn_orders::<P>(settings, services, &core);
+    let state = Arc::new(DaemonState::new(
+        settings, &core, orders.clone(), dispatcher.clone(), currency.clone(), draining.clone(),
+    ));
+    let context = TaskContext {
+        peer: settings.listen.peer,
+        orders,
+        dispatcher: dispatcher.clone(),
+        currency,
+        meter,
+        metrics: metrics.clone(),
+    };
+    tasks::spawn_all(services, settings, &core, reports, context);
+
+    let sources = AdminSources { state, metrics: metrics.clone(), history: history.clone() };
+    let admin =
+        AdminServer::bind(services, settings.listen.admin, &settings.limits, sources).await?;
+    let handler = Arc::new(DaemonPeers::new(&core, core.demand.clone(), dispatcher.clone()));
+    let peer = PeerServer::bind(services, settings.listen.peer, handler).await?;
+    let operator = OperatorServer::bind(
+        services,
+        settings.listen.operator,
+        core.replica.clone(),
+        settings.bootstrap_operator,
+        peers::member_lister(core.members.clone()),
+    )
+    .await?;
+    let caller_settings = CallerSettings { limits: settings.limits.clone(), history, metrics };
+    let caller = CallerServer::bind(
+        requests,
+        settings.listen.caller,
+        caller_settings,
+        Arc::new(dispatcher),
+    )
+    .await?;
+    let addresses = BoundAddresses {
+        caller: caller.address(),
+        operator: operator.address(),
+        peer: peer.address(),
+        admin: admin.address(),
+    };
+    log::info!("daemon {} of zone {} is serving: {addresses:?}", settings.vm, settings.zone);
+    Ok(DaemonHandle {
+        addresses,
+        settings: settings.clone(),
+        caller,
+        operator,
+        admin,
+        members: core.members.clone(),
+        replica: core.replica.clone(),
+        claims: core.claims.clone(),
+        draining,
+        requests: requests.clone(),
+        services: services.clone(),
+    })
+}
+
+fn open_core(
+    settings: &DaemonSettings,
+    group: &TaskGroup,
+) -> Result<(CoreServices, ReportInbox)> {
+    let kernel = ServiceKernel::new();
+    let timer = TimerService::spawn(group);
+    let journal = Arc::new(HttpJournal::open(settings.platform.log));
+    let vms = Arc::new(HttpVmList::open(settings.platform.vms));
+    let client = Arc::new(PeerClient::open(group));
+    let engine = Arc::new(Engine::open(EngineTimeouts::default()));
+    let board = Arc::new(PeerBoard::new());
+    let link = Arc::new(PeerLink::new(client.clone()));
+    let options =
+        ReplicaOptions { vm: settings.vm.clone(), snapshot_period: SNAPSHOT_PERIOD };
+    let replica = Replica::spawn(group, &timer, journal.clone(), link.clone(), options);
+    let replica = kernel.register(service_name::REPLICA, Arc::new(replica))?;
+    let teams = tasks::follow_teams(group, &replica);
+    let limits = Limits::open(group, teams, board.clone(), client.clone());
+    let limits = kernel.register(service_name::LIMITS, Arc::new(limits))?;
+    let prefixes = Arc::new(PrefixIndex::new());
+    let (sink, reports) = tasks::report_channel();
+    let watch_settings = WatchSettings {
+        report_period: settings.timing.report_period,
+        list_period: LIST_PERIOD,
+        call_time: REPORT_TIME,
+    };
+    let clients = (engine.clone(), vms.clone());
+    let watch = Watch::spawn(group, &timer, watch_settings, clients, prefixes.clone(), sink);
+    let watch = kernel.register(service_name::WATCH, Arc::new(watch))?;
+    let status = DaemonStatus::new(replica.clone(), limits.clone(), watch.clone());
+    let members = Members::open(
+        group,
+        &timer,
+        MemberSettings {
+            name: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            peer: settings.listen.peer,
+            term: settings.timing.term,
+            list_lag: settings.platform.list_lag,
+            promise: PROMISE,
+        },
+        MemberParts {
+            journal: journal.clone(),
+            vms,
+            caller: client,
+            board: board.clone(),
+            sink: limits.clone(),
+            source: Arc::new(status),
+        },
+    );
+    let members = kernel.register(service_name::MEMBERS, Arc::new(members))?;
+    link.set_members(members.clone());
+    let claim_settings = ClaimSettings {
+        memory: settings.timing.claim_memory,
+        claim_wait: settings.timing.claim_wait,
+        ..ClaimSettings::default()
+    };
+    let claims = ClaimService::spawn(journal.clone(), members.vm(), claim_settings, group);
+    kernel.register(service_name::CLAIMS, Arc::new(claims))?;
+    let core = CoreServices {
+        journal,
+        timer,
+        link,
+        board,
+        replica: kernel.find(service_name::REPLICA)?,
+        limits: kernel.find(service_name::LIMITS)?,
+        members: kernel.find(service_name::MEMBERS)?,
+        claims: kernel.find(service_name::CLAIMS)?,
+        engine,
+        watch: kernel.find(service_name::WATCH)?,
+        prefixes,
+        demand: Arc::new(DemandBoard::default()),
+    };
+    Ok((core, reports))
+}
+
+impl DaemonHandle {
+    /// Returns the bound addresses.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    /// Waits until the configuration is loaded.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon stops first.
+    pub async fn wait_ready(&self) -> Result<()> {
+        self.replica.wait_ready().await
+    }
+
+    /// Shuts down without cutting a request: readiness fails, the listeners stay open while the balancer notices,
+    /// running requests finish, the share is given back and all tasks are joined.
+    pub async fn shutdown(self) {
+        let started = Instant::now();
+        self.draining.store(true, Ordering::Relaxed);
+        log::info!("shutting down; the balancer has {:?} to notice", self.settings.timing.balancer_lag);
+        tokio::time::sleep(self.settings.timing.balancer_lag).await;
+        self.operator.stop();
+        let drained = async {
+            self.caller.drain().await;
+            // A non-repeatable call goes on when its caller has gone; its outcome must be kept.
+            self.requests.shutdown().await;
+        };
+        if tokio::time::timeout(self.settings.timing.drain, drained).await.is_err() {
+            log::error!("requests were still running after {:?}", self.settings.timing.drain);
+        }
+        if let Err(error) = self.members.leave(FAREWELL_TIME).await {
+            log::warn!("the share stays reserved until it expires: {error}");
+        }
+        let unlogged = self.claims.drain(FAREWELL_TIME).await;
+        if unlogged > 0 {
+            log::error!("{unlogged} claim records did not reach the log");
+        }
+        self.services.cancel();
+        self.admin.drain().await;
+        self.services.shutdown().await;
+        log::info!("shut down after {:?}", started.elapsed());
+    }
+}
--- /dev/null
+++ b/src/daemon/parts.rs
@@ -0,0 +1,163 @@
+//! The concrete types of a daemon's services, and the sets of policies that it can run with.
+
+use std::sync::Arc;
+
+use crate::catalog::RequestClass;
+use crate::claim::ClaimService;
+use crate::daemon::CoreServices;
+use crate::daemon::facts::{DaemonFacts, DemandBoard};
+use crate::dispatch::{DispatchParts, FleetSource, Waiter};
+use crate::engine::{HttpEngine, HttpService};
+use crate::journal::HttpJournal;
+use crate::kernel::TaskGroup;
+use crate::ledger::LedgerTiming;
+use crate::limit::LimitService;
+use crate::member::MemberService;
+use crate::peer::PeerClient;
+use crate::placement::{
+    FloorFirstPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy,
+};
+use crate::platform::{HttpVmList, VmList};
+use crate::queue::{FifoQueue, QueuePolicy, WaitQueue};
+use crate::replica::CatalogReplica;
+use crate::routing::{
+    ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy, RoutingPolicy,
+};
+use crate::settings::DaemonSettings;
+use crate::watch::FleetWatch;
+
+pub(super) type Replica = CatalogReplica<HttpJournal>;
+pub(super) type Limits = LimitService<PeerClient>;
+pub(super) type Members = MemberService<HttpJournal, HttpVmList, PeerClient>;
+pub(super) type Claims = ClaimService<HttpJournal>;
+pub(super) type Engine = HttpEngine;
+pub(super) type Watch = FleetWatch<HttpEngine, HttpVmList>;
+
+/// A set of policies for routing, waiting and placement.
+pub trait PolicyParts:
+    DispatchParts<
+        Engine = HttpEngine,
+        Service = HttpService,
+        Claims = ClaimService<HttpJournal>,
+        Limiter = LimitService<PeerClient>,
+        Fleet = Arc<FleetWatch<HttpEngine, HttpVmList>>,
+    >
+{
+    type Placement: PlacementPolicy;
+
+    /// Creates the routing policy.
+    fn routing(prefixes: Arc<PrefixIndex>) -> Self::Routing;
+
+    /// Creates the queue of one model.
+    fn queue(capacity: usize) -> Self::Queue;
+
+    /// Creates the placement policy.
+    fn placement() -> Self::Placement;
+}
+
+/// The policies that the product runs with.
+#[derive(Clone, Copy, Debug)]
+pub struct StandardParts;
+
+/// Round robin, first come first served, load on demand with eviction of the least recently used: the baseline of
+/// measurements.
+#[derive(Clone, Copy, Debug)]
+pub struct NaiveParts;
+
+/// Implements the parts that do not vary.
+macro_rules! fixed_parts {
+    () => {
+        type Engine = HttpEngine;
+        type Service = HttpService;
+        type Limiter = LimitService<PeerClient>;
+        type Claims = ClaimService<HttpJournal>;
+        type Fleet = Arc<FleetWatch<HttpEngine, HttpVmList>>;
+    };
+}
+
+impl DispatchParts for StandardParts {
+    fixed_parts!();
+    type Routing = ExpectedTimePolicy;
+    type Queue = WaitQueue<Waiter>;
+}
+
+impl PolicyParts for StandardParts {
+    type Placement = FloorFirstPolicy;
+
+    fn routing(prefixes: Arc<PrefixIndex>) -> Self::Routing {
+        ExpectedTimePolicy::new(prefixes, rand::random())
+    }
+
+    fn queue(capacity: usize) -> Self::Queue {
+        WaitQueue::new(capacity)
+    }
+
+    fn placement() -> Self::Placement {
+        FloorFirstPolicy::default()
+    }
+}
+
+impl DispatchParts for NaiveParts {
+    fixed_parts!();
+    type Routing = RoundRobinPolicy;
+    type Queue = FifoQueue<Waiter>;
+}
+
+impl PolicyParts for NaiveParts {
+    type Placement = LruPolicy;
+
+    fn routing(_prefixes: Arc<PrefixIndex>) -> Self::Routing {
+        RoundRobinPolicy::new()
+    }
+
+    fn queue(capacity: usize) -> Self::Queue {
+        FifoQueue::new(capacity)
+    }
+
+    fn placement() -> Self::Placement {
+        LruPolicy::default()
+    }
+}
+
+impl<V: VmList> FleetSource for Arc<FleetWatch<HttpEngine, V>> {
+    fn snapshot(&self) -> Arc<FleetSnapshot> {
+        FleetWatch::snapshot(self)
+    }
+
+    fn call_failed(&self, server: &str) {
+        FleetWatch::call_failed(self, server);
+    }
+}
+
+pub(super) type Orders = OrderService<HttpJournal, HttpEngine>;
+
+/// Starts the order service with the placement policy of `P`.
+pub(super) fn spawn_orders<P: PolicyParts>(
+    settings: &DaemonSettings,
+    group: &TaskGroup,
+    core: &CoreServices,
+) -> Arc<Orders> {
+    let facts = Arc::new(DaemonFacts {
+        zone: settings.zone.clone(),
+        replica: core.replica.clone(),
+        watch: core.watch.clone(),
+        members: core.members.clone(),
+        demand: core.demand.clone(),
+    });
+    let order_delay = core.replica.current().policy().order_delay;
+    let order_settings = OrderSettings {
+        timing: LedgerTiming { order_delay, ..LedgerTiming::default() },
+        ..OrderSettings::default()
+    };
+    Arc::new(OrderService::spawn(
+        core.journal.clone(),
+        core.engine.clone(),
+        core.members.vm(),
+        facts.clone(),
+        facts,
+        P::placement(),
+        order_settings,
+        &core.timer,
+        group,
+    ))
+}
--- /dev/null
+++ b/src/daemon/peers.rs
@@ -0,0 +1,171 @@
+//! What this daemon tells other daemons, and what it asks them.
+
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use smol_str::{SmolStr, ToSmolStr};
+
+use crate::daemon::parts::{Limits, Members, PolicyParts, Replica, Watch};
+use crate::daemon::facts::DemandBoard;
+use crate::daemon::CoreServices;
+use crate::dispatch::RequestDispatcher;
+use crate::error::{Error, Result};
+use crate::ids::LogOffset;
+use crate::member::StatusSource;
+use crate::operator::MemberLister;
+use crate::peer::{PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest};
+use crate::proto;
+use crate::replica::ReplicaPeers;
+
+/// Longest wait for a peer's whole state.
+const STATE_TIME: Duration = Duration::from_secs(5);
+
+/// Calls to peers before and after the membership is known.
+pub(super) struct PeerLink {
+    client: Arc<PeerClient>,
+    members: OnceLock<Arc<Members>>,
+}
+
+impl PeerLink {
+    pub(super) fn new(client: Arc<PeerClient>) -> Self {
+        Self { client, members: OnceLock::new() }
+    }
+
+    pub(super) fn set_members(&self, members: Arc<Members>) {
+        // Called once, while the daemon is wired.
+        let _ = self.members.set(members);
+    }
+
+    pub(super) fn client(&self) -> &PeerClient {
+        &self.client
+    }
+}
+
+impl ReplicaPeers for PeerLink {
+    async fn fetch_states(&self) -> Vec<Vec<u8>> {
+        let Some(members) = self.members.get() else {
+            return Vec::new();
+        };
+        let addresses = members.peer_addresses();
+        let calls = addresses
+            .into_iter()
+            .map(|address| self.client.call(address, PeerRequest::FetchState, STATE_TIME));
+        let replies = join_all(calls).await.into_iter();
+        let states = replies.filter_map(|reply| match reply {
+            Ok(PeerReply::State(state)) => Some(state),
+            _ => None,
+        });
+        states.collect()
+    }
+
+    fn writes_snapshots(&self) -> bool {
+        // The lowest incarnation writes; a wrong view of the members costs a double snapshot at most.
+        self.members.get().is_some_and(|members| {
+            members.members().first().is_some_and(|(vm, _)| *vm == members.vm())
+        })
+    }
+}
+
+/// The parts of this daemon's status that the membership service does not know.
+pub(super) struct DaemonStatus {
+    replica: Arc<Replica>,
+    limits: Arc<Limits>,
+    watch: Arc<Watch>,
+}
+
+impl DaemonStatus {
+    pub(super) fn new(replica: Arc<Replica>, limits: Arc<Limits>, watch: Arc<Watch>) -> Self {
+        Self { replica, limits, watch }
+    }
+}
+
+impl StatusSource for DaemonStatus {
+    fn config_next(&self) -> LogOffset {
+        self.replica.next_offset()
+    }
+
+    fn spare(&self) -> Vec<(SmolStr, u64)> {
+        self.limits.spare()
+    }
+
+    fn leaving(&self) -> Vec<SmolStr> {
+        self.watch.leaving()
+    }
+}
+
+/// Answers the calls of other daemons.
+pub(super) struct DaemonPeers<P: PolicyParts> {
+    replica: Arc<Replica>,
+    limits: Arc<Limits>,
+    members: Arc<Members>,
+    watch: Arc<Watch>,
+    demand: Arc<DemandBoard>,
+    dispatcher: Arc<RequestDispatcher<P>>,
+}
+
+impl<P: PolicyParts> DaemonPeers<P> {
+    pub(super) fn new(
+        core: &CoreServices,
+        demand: Arc<DemandBoard>,
+        dispatcher: Arc<RequestDispatcher<P>>,
+    ) -> Self {
+        Self {
+            replica: core.replica.clone(),
+            limits: core.limits.clone(),
+            members: core.members.clone(),
+            watch: core.watch.clone(),
+            demand,
+            dispatcher,
+        }
+    }
+}
+
+impl<P: PolicyParts> PeerHandler for DaemonPeers<P> {
+    async fn handle(&self, request: PeerRequest) -> Result<PeerReply> {
+        match request {
+            PeerRequest::Status(status) => {
+                self.replica.note_peer(&status.name, status.config_next);
+                self.watch.note_leaving(&status.leaving);
+                Ok(PeerReply::Status(self.members.answer_status(&status)))
+            }
+            PeerRequest::Borrow { borrower, team, tokens } => {
+                Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens)))
+            }
+            PeerRequest::PushConfig { first, records } => {
+                Ok(PeerReply::Applied(self.replica.push(first, &records)))
+            }
+            PeerRequest::Suspects(notices) => {
+                self.dispatcher.apply_notices(&notices);
+                Ok(PeerReply::Done)
+            }
+            PeerRequest::Demand { reporter, demands } => {
+                self.demand.note(reporter, &demands, std::time::Instant::now());
+                Ok(PeerReply::Done)
+            }
+            PeerRequest::FetchState => {
+                let state = self.replica.encode_state();
+                state.map(PeerReply::State).map_err(|error| Error::unavailable(error.message()))
+            }
+        }
+    }
+}
+
+/// Lists the members for operators.
+pub(super) fn member_lister(members: Arc<Members>) -> MemberLister {
+    Arc::new(move || {
+        let list = members.members().into_iter();
+        let list = list.map(|(vm, entry)| {
+            let planner = members.planner(&entry.zone).is_some_and(|planner| planner.vm == vm);
+            proto::Member {
+                vm: vm.to_string(),
+                name: entry.name.to_string(),
+                zone: entry.zone.to_string(),
+                peer_address: entry.peer.to_string(),
+                share_ppm: entry.granted,
+                planner,
+            }
+        });
+        list.collect()
+    })
+}
--- /dev/null
+++ b/src/daemon/tasks.rs
@@ -0,0 +1,292 @@
+//! Background tasks that connect the services of a daemon.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, watch};
+
+use crate::catalog::{BackendSpec, FleetCatalog, TeamSpec};
+use crate::currency::{ViewCurrency, ViewState};
+use crate::daemon::CoreServices;
+use crate::daemon::parts::{Members, Orders, PolicyParts, Replica};
+use crate::dispatch::{DemandMeter, RequestDispatcher};
+use crate::engine::LoadReport;
+use crate::ids::LogOffset;
+use crate::kernel::TaskGroup;
+use crate::metrics::DaemonMetrics;
+use crate::peer::{PeerCaller, PeerRequest};
+use crate::platform::{VmRole, VmState};
+use crate::settings::DaemonSettings;
+
+/// Period in which the view's age is judged; well below the age that isolates a daemon.
+const CURRENCY_PERIOD: Duration = Duration::from_millis(200);
+/// Period in which demand is sent to planners.
+const DEMAND_PERIOD: Duration = Duration::from_secs(1);
+/// Period in which notices about suspects are sent to peers.
+const NOTICE_PERIOD: Duration = Duration::from_millis(100);
+/// Period in which peers that lag are sent configuration records again.
+const PUSH_PERIOD: Duration = Duration::from_millis(500);
+/// Period in which waiting requests are tried again, besides at every change of the fleet.
+const PUMP_PERIOD: Duration = Duration::from_millis(50);
+/// Longest wait for a peer.
+const PEER_TIME: Duration = Duration::from_secs(1);
+
+/// Load reports on their way to the order service.
+pub(super) type ReportInbox = mpsc::UnboundedReceiver<(SmolStr, LoadReport)>;
+
+/// Returns a sink for the fleet watch, and the inbox that the order service reads. The two start in that order.
+pub(super) fn report_channel()
+-> (impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static, ReportInbox) {
+    let (sender, inbox) = mpsc::unbounded_channel();
+    let sink = move |name: &SmolStr, report: &LoadReport| {
+        // The inbox closes at shutdown only.
+        let _ = sender.send((name.clone(), report.clone()));
+    };
+    (sink, inbox)
+}
+
+/// Publishes the declared teams for the limiter.
+pub(super) fn follow_teams(
+    group: &TaskGroup,
+    replica: &Arc<Replica>,
+) -> watch::Receiver<Vec<TeamSpec>> {
+    let mut catalogs = replica.subscribe();
+    let teams = |catalog: &FleetCatalog| catalog.teams().cloned().collect::<Vec<_>>();
+    let (sender, receiver) = watch::channel(teams(&catalogs.borrow()));
+    group.spawn_cancellable(async move {
+        while catalogs.changed().await.is_ok() {
+            let latest = teams(&catalogs.borrow_and_update());
+            sender.send_if_modified(|known| {
+                let changed = *known != latest;
+                *known = latest;
+                changed
+            });
+        }
+    });
+    receiver
+}
+
+/// What the background tasks work with besides the core services.
+pub(super) struct TaskContext<P: PolicyParts> {
+    pub(super) peer: SocketAddr,
+    pub(super) orders: Arc<Orders>,
+    pub(super) dispatcher: Arc<RequestDispatcher<P>>,
+    pub(super) currency: Arc<ViewCurrency>,
+    pub(super) meter: Arc<DemandMeter>,
+    pub(super) metrics: Arc<DaemonMetrics>,
+}
+
+/// Starts all background tasks in `group`.
+pub(super) fn spawn_all<P: PolicyParts>(
+    group: &TaskGroup,
+    settings: &DaemonSettings,
+    core: &CoreServices,
+    reports: ReportInbox,
+    context: TaskContext<P>,
+) {
+    let context = Arc::new(context);
+    group.spawn_cancellable(follow_backends(core.replica.subscribe(), core.watch.clone()));
+    group.spawn_cancellable(forward_reports(reports, context.orders.clone()));
+    spawn_currency(group, core, &context);
+    spawn_confirmations(group, core);
+    spawn_push(group, core);
+    spawn_demand(group, core, &context);
+    spawn_notices(group, core, &context);
+    spawn_pump(group, core, &context);
+    log::debug!("background tasks of {} are running", settings.vm);
+}
+
+async fn follow_backends(
+    mut catalogs: watch::Receiver<Arc<FleetCatalog>>,
+    fleet: Arc<crate::daemon::parts::Watch>,
+) {
+    let mut known: Option<Vec<BackendSpec>> = None;
+    loop {
+        let latest: Vec<BackendSpec> = catalogs.borrow_and_update().backends().cloned().collect();
+        if known.as_ref() != Some(&latest) {
+            fleet.set_backends(&latest);
+            known = Some(latest);
+        }
+        if catalogs.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn forward_reports(mut reports: ReportInbox, orders: Arc<Orders>) {
+    while let Some((name, report)) = reports.recv().await {
+        orders.note_report(&name, &report);
+    }
+}
+
+fn spawn_currency<P: PolicyParts>(
+    group: &TaskGroup,
+    core: &CoreServices,
+    context: &Arc<TaskContext<P>>,
+) {
+    let mut ticks = core.timer.every(CURRENCY_PERIOD);
+    let (replica, members) = (core.replica.clone(), core.members.clone());
+    let context = context.clone();
+    group.spawn_cancellable(async move {
+        let mut isolated = false;
+        while ticks.next().await.is_some() {
+            let seen = replica.status().end_seen_at;
+            let next = replica.next_offset();
+            context.currency.observe(seen, next, &members.evidence());
+            let now = Instant::now();
+            replica.allow_append(members.may_decide(now));
+            let state = context.currency.state(now);
+            let is_isolated = state != ViewState::Current;
+            if is_isolated != isolated {
+                log::warn!("the view of the configuration is now {state:?}");
+            }
+            isolated = is_isolated;
+            context.metrics.isolated.set(i64::from(is_isolated));
+            context.metrics.config_next.set(next.0 as i64);
+        }
+    });
+}
+
+fn spawn_confirmations(group: &TaskGroup, core: &CoreServices) {
+    let mut ticks = core.timer.every(PUSH_PERIOD);
+    let (replica, members) = (core.replica.clone(), core.members.clone());
+    let (fleet, board) = (core.watch.clone(), core.board.clone());
+    group.spawn_cancellable(async move {
+        while ticks.next().await.is_some() {
+            let mut names: BTreeSet<SmolStr> =
+                members.members().into_iter().map(|(_, entry)| entry.name).collect();
+            let listing = fleet.listing();
+            let live = listing.vms.iter().filter(|vm| vm.role == VmRole::Entry);
+            let live = live.filter(|vm| vm.state == VmState::Live);
+            names.extend(live.map(|vm| vm.name.clone()));
+            replica.expect_peers(names);
+            for entry in board.entries() {
+                replica.note_peer(&entry.status.name, entry.status.config_next);
+            }
+        }
+    });
+}
+
+/// Sends new configuration records to peers at once, and again to those that lag.
+fn spawn_push(group: &TaskGroup, core: &CoreServices) {
+    let mut ticks = core.timer.every(PUSH_PERIOD);
+    let mut catalogs = core.replica.subscribe();
+    let (replica, members) = (core.replica.clone(), core.members.clone());
+    let (link, board) = (core.link.clone(), core.board.clone());
+    group.spawn_cancellable(async move {
+        let mut pushed: HashMap<SocketAddr, LogOffset> = HashMap::new();
+        loop {
+            tokio::select! {
+                tick = ticks.next() => {
+                    if tick.is_none() {
+                        return;
+                    }
+                    pushed = board
+                        .entries()
+                        .into_iter()
+                        .map(|entry| (entry.address, entry.status.config_next))
+                        .collect();
+                }
+                changed = catalogs.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+            let next = replica.next_offset();
+            let calls = members.peer_addresses().into_iter().filter_map(|address| {
+                let from = pushed.get(&address).copied()?;
+                let records = replica.records_from(from).filter(|_| from < next)?;
+                let request =
+                    PeerRequest::PushConfig { first: records.first, records: records.records };
+                pushed.insert(address, next);
+                Some(link.client().call(address, request, PEER_TIME))
+            });
+            // A lost push is repeated after the peer's next status.
+            join_all(calls.collect::<Vec<_>>()).await;
+        }
+    });
+}
+
+fn spawn_demand<P: PolicyParts>(
+    group: &TaskGroup,
+    core: &CoreServices,
+    context: &Arc<TaskContext<P>>,
+) {
+    let mut ticks = core.timer.every(DEMAND_PERIOD);
+    let (members, board) = (core.members.clone(), core.demand.clone());
+    let (link, context) = (core.link.clone(), context.clone());
+    group.spawn_cancellable(async move {
+        while ticks.next().await.is_some() {
+            let waiting = context.dispatcher.waiting().into_iter();
+            let waiting = waiting.map(|(model, count)| (model, count.interactive as u32));
+            let demands = context.meter.take(&waiting.collect::<Vec<_>>());
+            if demands.is_empty() {
+                continue;
+            }
+            board.note(context.peer, &demands, Instant::now());
+            let request = PeerRequest::Demand { reporter: context.peer, demands };
+            let planners = planner_addresses(&members).into_iter();
+            let others = planners.filter(|address| *address != context.peer);
+            let calls = others.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            // Demand that is lost makes a planner slower only.
+            join_all(calls).await;
+        }
+    });
+}
+
+fn planner_addresses(members: &Members) -> Vec<SocketAddr> {
+    let entries = members.members();
+    let planners = entries.iter().filter(|(vm, entry)| {
+        members.planner(&entry.zone).is_some_and(|planner| planner.vm == *vm)
+    });
+    planners.map(|(_, entry)| entry.peer).collect()
+}
+
+fn spawn_notices<P: PolicyParts>(
+    group: &TaskGroup,
+    core: &CoreServices,
+    context: &Arc<TaskContext<P>>,
+) {
+    let mut ticks = core.timer.every(NOTICE_PERIOD);
+    let (members, link) = (core.members.clone(), core.link.clone());
+    let context = context.clone();
+    group.spawn_cancellable(async move {
+        while ticks.next().await.is_some() {
+            let notices = context.dispatcher.take_notices();
+            if notices.is_empty() {
+                continue;
+            }
+            let request = PeerRequest::Suspects(notices);
+            let peers = members.peer_addresses().into_iter();
+            let calls = peers.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            join_all(calls).await;
+        }
+    });
+}
+
+fn spawn_pump<P: PolicyParts>(
+    group: &TaskGroup,
+    core: &CoreServices,
+    context: &Arc<TaskContext<P>>,
+) {
+    let mut ticks = core.timer.every(PUMP_PERIOD);
+    let mut changes = core.watch.subscribe();
+    let context = context.clone();
+    group.spawn_cancellable(async move {
+        loop {
+            let alive = tokio::select! {
+                tick = ticks.next() => tick.is_some(),
+                changed = changes.changed() => changed.is_ok(),
+            };
+            if !alive {
+                return;
+            }
+            context.dispatcher.pump();
+        }
+    });
+}
--- a/src/dispatch/access.rs
+++ b/src/dispatch/access.rs
@@ -90,9 +90,9 @@
         }
         let grant = self.team(catalog, secret)?;
         match grant.team() {
-            Some(team) if !route.teams.is_empty() && !route.teams.contains(team) => {
-                Err(Error::new(Category::Forbidden, "the route is not open to this team"))
-            }
+            Some(team) if !route.teams.is_empty() && !route.teams.contains(team) => Err(
+                Error::new(Category::Forbidden, "the route is not open to this team"),
+            ),
             _ => Ok(grant),
         }
     }
@@ -132,13 +132,20 @@
         match catalog.key(key) {
             // A key that was replaced under the same name is withdrawn as well.
             Some(spec) if spec.team == *team && spec.digest == *digest => Ok(()),
-            _ => Err(Error::new(Category::Unauthenticated, "the key was withdrawn")),
+            _ => Err(Error::new(
+                Category::Unauthenticated,
+                "the key was withdrawn",
+            )),
         }
     }
 
     fn check_view(&self, catalog: &FleetCatalog) -> Result<()> {
         let now = Instant::now();
-        if self.currency.state(now).honours_keys(catalog.policy().key_grace, now) {
+        if self
+            .currency
+            .state(now)
+            .honours_keys(catalog.policy().key_grace, now)
+        {
             return Ok(());
         }
         let message = "this zone cannot tell whether keys are still granted";
--- a/src/dispatch/answer.rs
+++ b/src/dispatch/answer.rs
@@ -27,7 +27,10 @@
 impl AnswerChecker {
     /// Starts an empty answer to the request `id`.
     pub fn new(id: SmolStr) -> Self {
-        Self { id, tokens: Vec::new() }
+        Self {
+            id,
+            tokens: Vec::new(),
+        }
     }
 
     /// Returns the tokens forwarded so far, from which another backend server resumes.
--- a/src/dispatch/demand.rs
+++ b/src/dispatch/demand.rs
@@ -64,9 +64,13 @@
         change: impl FnOnce(&mut ModelDemand),
     ) {
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        let demand = counts.entry((model.clone(), adapter.cloned())).or_insert_with(|| {
-            ModelDemand { model: model.clone(), adapter: adapter.cloned(), ..ModelDemand::default() }
-        });
+        let demand = counts
+            .entry((model.clone(), adapter.cloned()))
+            .or_insert_with(|| ModelDemand {
+                model: model.clone(),
+                adapter: adapter.cloned(),
+                ..ModelDemand::default()
+            });
         change(demand);
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -197,21 +197,35 @@
 
     fn record_death(&self, fingerprint: KeyDigest) {
         let quarantine = self.gate.catalog().policy().quarantine;
-        let notice = self.suspects().died(fingerprint, quarantine, Instant::now());
-        log::warn!("a backend server died under a request; deaths: {}", notice.deaths);
-        self.notices.lock().unwrap_or_else(PoisonError::into_inner).push(notice);
+        let notice = self
+            .suspects()
+            .died(fingerprint, quarantine, Instant::now());
+        log::warn!(
+            "a backend server died under a request; deaths: {}",
+            notice.deaths
+        );
+        self.notices
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(notice);
     }
 
     fn clear_suspect(&self, fingerprint: &KeyDigest) {
-        if let Some(notice) = self.suspects().completed(fingerprint) {
-            self.notices.lock().unwrap_or_else(PoisonError::into_inner).push(notice);
+        if let Some(notice) = self.suspects().completed(fingerprint, Instant::now()) {
+            self.notices
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(notice);
         }
     }
 
     fn admit(&self) -> Result<OwnedSemaphorePermit> {
         self.admissions.clone().try_acquire_owned().map_err(|_| {
-            Error::new(Category::Overloaded, "this daemon has as many requests as it can hold")
-                .with_retry_after(Duration::from_secs(1))
+            Error::new(
+                Category::Overloaded,
+                "this daemon has as many requests as it can hold",
+            )
+            .with_retry_after(Duration::from_secs(1))
         })
     }
 
@@ -223,11 +237,13 @@
     }
 
     fn note_grant(&self, id: &SmolStr, grant: &AccessGrant) {
-        self.history.update(id, |record| record.team = grant.team().cloned());
+        self.history
+            .update(id, |record| record.team = grant.team().cloned());
     }
 
     fn note_stage(&self, id: &SmolStr, stage: RequestStage, since: Instant) {
-        self.history.update(id, |record| record.add_stage(stage, since.elapsed()));
+        self.history
+            .update(id, |record| record.add_stage(stage, since.elapsed()));
     }
 }
 
@@ -249,8 +265,11 @@
         }
         let visible = catalog.models().filter(|model| key.is_some() || model.open);
         let names: Vec<SmolStr> = visible.map(|model| model.name.clone()).collect();
-        let adapters = catalog.adapters().filter(|adapter| names.contains(&adapter.model));
-        let adapters = adapters.map(|adapter| SmolStr::from(format!("{}:{}", adapter.model, adapter.name)));
+        let adapters = catalog
+            .adapters()
+            .filter(|adapter| names.contains(&adapter.model));
+        let adapters =
+            adapters.map(|adapter| SmolStr::from(format!("{}:{}", adapter.model, adapter.name)));
         Ok(names.iter().cloned().chain(adapters).collect())
     }
 }
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -59,7 +59,11 @@
             Some((model, adapter)) => (model, Some(adapter.into())),
             None => (text, None),
         };
-        Self { model: model.into(), adapter, version }
+        Self {
+            model: model.into(),
+            adapter,
+            version,
+        }
     }
 }
 
@@ -118,14 +122,26 @@
         call: ModelCall,
     ) -> Result<(TokenUsage, TokenStream)> {
         let job = self.admit_model(call).await?;
-        let usage = TokenUsage { prompt: job.prompt_tokens, completion: 0 };
+        let usage = TokenUsage {
+            prompt: job.prompt_tokens,
+            completion: 0,
+        };
         let (sender, mut rest) = mpsc::channel(TOKEN_BUFFER);
         let dispatcher = self.clone();
-        self.group.spawn(crate::logging::in_request(job.call.id.clone(), async move {
-            dispatcher.run_model(job, sender).await;
-        }));
+        self.group.spawn(crate::logging::in_request(
+            job.call.id.clone(),
+            async move {
+                dispatcher.run_model(job, sender).await;
+            },
+        ));
         match rest.recv().await {
-            Some(Ok(chunk)) => Ok((usage, TokenStream { first: Some(chunk), rest })),
+            Some(Ok(chunk)) => Ok((
+                usage,
+                TokenStream {
+                    first: Some(chunk),
+                    rest,
+                },
+            )),
             Some(Err(error)) => Err(error),
             None => Err(Error::internal("the request ended without an answer")
                 .with_verdict(RunVerdict::MayHaveRun)),
@@ -149,9 +165,17 @@
         let fingerprint = fingerprint(&grant, &call.model, &call.messages);
         let suspect = self.check_suspect(&fingerprint)?;
         let prompt_tokens = estimate_tokens(call.messages.len());
-        self.demand.arrived(&name.model, name.adapter.as_ref(), u64::from(call.max_tokens));
+        self.demand.arrived(
+            &name.model,
+            name.adapter.as_ref(),
+            u64::from(call.max_tokens),
+        );
         let charge = self
-            .charge(&call.id, &grant, u64::from(prompt_tokens) + u64::from(call.max_tokens))
+            .charge(
+                &call.id,
+                &grant,
+                u64::from(prompt_tokens) + u64::from(call.max_tokens),
+            )
             .await?;
         Ok(ModelJob {
             need: self.model_need(&catalog, model, &name, &call.messages, suspect),
@@ -193,7 +217,10 @@
         messages: &[u8],
         suspect: Option<KeyDigest>,
     ) -> ModelNeed {
-        let version = name.version.clone().unwrap_or_else(|| model.version.clone());
+        let version = name
+            .version
+            .clone()
+            .unwrap_or_else(|| model.version.clone());
         let prefixes = prefix_hashes(&model.name, &version, name.adapter.as_ref(), messages);
         // A caller that names a version gets that one or none.
         let fallbacks = match name.version {
@@ -208,7 +235,11 @@
             zone: self.zone.clone(),
             avoid: Vec::new(),
         };
-        ModelNeed { route, fallbacks, suspect }
+        ModelNeed {
+            route,
+            fallbacks,
+            suspect,
+        }
     }
 
     async fn run_model(
@@ -253,7 +284,8 @@
         }
         if let Some(team) = job.grant.team() {
             let estimate = u64::from(job.prompt_tokens) + u64::from(job.call.max_tokens);
-            self.room.served(&job.need.route.model, team, used as i64 - estimate as i64);
+            self.room
+                .served(&job.need.route.model, team, used as i64 - estimate as i64);
         }
         if let Some(error) = error {
             let _ = tokens.send(Err(error.with_verdict(job.verdict))).await;
@@ -272,7 +304,8 @@
             () = tokens.closed() => return Attempt::Abandoned,
         };
         self.note_stage(&job.call.id, RequestStage::Queue, asked);
-        self.metrics.observe(&self.metrics.queue_time, asked.elapsed());
+        self.metrics
+            .observe(&self.metrics.queue_time, asked.elapsed());
         let slot = match slot {
             Ok(slot) => slot,
             Err(error) => {
@@ -280,7 +313,8 @@
                 return Attempt::Stopped(error);
             }
         };
-        self.history.update(&job.call.id, |record| record.add_server(slot.name.clone()));
+        self.history
+            .update(&job.call.id, |record| record.add_server(slot.name.clone()));
         let result = self.stream_from(&slot, job, tokens).await;
         if let Some(fingerprint) = job.need.suspect {
             self.suspects().finish(&slot.name, &fingerprint);
@@ -364,7 +398,10 @@
         match verdict {
             ChunkVerdict::Skip => return Ok(None),
             ChunkVerdict::Gap => {
-                return Err(Error::new(Category::Protocol, "tokens are missing in the answer"));
+                return Err(Error::new(
+                    Category::Protocol,
+                    "tokens are missing in the answer",
+                ));
             }
             ChunkVerdict::Forward | ChunkVerdict::Finish(_) => {}
         }
@@ -384,7 +421,8 @@
     }
 
     fn note_first_token(&self, started: Instant, id: &SmolStr) {
-        self.metrics.observe(&self.metrics.first_token, started.elapsed());
+        self.metrics
+            .observe(&self.metrics.first_token, started.elapsed());
         self.note_stage(id, RequestStage::FirstToken, started);
     }
 
@@ -394,7 +432,7 @@
             return Attempt::Failed { error, died: false };
         }
         let probe = tokio::time::timeout(PROBE_TIME, self.engine.load(slot.address)).await;
-        let died = match probe {
+        let died = match &probe {
             Ok(Ok(report)) => slot.incarnation != 0 && report.incarnation != slot.incarnation,
             // A server that refuses connections is gone; one that does not answer may be cut off or slow.
             Ok(Err(probe_error)) => probe_error.category() == Category::Unavailable,
@@ -412,10 +450,7 @@
     /// # Errors
     ///
     /// `Quarantined` if too many backend servers died under it.
-    fn note_death(
-        &self,
-        job: &mut ModelJob<<P::Limiter as TokenLimiter>::Charge>,
-    ) -> Result<()> {
+    fn note_death(&self, job: &mut ModelJob<<P::Limiter as TokenLimiter>::Charge>) -> Result<()> {
         self.record_death(job.fingerprint);
         job.need.suspect = self.check_suspect(&job.fingerprint)?;
         Ok(())
@@ -439,24 +474,38 @@
         .model(&name.model)
         .ok_or_else(|| not_found(format!("model `{}` does not exist", name.model)))?;
     if let Some(adapter) = &name.adapter {
-        let known = catalog.adapter(adapter).is_some_and(|spec| spec.model == model.name);
+        let known = catalog
+            .adapter(adapter)
+            .is_some_and(|spec| spec.model == model.name);
         if !known {
-            return Err(not_found(format!("model `{}` has no adapter `{adapter}`", model.name)));
+            return Err(not_found(format!(
+                "model `{}` has no adapter `{adapter}`",
+                model.name
+            )));
         }
     }
     if let Some(version) = &name.version
         && !catalog.has_version(&model.name, version)
     {
-        return Err(not_found(format!("model `{}` has no version `{version}`", model.name)));
+        return Err(not_found(format!(
+            "model `{}` has no version `{version}`",
+            model.name
+        )));
     }
     Ok(model)
 }
 
 fn other_versions(catalog: &FleetCatalog, model: &ModelSpec) -> Vec<SmolStr> {
-    let declared = catalog.versions().filter(|version| version.model == model.name);
+    let declared = catalog
+        .versions()
+        .filter(|version| version.model == model.name);
     let declared = declared.map(|version| &version.version);
     let initial = catalog.initial_version(&model.name);
-    declared.chain(initial).filter(|version| **version != model.version).cloned().collect()
+    declared
+        .chain(initial)
+        .filter(|version| **version != model.version)
+        .cloned()
+        .collect()
 }
 
 fn engine_request<C>(job: &ModelJob<C>, slot: &ServerSlot) -> EngineRequest {
@@ -476,7 +525,10 @@
 }
 
 fn wait_entry<C>(job: &ModelJob<C>) -> WaitEntry {
-    let left = job.call.max_tokens.saturating_sub(job.answer.tokens().len() as u32);
+    let left = job
+        .call
+        .max_tokens
+        .saturating_sub(job.answer.tokens().len() as u32);
     let work = match job.class {
         // The first token decides whether an interactive caller stays; the rest streams.
         RequestClass::Interactive => Duration::ZERO,
@@ -508,9 +560,13 @@
         return Ok(());
     };
     let secret = secret.as_bytes();
-    let repeated = parts.iter().any(|part| part.windows(secret.len()).any(|w| w == secret));
+    let repeated = parts
+        .iter()
+        .any(|part| part.windows(secret.len()).any(|w| w == secret));
     if repeated {
-        return Err(Error::invalid("the key may stand in the authorization header only"));
+        return Err(Error::invalid(
+            "the key may stand in the authorization header only",
+        ));
     }
     Ok(())
 }
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -91,7 +91,14 @@
         capacity: usize,
         new_queue: fn(usize) -> Q,
     ) -> Self {
-        Self { routing, fleet, suspects, capacity, new_queue, queues: Mutex::default() }
+        Self {
+            routing,
+            fleet,
+            suspects,
+            capacity,
+            new_queue,
+            queues: Mutex::default(),
+        }
     }
 
     /// Returns the source of snapshots.
@@ -126,7 +133,11 @@
                 .map_err(|_| overloaded("the queue is full"))?;
             (id, granted)
         };
-        let mut guard = LeaveGuard { room: self, model: &model, id: Some(id) };
+        let mut guard = LeaveGuard {
+            room: self,
+            model: &model,
+            id: Some(id),
+        };
         let result = tokio::time::timeout_at(deadline.into(), granted).await;
         match result {
             Ok(Ok(slot)) => {
@@ -138,7 +149,10 @@
                 guard.id = None;
                 Err(overloaded("the deadline cannot be met"))
             }
-            Err(_) => Err(Error::new(Category::Timeout, "no backend server was free in time")),
+            Err(_) => Err(Error::new(
+                Category::Timeout,
+                "no backend server was free in time",
+            )),
         }
     }
 
@@ -172,7 +186,9 @@
             };
             (model.clone(), count)
         });
-        counts.filter(|(_, count)| *count != WaitCount::default()).collect()
+        counts
+            .filter(|(_, count)| *count != WaitCount::default())
+            .collect()
     }
 
     fn grant_next(&self, queue: &mut ModelQueue<Q>, now: Instant) -> bool {
@@ -194,12 +210,18 @@
         let fleet = self.fleet.snapshot();
         let mut route = need.route.clone();
         if !fleet.is_reachable(&route.model, &route.version) {
-            let other = need.fallbacks.iter().find(|v| fleet.is_reachable(&route.model, v));
+            let other = need
+                .fallbacks
+                .iter()
+                .find(|v| fleet.is_reachable(&route.model, v));
             route.version = other.cloned().unwrap_or(route.version);
         }
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         let tried = route.avoid.len();
-        let busy = fleet.views().iter().filter(|view| suspects.is_busy(&view.name));
+        let busy = fleet
+            .views()
+            .iter()
+            .filter(|view| suspects.is_busy(&view.name));
         route.avoid.extend(busy.map(|view| view.name.clone()));
         let mut position = self.routing.choose_in(&route, &fleet, now);
         if position.is_none() && need.suspect.is_none() && route.avoid.len() > tried {
@@ -251,7 +273,9 @@
             return Ok(());
         }
         let ahead = self.queue.len(RequestClass::Interactive);
-        let wait = self.interval.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX));
+        let wait = self
+            .interval
+            .saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX));
         if now + wait + entry.work > entry.deadline {
             return Err(overloaded("the queue is longer than the deadline allows"));
         }
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -30,8 +30,13 @@
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Headers that backend servers may see. Everything else, a key above all, stays here.
-const FORWARDED_HEADERS: [HeaderName; 5] =
-    [ACCEPT, ACCEPT_LANGUAGE, CONTENT_ENCODING, CONTENT_TYPE, IDEMPOTENCY_KEY];
+static FORWARDED_HEADERS: [HeaderName; 5] = [
+    ACCEPT,
+    ACCEPT_LANGUAGE,
+    CONTENT_ENCODING,
+    CONTENT_TYPE,
+    IDEMPOTENCY_KEY,
+];
 
 /// An admitted call.
 struct ServiceJob<C> {
@@ -46,7 +51,10 @@
 
 impl<P: DispatchParts> RequestDispatcher<P> {
     /// Carries out a call to a plain service.
-    pub(super) async fn start_service(self: &Arc<Self>, call: ServiceCall) -> Result<ServiceAnswer> {
+    pub(super) async fn start_service(
+        self: &Arc<Self>,
+        call: ServiceCall,
+    ) -> Result<ServiceAnswer> {
         let mut job = self.admit_service(call).await?;
         let charge = job.charge.take();
         let cost = job.route.cost;
@@ -102,9 +110,9 @@
 
     fn check_idempotency_key(&self, call: &ServiceCall) -> Result<()> {
         match call.idempotency_key.as_deref() {
-            None | Some("") => {
-                Err(Error::invalid("this route needs the header idempotency-key"))
-            }
+            None | Some("") => Err(Error::invalid(
+                "this route needs the header idempotency-key",
+            )),
             Some(key) => self.claims.check_key(key),
         }
     }
@@ -116,10 +124,13 @@
     ) -> Result<ServiceAnswer> {
         let (sender, receiver) = oneshot::channel();
         let dispatcher = self.clone();
-        self.group.spawn(crate::logging::in_request(job.call.id.clone(), async move {
-            // The caller may have gone away.
-            let _ = sender.send(dispatcher.run_once(job).await);
-        }));
+        self.group.spawn(crate::logging::in_request(
+            job.call.id.clone(),
+            async move {
+                // The caller may have gone away.
+                let _ = sender.send(dispatcher.run_once(job).await);
+            },
+        ));
         receiver.await.unwrap_or_else(|_| {
             Err(Error::internal("the call ended without an answer")
                 .with_verdict(RunVerdict::MayHaveRun))
@@ -191,7 +202,8 @@
         let asked = Instant::now();
         let (name, address, _guard) = self.wait_for_service(&job.group, avoid).await?;
         self.note_stage(&job.call.id, RequestStage::Queue, asked);
-        self.history.update(&job.call.id, |record| record.add_server(name.clone()));
+        self.history
+            .update(&job.call.id, |record| record.add_server(name.clone()));
         let sent = Instant::now();
         let result = self.service.call(address, service_request(&job.call)).await;
         self.note_stage(&job.call.id, RequestStage::FirstToken, sent);
@@ -219,7 +231,11 @@
             let fleet = self.room.fleet().snapshot();
             if let Some(position) = fleet.choose_service(group, &self.zone, avoid) {
                 let view = &fleet.views()[position];
-                return Ok((view.name.clone(), view.address, fleet.handle(position).begin()));
+                return Ok((
+                    view.name.clone(),
+                    view.address,
+                    fleet.handle(position).begin(),
+                ));
             }
             if Instant::now() >= until {
                 let message = format!("no server of `{group}` is free");
@@ -233,7 +249,9 @@
 
 /// Returns the parts of a call that reach a backend server.
 fn sent_parts(call: &ServiceCall) -> Vec<&[u8]> {
-    let headers = FORWARDED_HEADERS.iter().flat_map(|name| call.headers.get_all(name));
+    let headers = FORWARDED_HEADERS
+        .iter()
+        .flat_map(|name| call.headers.get_all(name));
     let mut parts: Vec<&[u8]> = headers.map(|value| value.as_bytes()).collect();
     parts.push(call.path.as_bytes());
     parts.push(&call.body);
@@ -242,8 +260,8 @@
 
 fn service_request(call: &ServiceCall) -> ServiceRequest {
     let mut headers = HeaderMap::new();
-    for name in FORWARDED_HEADERS {
-        for value in call.headers.get_all(&name) {
+    for name in &FORWARDED_HEADERS {
+        for value in call.headers.get_all(name) {
             headers.append(name.clone(), value.clone());
         }
     }
@@ -271,7 +289,10 @@
 }
 
 fn outcome_of(answer: &ServiceAnswer) -> ClaimOutcome {
-    let content_type = answer.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let content_type = answer
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
     let keep = answer.body.len() <= MAX_RECORDED_BODY;
     ClaimOutcome {
         status: answer.status.as_u16(),
@@ -295,5 +316,9 @@
     if let Some(value) = content_type {
         headers.insert(CONTENT_TYPE, value);
     }
-    Ok(ServiceAnswer { status, headers, body })
+    Ok(ServiceAnswer {
+        status,
+        headers,
+        body,
+    })
 }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -43,7 +43,7 @@
 }
 
 /// A charge of a [`TokenLimiter`].
-pub trait TokenCharge: Send + 'static {
+pub trait TokenCharge: Send + Sync + 'static {
     /// Ends the charge: `used` tokens were consumed, the rest is refunded.
     fn settle(self, used: u64);
 }
--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -342,7 +342,7 @@
     }
 
     fn expire(&mut self, now: Instant) -> Vec<MemberRecord> {
-        if !self.may_expire(now) {
+        if !self.may_decide(now) {
             return Vec::new();
         }
         let stale: Vec<(VmId, LogOffset)> = self
@@ -379,10 +379,11 @@
         records
     }
 
-    /// Returns whether every member that extends its term by promises knows of this daemon.
+    /// Returns whether every member that extends its term by promises knows of this daemon, so that it may append
+    /// expiries and operator commands.
     ///
     /// A reader of the VM list relies on it for one promise length, so the wait is the lag and that length.
-    fn may_expire(&self, now: Instant) -> bool {
+    pub fn may_decide(&self, now: Instant) -> bool {
         let wait = self.settings.list_lag + self.settings.promise;
         let fresh = self
             .list
--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -161,6 +161,11 @@
         self.shared.agent().caught_up()
     }
 
+    /// Returns whether this daemon has been on the VM list for long enough to append expiries and operator commands.
+    pub fn may_decide(&self, now: Instant) -> bool {
+        self.shared.agent().may_decide(now)
+    }
+
     /// Returns what the VM list and the peers say about the age of this daemon's configuration.
     pub fn evidence(&self) -> ViewEvidence {
         self.shared.agent().evidence(&self.shared.board)
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -18,6 +18,7 @@
 pub use self::client::PeerClient;
 pub use self::codec::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES};
 pub use self::server::PeerServer;
+use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
 
@@ -74,6 +75,11 @@
     },
     /// Spreads notices about suspect requests.
     Suspects(Vec<SuspectNotice>),
+    /// Reports demand to a planner; `reporter` is the sender's peer address.
+    Demand {
+        reporter: SocketAddr,
+        demands: Vec<ModelDemand>,
+    },
     /// Asks for the whole catalog state, for a daemon that starts during a log outage.
     FetchState,
 }
