--- /dev/null
+++ b/src/placement/draft.rs
@@ -0,0 +1,394 @@
+//! Working copy of the fleet during one planning round.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::engine::{OrderAction, ResidentItem};
+use crate::placement::utility::offered_replicas;
+use crate::placement::{
+    LoadBudget, ModelFacts, OrderReason, PlacementInput, ProposedOrder, ServerFacts,
+};
+
+/// A replica of a model on one server.
+#[derive(Clone, Debug)]
+pub(super) struct Replica {
+    pub(super) server: usize,
+    pub(super) item: ResidentItem,
+    pub(super) bytes: u64,
+    pub(super) state: ReplicaState,
+}
+
+/// Whether a replica can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReplicaState {
+    /// Resident on a usable server, and no order can remove it.
+    Safe,
+    /// A load is open on a usable server.
+    Pending,
+    /// Resident on a server that is leaving or unreachable, or about to be removed.
+    Fading,
+}
+
+/// A server during the round.
+#[derive(Clone, Debug)]
+pub(super) struct DraftServer {
+    pub(super) free: u64,
+    /// Bytes of unloads under way.
+    freeing: u64,
+    pub(super) usable: bool,
+    pub(super) own: bool,
+    /// Offered work per slot from the replicas here.
+    load: f64,
+}
+
+/// An adapter copy on one server.
+#[derive(Clone, Debug)]
+pub(super) struct AdapterCopy {
+    pub(super) server: usize,
+    pub(super) item: ResidentItem,
+    pub(super) bytes: u64,
+    pub(super) safe: bool,
+}
+
+/// Working copy of the fleet; planned orders change it as if they were done.
+pub(super) struct Draft<'a> {
+    pub(super) input: &'a PlacementInput<'a>,
+    pub(super) servers: Vec<DraftServer>,
+    /// Replicas per model, in the order of the facts.
+    pub(super) replicas: Vec<Vec<Replica>>,
+    pub(super) adapters: Vec<AdapterCopy>,
+    /// Items that the facts do not declare.
+    pub(super) strays: Vec<(usize, ResidentItem)>,
+    pub(super) model_index: HashMap<&'a str, usize>,
+    /// Models of which an unload is under way anywhere.
+    unloading: HashSet<usize>,
+    budget: LoadBudget,
+    orders: Vec<ProposedOrder>,
+}
+
+impl<'a> Draft<'a> {
+    pub(super) fn new(input: &'a PlacementInput<'a>) -> Self {
+        let models = &input.facts.models;
+        let model_index = models
+            .iter()
+            .enumerate()
+            .map(|(index, model)| (model.name.as_str(), index))
+            .collect();
+        let mut draft = Self {
+            input,
+            servers: Vec::with_capacity(input.facts.servers.len()),
+            replicas: vec![Vec::new(); models.len()],
+            adapters: Vec::new(),
+            strays: Vec::new(),
+            model_index,
+            unloading: HashSet::new(),
+            budget: input.budget,
+            orders: Vec::new(),
+        };
+        for index in 0..input.facts.servers.len() {
+            draft.add_server(index);
+        }
+        draft.spread_load();
+        draft
+    }
+
+    /// Returns the proposed orders.
+    pub(super) fn into_orders(self) -> Vec<ProposedOrder> {
+        self.orders
+    }
+
+    fn add_server(&mut self, index: usize) {
+        let server = &self.input.facts.servers[index];
+        let ledger = self.input.ledgers[index];
+        let usable = server.reachable && !server.leaving && ledger.seen_at().is_some();
+        self.servers.push(DraftServer {
+            free: if usable { ledger.free() } else { 0 },
+            freeing: 0,
+            usable,
+            own: server.zone == *self.input.zone,
+            load: 0.0,
+        });
+        for (item, bytes) in ledger.resident() {
+            self.add_resident(index, item, bytes, usable);
+        }
+        for (_, order) in ledger.orders() {
+            match &order.action {
+                OrderAction::Load { item, bytes } if order.open => {
+                    self.add_pending(index, item, *bytes, usable);
+                }
+                OrderAction::Unload { item } if order.open && item.adapter.is_none() => {
+                    if let Some(model) = self.model_index.get(item.model.as_str()) {
+                        self.unloading.insert(*model);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn add_resident(&mut self, server: usize, item: &ResidentItem, bytes: u64, usable: bool) {
+        let going = self.input.ledgers[server].may_vanish(item);
+        if going {
+            self.servers[server].freeing += bytes;
+        }
+        let model = self.model_index.get(item.model.as_str()).copied();
+        let Some(model) = model else {
+            self.strays.push((server, item.clone()));
+            return;
+        };
+        if item.adapter.is_some() {
+            self.adapters.push(AdapterCopy {
+                server,
+                item: item.clone(),
+                bytes,
+                safe: usable && !going,
+            });
+            return;
+        }
+        let state = if usable && !going {
+            ReplicaState::Safe
+        } else {
+            ReplicaState::Fading
+        };
+        self.replicas[model].push(Replica {
+            server,
+            item: item.clone(),
+            bytes,
+            state,
+        });
+    }
+
+    fn add_pending(&mut self, server: usize, item: &ResidentItem, bytes: u64, usable: bool) {
+        if self.input.ledgers[server].is_resident(item) {
+            return;
+        }
+        let Some(model) = self.model_index.get(item.model.as_str()).copied() else {
+            return;
+        };
+        if item.adapter.is_some() {
+            self.adapters.push(AdapterCopy {
+                server,
+                item: item.clone(),
+                bytes,
+                safe: false,
+            });
+            return;
+        }
+        let state = if usable {
+            ReplicaState::Pending
+        } else {
+            ReplicaState::Fading
+        };
+        self.replicas[model].push(Replica {
+            server,
+            item: item.clone(),
+            bytes,
+            state,
+        });
+    }
+
+    fn spread_load(&mut self) {
+        for model in 0..self.replicas.len() {
+            let present = self.present(model).max(1) as f64;
+            let share = offered_replicas(&self.input.facts.models[model].demand) / present;
+            for replica in &self.replicas[model] {
+                self.servers[replica.server].load += share;
+            }
+        }
+    }
+
+    pub(super) fn facts(&self, model: usize) -> &'a ModelFacts {
+        &self.input.facts.models[model]
+    }
+
+    fn server_facts(&self, server: usize) -> &'a ServerFacts {
+        &self.input.facts.servers[server]
+    }
+
+    /// Returns the item that new replicas of `model` load.
+    pub(super) fn current_item(&self, model: usize) -> ResidentItem {
+        let facts = self.facts(model);
+        ResidentItem {
+            model: facts.name.clone(),
+            version: facts.version.clone(),
+            adapter: None,
+        }
+    }
+
+    /// Counts replicas that are safe or being loaded.
+    pub(super) fn present(&self, model: usize) -> usize {
+        self.replicas[model]
+            .iter()
+            .filter(|replica| replica.state != ReplicaState::Fading)
+            .count()
+    }
+
+    /// Counts safe replicas.
+    pub(super) fn safe(&self, model: usize) -> usize {
+        self.replicas[model]
+            .iter()
+            .filter(|replica| replica.state == ReplicaState::Safe)
+            .count()
+    }
+
+    /// Returns whether an unload of the model's weights is under way or planned.
+    pub(super) fn is_unloading(&self, model: usize) -> bool {
+        self.unloading.contains(&model)
+    }
+
+    /// Returns the zones of the model's safe or pending replicas.
+    pub(super) fn zones(&self, model: usize) -> HashSet<&'a SmolStr> {
+        self.replicas[model]
+            .iter()
+            .filter(|replica| replica.state != ReplicaState::Fading)
+            .map(|replica| &self.server_facts(replica.server).zone)
+            .collect()
+    }
+
+    /// Returns the best server with room for a replica of `model`.
+    ///
+    /// A zone without the model comes first, then the least loaded server, then the tightest fit. Equal servers
+    /// are ordered by a hash of both names, so that all planners choose the same one.
+    pub(super) fn find_room(
+        &self,
+        model: usize,
+        accept: impl Fn(usize, &ServerFacts) -> bool,
+    ) -> Option<usize> {
+        let item = self.current_item(model);
+        let bytes = self.facts(model).memory_bytes;
+        let zones = self.zones(model);
+        let mut taken: HashSet<usize> = HashSet::new();
+        taken.extend(
+            self.replicas[model]
+                .iter()
+                .filter(|replica| replica.item == item)
+                .map(|replica| replica.server),
+        );
+        let mut best: Option<(bool, u32, u64, u64, usize)> = None;
+        for (index, server) in self.servers.iter().enumerate() {
+            if !server.usable || server.free < bytes || taken.contains(&index) {
+                continue;
+            }
+            let facts = self.server_facts(index);
+            if !accept(index, facts) {
+                continue;
+            }
+            // Loads are compared in steps of a quarter slot set; smaller differences are noise.
+            let load = (server.load * 4.0) as u32;
+            let head = (zones.contains(&facts.zone), load, server.free - bytes);
+            if best.is_some_and(|best| (best.0, best.1, best.2) < head) {
+                continue;
+            }
+            let rank = pair_hash(&item.model, &facts.name);
+            let candidate = (head.0, head.1, head.2, rank, index);
+            if best.is_none_or(|best| candidate < best)
+                && self.input.ledgers[index].may_load(&item, bytes)
+            {
+                best = Some(candidate);
+            }
+        }
+        best.map(|best| best.4)
+    }
+
+    /// Plans a load of the current version of `model`.
+    pub(super) fn load(&mut self, model: usize, server: usize, reason: OrderReason) {
+        let item = self.current_item(model);
+        let bytes = self.facts(model).memory_bytes;
+        self.servers[server].free = self.servers[server].free.saturating_sub(bytes);
+        self.servers[server].load += 1.0 / 4.0;
+        self.replicas[model].push(Replica {
+            server,
+            item: item.clone(),
+            bytes,
+            state: ReplicaState::Pending,
+        });
+        if self.servers[server].own && self.budget.models > 0 {
+            self.budget.models -= 1;
+            self.propose(server, OrderAction::Load { item, bytes }, reason);
+        }
+    }
+
+    /// Plans an unload of the replica at `position` in the model's list.
+    pub(super) fn unload(&mut self, model: usize, position: usize, reason: OrderReason) {
+        let replica = &mut self.replicas[model][position];
+        replica.state = ReplicaState::Fading;
+        let (server, item, bytes) = (replica.server, replica.item.clone(), replica.bytes);
+        self.servers[server].freeing += bytes;
+        self.unloading.insert(model);
+        if self.servers[server].own && self.input.ledgers[server].may_unload(&item) {
+            self.propose(server, OrderAction::Unload { item }, reason);
+        }
+    }
+
+    /// Plans an unload of an item that serves no floor: an idle adapter or one that is not declared.
+    pub(super) fn unload_item(&mut self, server: usize, item: &ResidentItem, reason: OrderReason) {
+        if self.servers[server].own && self.input.ledgers[server].may_unload(item) {
+            let item = item.clone();
+            self.propose(server, OrderAction::Unload { item }, reason);
+        }
+    }
+
+    /// Plans a load of an adapter.
+    pub(super) fn load_adapter(&mut self, server: usize, item: ResidentItem, bytes: u64) {
+        self.servers[server].free = self.servers[server].free.saturating_sub(bytes);
+        self.adapters.push(AdapterCopy {
+            server,
+            item: item.clone(),
+            bytes,
+            safe: false,
+        });
+        if self.servers[server].own && self.budget.adapters > 0 {
+            self.budget.adapters -= 1;
+            let action = OrderAction::Load { item, bytes };
+            self.propose(server, action, OrderReason::Adapter);
+        }
+    }
+
+    /// Marks an adapter copy as being removed.
+    pub(super) fn unload_adapter(&mut self, position: usize, reason: OrderReason) {
+        let copy = &mut self.adapters[position];
+        copy.safe = false;
+        let (server, item) = (copy.server, copy.item.clone());
+        self.servers[server].freeing += copy.bytes;
+        self.unload_item(server, &item, reason);
+    }
+
+    /// Reserves a server whose unloads under way make room for `bytes`. Returns whether there is one.
+    pub(super) fn reserve_freeing(&mut self, bytes: u64) -> bool {
+        let found = self
+            .servers
+            .iter()
+            .enumerate()
+            .filter(|(_, server)| server.usable && server.freeing > 0)
+            .filter(|(_, server)| server.free.saturating_add(server.freeing) >= bytes)
+            .min_by_key(|(_, server)| Reverse(server.free))
+            .map(|(index, _)| index);
+        if let Some(index) = found {
+            self.reserve(index, bytes);
+        }
+        found.is_some()
+    }
+
+    /// Keeps `bytes` of a server's present and coming room from later steps of this round.
+    pub(super) fn reserve(&mut self, server: usize, bytes: u64) {
+        let server = &mut self.servers[server];
+        let rest = bytes.saturating_sub(server.free);
+        server.free = server.free.saturating_sub(bytes);
+        server.freeing = server.freeing.saturating_sub(rest);
+    }
+
+    fn propose(&mut self, server: usize, action: OrderAction, reason: OrderReason) {
+        self.orders.push(ProposedOrder {
+            server,
+            action,
+            reason,
+        });
+    }
+}
+
+fn pair_hash(model: &str, server: &str) -> u64 {
+    xxh3_64(server.as_bytes()) ^ xxh3_64(model.as_bytes()).rotate_left(17)
+}
--- /dev/null
+++ b/src/placement/floor.rs
@@ -0,0 +1,457 @@
+//! The planner: floors first, then marginal attainment per byte.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::engine::ResidentItem;
+use crate::placement::draft::{Draft, ReplicaState};
+use crate::placement::utility::{gain_per_s, loss_per_s};
+use crate::placement::{OrderReason, PlacementInput, PlacementPolicy, ProposedOrder};
+
+/// Weights of a [`FloorFirstPolicy`].
+#[derive(Clone, Copy, Debug)]
+pub struct FloorSettings {
+    /// Requests that a move must gain within `horizon` beyond what it loses.
+    pub move_cost: f64,
+    /// Time over which a gain counts.
+    pub horizon: Duration,
+    /// Factor by which a gain per byte must exceed the loss per byte before a replica is replaced.
+    pub hysteresis: f64,
+    /// Time that a replica stays before demand for other models may remove it.
+    pub min_residence: Duration,
+    /// Time after which a planner loads a missing model itself although the plan names another zone.
+    pub takeover_after: Duration,
+    /// Demand-driven loads considered per round, so that a round's work is bounded.
+    pub demand_moves: usize,
+}
+
+impl Default for FloorSettings {
+    fn default() -> Self {
+        Self {
+            move_cost: 30.0,
+            horizon: Duration::from_secs(120),
+            hysteresis: 1.5,
+            min_residence: Duration::from_secs(120),
+            takeover_after: Duration::from_secs(5),
+            demand_moves: 16,
+        }
+    }
+}
+
+/// Which replicas may make room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Spare {
+    /// Any but the last safe one of its model.
+    AboveOne,
+    /// Only those above the model's minimum.
+    AboveMinimum,
+}
+
+/// A replica that may be removed.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    model: usize,
+    position: usize,
+    /// Requests per second lost per byte.
+    loss: f64,
+    bytes: u64,
+}
+
+/// Keeps every model reachable, then serves the most requests per byte of memory.
+#[derive(Debug, Default)]
+pub struct FloorFirstPolicy {
+    settings: FloorSettings,
+    /// When a model was first seen without a replica.
+    missing_since: HashMap<SmolStr, Instant>,
+    /// Replicas that a model had when its version change was first seen.
+    version_targets: HashMap<SmolStr, usize>,
+    /// When a replica was first seen, by server and model.
+    resident_since: HashMap<(SmolStr, SmolStr), Instant>,
+}
+
+impl FloorFirstPolicy {
+    /// Creates the policy.
+    pub fn new(settings: FloorSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Gives every model without a replica one, the most wanted first.
+    fn restore_unreachable(&mut self, draft: &mut Draft<'_>) {
+        let now = draft.input.now;
+        let missing = by_demand(draft, |draft, model| draft.present(model) == 0);
+        let names: Vec<SmolStr> = missing
+            .iter()
+            .map(|model| draft.facts(*model).name.clone())
+            .collect();
+        self.missing_since.retain(|name, _| names.contains(name));
+        for (model, name) in missing.into_iter().zip(names) {
+            let since = *self.missing_since.entry(name).or_insert(now);
+            let overdue = now >= since + self.settings.takeover_after;
+            let own = draft.input.zone;
+            let room = draft
+                .find_room(model, |_, server| !overdue || server.zone == *own)
+                .or_else(|| draft.find_room(model, |_, _| true));
+            match room {
+                Some(server) => draft.load(model, server, OrderReason::Unreachable),
+                None => self.make_room(draft, model, Spare::AboveOne),
+            }
+        }
+    }
+
+    /// Fills up models below their minimum.
+    fn restore_minimum(&self, draft: &mut Draft<'_>) {
+        let low = by_demand(draft, |draft, model| {
+            let present = draft.present(model);
+            present > 0 && present < minimum(draft, model)
+        });
+        for model in low {
+            while draft.present(model) < minimum(draft, model) {
+                let Some(server) = draft.find_room(model, |_, _| true) else {
+                    self.make_room(draft, model, Spare::AboveMinimum);
+                    break;
+                };
+                draft.load(model, server, OrderReason::Minimum);
+            }
+        }
+    }
+
+    /// Gives models whose replicas share one zone a replica in another one, where free memory allows.
+    fn spread_zones(&self, draft: &mut Draft<'_>) {
+        for model in by_demand(draft, |draft, model| draft.zones(model).len() == 1) {
+            let zones = draft.zones(model);
+            let room = draft.find_room(model, |_, server| !zones.contains(&server.zone));
+            if let Some(server) = room {
+                draft.load(model, server, OrderReason::SecondZone);
+            }
+        }
+    }
+
+    /// Moves models to their declared version, one replica at a time.
+    fn change_versions(&mut self, draft: &mut Draft<'_>) {
+        for model in 0..draft.replicas.len() {
+            let name = &draft.facts(model).name;
+            let old = old_replica(draft, model);
+            let Some(old) = old else {
+                self.version_targets.remove(name);
+                continue;
+            };
+            let safe = draft.safe(model);
+            let target = *self.version_targets.entry(name.clone()).or_insert(safe);
+            self.change_version(draft, model, old, target.max(minimum(draft, model)));
+        }
+    }
+
+    fn change_version(&self, draft: &mut Draft<'_>, model: usize, old: usize, target: usize) {
+        let current = draft.current_item(model);
+        let pending = draft.present(model) > draft.safe(model);
+        let new_safe = draft.replicas[model]
+            .iter()
+            .any(|replica| replica.item == current && replica.state == ReplicaState::Safe);
+        if pending || draft.is_unloading(model) {
+            return;
+        }
+        if new_safe && draft.safe(model) > target {
+            draft.unload(model, old, OrderReason::Version);
+        } else if let Some(server) = draft.find_room(model, |_, _| true) {
+            draft.load(model, server, OrderReason::Version);
+        } else if draft.safe(model) > 1 {
+            draft.unload(model, old, OrderReason::Version);
+        } else {
+            self.make_room(draft, model, Spare::AboveMinimum);
+        }
+    }
+
+    /// Adds replicas where they gain the most requests per byte, replacing others only for a clear gain.
+    fn follow_demand(&self, draft: &mut Draft<'_>) {
+        for _ in 0..self.settings.demand_moves {
+            let Some((model, gain)) = self.best_addition(draft) else {
+                return;
+            };
+            if let Some(server) = draft.find_room(model, |_, _| true) {
+                draft.load(model, server, OrderReason::Demand);
+            } else {
+                // Removals wait for a report before their memory is free; one per round keeps them in step.
+                self.replace_for(draft, model, gain);
+                return;
+            }
+        }
+    }
+
+    /// Returns the model with the highest gain per byte that is worth a move, and the gain per second.
+    fn best_addition(&self, draft: &Draft<'_>) -> Option<(usize, f64)> {
+        let horizon = self.settings.horizon.as_secs_f64();
+        (0..draft.replicas.len())
+            .filter(|model| draft.present(*model) > 0)
+            .filter_map(|model| {
+                let gain = gain_per_s(&draft.facts(model).demand, draft.present(model));
+                (gain * horizon > self.settings.move_cost).then_some((model, gain))
+            })
+            .max_by(|(a, gain_a), (b, gain_b)| {
+                let density =
+                    |model: usize, gain: f64| gain / draft.facts(model).memory_bytes.max(1) as f64;
+                density(*a, *gain_a).total_cmp(&density(*b, *gain_b))
+            })
+    }
+
+    fn replace_for(&self, draft: &mut Draft<'_>, model: usize, gain: f64) {
+        let bytes = draft.facts(model).memory_bytes;
+        if draft.reserve_freeing(bytes) {
+            return;
+        }
+        let density = gain / bytes.max(1) as f64;
+        let horizon = self.settings.horizon.as_secs_f64();
+        let best = self.cheapest_room(draft, model, bytes, Spare::AboveMinimum, true);
+        let Some((_, victims)) = best else { return };
+        let loss: f64 = victims
+            .iter()
+            .map(|victim| victim.loss * victim.bytes as f64)
+            .sum();
+        let clear = victims
+            .iter()
+            .all(|victim| density > victim.loss * self.settings.hysteresis);
+        // Each removal is a move as well.
+        let cost = self.settings.move_cost * (1 + victims.len()) as f64;
+        if clear && (gain - loss) * horizon > cost {
+            remove(draft, &victims);
+        }
+    }
+
+    /// Removes the replicas or idle adapters that lose least, so that `model` fits somewhere.
+    fn make_room(&self, draft: &mut Draft<'_>, model: usize, spare: Spare) {
+        let bytes = draft.facts(model).memory_bytes;
+        if draft.reserve_freeing(bytes) {
+            return;
+        }
+        if let Some((server, victims)) = self.cheapest_room(draft, model, bytes, spare, false) {
+            remove(draft, &victims);
+            draft.reserve(server, bytes);
+        }
+    }
+
+    /// Returns the server on which room for `bytes` costs the fewest requests, and what must go.
+    fn cheapest_room(
+        &self,
+        draft: &Draft<'_>,
+        model: usize,
+        bytes: u64,
+        spare: Spare,
+        settled_only: bool,
+    ) -> Option<(usize, Vec<Victim>)> {
+        let mut by_server: HashMap<usize, Vec<Victim>> = HashMap::new();
+        for other in (0..draft.replicas.len()).filter(|other| *other != model) {
+            if draft.is_unloading(other) || draft.safe(other) <= keep(draft, other, spare) {
+                continue;
+            }
+            for (position, replica) in draft.replicas[other].iter().enumerate() {
+                let settled = !settled_only || self.is_settled(draft, other, replica.server);
+                if replica.state == ReplicaState::Safe && settled {
+                    by_server
+                        .entry(replica.server)
+                        .or_default()
+                        .push(self.victim(draft, other, position));
+                }
+            }
+        }
+        by_server
+            .into_iter()
+            .filter_map(|(server, victims)| {
+                let missing = bytes.saturating_sub(draft.servers[server].free);
+                Some((server, cheapest(victims, missing)?))
+            })
+            .min_by(|(server_a, a), (server_b, b)| {
+                let loss = |victims: &[Victim]| -> f64 {
+                    victims
+                        .iter()
+                        .map(|victim| victim.loss * victim.bytes as f64)
+                        .sum()
+                };
+                loss(a)
+                    .total_cmp(&loss(b))
+                    .then(a.len().cmp(&b.len()))
+                    .then(server_a.cmp(server_b))
+            })
+    }
+
+    fn victim(&self, draft: &Draft<'_>, model: usize, position: usize) -> Victim {
+        let bytes = draft.replicas[model][position].bytes;
+        let loss = loss_per_s(&draft.facts(model).demand, draft.safe(model));
+        Victim {
+            model,
+            position,
+            loss: loss / bytes.max(1) as f64,
+            bytes,
+        }
+    }
+
+    fn is_settled(&self, draft: &Draft<'_>, model: usize, server: usize) -> bool {
+        let place = (
+            draft.input.facts.servers[server].name.clone(),
+            draft.facts(model).name.clone(),
+        );
+        self.resident_since
+            .get(&place)
+            .is_some_and(|since| draft.input.now >= *since + self.settings.min_residence)
+    }
+
+    fn note_residents(&mut self, draft: &Draft<'_>) {
+        let mut residents = HashMap::with_capacity(self.resident_since.len());
+        for (model, replicas) in draft.replicas.iter().enumerate() {
+            for replica in replicas {
+                let place = (
+                    draft.input.facts.servers[replica.server].name.clone(),
+                    draft.facts(model).name.clone(),
+                );
+                let since = self.resident_since.get(&place).copied();
+                residents.insert(place, since.unwrap_or(draft.input.now));
+            }
+        }
+        self.resident_since = residents;
+    }
+
+    /// Loads adapters that requests ask for next to a replica of their model.
+    fn load_adapters(&self, draft: &mut Draft<'_>) {
+        let adapters = &draft.input.facts.adapters;
+        let mut wanted: Vec<usize> = (0..adapters.len())
+            .filter(|index| {
+                let demand = &adapters[*index].demand;
+                demand.waiting > 0 || demand.arrivals_per_s > 0.0
+            })
+            .collect();
+        wanted.sort_by_key(|index| std::cmp::Reverse(adapters[*index].demand.waiting));
+        for index in wanted {
+            let present = draft
+                .adapters
+                .iter()
+                .any(|copy| copy.item.adapter.as_ref() == Some(&adapters[index].name));
+            if !present {
+                self.load_adapter(draft, index);
+            }
+        }
+    }
+
+    fn load_adapter(&self, draft: &mut Draft<'_>, index: usize) {
+        let adapter = &draft.input.facts.adapters[index];
+        let Some(model) = draft.model_index.get(adapter.model.as_str()).copied() else {
+            return;
+        };
+        let hosts: Vec<(usize, ResidentItem)> = draft.replicas[model]
+            .iter()
+            .filter(|replica| replica.state == ReplicaState::Safe)
+            .map(|replica| {
+                let item = ResidentItem {
+                    adapter: Some(adapter.name.clone()),
+                    ..replica.item.clone()
+                };
+                (replica.server, item)
+            })
+            .collect();
+        let room = hosts.iter().find(|(server, item)| {
+            draft.servers[*server].free >= adapter.memory_bytes
+                && draft.input.ledgers[*server].may_load(item, adapter.memory_bytes)
+        });
+        if let Some((server, item)) = room {
+            draft.load_adapter(*server, item.clone(), adapter.memory_bytes);
+            return;
+        }
+        let idle = (0..draft.adapters.len()).find(|position| {
+            let copy = &draft.adapters[*position];
+            copy.safe
+                && hosts.iter().any(|(server, _)| *server == copy.server)
+                && is_idle(draft, &copy.item)
+        });
+        if let Some(position) = idle {
+            draft.unload_adapter(position, OrderReason::MakeRoom);
+        }
+    }
+
+    /// Removes items that are not declared any more.
+    fn remove_strays(&self, draft: &mut Draft<'_>) {
+        for (server, item) in std::mem::take(&mut draft.strays) {
+            draft.unload_item(server, &item, OrderReason::Retired);
+        }
+    }
+}
+
+impl PlacementPolicy for FloorFirstPolicy {
+    fn plan(&mut self, input: &PlacementInput<'_>) -> Vec<ProposedOrder> {
+        let mut draft = Draft::new(input);
+        self.note_residents(&draft);
+        self.restore_unreachable(&mut draft);
+        self.restore_minimum(&mut draft);
+        self.change_versions(&mut draft);
+        self.spread_zones(&mut draft);
+        self.follow_demand(&mut draft);
+        self.load_adapters(&mut draft);
+        self.remove_strays(&mut draft);
+        draft.into_orders()
+    }
+}
+
+/// Returns the models that `select` accepts, those with the most waiting requests and arrivals first.
+fn by_demand(draft: &Draft<'_>, select: impl Fn(&Draft<'_>, usize) -> bool) -> Vec<usize> {
+    let mut models: Vec<usize> = (0..draft.replicas.len())
+        .filter(|model| select(draft, *model))
+        .collect();
+    models.sort_by(|a, b| {
+        let (a, b) = (draft.facts(*a), draft.facts(*b));
+        let waiting = b.demand.waiting.cmp(&a.demand.waiting);
+        let arrivals = b.demand.arrivals_per_s.total_cmp(&a.demand.arrivals_per_s);
+        waiting.then(arrivals).then(a.name.cmp(&b.name))
+    });
+    models
+}
+
+fn minimum(draft: &Draft<'_>, model: usize) -> usize {
+    (draft.facts(model).min_replicas as usize).max(1)
+}
+
+/// Returns how many safe replicas of `model` must stay.
+fn keep(draft: &Draft<'_>, model: usize, spare: Spare) -> usize {
+    match spare {
+        Spare::AboveOne => 1,
+        Spare::AboveMinimum => minimum(draft, model).max(draft.zones(model).len().min(2)),
+    }
+}
+
+/// Returns the position of a safe replica of another version than the declared one.
+fn old_replica(draft: &Draft<'_>, model: usize) -> Option<usize> {
+    let current = draft.current_item(model);
+    draft.replicas[model]
+        .iter()
+        .position(|replica| replica.item != current && replica.state == ReplicaState::Safe)
+}
+
+/// Takes the victims that lose least until `missing` bytes are found, at most one per model.
+fn cheapest(mut victims: Vec<Victim>, missing: u64) -> Option<Vec<Victim>> {
+    victims.sort_by(|a, b| a.loss.total_cmp(&b.loss).then(b.bytes.cmp(&a.bytes)));
+    let mut chosen: Vec<Victim> = Vec::new();
+    let mut found = 0;
+    for victim in victims {
+        if found >= missing {
+            break;
+        }
+        if chosen.iter().all(|other| other.model != victim.model) {
+            found += victim.bytes;
+            chosen.push(victim);
+        }
+    }
+    (found >= missing).then_some(chosen)
+}
+
+fn remove(draft: &mut Draft<'_>, victims: &[Victim]) {
+    for victim in victims {
+        draft.unload(victim.model, victim.position, OrderReason::MakeRoom);
+    }
+}
+
+fn is_idle(draft: &Draft<'_>, item: &ResidentItem) -> bool {
+    !draft.input.facts.adapters.iter().any(|adapter| {
+        Some(&adapter.name) == item.adapter.as_ref()
+            && (adapter.demand.waiting > 0 || adapter.demand.arrivals_per_s > 0.0)
+    })
+}
--- /dev/null
+++ b/src/placement/lru.rs
@@ -0,0 +1,92 @@
+//! Naive baseline: load on demand, evict the least recently used.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+
+use crate::placement::draft::{Draft, ReplicaState};
+use crate::placement::{DemandFacts, OrderReason, PlacementInput, PlacementPolicy, ProposedOrder};
+
+/// Loads a model when a request for it waits and evicts the least recently used replica to make room.
+///
+/// It exists to be measured against. With `keep_last` it never removes a model's last safe replica.
+#[derive(Debug, Default)]
+pub struct LruPolicy {
+    keep_last: bool,
+    used_at: HashMap<SmolStr, Instant>,
+}
+
+impl LruPolicy {
+    /// Creates the policy.
+    pub fn new(keep_last: bool) -> Self {
+        Self {
+            keep_last,
+            used_at: HashMap::new(),
+        }
+    }
+
+    fn note_use(&mut self, input: &PlacementInput<'_>) {
+        for model in &input.facts.models {
+            if is_used(&model.demand) || !self.used_at.contains_key(&model.name) {
+                self.used_at.insert(model.name.clone(), input.now);
+            }
+        }
+    }
+
+    /// Evicts replicas of one own server, the least recently used first, until `bytes` are free or coming.
+    fn evict(&self, draft: &mut Draft<'_>, wanted: usize) {
+        let bytes = draft.facts(wanted).memory_bytes;
+        if draft.reserve_freeing(bytes) {
+            return;
+        }
+        let mut victims: Vec<(Instant, usize, usize)> = Vec::new();
+        for model in 0..draft.replicas.len() {
+            let protected = self.keep_last && draft.safe(model) < 2;
+            if model == wanted || protected || draft.is_unloading(model) {
+                continue;
+            }
+            let Some(used_at) = self.used_at.get(&draft.facts(model).name) else {
+                continue;
+            };
+            for (position, replica) in draft.replicas[model].iter().enumerate() {
+                let server = &draft.servers[replica.server];
+                let fits = server.free.saturating_add(replica.bytes) >= bytes;
+                if replica.state == ReplicaState::Safe && server.own && fits {
+                    victims.push((*used_at, model, position));
+                }
+            }
+        }
+        if let Some((_, model, position)) = victims.into_iter().min() {
+            let server = draft.replicas[model][position].server;
+            draft.unload(model, position, OrderReason::MakeRoom);
+            draft.reserve(server, bytes);
+        }
+    }
+}
+
+impl PlacementPolicy for LruPolicy {
+    fn plan(&mut self, input: &PlacementInput<'_>) -> Vec<ProposedOrder> {
+        self.note_use(input);
+        let mut draft = Draft::new(input);
+        for model in 0..input.facts.models.len() {
+            let wanted = is_used(&input.facts.models[model].demand);
+            if !wanted || draft.present(model) > 0 {
+                continue;
+            }
+            match draft.find_room(model, |_, _| true) {
+                Some(server) => draft.load(model, server, OrderReason::Demand),
+                None => self.evict(&mut draft, model),
+            }
+        }
+        draft.into_orders()
+    }
+
+    fn keeps_last_replica(&self) -> bool {
+        self.keep_last
+    }
+}
+
+fn is_used(demand: &DemandFacts) -> bool {
+    demand.waiting > 0 || demand.arrivals_per_s > 0.0
+}
--- /dev/null
+++ b/src/placement/order.rs
@@ -0,0 +1,205 @@
+//! Records of the `orders` stream and the pure table that decides which of them are valid.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::engine::OrderAction;
+use crate::error::{Error, Result};
+use crate::ids::{LogOffset, RecordId, VmId};
+
+/// An order as its planner records it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedOrder {
+    /// Recognises the record when the append's answer was lost.
+    pub id: RecordId,
+    pub zone: SmolStr,
+    /// Fencing number of the planner: the `members` offset that made it planner.
+    pub planner_fence: LogOffset,
+    pub planner: VmId,
+    /// Name of the backend server.
+    pub server: SmolStr,
+    pub action: OrderAction,
+}
+
+/// One record of the `orders` stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderRecord {
+    /// The daemon took over as planner of the zone. Later records of a lower fencing number are void.
+    Lead {
+        id: RecordId,
+        zone: SmolStr,
+        planner_fence: LogOffset,
+        planner: VmId,
+    },
+    Order(PlannedOrder),
+    /// The planner sends the order at this offset no more.
+    Done {
+        order: LogOffset,
+    },
+}
+
+impl OrderRecord {
+    /// Encodes the record for the log.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the encoder fails.
+    pub fn encode(&self) -> Result<Bytes> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard())
+            .map(Bytes::from)
+            .map_err(|error| Error::internal(format!("order record cannot be encoded: {error}")))
+    }
+
+    /// Decodes a log record.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` if the data is not a record of the stream.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        bincode::serde::decode_from_slice(data, bincode::config::standard())
+            .map(|(record, _)| record)
+            .map_err(|error| Error::invalid(format!("order record cannot be decoded: {error}")))
+    }
+}
+
+/// What a record did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderEffect {
+    /// The planner leads its zone.
+    Leads { id: RecordId },
+    /// The order is valid and may be sent with its offset as fencing number.
+    Valid(PlannedOrder),
+    /// The order must never be sent.
+    Void { id: RecordId },
+    /// The order of `server` at this offset is sent no more.
+    Closed { order: LogOffset, server: SmolStr },
+    /// No effect.
+    Nothing,
+}
+
+#[derive(Clone, Debug)]
+struct OpenOrder {
+    id: RecordId,
+    server: SmolStr,
+    zone: SmolStr,
+    planner_fence: LogOffset,
+    /// Model whose weights the order unloads.
+    unloads: Option<SmolStr>,
+}
+
+/// Valid and open orders, replayed in offset order.
+///
+/// A record is void if a higher planner fence of its zone precedes it. An unload of weights is also void while
+/// another unload of the same model is open anywhere: two planners that each see one other replica would
+/// otherwise remove both.
+#[derive(Clone, Debug, Default)]
+pub struct OrderTable {
+    next: LogOffset,
+    leads: HashMap<SmolStr, LogOffset>,
+    open: BTreeMap<LogOffset, OpenOrder>,
+}
+
+impl OrderTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the next offset to apply.
+    pub fn next(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Returns the number of open orders.
+    pub fn open_len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns the highest planner fence of `zone` on the stream.
+    pub fn lead(&self, zone: &str) -> Option<LogOffset> {
+        self.leads.get(zone).copied()
+    }
+
+    /// Skips a record that cannot be decoded.
+    pub fn skip(&mut self, offset: LogOffset) {
+        self.next = self.next.max(offset.next());
+    }
+
+    /// Applies the record at `offset`; offsets below [`Self::next`] are ignored.
+    pub fn apply(&mut self, offset: LogOffset, record: &OrderRecord) -> OrderEffect {
+        if offset < self.next {
+            return OrderEffect::Nothing;
+        }
+        self.next = offset.next();
+        match record {
+            OrderRecord::Lead {
+                id,
+                zone,
+                planner_fence,
+                ..
+            } => {
+                if self.takes_lead(zone, *planner_fence) {
+                    OrderEffect::Leads { id: *id }
+                } else {
+                    OrderEffect::Void { id: *id }
+                }
+            }
+            OrderRecord::Order(order) => self.order(offset, order),
+            OrderRecord::Done { order } => match self.open.remove(order) {
+                Some(open) => OrderEffect::Closed {
+                    order: *order,
+                    server: open.server,
+                },
+                None => OrderEffect::Nothing,
+            },
+        }
+    }
+
+    fn takes_lead(&mut self, zone: &SmolStr, fence: LogOffset) -> bool {
+        let lead = self.leads.entry(zone.clone()).or_insert(fence);
+        if fence < *lead {
+            return false;
+        }
+        if fence > *lead {
+            *lead = fence;
+            // The former planner's orders may still take effect; each daemon's ledger keeps counting them.
+            self.open
+                .retain(|_, open| open.zone != *zone || open.planner_fence >= fence);
+        }
+        true
+    }
+
+    fn order(&mut self, offset: LogOffset, order: &PlannedOrder) -> OrderEffect {
+        let void = OrderEffect::Void { id: order.id };
+        // A repeated append is one order while that order is open; later its planner closes the copy unsent.
+        if self.open.values().any(|open| open.id == order.id) {
+            return OrderEffect::Nothing;
+        }
+        if !self.takes_lead(&order.zone, order.planner_fence) {
+            return void;
+        }
+        let unloads = unloaded_model(&order.action);
+        if unloads.is_some() && self.open.values().any(|open| open.unloads == unloads) {
+            return void;
+        }
+        let open = OpenOrder {
+            id: order.id,
+            server: order.server.clone(),
+            zone: order.zone.clone(),
+            planner_fence: order.planner_fence,
+            unloads,
+        };
+        self.open.insert(offset, open);
+        OrderEffect::Valid(order.clone())
+    }
+}
+
+fn unloaded_model(action: &OrderAction) -> Option<SmolStr> {
+    match action {
+        OrderAction::Unload { item } if item.adapter.is_none() => Some(item.model.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/placement/service.rs
@@ -0,0 +1,326 @@
+//! Runs planning rounds and carries the orders out.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::sync::{Notify, oneshot};
+
+use crate::engine::{EngineClient, LoadReport, OrderAction};
+use crate::ids::{LogOffset, RecordId, VmId};
+use crate::journal::{JournalClient, ReadBatch, StreamName};
+use crate::kernel::TaskGroup;
+use crate::ledger::{LedgerTiming, MemoryLedger};
+use crate::placement::round::run_rounds;
+use crate::placement::{
+    FleetFacts, OrderBoard, OrderReason, OrderRecord, PlacementPolicy, ReadBack,
+};
+use crate::timer::TimerService;
+
+/// Records per read of the stream.
+const READ_MAX: usize = 512;
+/// Added to the read's wait before a hanging read is given up.
+const READ_SLACK: Duration = Duration::from_secs(2);
+
+/// A planner's zone and fencing number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannerFence {
+    pub zone: SmolStr,
+    /// Offset of the `members` record that made the daemon planner.
+    pub fence: LogOffset,
+}
+
+/// What the order service needs of the member table.
+pub trait PlannerRole: Send + Sync + 'static {
+    /// Returns the zone and fencing number if this daemon is planner and inside its term, on a monotonic clock.
+    fn planner_fence(&self) -> Option<PlannerFence>;
+
+    /// Returns whether `vm` left or expired on the replayed `members` stream, or is not on the table.
+    fn has_left(&self, vm: VmId) -> bool;
+}
+
+/// Source of the facts of a planning round: catalog, VM list, demand.
+pub trait FleetView: Send + Sync + 'static {
+    /// Returns the facts as of now.
+    fn facts(&self) -> Arc<FleetFacts>;
+}
+
+/// Times of an [`OrderService`].
+#[derive(Clone, Debug)]
+pub struct OrderSettings {
+    /// Time between planning rounds.
+    pub round: Duration,
+    /// Longest wait for a record to show on the stream.
+    pub record_wait: Duration,
+    /// Longest wait for an engine's answer.
+    pub send_wait: Duration,
+    /// Time after which an order without a final answer is sent again.
+    pub repeat_every: Duration,
+    /// Time after which an order without a final answer is given up; well below the log's retention, so that a
+    /// new planner finds every order that can still be sent.
+    pub repeat_for: Duration,
+    /// Age up to which a load report proves that a replica is there.
+    pub report_max_age: Duration,
+    /// Longest wait of one read.
+    pub read_wait: Duration,
+    /// Pause after a failed read or append.
+    pub retry_pause: Duration,
+    pub timing: LedgerTiming,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            round: Duration::from_millis(500),
+            record_wait: Duration::from_secs(3),
+            send_wait: Duration::from_secs(5),
+            repeat_every: Duration::from_secs(10),
+            repeat_for: Duration::from_secs(600),
+            report_max_age: Duration::from_secs(10),
+            read_wait: Duration::from_millis(500),
+            retry_pause: Duration::from_millis(200),
+            timing: LedgerTiming::default(),
+        }
+    }
+}
+
+/// Memory account of one server for the state dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ServerDump {
+    pub server: SmolStr,
+    pub capacity: u64,
+    pub committed: u64,
+    /// Orders that can still take effect: offset, action, whether open.
+    pub orders: Vec<(LogOffset, OrderAction, bool)>,
+}
+
+/// State of an [`OrderService`] for the state dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct OrderDump {
+    /// Next offset of the stream to apply.
+    pub next: LogOffset,
+    /// Fencing number under which this daemon orders.
+    pub led: Option<LogOffset>,
+    pub open_orders: usize,
+    /// Orders recorded by this daemon since it started, by reason.
+    pub moves: Vec<(OrderReason, u64)>,
+    pub servers: Vec<ServerDump>,
+}
+
+/// The board and the tasks that wait for own records.
+pub(super) struct Desk {
+    pub(super) board: OrderBoard,
+    waiters: HashMap<RecordId, oneshot::Sender<ReadBack>>,
+}
+
+impl Desk {
+    /// Prepares for the own record `id`; the receiver resolves when it is read back.
+    pub(super) fn expect(&mut self, id: RecordId) -> oneshot::Receiver<ReadBack> {
+        let (sender, receiver) = oneshot::channel();
+        self.board.expect(id);
+        self.waiters.insert(id, sender);
+        receiver
+    }
+
+    pub(super) fn withdraw(&mut self, id: RecordId) {
+        self.board.withdraw(id);
+        self.waiters.remove(&id);
+    }
+
+    fn apply(&mut self, offset: LogOffset, record: &OrderRecord, now: Instant) {
+        let Some((id, place)) = self.board.apply(offset, record, now) else {
+            return;
+        };
+        let waiter = self.waiters.remove(&id);
+        let delivered = waiter.is_some_and(|waiter| waiter.send(place).is_ok());
+        if let (false, ReadBack::Valid(offset)) = (delivered, place) {
+            self.board.end(offset);
+        }
+    }
+}
+
+pub(super) struct Shared<J, E> {
+    pub(super) journal: Arc<J>,
+    pub(super) engine: Arc<E>,
+    pub(super) vm: VmId,
+    pub(super) settings: OrderSettings,
+    desk: Mutex<Desk>,
+    /// Wakes the task that appends `Done` records.
+    pub(super) done: Notify,
+}
+
+impl<J, E> Shared<J, E> {
+    pub(super) fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Handle to the tasks that replay `orders` and plan where this daemon is planner. Clones share them.
+pub struct OrderService<J, E> {
+    shared: Arc<Shared<J, E>>,
+}
+
+impl<J, E> Clone for OrderService<J, E> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+        }
+    }
+}
+
+impl<J: JournalClient, E: EngineClient> OrderService<J, E> {
+    /// Starts the tasks in `group`.
+    #[allow(clippy::too_many_arguments)]
+    pub fn spawn<R: PlannerRole, V: FleetView, P: PlacementPolicy>(
+        journal: Arc<J>,
+        engine: Arc<E>,
+        vm: VmId,
+        role: Arc<R>,
+        view: Arc<V>,
+        policy: P,
+        settings: OrderSettings,
+        timer: &TimerService,
+        group: &TaskGroup,
+    ) -> Self {
+        let desk = Desk {
+            board: OrderBoard::new(vm, settings.timing, settings.report_max_age),
+            waiters: HashMap::new(),
+        };
+        let ticks = timer.every(settings.round);
+        let shared = Arc::new(Shared {
+            journal,
+            engine,
+            vm,
+            settings,
+            desk: Mutex::new(desk),
+            done: Notify::new(),
+        });
+        group.spawn_cancellable(read_stream(shared.clone()));
+        group.spawn_cancellable(append_done(shared.clone()));
+        let rounds = run_rounds(shared.clone(), role, view, policy, ticks, group.clone());
+        // The timer service stops with its last handle.
+        let timer = timer.clone();
+        group.spawn_cancellable(async move {
+            rounds.await;
+            drop(timer);
+        });
+        Self { shared }
+    }
+
+    /// Notes a load report of `server`, at the time it arrives.
+    pub fn note_report(&self, server: &SmolStr, report: &LoadReport) {
+        self.shared
+            .desk()
+            .board
+            .note_report(server, report, Instant::now());
+        self.shared.done.notify_one();
+    }
+
+    /// Returns the state for the state dump.
+    pub fn dump(&self) -> OrderDump {
+        let board = &self.shared.desk().board;
+        let mut servers: Vec<ServerDump> = board
+            .ledgers()
+            .map(|(name, ledger)| dump_server(name, ledger))
+            .collect();
+        servers.sort_by(|a, b| a.server.cmp(&b.server));
+        let moves = board
+            .moves()
+            .iter()
+            .map(|(reason, n)| (*reason, *n))
+            .collect();
+        OrderDump {
+            next: board.next(),
+            led: board.led(),
+            open_orders: board.own_len(),
+            moves,
+            servers,
+        }
+    }
+}
+
+fn dump_server(name: &SmolStr, ledger: &MemoryLedger) -> ServerDump {
+    ServerDump {
+        server: name.clone(),
+        capacity: ledger.capacity(),
+        committed: ledger.committed(),
+        orders: ledger
+            .orders()
+            .map(|(fence, order)| (fence, order.action.clone(), order.open))
+            .collect(),
+    }
+}
+
+async fn read_stream<J: JournalClient, E: EngineClient>(shared: Arc<Shared<J, E>>) {
+    let wait = shared.settings.read_wait;
+    loop {
+        let next = shared.desk().board.next();
+        let read = shared
+            .journal
+            .read(StreamName::Orders, next, READ_MAX, wait);
+        match tokio::time::timeout(wait + READ_SLACK, read).await {
+            Ok(Ok(batch)) => apply_read(&shared, &batch),
+            failure => {
+                if let Ok(Err(error)) = failure {
+                    log::debug!("orders cannot be read from offset {next}: {error}");
+                }
+                tokio::time::sleep(shared.settings.retry_pause).await;
+            }
+        }
+    }
+}
+
+fn apply_read<J, E>(shared: &Shared<J, E>, read: &ReadBatch) {
+    let now = Instant::now();
+    let mut desk = shared.desk();
+    for record in &read.records {
+        match OrderRecord::decode(&record.data) {
+            Ok(decoded) => desk.apply(record.offset, &decoded, now),
+            Err(error) => {
+                log::error!("orders record {} is skipped: {error}", record.offset);
+                desk.board.skip(record.offset);
+            }
+        }
+    }
+    drop(desk);
+    shared.done.notify_one();
+}
+
+/// Appends `Done` for closed orders until the stream shows it; a repeated `Done` has no effect.
+async fn append_done<J: JournalClient, E: EngineClient>(shared: Arc<Shared<J, E>>) {
+    loop {
+        shared.done.notified().await;
+        loop {
+            let Some(order) = shared.desk().board.unlogged_done() else {
+                break;
+            };
+            if append(&shared, &OrderRecord::Done { order }).await {
+                shared.desk().board.done_logged(order);
+            } else {
+                tokio::time::sleep(shared.settings.retry_pause).await;
+            }
+        }
+    }
+}
+
+/// Appends a record; returns whether the log confirmed it.
+async fn append<J: JournalClient, E>(shared: &Shared<J, E>, record: &OrderRecord) -> bool {
+    let data = match record.encode() {
+        Ok(data) => data,
+        Err(error) => {
+            log::error!("{error}");
+            return false;
+        }
+    };
+    let append = shared.journal.append(StreamName::Orders, data);
+    match tokio::time::timeout(shared.settings.record_wait, append).await {
+        Ok(Ok(_)) => true,
+        Ok(Err(error)) => {
+            log::debug!("an order record was not confirmed: {error}");
+            false
+        }
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/src/placement/utility.rs
@@ -0,0 +1,51 @@
+//! Estimate of how many requests meet their target with a number of replicas.
+
+use crate::placement::DemandFacts;
+
+/// Tokens per second of one replica with all its slots busy: 32 slots at 26 ms per token. Only the ratio to the
+/// demand matters, and the misses and waiting requests correct it.
+const REPLICA_TOKENS_PER_S: f64 = 1_200.0;
+/// Waiting requests that count as one replica's worth of demand.
+const REPLICA_SLOTS: f64 = 32.0;
+/// Seconds within which requests that wait now should be served.
+const WAITING_WINDOW_S: f64 = 10.0;
+
+/// Returns the demand in replicas that it keeps busy.
+pub(super) fn offered_replicas(demand: &DemandFacts) -> f64 {
+    demand.tokens_per_s.max(0.0) / REPLICA_TOKENS_PER_S + f64::from(demand.waiting) / REPLICA_SLOTS
+}
+
+/// Returns the requests per second that `replicas` serve in time, by Sakasegawa's approximation of the waiting
+/// probability. Above saturation, the served share shrinks with the load, so that each replica still counts.
+pub(super) fn attained_per_s(demand: &DemandFacts, replicas: usize) -> f64 {
+    let offered = offered_replicas(demand);
+    let requests = demand.arrivals_per_s.max(0.0)
+        + demand.misses_per_s.max(0.0)
+        + f64::from(demand.waiting) / WAITING_WINDOW_S;
+    requests * attainment(offered, replicas)
+}
+
+fn attainment(offered: f64, replicas: usize) -> f64 {
+    if replicas == 0 {
+        return 0.0;
+    }
+    let servers = replicas as f64;
+    if offered >= servers {
+        return 0.5 * servers / offered;
+    }
+    let busy = offered / servers;
+    1.0 - 0.5 * busy.powf((2.0 * (servers + 1.0)).sqrt())
+}
+
+/// Returns the requests per second gained by one more replica.
+pub(super) fn gain_per_s(demand: &DemandFacts, replicas: usize) -> f64 {
+    (attained_per_s(demand, replicas + 1) - attained_per_s(demand, replicas)).max(0.0)
+}
+
+/// Returns the requests per second lost by one replica less.
+pub(super) fn loss_per_s(demand: &DemandFacts, replicas: usize) -> f64 {
+    match replicas.checked_sub(1) {
+        Some(fewer) => gain_per_s(demand, fewer),
+        None => 0.0,
+    }
+}
