--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -6,9 +6,9 @@
 
 use bolero::TypeGenerator;
 use foxtailhill::catalog::{
-    AdapterSpec, ApplyVerdict, BackendKind, BackendSpec, ChangeCommand, EntityChange, EntityKind,
-    EntityName, FleetCatalog, FleetPolicy, KeySpec, ModelSpec, OperatorSpec, Revision, RouteSpec,
-    RouteTarget, TeamSpec, VersionSpec,
+    AdapterSpec, ApplyVerdict, BackendKind, BackendSpec, COMMAND_WINDOW, ChangeCommand,
+    EntityChange, EntityKind, EntityName, FleetCatalog, FleetPolicy, KeySpec, ModelSpec,
+    OperatorSpec, Revision, RouteSpec, RouteTarget, TeamSpec, VersionSpec,
 };
 use foxtailhill::ids::{KeyDigest, LogOffset, RecordId};
 use foxtailhill::replica::{decode_state, encode_state};
@@ -522,3 +522,28 @@
     assert!(ChangeCommand::decode(&record).is_err());
     assert!(ChangeCommand::decode(&[]).is_err());
 }
+
+/// Guards against a record of command ids that grows without bound, or that forgets a command too early.
+#[test]
+fn the_window_of_command_ids_is_bounded() {
+    let mut catalog = FleetCatalog::default();
+    let first = put_team("desks", 5, 0);
+    catalog.apply(LogOffset(0), &first);
+    let mut offset = 1;
+    let mut fill = |catalog: &mut FleetCatalog, count: usize| {
+        for _ in 0..count {
+            catalog.apply(LogOffset(offset), &put_team("desks", 5, 7));
+            offset += 1;
+        }
+    };
+    fill(&mut catalog, COMMAND_WINDOW - 1);
+    let found = catalog
+        .applied_command(first.id)
+        .map(|applied| applied.offset);
+    assert_eq!(found, Some(LogOffset(0)));
+    let full = encode_state(&catalog).unwrap().len();
+    fill(&mut catalog, 100);
+    assert_eq!(catalog.applied_command(first.id), None);
+    // Offsets of more digits take a few bytes more.
+    assert!(encode_state(&catalog).unwrap().len() < full + 1_000);
+}
--- /dev/null
+++ b/tests/config_support/daemon.rs
@@ -0,0 +1,49 @@
+//! A daemon's configuration side: replica and operator server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtailhill::ids::KeyDigest;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::operator::OperatorServer;
+use foxtailhill::replica::{CatalogReplica, NoPeers, ReplicaOptions};
+use foxtailhill::timer::TimerService;
+
+use super::FakeLog;
+
+/// A replica with an operator server; its bootstrap key is `first`.
+pub struct Daemon {
+    pub group: TaskGroup,
+    pub replica: Arc<CatalogReplica<FakeLog>>,
+    pub server: OperatorServer,
+}
+
+impl Daemon {
+    pub async fn start(journal: &Arc<FakeLog>, vm: &str) -> Self {
+        let group = TaskGroup::new();
+        let timer = TimerService::spawn(&group);
+        let options = ReplicaOptions {
+            vm: vm.into(),
+            snapshot_period: Duration::from_secs(600),
+        };
+        let replica =
+            CatalogReplica::spawn(&group, &timer, journal.clone(), Arc::new(NoPeers), options);
+        let replica = Arc::new(replica);
+        replica.wait_ready().await.expect("daemon runs");
+        replica.allow_append(true);
+        let server = OperatorServer::bind(
+            &group,
+            "127.0.0.1:0".parse().expect("daemon runs"),
+            replica.clone(),
+            Some(KeyDigest::of(b"first")),
+            Arc::new(Vec::new),
+        )
+        .await
+        .expect("daemon runs");
+        Self {
+            group,
+            replica,
+            server,
+        }
+    }
+}
--- a/tests/config_support/mod.rs
+++ b/tests/config_support/mod.rs
@@ -1,6 +1,8 @@
 //! A log in memory that loses answers, is down, or drops old records when a test says so.
 #![allow(dead_code)]
 
+pub mod daemon;
+
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Duration;
--- /dev/null
+++ b/tests/op.rs
@@ -0,0 +1,214 @@
+//! The `op` command against a daemon's operator server.
+
+mod config_support;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use argh::FromArgs;
+use foxtailhill::catalog::EntityChange;
+use foxtailhill::op::{OpArgs, OpExit, run};
+
+use crate::config_support::FakeLog;
+use crate::config_support::daemon::Daemon;
+
+/// Files of one test.
+struct Directory(PathBuf);
+
+impl Directory {
+    fn create(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("foxtailhill-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("directory can be made");
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("file can be written");
+        path.display().to_string()
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+struct Operator {
+    server: String,
+    key_file: String,
+}
+
+impl Operator {
+    async fn op(&self, command: &[&str]) -> (OpExit, String, String) {
+        let mut words = vec!["--server", &self.server, "--key-file", &self.key_file];
+        words.extend(["--wait-ms", "50"]);
+        words.extend(command);
+        let args = OpArgs::from_args(&["op"], &words).expect("command line is sound");
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = run(&args, &mut out, &mut err).await;
+        let text = |bytes| String::from_utf8(bytes).expect("output is text");
+        (exit, text(out), text(err))
+    }
+}
+
+const FLEET: &str = r#"{
+    "operators": [{"name": "ada", "digest": "a7937b64b8caa58f03721bb6bacf5c78cb235febe0e70b1b84cd99541461a08e"}],
+    "teams": [{"name": "desks", "rate": 900, "burst": 9000}],
+    "models": [{"name": "m", "memory_bytes": 1, "min_replicas": 1, "version": "v1", "first_token_ms": 1}]
+}"#;
+
+/// Guards against a file that is applied in an order that locks the operator out or refers to what is not there
+/// yet, and against changes that are made again.
+#[tokio::test]
+async fn a_file_is_applied_once_and_then_by_difference() {
+    let daemon = Daemon::start(&Arc::new(FakeLog::default()), "vm-1").await;
+    let files = Directory::create("op-apply");
+    let operator = Operator {
+        server: daemon.server.address().to_string(),
+        key_file: files.write("key", "first\n"),
+    };
+    let fleet = files.write("fleet.json", FLEET);
+    let (exit, out, err) = operator.op(&["apply", &fleet]).await;
+    assert_eq!((exit, err.as_str()), (OpExit::Done, ""));
+    assert_eq!(out.lines().count(), 3);
+    let (exit, out, _) = operator.op(&["apply", &fleet]).await;
+    assert_eq!((exit, out.as_str()), (OpExit::Done, ""));
+
+    // The model moves to a version that the same file declares.
+    let moved = FLEET.replace("\"version\": \"v1\"", "\"version\": \"v2\"").replace(
+        "\"models\"",
+        "\"versions\": [{\"model\": \"m\", \"version\": \"v2\", \"memory_bytes\": 2}], \"models\"",
+    );
+    let moved = files.write("moved.json", &moved);
+    let (exit, out, err) = operator.op(&["--json", "apply", &moved]).await;
+    assert_eq!((exit, err.as_str()), (OpExit::Done, ""));
+    let names: Vec<_> = out
+        .lines()
+        .map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap()["name"].clone())
+        .collect();
+    assert_eq!(names, ["m@v2", "m"]);
+
+    let wrong = files.write("wrong.json", &FLEET.replace("\"rate\": 900", "\"rate\": 0"));
+    let (exit, _, err) = operator.op(&["apply", &wrong]).await;
+    assert_eq!(exit, OpExit::Refused);
+    assert!(
+        err.contains("wrong.json:3:15: team `desks`: rate is 0"),
+        "{err}"
+    );
+    daemon.group.shutdown().await;
+}
+
+/// Guards against a key that does not work after its grant, or does after its withdrawal.
+#[tokio::test]
+async fn a_granted_key_works_until_it_is_withdrawn() {
+    let daemon = Daemon::start(&Arc::new(FakeLog::default()), "vm-1").await;
+    let files = Directory::create("op-key");
+    let operator = Operator {
+        server: daemon.server.address().to_string(),
+        key_file: files.write("key", "first"),
+    };
+    let team = r#"{"name": "desks", "rate": 9, "burst": 9}"#;
+    assert_eq!(operator.op(&["put", "team", team]).await.0, OpExit::Done);
+    let (exit, out, _) = operator.op(&["grant-key", "desk-1", "desks"]).await;
+    assert_eq!(exit, OpExit::Done);
+    let secret = out
+        .lines()
+        .find_map(|line| line.strip_prefix("key: "))
+        .unwrap();
+    let known = || {
+        let catalog = daemon.replica.current();
+        catalog
+            .team_of_key(secret)
+            .map(|(key, team)| format!("{key} {team}"))
+    };
+    assert_eq!(known().as_deref(), Some("desk-1 desks"));
+    let (exit, _, _) = operator.op(&["grant-key", "desk-1", "desks"]).await;
+    assert_eq!(exit, OpExit::Conflict);
+    assert!(known().is_some());
+    assert_eq!(
+        operator.op(&["retire", "team", "desks"]).await.0,
+        OpExit::Refused
+    );
+    assert_eq!(
+        operator.op(&["withdraw-key", "desk-1"]).await.0,
+        OpExit::Done
+    );
+    assert_eq!(known(), None);
+    assert_eq!(
+        operator.op(&["retire", "team", "desks"]).await.0,
+        OpExit::Done
+    );
+    daemon.group.shutdown().await;
+}
+
+/// Guards against exit codes by which a script takes a failed change for a success.
+#[tokio::test]
+async fn exit_codes_tell_outcomes_apart() {
+    let daemon = Daemon::start(&Arc::new(FakeLog::default()), "vm-1").await;
+    let files = Directory::create("op-exit");
+    let mut operator = Operator {
+        server: daemon.server.address().to_string(),
+        key_file: files.write("key", "first"),
+    };
+    let team = r#"{"name": "desks", "rate": 9, "burst": 9}"#;
+    daemon.replica.expect_peers(["vm-2".into()].into());
+    let (exit, out, _) = operator.op(&["put", "team", team]).await;
+    assert_eq!(exit, OpExit::Unconfirmed);
+    assert!(out.contains("not confirmed by vm-2"), "{out}");
+    let (exit, _, err) = operator.op(&["put", "team", team, "--base", "0"]).await;
+    assert_eq!(exit, OpExit::Conflict);
+    assert!(err.contains("revision 1"), "{err}");
+    assert_eq!(operator.op(&["put", "team", "{}"]).await.0, OpExit::Refused);
+    assert_eq!(
+        operator.op(&["apply", "no-such-file"]).await.0,
+        OpExit::Usage
+    );
+    daemon
+        .replica
+        .note_peer(&"vm-2".into(), daemon.replica.next_offset());
+    assert_eq!(operator.op(&["watch", "0"]).await.0, OpExit::Done);
+    let (exit, out, _) = operator.op(&["list", "team"]).await;
+    assert_eq!((exit, out.lines().count()), (OpExit::Done, 1));
+    assert_eq!(operator.op(&["members"]).await.0, OpExit::Done);
+
+    let key_file = std::mem::replace(&mut operator.key_file, files.write("other", "guess"));
+    assert_eq!(operator.op(&["list"]).await.0, OpExit::Refused);
+    operator.key_file = "no-such-file".into();
+    assert_eq!(operator.op(&["list"]).await.0, OpExit::Usage);
+    operator.key_file = key_file;
+    daemon.group.shutdown().await;
+    assert_eq!(
+        operator.op(&["put", "team", team]).await.0,
+        OpExit::Unreachable
+    );
+    assert_eq!(daemon.replica.current().entities().len(), 2);
+}
+
+/// Guards against commands that the command line no longer accepts in the documented form.
+#[test]
+fn command_lines_parse() {
+    let prefix = ["--server", "127.0.0.1:7000", "--key-file", "key"];
+    let lines: [&[&str]; 5] = [
+        &["--json", "list"],
+        &["retire", "version", "m@v1", "--base", "4"],
+        &["grant-key", "k", "t", "--digest", &"0f".repeat(32)],
+        &["watch", "12"],
+        &["put", "policy", "{}"],
+    ];
+    for line in lines {
+        let words: Vec<&str> = prefix.iter().chain(line).copied().collect();
+        let parsed = OpArgs::from_args(&["op"], &words);
+        assert!(parsed.is_ok(), "{line:?}: {parsed:?}");
+    }
+    let words: Vec<&str> = prefix
+        .iter()
+        .chain(&["retire", "fleet", "x"])
+        .copied()
+        .collect();
+    assert!(OpArgs::from_args(&["op"], &words).is_err());
+    let policy =
+        foxtailhill::declaration::entity_from_json(foxtailhill::catalog::EntityKind::Policy, "{}");
+    assert_eq!(policy.unwrap(), EntityChange::PutPolicy(Default::default()));
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -3,61 +3,22 @@
 mod config_support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use foxtailhill::ids::KeyDigest;
-use foxtailhill::kernel::TaskGroup;
-use foxtailhill::operator::{CURRENT_REVISION_KEY, OperatorServer};
+use foxtailhill::operator::CURRENT_REVISION_KEY;
 use foxtailhill::proto;
 use foxtailhill::proto::operator_service_client::OperatorServiceClient;
-use foxtailhill::replica::{CatalogReplica, NoPeers, ReplicaOptions};
-use foxtailhill::timer::TimerService;
 use tonic::transport::Channel;
 use tonic::{Code, Request};
 
 use crate::config_support::FakeLog;
+use crate::config_support::daemon::Daemon;
 
 type Client = OperatorServiceClient<Channel>;
 
-struct Daemon {
-    group: TaskGroup,
-    replica: Arc<CatalogReplica<FakeLog>>,
-    server: OperatorServer,
-}
-
-impl Daemon {
-    async fn start(journal: &Arc<FakeLog>, vm: &str) -> Self {
-        let group = TaskGroup::new();
-        let timer = TimerService::spawn(&group);
-        let options = ReplicaOptions {
-            vm: vm.into(),
-            snapshot_period: Duration::from_secs(600),
-        };
-        let replica =
-            CatalogReplica::spawn(&group, &timer, journal.clone(), Arc::new(NoPeers), options);
-        let replica = Arc::new(replica);
-        replica.wait_ready().await.expect("daemon runs");
-        replica.allow_append(true);
-        let server = OperatorServer::bind(
-            &group,
-            "127.0.0.1:0".parse().expect("daemon runs"),
-            replica.clone(),
-            Some(KeyDigest::of(b"first")),
-            Arc::new(Vec::new),
-        )
-        .await
-        .expect("daemon runs");
-        Self {
-            group,
-            replica,
-            server,
-        }
-    }
-
-    async fn client(&self) -> Client {
-        let address = format!("http://{}", self.server.address());
-        Client::connect(address).await.expect("daemon runs")
-    }
+async fn connect(daemon: &Daemon) -> Client {
+    let address = format!("http://{}", daemon.server.address());
+    Client::connect(address).await.expect("daemon runs")
 }
 
 fn with_key<T>(key: &str, message: T) -> Request<T> {
@@ -99,7 +60,7 @@
 async fn bootstrap_key_ends_with_the_first_operator() {
     let journal = Arc::new(FakeLog::default());
     let daemon = Daemon::start(&journal, "vm-1").await;
-    let mut client = daemon.client().await;
+    let mut client = connect(&daemon).await;
     let refused = client.apply(with_key("guess", put(team(5), 0))).await;
     assert_eq!(refused.unwrap_err().code(), Code::Unauthenticated);
     let refused = client.apply(Request::new(put(team(5), 0))).await;
@@ -127,7 +88,7 @@
         Daemon::start(&journal, "vm-1").await,
         Daemon::start(&journal, "vm-2").await,
     ];
-    let mut client = daemons[0].client().await;
+    let mut client = connect(&daemons[0]).await;
     for (name, key, author) in [("ada", "a", "first"), ("eve", "e", "a")] {
         let request = with_key(author, put(operator(name, key), 0));
         client.apply(request).await.unwrap();
@@ -139,7 +100,7 @@
     .await;
     let mut base = 0;
     for round in 1..=20 {
-        let mut clients = [daemons[0].client().await, daemons[1].client().await];
+        let mut clients = [connect(&daemons[0]).await, connect(&daemons[1]).await];
         let [left, right] = &mut clients;
         let (left, right) = tokio::join!(
             left.apply(with_key("a", put(team(round * 2), base))),
@@ -165,7 +126,7 @@
     let journal = Arc::new(FakeLog::default());
     let daemon = Daemon::start(&journal, "vm-1").await;
     daemon.replica.expect_peers(["vm-2".into()].into());
-    let mut client = daemon.client().await;
+    let mut client = connect(&daemon).await;
     let reply = client.apply(with_key("first", put(team(5), 0))).await;
     let reply = reply.unwrap().into_inner();
     assert_eq!(
