Add the balancer and the fault proxy

Cause: tests need skewed balancing, cut zones and one-way faults. Change: weighted round-robin balancer with readiness checks; TCP proxy whose links hold bytes back, delay, reset and refuse in one or both directions, with seeded schedules; the adapters can bind connections to a local address, so that the proxy can tell zones apart on shared listeners. A refused connection is verified to give not_run, a lost answer may_have_run with the record on the log.

--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -6,7 +6,7 @@
 //! carry the types of [`crate::engine`] as JSON.
 
 use std::future::Future as _;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Makes connections come from the address `local`.
+    pub fn with_local_address(mut self, local: IpAddr) -> Self {
+        self.caller = HttpCaller::open_from(self.timeouts.connect, local);
+        self
+    }
+
     async fn get<T: serde::de::DeserializeOwned>(
         &self,
         server: SocketAddr,
--- a/src/engine/service.rs
+++ b/src/engine/service.rs
@@ -1,6 +1,6 @@
 //! HTTP adapter of plain services.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -56,6 +56,12 @@
             timeouts,
         }
     }
+
+    /// Makes connections come from the address `local`.
+    pub fn with_local_address(mut self, local: IpAddr) -> Self {
+        self.caller = HttpCaller::open_from(self.timeouts.connect, local);
+        self
+    }
 }
 
 impl Default for HttpService {
--- a/src/journal/client.rs
+++ b/src/journal/client.rs
@@ -4,7 +4,7 @@
 //! `GET /streams/{name}/records?from=&max=&wait_ms=` answers `{"first", "next", "records": [{"offset", "data"}]}`
 //! with `data` in base64.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -66,6 +66,12 @@
         self
     }
 
+    /// Makes connections come from the address `local`.
+    pub fn with_local_address(mut self, local: IpAddr) -> Self {
+        self.caller = HttpCaller::open_from(CONNECT_TIMEOUT, local);
+        self
+    }
+
     /// Returns the address of the log.
     pub fn server(&self) -> SocketAddr {
         self.server
--- a/src/platform/vms.rs
+++ b/src/platform/vms.rs
@@ -1,6 +1,6 @@
 //! HTTP adapter of the platform's VM list: `GET /vms` answers an array of [`ListedVm`].
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +29,12 @@
             caller: HttpCaller::open(CONNECT_TIMEOUT),
         }
     }
+
+    /// Makes connections come from the address `local`.
+    pub fn with_local_address(mut self, local: IpAddr) -> Self {
+        self.caller = HttpCaller::open_from(CONNECT_TIMEOUT, local);
+        self
+    }
 }
 
 impl VmList for HttpVmList {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 calls shared by the adapters: kept connections, time limits and run verdicts.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,7 +47,17 @@
 impl HttpCaller {
     /// Creates a client that gives up connecting after `connect`.
     pub(crate) fn open(connect: Duration) -> Self {
+        Self::build(connect, None)
+    }
+
+    /// Creates a client whose connections come from the address `local`.
+    pub(crate) fn open_from(connect: Duration, local: IpAddr) -> Self {
+        Self::build(connect, Some(local))
+    }
+
+    fn build(connect: Duration, local: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
+        connector.set_local_address(local);
         connector.set_connect_timeout(Some(connect));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,8 +3,10 @@
 //! Every stand-in is a type with `open(options)`, which returns a running handle with `address()` and
 //! `shutdown()`. The binary `foxtailhill-standin` runs each as a process of its own.
 
+pub mod balancer;
 pub mod client;
 pub mod engine;
+pub mod proxy;
 pub mod record;
 mod serve;
 pub mod service;
@@ -15,7 +17,9 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+pub use crate::balancer::{BalancerOptions, BalancerStandin, BalancerTarget};
 pub use crate::engine::{EngineOptions, EngineStandin};
+pub use crate::proxy::{FaultProxy, FaultSchedule, LinkFault, LinkOptions};
 pub use crate::service::{ServiceOptions, ServiceStandin};
 pub use crate::stream_log::{LogOptions, LogStandin};
 pub use crate::tokens::AnswerScript;
@@ -26,3 +30,16 @@
 pub fn any_port() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
+
+/// Holds a port without listening on it: connections are refused, and no other process gets the port by chance.
+///
+/// A listener that allows the reuse of addresses, as tokio's does, can be opened on the port meanwhile.
+pub fn reserve_port(address: SocketAddr) -> std::io::Result<tokio::net::TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
--- /dev/null
+++ b/standins/src/proxy/mod.rs
@@ -0,0 +1,304 @@
+//! Fault-injecting TCP proxy with one listener for each server.
+//!
+//! A link is labelled with the zone it leads to and the zone it comes from. The latter is fixed for a listener or
+//! found by the source address of each connection, so processes that share a server's address can be told apart
+//! when they bind their connections to addresses of their own.
+
+mod pump;
+mod schedule;
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use foxtailhill::kernel::TaskGroup;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+pub use self::schedule::{FaultAction, FaultSchedule, ScheduledFault};
+use crate::serve::lock;
+
+/// Zone of connections whose source address is not known.
+pub const UNKNOWN_ZONE: &str = "unknown";
+/// Time after which a listener that could not be opened again is tried once more.
+const LISTEN_RETRY: Duration = Duration::from_millis(5);
+
+/// What happens to the bytes of one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DirectionFault {
+    /// Holds bytes back until the fault ends, like lost packets that are sent again.
+    pub drop: bool,
+    /// Time that bytes take in addition.
+    pub delay_ms: u64,
+}
+
+/// State of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkFault {
+    /// From the connecting side to the server.
+    pub forward: DirectionFault,
+    /// From the server back.
+    pub backward: DirectionFault,
+    /// Resets open connections and refuses new ones.
+    pub cut: bool,
+}
+
+impl LinkFault {
+    /// A link without faults.
+    pub const NONE: Self = Self {
+        forward: DirectionFault {
+            drop: false,
+            delay_ms: 0,
+        },
+        backward: DirectionFault {
+            drop: false,
+            delay_ms: 0,
+        },
+        cut: false,
+    };
+
+    /// A link that resets and refuses.
+    pub const CUT: Self = Self {
+        cut: true,
+        ..Self::NONE
+    };
+
+    /// A link that swallows both directions.
+    pub const DROP: Self = Self {
+        forward: DirectionFault {
+            drop: true,
+            delay_ms: 0,
+        },
+        backward: DirectionFault {
+            drop: true,
+            delay_ms: 0,
+        },
+        cut: false,
+    };
+
+    /// A link that takes `ms` longer in each direction.
+    pub fn delay(ms: u64) -> Self {
+        let direction = DirectionFault {
+            drop: false,
+            delay_ms: ms,
+        };
+        Self {
+            forward: direction,
+            backward: direction,
+            cut: false,
+        }
+    }
+}
+
+/// A listener of the proxy.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    pub bind: SocketAddr,
+    /// Server that connections are passed on to.
+    pub server: SocketAddr,
+    /// Zone of the server.
+    pub to: SmolStr,
+    /// Zone of all connections; `None` finds it by the source address.
+    pub from: Option<SmolStr>,
+}
+
+type LinkName = (SmolStr, SmolStr);
+
+struct ProxyState {
+    group: TaskGroup,
+    zones: HashMap<IpAddr, SmolStr>,
+    links: Mutex<HashMap<LinkName, watch::Sender<LinkFault>>>,
+}
+
+/// A running proxy. Dropping it closes all listeners and connections.
+pub struct FaultProxy {
+    state: Arc<ProxyState>,
+}
+
+impl FaultProxy {
+    /// Creates a proxy without listeners; `zones` names the zone of each source address.
+    pub fn open(zones: HashMap<IpAddr, SmolStr>) -> Self {
+        let state = ProxyState {
+            group: TaskGroup::new(),
+            zones,
+            links: Mutex::default(),
+        };
+        Self {
+            state: Arc::new(state),
+        }
+    }
+
+    /// Opens a listener and returns its address.
+    pub async fn listen(&self, options: LinkOptions) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(options.bind).await?;
+        let address = listener.local_addr()?;
+        let options = LinkOptions {
+            bind: address,
+            ..options
+        };
+        let accept = accept(self.state.clone(), options, listener);
+        self.state.group.spawn_cancellable(accept);
+        Ok(address)
+    }
+
+    /// Sets the fault of the links from one zone to another. Open connections follow.
+    pub fn set_link(&self, from: &str, to: &str, fault: LinkFault) {
+        self.state.link(from, to).send_replace(fault);
+    }
+
+    /// Returns the fault of a link.
+    pub fn link(&self, from: &str, to: &str) -> LinkFault {
+        *self.state.link(from, to).borrow()
+    }
+
+    /// Sets the fault of all links between `zone` and other zones that were used or set before.
+    pub fn set_zone(&self, zone: &str, fault: LinkFault) {
+        let links = lock(&self.state.links);
+        for ((from, to), link) in links.iter() {
+            if (from == zone) != (to == zone) {
+                link.send_replace(fault);
+            }
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&self) {
+        for link in lock(&self.state.links).values() {
+            link.send_replace(LinkFault::NONE);
+        }
+    }
+
+    /// Applies one action of a schedule.
+    pub fn apply(&self, action: &FaultAction) {
+        match action {
+            FaultAction::Link { from, to, fault } => self.set_link(from, to, *fault),
+            FaultAction::Zone { zone, fault } => self.set_zone(zone, *fault),
+            FaultAction::Heal => self.heal(),
+        }
+    }
+
+    /// Applies a schedule from now on; returns when its last action is done.
+    pub async fn run(&self, schedule: &FaultSchedule) {
+        let start = tokio::time::Instant::now();
+        for fault in &schedule.faults {
+            tokio::time::sleep_until(start + fault.at).await;
+            self.apply(&fault.action);
+        }
+    }
+
+    /// Closes all listeners and connections and joins all tasks.
+    pub async fn shutdown(self) {
+        self.state.group.shutdown().await;
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.state.group.cancel();
+    }
+}
+
+impl ProxyState {
+    fn link(&self, from: &str, to: &str) -> watch::Sender<LinkFault> {
+        let mut links = lock(&self.links);
+        let link = links.entry((from.into(), to.into()));
+        link.or_insert_with(|| watch::Sender::new(LinkFault::NONE))
+            .clone()
+    }
+
+    fn zone_of(&self, source: SocketAddr) -> SmolStr {
+        let zone = self.zones.get(&source.ip()).cloned();
+        zone.unwrap_or_else(|| SmolStr::new_static(UNKNOWN_ZONE))
+    }
+}
+
+async fn accept(state: Arc<ProxyState>, options: LinkOptions, listener: TcpListener) {
+    // Only a listener with a fixed source can refuse connections before they are accepted.
+    let Some(from) = options.from.clone() else {
+        return accept_all(&state, &options, &listener).await;
+    };
+    let link = state.link(&from, &options.to);
+    let mut changes = link.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        let cut = changes.borrow_and_update().cut;
+        let Some(open) = listener.take_if(|_| !cut) else {
+            listener = refuse(&options, listener, &mut changes).await;
+            continue;
+        };
+        tokio::select! {
+            () = accept_all(&state, &options, &open) => {}
+            _ = changes.changed() => {}
+        }
+        listener = Some(open);
+    }
+}
+
+/// Closes the listener until the link is whole again, and holds the port meanwhile.
+async fn refuse(
+    options: &LinkOptions,
+    listener: Option<TcpListener>,
+    changes: &mut watch::Receiver<LinkFault>,
+) -> Option<TcpListener> {
+    drop(listener);
+    let reservation = crate::reserve_port(options.bind);
+    while changes.borrow_and_update().cut {
+        // The sender lives in the proxy's state, which outlives this task.
+        let _ = changes.changed().await;
+    }
+    let listener = match reservation {
+        Ok(socket) => socket.listen(1024),
+        Err(_) => TcpListener::bind(options.bind).await,
+    };
+    if listener.is_err() {
+        tokio::time::sleep(LISTEN_RETRY).await;
+    }
+    listener.ok()
+}
+
+async fn accept_all(state: &Arc<ProxyState>, options: &LinkOptions, listener: &TcpListener) {
+    loop {
+        let Ok((caller, source)) = listener.accept().await else {
+            tokio::time::sleep(LISTEN_RETRY).await;
+            continue;
+        };
+        let from = options.from.clone();
+        let from = from.unwrap_or_else(|| state.zone_of(source));
+        let link = state.link(&from, &options.to).subscribe();
+        let server = options.server;
+        state
+            .group
+            .spawn_cancellable(connect(caller, source, server, link));
+    }
+}
+
+async fn connect(
+    caller: TcpStream,
+    source: SocketAddr,
+    server: SocketAddr,
+    link: watch::Receiver<LinkFault>,
+) {
+    if link.borrow().cut {
+        pump::reset(&caller);
+        return;
+    }
+    match connect_from(source, server).await {
+        Ok(server) => pump::run(caller, server, link).await,
+        Err(_) => pump::reset(&caller),
+    }
+}
+
+/// Connects from the source's address, so that the server sees it.
+async fn connect_from(source: SocketAddr, server: SocketAddr) -> std::io::Result<TcpStream> {
+    if source.ip().is_loopback() && source.is_ipv4() && server.is_ipv4() {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind((source.ip(), 0).into())?;
+        return socket.connect(server).await;
+    }
+    TcpStream::connect(server).await
+}
--- /dev/null
+++ b/standins/src/proxy/pump.rs
@@ -0,0 +1,109 @@
+//! Moves the bytes of one connection under the fault of its link.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::proxy::{DirectionFault, LinkFault};
+
+/// Chunks under way in one direction; the sender is held up beyond them.
+const CHUNKS_UNDER_WAY: usize = 256;
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Makes the connection end with a reset once it is dropped.
+pub(super) fn reset(stream: &TcpStream) {
+    // A connection that is already closed has no lingering to switch off.
+    let _ = stream.set_zero_linger();
+}
+
+/// Moves bytes both ways until both sides have closed or the link is cut.
+pub(super) async fn run(
+    mut caller: TcpStream,
+    mut server: TcpStream,
+    link: watch::Receiver<LinkFault>,
+) {
+    // Without this, small chunks wait for the acknowledgement of the one before.
+    let _ = caller.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let whole = {
+        let (caller_read, caller_write) = caller.split();
+        let (server_read, server_write) = server.split();
+        let forward = direction(caller_read, server_write, link.clone(), |fault| {
+            fault.forward
+        });
+        let backward = direction(server_read, caller_write, link.clone(), |fault| {
+            fault.backward
+        });
+        tokio::select! {
+            both = async { tokio::try_join!(forward, backward) } => both.is_ok(),
+            () = wait_for_cut(link) => false,
+        }
+    };
+    if !whole {
+        reset(&caller);
+        reset(&server);
+    }
+}
+
+async fn wait_for_cut(mut link: watch::Receiver<LinkFault>) {
+    // An error means that the proxy is gone; its group drops this task.
+    if link.wait_for(|fault| fault.cut).await.is_err() {
+        std::future::pending().await
+    }
+}
+
+async fn direction(
+    read: ReadHalf<'_>,
+    write: WriteHalf<'_>,
+    link: watch::Receiver<LinkFault>,
+    fault: impl Fn(&LinkFault) -> DirectionFault + Copy,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS_UNDER_WAY);
+    let reading = read_chunks(read, sender, link.clone(), fault);
+    let writing = write_chunks(write, receiver, link, fault);
+    tokio::try_join!(reading, writing)?;
+    Ok(())
+}
+
+/// Reads chunks and stamps each with the time at which it may go on. An empty chunk is the end.
+async fn read_chunks(
+    mut read: ReadHalf<'_>,
+    sender: mpsc::Sender<(Instant, Bytes)>,
+    link: watch::Receiver<LinkFault>,
+    fault: impl Fn(&LinkFault) -> DirectionFault,
+) -> io::Result<()> {
+    loop {
+        let mut chunk = BytesMut::with_capacity(CHUNK_BYTES);
+        let count = read.read_buf(&mut chunk).await?;
+        let delay = Duration::from_millis(fault(&link.borrow()).delay_ms);
+        let due = Instant::now() + delay;
+        if sender.send((due, chunk.freeze())).await.is_err() || count == 0 {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_chunks(
+    mut write: WriteHalf<'_>,
+    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+    mut link: watch::Receiver<LinkFault>,
+    fault: impl Fn(&LinkFault) -> DirectionFault,
+) -> io::Result<()> {
+    while let Some((due, chunk)) = receiver.recv().await {
+        tokio::time::sleep_until(due).await;
+        if link.wait_for(|link| !fault(link).drop).await.is_err() {
+            return Ok(());
+        }
+        if chunk.is_empty() {
+            return write.shutdown().await;
+        }
+        write.write_all(&chunk).await?;
+    }
+    Ok(())
+}
