--- a/standins/src/bin/foxtailhill-standin.rs
+++ b/standins/src/bin/foxtailhill-standin.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use foxtailhill_standins::balancer::{BalancerOptions, BalancerStandin, BalancerTarget};
 use foxtailhill_standins::engine::{EngineOptions, EngineStandin};
+use foxtailhill_standins::proxy::{FaultProxy, LinkOptions};
 use foxtailhill_standins::service::{ServiceOptions, ServiceStandin};
 use foxtailhill_standins::stream_log::{LogOptions, LogStandin};
 use foxtailhill_standins::vm_list::{VmListControl, VmListOptions, VmListStandin};
 use foxtailhill_standins::weight_store::{WeightStoreOptions, WeightStoreStandin};
+use serde_json::json;
 
 /// Stand-ins of the platform and of backend servers.
 #[derive(FromArgs)]
@@ -25,6 +28,8 @@
     Vms(VmsArguments),
     Engine(EngineArguments),
     Service(ServiceArguments),
+    Balancer(BalancerArguments),
+    Proxy(ProxyArguments),
 }
 
 /// The append-only log.
@@ -120,6 +125,64 @@
     forget_received: bool,
 }
 
+/// The balancer. It also prints its control address.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "balancer")]
+struct BalancerArguments {
+    /// address to bind for callers
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    bind: SocketAddr,
+    /// address to bind for control calls
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    control_bind: SocketAddr,
+    /// path of the readiness check
+    #[argh(option, default = "\"/ready\".to_owned()")]
+    ready_path: String,
+    /// caller address of an entry VM, or caller and admin address separated by a comma; repeatable
+    #[argh(option, from_str_fn(parse_target))]
+    target: Vec<BalancerTarget>,
+}
+
+/// The fault proxy. It prints its control address and the address of each listener.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "proxy")]
+struct ProxyArguments {
+    /// address to bind for control calls
+    #[argh(option, default = "foxtailhill_standins::any_port()")]
+    control_bind: SocketAddr,
+    /// listener as `from,to,bind,server`, with zones for `from` and `to`; repeatable
+    #[argh(option, from_str_fn(parse_link))]
+    link: Vec<LinkOptions>,
+}
+
+fn parse_target(text: &str) -> Result<BalancerTarget, String> {
+    let (caller, admin) = text
+        .split_once(',')
+        .map_or((text, None), |(caller, admin)| (caller, Some(admin)));
+    Ok(BalancerTarget {
+        caller: parse_address(caller)?,
+        admin: admin.map(parse_address).transpose()?,
+        weight: 1,
+    })
+}
+
+fn parse_link(text: &str) -> Result<LinkOptions, String> {
+    let parts: Vec<&str> = text.split(',').collect();
+    let [from, to, bind, server] = parts[..] else {
+        return Err(format!("`{text}` is not `from,to,bind,server`"));
+    };
+    Ok(LinkOptions {
+        bind: parse_address(bind)?,
+        server: parse_address(server)?,
+        to: to.into(),
+        from: Some(from.into()),
+    })
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|error| format!("`{text}`: {error}"))
+}
+
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
@@ -129,16 +192,21 @@
         Command::Vms(arguments) => run_vms(arguments).await,
         Command::Engine(arguments) => run_engine(arguments).await,
         Command::Service(arguments) => run_service(arguments).await,
+        Command::Balancer(arguments) => run_balancer(arguments).await,
+        Command::Proxy(arguments) => run_proxy(arguments).await,
     }
 }
 
-/// Prints the bound address and waits for SIGTERM or SIGINT.
 async fn serve_until_stopped(address: SocketAddr) -> eyre::Result<()> {
+    wait_for_stop(json!({"address": address})).await
+}
+
+/// Prints the line with the bound addresses and waits for SIGTERM or SIGINT.
+async fn wait_for_stop(line: serde_json::Value) -> eyre::Result<()> {
     use std::io::Write;
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let line = serde_json::json!({"address": address});
     let mut out = std::io::stdout().lock();
     writeln!(out, "{line}")?;
     out.flush()?;
@@ -223,3 +291,30 @@
     service.shutdown().await;
     Ok(())
 }
+
+async fn run_balancer(arguments: BalancerArguments) -> eyre::Result<()> {
+    let balancer = BalancerStandin::open(BalancerOptions {
+        bind: arguments.bind,
+        control_bind: arguments.control_bind,
+        targets: arguments.target,
+        ready_path: arguments.ready_path,
+        ..BalancerOptions::default()
+    })
+    .await?;
+    let line = json!({"address": balancer.address(), "control": balancer.control_address()});
+    wait_for_stop(line).await?;
+    balancer.shutdown().await;
+    Ok(())
+}
+
+async fn run_proxy(arguments: ProxyArguments) -> eyre::Result<()> {
+    let proxy = FaultProxy::open(std::collections::HashMap::new());
+    let mut links = Vec::new();
+    for link in arguments.link {
+        links.push(proxy.listen(link).await?);
+    }
+    let control = proxy.serve_control(arguments.control_bind).await?;
+    wait_for_stop(json!({"address": control, "links": links})).await?;
+    proxy.shutdown().await;
+    Ok(())
+}
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -97,7 +97,9 @@
         };
         let cached = lock(&state.cache).cached_blocks(&sequence.prefixes);
         sequence.prefill = sequence.prefill.saturating_sub(state.block_tokens(cached));
-        lock(&state.journal).runs[sequence.run].started = true;
+        let run = &mut lock(&state.journal).runs[sequence.run];
+        run.started = true;
+        run.prefilled = sequence.prefill;
         batch.running.push(sequence);
     }
     if batch.running.is_empty() {
--- a/standins/src/engine/http_api.rs
+++ b/standins/src/engine/http_api.rs
@@ -134,6 +134,7 @@
         priority: body.priority,
         messages_hash: xxh3_64(messages),
         started: false,
+        prefilled: 0,
         first_index,
         next_index: first_index,
         resume_matches: resume_matches.all(|matches| matches),
@@ -160,11 +161,18 @@
 }
 
 fn stream_answer(events: mpsc::UnboundedReceiver<SequenceEvent>, cut: ConnectionCut) -> Response {
-    let events = UnboundedReceiverStream::new(events).map(move |event| match event {
-        SequenceEvent::Data(data) => Ok(data),
-        SequenceEvent::Break => {
-            cut.trigger();
-            Err(std::io::Error::other("broken on purpose"))
+    let events = UnboundedReceiverStream::new(events).then(move |event| {
+        let cut = cut.clone();
+        async move {
+            match event {
+                SequenceEvent::Data(data) => Ok(data),
+                SequenceEvent::Break => {
+                    // The server flushes earlier chunks only when the body has nothing ready.
+                    tokio::task::yield_now().await;
+                    cut.trigger();
+                    Err(std::io::Error::other("broken on purpose"))
+                }
+            }
         }
     });
     let headers = [(header::CONTENT_TYPE, "text/event-stream")];
--- a/standins/src/engine/journal.rs
+++ b/standins/src/engine/journal.rs
@@ -29,6 +29,8 @@
     pub messages_hash: u64,
     /// Whether the request entered the batch.
     pub started: bool,
+    /// Prompt tokens that were not in the prefix cache when the request entered the batch.
+    pub prefilled: u32,
     /// Index of the first token of this run; not 0 if a stream was resumed.
     pub first_index: u32,
     pub next_index: u32,
--- a/standins/src/proxy/mod.rs
+++ b/standins/src/proxy/mod.rs
@@ -12,6 +12,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use axum::extract::State;
+use axum::routing::post;
+use axum::{Json, Router};
 use foxtailhill::kernel::TaskGroup;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -107,6 +110,15 @@
     pub from: Option<SmolStr>,
 }
 
+/// A control call that sets the fault of a link.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkControl {
+    pub from: SmolStr,
+    pub to: SmolStr,
+    #[serde(default)]
+    pub fault: LinkFault,
+}
+
 type LinkName = (SmolStr, SmolStr);
 
 struct ProxyState {
@@ -168,9 +180,7 @@
 
     /// Ends all faults.
     pub fn heal(&self) {
-        for link in lock(&self.state.links).values() {
-            link.send_replace(LinkFault::NONE);
-        }
+        self.state.heal();
     }
 
     /// Applies one action of a schedule.
@@ -191,6 +201,15 @@
         }
     }
 
+    /// Serves `POST /control/links` with a [`LinkControl`] and `POST /control/heal`; returns the address.
+    pub async fn serve_control(&self, bind: SocketAddr) -> std::io::Result<SocketAddr> {
+        let router = Router::new()
+            .route("/control/links", post(set_link))
+            .route("/control/heal", post(heal))
+            .with_state(self.state.clone());
+        crate::serve::listen(bind, router, &self.state.group).await
+    }
+
     /// Closes all listeners and connections and joins all tasks.
     pub async fn shutdown(self) {
         self.state.group.shutdown().await;
@@ -211,6 +230,12 @@
             .clone()
     }
 
+    fn heal(&self) {
+        for link in lock(&self.links).values() {
+            link.send_replace(LinkFault::NONE);
+        }
+    }
+
     fn zone_of(&self, source: SocketAddr) -> SmolStr {
         let zone = self.zones.get(&source.ip()).cloned();
         zone.unwrap_or_else(|| SmolStr::new_static(UNKNOWN_ZONE))
@@ -302,3 +327,13 @@
     }
     TcpStream::connect(server).await
 }
+
+async fn set_link(State(state): State<Arc<ProxyState>>, Json(control): Json<LinkControl>) {
+    state
+        .link(&control.from, &control.to)
+        .send_replace(control.fault);
+}
+
+async fn heal(State(state): State<Arc<ProxyState>>) {
+    state.heal();
+}
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -54,9 +54,7 @@
         router: Router,
         group: TaskGroup,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        group.spawn_cancellable(accept(listener, router, group.clone()));
+        let address = listen(address, router, &group).await?;
         Ok(Self { address, group })
     }
 
@@ -82,6 +80,18 @@
     }
 }
 
+/// Binds `address`, serves `router` on it in `group` and returns the bound address.
+pub(crate) async fn listen(
+    address: SocketAddr,
+    router: Router,
+    group: &TaskGroup,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    group.spawn_cancellable(accept(listener, router, group.clone()));
+    Ok(address)
+}
+
 async fn accept(listener: TcpListener, router: Router, group: TaskGroup) {
     loop {
         match listener.accept().await {
