--- a/src/limit/budget.rs
+++ b/src/limit/budget.rs
@@ -45,9 +45,9 @@
     epoch: u64,
 }
 
-/// A charge against one budget.
+/// A charge against one budget, ended by [`BudgetTable::settle`].
 #[derive(Debug)]
-pub(super) struct BudgetCharge {
+pub struct BudgetCharge {
     epoch: u64,
     mark: ChargeMark,
     borrowed: u64,
@@ -55,7 +55,7 @@
 
 /// Why a charge was not possible at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Shortage {
+pub enum Shortage {
     /// The team has no budget here.
     UnknownTeam,
     /// This daemon is outside its term.
@@ -72,7 +72,7 @@
 
 /// Budgets of all teams.
 #[derive(Debug, Default)]
-pub(super) struct BudgetTable {
+pub struct BudgetTable {
     grant: Option<ShareGrant>,
     teams: HashMap<SmolStr, TeamBudget>,
     next_epoch: u64,
@@ -81,7 +81,7 @@
 
 impl BudgetTable {
     /// Takes over the declared teams. A new team starts with an empty bucket.
-    pub(super) fn set_teams(&mut self, teams: &[TeamSpec], now: Instant) {
+    pub fn set_teams(&mut self, teams: &[TeamSpec], now: Instant) {
         self.teams
             .retain(|name, _| teams.iter().any(|team| team.name == *name));
         for spec in teams {
@@ -108,7 +108,7 @@
     }
 
     /// Takes over the share; returns when all loans fit into it.
-    pub(super) fn set_grant(&mut self, grant: Option<ShareGrant>, now: Instant) -> Instant {
+    pub fn set_grant(&mut self, grant: Option<ShareGrant>, now: Instant) -> Instant {
         if grant.map(|grant| grant.vm) != self.grant.map(|grant| grant.vm) {
             return self.restart(grant, now);
         }
@@ -155,7 +155,11 @@
     }
 
     /// Charges `tokens` to `team` from loans, which lapse, and then from the own bucket.
-    pub(super) fn charge(
+    ///
+    /// # Errors
+    ///
+    /// Says what is missing; nothing is charged then.
+    pub fn charge(
         &mut self,
         team: &str,
         tokens: u64,
@@ -190,7 +194,7 @@
     }
 
     /// Ends a charge. Borrowed tokens count as used first; those left over have lapsed and are not refunded.
-    pub(super) fn settle(&mut self, team: &str, charge: BudgetCharge, used: u64, now: Instant) {
+    pub fn settle(&mut self, team: &str, charge: BudgetCharge, used: u64, now: Instant) {
         let Some(budget) = self.teams.get_mut(team) else {
             return;
         };
@@ -204,7 +208,7 @@
     }
 
     /// Debits a loan of up to `tokens`.
-    pub(super) fn lend(
+    pub fn lend(
         &mut self,
         team: &str,
         tokens: u64,
@@ -225,7 +229,7 @@
     }
 
     /// Adds a loan from a peer.
-    pub(super) fn add_loan(
+    pub fn add_loan(
         &mut self,
         team: &str,
         lender: SocketAddr,
@@ -239,7 +243,7 @@
     }
 
     /// Returns the spare tokens of each team.
-    pub(super) fn spare(&mut self, now: Instant) -> Vec<(SmolStr, u64)> {
+    pub fn spare(&mut self, now: Instant) -> Vec<(SmolStr, u64)> {
         if !self.in_term(now) {
             return Vec::new();
         }
@@ -251,7 +255,7 @@
     }
 
     /// Returns the state for the dump, teams in order of name.
-    pub(super) fn dump(&mut self, now: Instant) -> LimitDump {
+    pub fn dump(&mut self, now: Instant) -> LimitDump {
         let ppm = self
             .grant
             .filter(|grant| now < grant.until)
--- a/src/limit/even.rs
+++ b/src/limit/even.rs
@@ -8,8 +8,7 @@
 use crate::catalog::TeamSpec;
 use crate::error::{Category, Error, Result};
 use crate::ids::VmId;
-use crate::limit::budget::{BudgetCharge, BudgetTable, Shortage};
-use crate::limit::{TokenCharge, TokenLimiter};
+use crate::limit::{BudgetCharge, BudgetTable, Shortage, TokenCharge, TokenLimiter};
 use crate::member::{ShareGrant, WHOLE_PPM};
 
 /// Limiter with the share `1/members` that never borrows. Kept to measure what loans gain.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -17,10 +17,10 @@
 use smol_str::SmolStr;
 
 pub use self::bucket::{BucketLimit, ChargeMark, TokenBucket};
-pub use self::budget::{BudgetDump, LimitDump};
+pub use self::budget::{BudgetCharge, BudgetDump, BudgetTable, LimitDump, Shortage};
 pub use self::even::{EvenSplitCharge, EvenSplitLimiter};
 pub use self::loan::LoanLedger;
-pub use self::service::{LimitCharge, LimitService};
+pub use self::service::{LOAN_LIFETIME, LimitCharge, LimitService};
 use crate::error::Result;
 
 /// Charges teams for tokens.
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -11,8 +11,7 @@
 use crate::error::{Category, Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
-use crate::limit::budget::{BudgetCharge, BudgetTable, Shortage};
-use crate::limit::{LimitDump, TokenCharge, TokenLimiter};
+use crate::limit::{BudgetCharge, BudgetTable, LimitDump, Shortage, TokenCharge, TokenLimiter};
 use crate::member::{Lender, PeerBoard, ShareGrant, ShareSink};
 use crate::peer::{PeerCaller, PeerReply, PeerRequest, TokenLoan};
 
