--- a/src/daemon/dump.rs
+++ b/src/daemon/dump.rs
@@ -118,7 +118,10 @@
 impl<P: PolicyParts> StateDump for DaemonState<P> {
     fn ready(&self) -> Result<()> {
         if self.draining.load(Ordering::Relaxed) {
-            return Err(Error::new(Category::ShuttingDown, "the daemon is shutting down"));
+            return Err(Error::new(
+                Category::ShuttingDown,
+                "the daemon is shutting down",
+            ));
         }
         if !self.replica.is_ready() {
             return Err(Error::unavailable("the configuration is not loaded yet"));
--- a/src/daemon/facts.rs
+++ b/src/daemon/facts.rs
@@ -46,7 +46,9 @@
         let mut waiting = lock(&self.waiting);
         for demand in demands {
             let key = (demand.model.clone(), demand.adapter.clone());
-            let sum = sums.entry(key.clone()).or_insert_with(|| DemandSums::new(now));
+            let sum = sums
+                .entry(key.clone())
+                .or_insert_with(|| DemandSums::new(now));
             sum.decay(now);
             sum.arrivals += f64::from(demand.arrivals);
             sum.tokens += demand.tokens as f64;
@@ -61,7 +63,10 @@
         let waiting = waiting.iter().filter(|((of, _), _)| of == key);
         let waiting = waiting.map(|(_, (_, count))| *count).sum();
         let Some(mut sum) = lock(&self.sums).get(key).copied() else {
-            return DemandFacts { waiting, ..DemandFacts::default() };
+            return DemandFacts {
+                waiting,
+                ..DemandFacts::default()
+            };
         };
         sum.decay(now);
         let window = DEMAND_WINDOW.as_secs_f64();
@@ -76,7 +81,12 @@
 
 impl DemandSums {
     fn new(now: Instant) -> Self {
-        Self { updated_at: now, arrivals: 0.0, tokens: 0.0, misses: 0.0 }
+        Self {
+            updated_at: now,
+            arrivals: 0.0,
+            tokens: 0.0,
+            misses: 0.0,
+        }
     }
 
     fn decay(&mut self, now: Instant) {
@@ -105,7 +115,10 @@
 impl PlannerRole for DaemonFacts {
     fn planner_fence(&self) -> Option<PlannerFence> {
         let fence = self.members.planner_fence(&self.zone, Instant::now())?;
-        Some(PlannerFence { zone: self.zone.clone(), fence })
+        Some(PlannerFence {
+            zone: self.zone.clone(),
+            fence,
+        })
     }
 
     fn has_left(&self, vm: VmId) -> bool {
@@ -117,8 +130,12 @@
     fn facts(&self) -> Arc<FleetFacts> {
         let now = Instant::now();
         let catalog = self.replica.current();
-        let zones: std::collections::BTreeSet<SmolStr> =
-            self.members.members().into_iter().map(|(_, entry)| entry.zone).collect();
+        let zones: std::collections::BTreeSet<SmolStr> = self
+            .members
+            .members()
+            .into_iter()
+            .map(|(_, entry)| entry.zone)
+            .collect();
         Arc::new(FleetFacts {
             models: self.model_facts(&catalog, now),
             adapters: self.adapter_facts(&catalog, now),
@@ -147,7 +164,9 @@
     fn model_demand(&self, catalog: &FleetCatalog, model: &SmolStr, now: Instant) -> DemandFacts {
         let mut total = self.demand.facts(&(model.clone(), None), now);
         for adapter in catalog.adapters().filter(|adapter| adapter.model == *model) {
-            let part = self.demand.facts(&(model.clone(), Some(adapter.name.clone())), now);
+            let part = self
+                .demand
+                .facts(&(model.clone(), Some(adapter.name.clone())), now);
             total.arrivals_per_s += part.arrivals_per_s;
             total.tokens_per_s += part.tokens_per_s;
             total.misses_per_s += part.misses_per_s;
@@ -182,7 +201,13 @@
 }
 
 fn engine_facts(spec: &BackendSpec, leaving: bool, reachable: bool) -> Option<ServerFacts> {
-    let BackendKind::Engine { memory_bytes, slots, checks_fencing, .. } = spec.kind else {
+    let BackendKind::Engine {
+        memory_bytes,
+        slots,
+        checks_fencing,
+        ..
+    } = spec.kind
+    else {
         return None;
     };
     Some(ServerFacts {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,13 +15,11 @@
 use crate::claim::{ClaimService, ClaimSettings};
 use crate::currency::ViewCurrency;
 use crate::daemon::dump::DaemonState;
-use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
 use crate::daemon::facts::DemandBoard;
+use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
 use crate::daemon::peers::{DaemonPeers, DaemonStatus, PeerLink};
 use crate::daemon::tasks::{ReportInbox, TaskContext};
-use crate::dispatch::{
-    AccessGate, DemandMeter, DispatchContext, RequestDispatcher, WaitRoom,
-};
+use crate::dispatch::{AccessGate, DemandMeter, DispatchContext, RequestDispatcher, WaitRoom};
 use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
 use crate::error::Result;
 use crate::history::RequestHistory;
@@ -168,7 +166,12 @@
     let draining = Arc::new(AtomicBool::new(false));
     let orders = parts::spawn_orders::<P>(settings, services, &core);
     let state = Arc::new(DaemonState::new(
-        settings, &core, orders.clone(), dispatcher.clone(), currency.clone(), draining.clone(),
+        settings,
+        &core,
+        orders.clone(),
+        dispatcher.clone(),
+        currency.clone(),
+        draining.clone(),
     ));
     let context = TaskContext {
         peer: settings.listen.peer,
@@ -180,10 +183,18 @@
     };
     tasks::spawn_all(services, settings, &core, reports, context);
 
-    let sources = AdminSources { state, metrics: metrics.clone(), history: history.clone() };
+    let sources = AdminSources {
+        state,
+        metrics: metrics.clone(),
+        history: history.clone(),
+    };
     let admin =
         AdminServer::bind(services, settings.listen.admin, &settings.limits, sources).await?;
-    let handler = Arc::new(DaemonPeers::new(&core, core.demand.clone(), dispatcher.clone()));
+    let handler = Arc::new(DaemonPeers::new(
+        &core,
+        core.demand.clone(),
+        dispatcher.clone(),
+    ));
     let peer = PeerServer::bind(services, settings.listen.peer, handler).await?;
     let operator = OperatorServer::bind(
         services,
@@ -193,7 +204,11 @@
         peers::member_lister(core.members.clone()),
     )
     .await?;
-    let caller_settings = CallerSettings { limits: settings.limits.clone(), history, metrics };
+    let caller_settings = CallerSettings {
+        limits: settings.limits.clone(),
+        history,
+        metrics,
+    };
     let caller = CallerServer::bind(
         requests,
         settings.listen.caller,
@@ -207,7 +222,11 @@
         peer: peer.address(),
         admin: admin.address(),
     };
-    log::info!("daemon {} of zone {} is serving: {addresses:?}", settings.vm, settings.zone);
+    log::info!(
+        "daemon {} of zone {} is serving: {addresses:?}",
+        settings.vm,
+        settings.zone
+    );
     Ok(DaemonHandle {
         addresses,
         settings: settings.clone(),
@@ -223,10 +242,7 @@
     })
 }
 
-fn open_core(
-    settings: &DaemonSettings,
-    group: &TaskGroup,
-) -> Result<(CoreServices, ReportInbox)> {
+fn open_core(settings: &DaemonSettings, group: &TaskGroup) -> Result<(CoreServices, ReportInbox)> {
     let kernel = ServiceKernel::new();
     let timer = TimerService::spawn(group);
     let journal = Arc::new(HttpJournal::open(settings.platform.log));
@@ -235,8 +251,10 @@
     let engine = Arc::new(Engine::open(EngineTimeouts::default()));
     let board = Arc::new(PeerBoard::new());
     let link = Arc::new(PeerLink::new(client.clone()));
-    let options =
-        ReplicaOptions { vm: settings.vm.clone(), snapshot_period: SNAPSHOT_PERIOD };
+    let options = ReplicaOptions {
+        vm: settings.vm.clone(),
+        snapshot_period: SNAPSHOT_PERIOD,
+    };
     let replica = Replica::spawn(group, &timer, journal.clone(), link.clone(), options);
     let replica = kernel.register(service_name::REPLICA, Arc::new(replica))?;
     let teams = tasks::follow_teams(group, &replica);
@@ -250,7 +268,14 @@
         call_time: REPORT_TIME,
     };
     let clients = (engine.clone(), vms.clone());
-    let watch = Watch::spawn(group, &timer, watch_settings, clients, prefixes.clone(), sink);
+    let watch = Watch::spawn(
+        group,
+        &timer,
+        watch_settings,
+        clients,
+        prefixes.clone(),
+        sink,
+    );
     let watch = kernel.register(service_name::WATCH, Arc::new(watch))?;
     let status = DaemonStatus::new(replica.clone(), limits.clone(), watch.clone());
     let members = Members::open(
@@ -319,7 +344,10 @@
     pub async fn shutdown(self) {
         let started = Instant::now();
         self.draining.store(true, Ordering::Relaxed);
-        log::info!("shutting down; the balancer has {:?} to notice", self.settings.timing.balancer_lag);
+        log::info!(
+            "shutting down; the balancer has {:?} to notice",
+            self.settings.timing.balancer_lag
+        );
         tokio::time::sleep(self.settings.timing.balancer_lag).await;
         self.operator.stop();
         let drained = async {
@@ -327,8 +355,14 @@
             // A non-repeatable call goes on when its caller has gone; its outcome must be kept.
             self.requests.shutdown().await;
         };
-        if tokio::time::timeout(self.settings.timing.drain, drained).await.is_err() {
-            log::error!("requests were still running after {:?}", self.settings.timing.drain);
+        if tokio::time::timeout(self.settings.timing.drain, drained)
+            .await
+            .is_err()
+        {
+            log::error!(
+                "requests were still running after {:?}",
+                self.settings.timing.drain
+            );
         }
         if let Err(error) = self.members.leave(FAREWELL_TIME).await {
             log::warn!("the share stays reserved until it expires: {error}");
--- a/src/daemon/parts.rs
+++ b/src/daemon/parts.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::catalog::RequestClass;
 use crate::claim::ClaimService;
 use crate::daemon::CoreServices;
-use crate::daemon::facts::{DaemonFacts, DemandBoard};
+use crate::daemon::facts::DaemonFacts;
 use crate::dispatch::{DispatchParts, FleetSource, Waiter};
 use crate::engine::{HttpEngine, HttpService};
 use crate::journal::HttpJournal;
@@ -14,15 +13,11 @@
 use crate::limit::LimitService;
 use crate::member::MemberService;
 use crate::peer::PeerClient;
-use crate::placement::{
-    FloorFirstPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy,
-};
+use crate::placement::{FloorFirstPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy};
 use crate::platform::{HttpVmList, VmList};
-use crate::queue::{FifoQueue, QueuePolicy, WaitQueue};
+use crate::queue::{FifoQueue, WaitQueue};
 use crate::replica::CatalogReplica;
-use crate::routing::{
-    ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy, RoutingPolicy,
-};
+use crate::routing::{ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy};
 use crate::settings::DaemonSettings;
 use crate::watch::FleetWatch;
 
@@ -146,7 +141,10 @@
     });
     let order_delay = core.replica.current().policy().order_delay;
     let order_settings = OrderSettings {
-        timing: LedgerTiming { order_delay, ..LedgerTiming::default() },
+        timing: LedgerTiming {
+            order_delay,
+            ..LedgerTiming::default()
+        },
         ..OrderSettings::default()
     };
     Arc::new(OrderService::spawn(
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use smol_str::{SmolStr, ToSmolStr};
+use smol_str::SmolStr;
 
-use crate::daemon::parts::{Limits, Members, PolicyParts, Replica, Watch};
-use crate::daemon::facts::DemandBoard;
 use crate::daemon::CoreServices;
+use crate::daemon::facts::DemandBoard;
+use crate::daemon::parts::{Limits, Members, PolicyParts, Replica, Watch};
 use crate::dispatch::RequestDispatcher;
 use crate::error::{Error, Result};
 use crate::ids::LogOffset;
@@ -29,7 +29,10 @@
 
 impl PeerLink {
     pub(super) fn new(client: Arc<PeerClient>) -> Self {
-        Self { client, members: OnceLock::new() }
+        Self {
+            client,
+            members: OnceLock::new(),
+        }
     }
 
     pub(super) fn set_members(&self, members: Arc<Members>) {
@@ -48,9 +51,10 @@
             return Vec::new();
         };
         let addresses = members.peer_addresses();
-        let calls = addresses
-            .into_iter()
-            .map(|address| self.client.call(address, PeerRequest::FetchState, STATE_TIME));
+        let calls = addresses.into_iter().map(|address| {
+            self.client
+                .call(address, PeerRequest::FetchState, STATE_TIME)
+        });
         let replies = join_all(calls).await.into_iter();
         let states = replies.filter_map(|reply| match reply {
             Ok(PeerReply::State(state)) => Some(state),
@@ -62,7 +66,10 @@
     fn writes_snapshots(&self) -> bool {
         // The lowest incarnation writes; a wrong view of the members costs a double snapshot at most.
         self.members.get().is_some_and(|members| {
-            members.members().first().is_some_and(|(vm, _)| *vm == members.vm())
+            members
+                .members()
+                .first()
+                .is_some_and(|(vm, _)| *vm == members.vm())
         })
     }
 }
@@ -76,7 +83,11 @@
 
 impl DaemonStatus {
     pub(super) fn new(replica: Arc<Replica>, limits: Arc<Limits>, watch: Arc<Watch>) -> Self {
-        Self { replica, limits, watch }
+        Self {
+            replica,
+            limits,
+            watch,
+        }
     }
 }
 
@@ -129,9 +140,11 @@
                 self.watch.note_leaving(&status.leaving);
                 Ok(PeerReply::Status(self.members.answer_status(&status)))
             }
-            PeerRequest::Borrow { borrower, team, tokens } => {
-                Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens)))
-            }
+            PeerRequest::Borrow {
+                borrower,
+                team,
+                tokens,
+            } => Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens))),
             PeerRequest::PushConfig { first, records } => {
                 Ok(PeerReply::Applied(self.replica.push(first, &records)))
             }
@@ -140,12 +153,15 @@
                 Ok(PeerReply::Done)
             }
             PeerRequest::Demand { reporter, demands } => {
-                self.demand.note(reporter, &demands, std::time::Instant::now());
+                self.demand
+                    .note(reporter, &demands, std::time::Instant::now());
                 Ok(PeerReply::Done)
             }
             PeerRequest::FetchState => {
                 let state = self.replica.encode_state();
-                state.map(PeerReply::State).map_err(|error| Error::unavailable(error.message()))
+                state
+                    .map(PeerReply::State)
+                    .map_err(|error| Error::unavailable(error.message()))
             }
         }
     }
@@ -156,7 +172,9 @@
     Arc::new(move || {
         let list = members.members().into_iter();
         let list = list.map(|(vm, entry)| {
-            let planner = members.planner(&entry.zone).is_some_and(|planner| planner.vm == vm);
+            let planner = members
+                .planner(&entry.zone)
+                .is_some_and(|planner| planner.vm == vm);
             proto::Member {
                 vm: vm.to_string(),
                 name: entry.name.to_string(),
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -39,8 +39,10 @@
 pub(super) type ReportInbox = mpsc::UnboundedReceiver<(SmolStr, LoadReport)>;
 
 /// Returns a sink for the fleet watch, and the inbox that the order service reads. The two start in that order.
-pub(super) fn report_channel()
--> (impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static, ReportInbox) {
+pub(super) fn report_channel() -> (
+    impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static,
+    ReportInbox,
+) {
     let (sender, inbox) = mpsc::unbounded_channel();
     let sink = move |name: &SmolStr, report: &LoadReport| {
         // The inbox closes at shutdown only.
@@ -89,7 +91,10 @@
     context: TaskContext<P>,
 ) {
     let context = Arc::new(context);
-    group.spawn_cancellable(follow_backends(core.replica.subscribe(), core.watch.clone()));
+    group.spawn_cancellable(follow_backends(
+        core.replica.subscribe(),
+        core.watch.clone(),
+    ));
     group.spawn_cancellable(forward_reports(reports, context.orders.clone()));
     spawn_currency(group, core, &context);
     spawn_confirmations(group, core);
@@ -157,8 +162,11 @@
     let (fleet, board) = (core.watch.clone(), core.board.clone());
     group.spawn_cancellable(async move {
         while ticks.next().await.is_some() {
-            let mut names: BTreeSet<SmolStr> =
-                members.members().into_iter().map(|(_, entry)| entry.name).collect();
+            let mut names: BTreeSet<SmolStr> = members
+                .members()
+                .into_iter()
+                .map(|(_, entry)| entry.name)
+                .collect();
             let listing = fleet.listing();
             let live = listing.vms.iter().filter(|vm| vm.role == VmRole::Entry);
             let live = live.filter(|vm| vm.state == VmState::Live);
@@ -201,8 +209,10 @@
             let calls = members.peer_addresses().into_iter().filter_map(|address| {
                 let from = pushed.get(&address).copied()?;
                 let records = replica.records_from(from).filter(|_| from < next)?;
-                let request =
-                    PeerRequest::PushConfig { first: records.first, records: records.records };
+                let request = PeerRequest::PushConfig {
+                    first: records.first,
+                    records: records.records,
+                };
                 pushed.insert(address, next);
                 Some(link.client().call(address, request, PEER_TIME))
             });
@@ -229,10 +239,14 @@
                 continue;
             }
             board.note(context.peer, &demands, Instant::now());
-            let request = PeerRequest::Demand { reporter: context.peer, demands };
+            let request = PeerRequest::Demand {
+                reporter: context.peer,
+                demands,
+            };
             let planners = planner_addresses(&members).into_iter();
             let others = planners.filter(|address| *address != context.peer);
-            let calls = others.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            let calls =
+                others.map(|address| link.client().call(address, request.clone(), PEER_TIME));
             // Demand that is lost makes a planner slower only.
             join_all(calls).await;
         }
@@ -242,7 +256,9 @@
 fn planner_addresses(members: &Members) -> Vec<SocketAddr> {
     let entries = members.members();
     let planners = entries.iter().filter(|(vm, entry)| {
-        members.planner(&entry.zone).is_some_and(|planner| planner.vm == *vm)
+        members
+            .planner(&entry.zone)
+            .is_some_and(|planner| planner.vm == *vm)
     });
     planners.map(|(_, entry)| entry.peer).collect()
 }
@@ -263,7 +279,8 @@
             }
             let request = PeerRequest::Suspects(notices);
             let peers = members.peer_addresses().into_iter();
-            let calls = peers.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            let calls =
+                peers.map(|address| link.client().call(address, request.clone(), PEER_TIME));
             join_all(calls).await;
         }
     });
