Add the test cluster

Cause: integration tests need a fleet whose processes can be killed, paused and restarted, with faults on links. Change: TestCluster starts the stand-ins in the test process and daemons as processes with rendered settings files, reserves their ports over restarts, optionally puts the fault proxy on links, runs the operator command and cleans up its own processes. Zones get networks of their own, so that the proxy can tell sources apart.

--- a/standins/src/bin/foxtailhill-standin.rs
+++ b/standins/src/bin/foxtailhill-standin.rs
@@ -30,6 +30,7 @@
     Service(ServiceArguments),
     Balancer(BalancerArguments),
     Proxy(ProxyArguments),
+    Serve(ServeArguments),
 }
 
 /// The append-only log.
@@ -155,6 +156,15 @@
     link: Vec<LinkOptions>,
 }
 
+/// An entry process that is ready at once and does nothing else, for tests of the test cluster.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct ServeArguments {
+    /// settings file of a daemon
+    #[argh(option)]
+    settings: std::path::PathBuf,
+}
+
 fn parse_target(text: &str) -> Result<BalancerTarget, String> {
     let (caller, admin) = text
         .split_once(',')
@@ -194,6 +204,7 @@
         Command::Service(arguments) => run_service(arguments).await,
         Command::Balancer(arguments) => run_balancer(arguments).await,
         Command::Proxy(arguments) => run_proxy(arguments).await,
+        Command::Serve(arguments) => run_entry(arguments).await,
     }
 }
 
@@ -318,3 +329,17 @@
     proxy.shutdown().await;
     Ok(())
 }
+
+async fn run_entry(arguments: ServeArguments) -> eyre::Result<()> {
+    let settings: serde_json::Value = serde_json::from_slice(&std::fs::read(arguments.settings)?)?;
+    let admin = serde_json::from_value(settings["listen"]["admin"].clone())?;
+    // The plain service answers every path with status 200.
+    let service = ServiceStandin::open(ServiceOptions {
+        bind: admin,
+        ..ServiceOptions::default()
+    })
+    .await?;
+    serve_until_stopped(service.address()).await?;
+    service.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/cluster/settings.rs
@@ -0,0 +1,54 @@
+//! Rendering of a daemon's settings file.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxtailhill::ids::KeyDigest;
+use serde_json::{Map, Value, json};
+
+use crate::cluster::{DaemonAddresses, DaemonSpec, OPERATOR_KEY};
+
+/// What a settings file is rendered from.
+#[derive(Clone, Debug)]
+pub struct SettingsInput {
+    pub spec: DaemonSpec,
+    pub addresses: DaemonAddresses,
+    pub log: SocketAddr,
+    pub weights: SocketAddr,
+    pub vms: SocketAddr,
+    pub list_lag: Duration,
+    /// Sections that replace the rendered ones.
+    pub sections: Map<String, Value>,
+}
+
+/// Renders a settings file with short terms, as tests need them.
+pub fn render_settings(input: &SettingsInput) -> Value {
+    let list_lag = format!("{}ms", input.list_lag.as_millis());
+    let mut settings = json!({
+        "vm": input.spec.name,
+        "zone": input.spec.zone,
+        "listen": {
+            "caller": input.addresses.caller,
+            "operator": input.addresses.operator,
+            "peer": input.addresses.peer,
+            "admin": input.addresses.admin,
+        },
+        "platform": {
+            "log": input.log,
+            "weights": input.weights,
+            "vms": input.vms,
+            "list_lag": list_lag,
+        },
+        "bootstrap_operator": KeyDigest::of(OPERATOR_KEY.as_bytes()).to_string(),
+        "timing": {
+            "term": "5s",
+            "balancer_lag": "200ms",
+            "status_period": "100ms",
+            "report_period": "50ms",
+        },
+    });
+    for (name, section) in &input.sections {
+        settings[name] = section.clone();
+    }
+    settings
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balancer;
 pub mod client;
+pub mod cluster;
 pub mod engine;
 pub mod proxy;
 pub mod record;
--- /dev/null
+++ b/standins/tests/cluster.rs
@@ -0,0 +1,194 @@
+//! The test cluster, with an entry process that does nothing in place of the daemon.
+
+use std::path::Path;
+use std::time::Duration;
+
+use foxtailhill::engine::{HttpService, ServiceClient, ServiceRequest};
+use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
+use foxtailhill::platform::{HttpVmList, VmList};
+use foxtailhill_standins::client::JsonClient;
+use foxtailhill_standins::cluster::{
+    ClusterOptions, DaemonSpec, EngineSpec, PLATFORM_ZONE, ServiceSpec, TestCluster,
+};
+use foxtailhill_standins::service::ServiceFault;
+use foxtailhill_standins::{EngineOptions, LinkFault, ServiceOptions};
+use serde_json::Value;
+
+const EXIT_WAIT: Duration = Duration::from_secs(30);
+
+fn options(proxied: bool) -> ClusterOptions {
+    ClusterOptions {
+        program: env!("CARGO_BIN_EXE_foxtailhill-standin").into(),
+        daemons: vec![
+            DaemonSpec::new("entry-1", "catania"),
+            DaemonSpec::new("entry-2", "palermo"),
+        ],
+        engines: vec![EngineSpec {
+            name: "engine-1".into(),
+            zone: "catania".into(),
+            accelerators: 1,
+            options: EngineOptions::default(),
+        }],
+        services: vec![ServiceSpec {
+            name: "seats-1".into(),
+            zone: "palermo".into(),
+            group: "seats".into(),
+            slots: 4,
+            options: ServiceOptions::default(),
+        }],
+        proxied,
+        ..ClusterOptions::default()
+    }
+}
+
+fn settings(cluster: &TestCluster, name: &str) -> Value {
+    let file = cluster.directory().join(format!("{name}.json"));
+    serde_json::from_slice(&std::fs::read(file).expect("a file")).expect("JSON")
+}
+
+/// Guards against signals that miss their process, and against restarts that lose the addresses.
+#[tokio::test]
+async fn daemons_can_be_killed_paused_terminated_and_restarted() {
+    let mut cluster = TestCluster::open(options(false)).await.unwrap();
+    cluster.wait_ready().await.unwrap();
+    let [first, second] = &mut cluster.daemons[..] else {
+        panic!("two daemons");
+    };
+    let addresses = first.addresses();
+    let other = second.process_id();
+    let client = JsonClient::new(Duration::from_millis(200));
+    first.pause().unwrap();
+    let answer = client.get::<Value>(addresses.admin, "/readyz").await;
+    assert!(answer.is_err(), "a paused process answered");
+    first.resume().unwrap();
+    first.wait_ready().await.unwrap();
+    let killed = first.process_id();
+    first.restart().await.unwrap();
+    assert_ne!(first.process_id(), killed);
+    first.wait_ready().await.unwrap();
+    assert_eq!(first.addresses(), addresses);
+    first.terminate().unwrap();
+    assert!(first.wait_exit(EXIT_WAIT).await.unwrap().success());
+    assert!(!first.is_running().unwrap());
+    assert!(first.terminate().is_err());
+    assert!(second.is_running().unwrap());
+    assert_eq!(second.process_id(), other);
+    cluster.shutdown().await.unwrap();
+}
+
+/// Guards against processes and files that outlive a test.
+#[tokio::test]
+async fn dropping_the_cluster_cleans_up() {
+    let mut cluster = TestCluster::open(options(false)).await.unwrap();
+    cluster.wait_ready().await.unwrap();
+    // A paused process must end too.
+    cluster.daemons[0].pause().unwrap();
+    let directory = cluster.directory().to_owned();
+    let ids: Vec<u32> = cluster
+        .daemons
+        .iter()
+        .filter_map(|daemon| daemon.process_id())
+        .collect();
+    assert_eq!(ids.len(), 2);
+    drop(cluster);
+    assert!(!directory.exists());
+    for id in ids {
+        let process = format!("/proc/{id}/stat");
+        for attempt in 0.. {
+            let Ok(stat) = std::fs::read_to_string(Path::new(&process)) else {
+                break;
+            };
+            if stat.contains(") Z ") {
+                break;
+            }
+            assert!(attempt < 1000, "process {id} still runs");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// Guards against a start that fails without a word of the cause.
+#[tokio::test]
+async fn a_daemon_that_dies_is_reported_with_its_output() {
+    let mut cluster = TestCluster::open(options(false)).await.unwrap();
+    cluster.wait_ready().await.unwrap();
+    let directory = cluster.directory().to_owned();
+    let daemon = &mut cluster.daemons[0];
+    daemon.kill().await.unwrap();
+    daemon.write_settings(&directory, &Value::Null).unwrap();
+    daemon.start().await.unwrap();
+    let error = daemon.wait_ready().await.unwrap_err();
+    let text = format!("{error:#}");
+    assert!(text.contains("Error"), "{text}");
+    cluster.shutdown().await.unwrap();
+}
+
+/// Guards against links that bypass the proxy.
+#[tokio::test]
+async fn links_of_a_proxied_cluster_can_be_cut() {
+    let cluster = TestCluster::open(options(true)).await.unwrap();
+    let proxy = cluster.proxy.as_ref().unwrap();
+    let settings = settings(&cluster, "entry-1");
+    let log = serde_json::from_value(settings["platform"]["log"].clone()).unwrap();
+    assert_ne!(log, cluster.log.address());
+    let journal = HttpJournal::open(log).with_timeout(Duration::from_millis(300));
+    let append = || journal.append(StreamName::Config, "record".into());
+    append().await.unwrap();
+    proxy.set_link("palermo", PLATFORM_ZONE, LinkFault::CUT);
+    append().await.unwrap();
+    proxy.set_link("catania", PLATFORM_ZONE, LinkFault::CUT);
+    append().await.unwrap_err();
+    proxy.heal();
+
+    let host = cluster.daemons[0].addresses().caller.ip();
+    let service = HttpService::default().with_local_address(host);
+    let call = || {
+        let request = ServiceRequest {
+            id: "r1".into(),
+            method: http::Method::GET,
+            path: "/seats".into(),
+            headers: http::HeaderMap::new(),
+            body: bytes::Bytes::new(),
+        };
+        service.call(cluster.services[0].advertised, request)
+    };
+    call().await.unwrap();
+    proxy.set_link("catania", "palermo", LinkFault::CUT);
+    call().await.unwrap_err();
+    cluster.shutdown().await.unwrap();
+}
+
+/// Guards against restarted backend servers that move or forget what their predecessors recorded.
+#[tokio::test]
+async fn backends_restart_on_their_address() {
+    let mut cluster = TestCluster::open(options(false)).await.unwrap();
+    let listed = HttpVmList::open(cluster.vms.address())
+        .list()
+        .await
+        .unwrap();
+    assert_eq!(listed.len(), 4);
+    let declared = cluster.backends();
+    assert_eq!(
+        declared[0]["address"],
+        cluster.engines[0].address().to_string()
+    );
+    let engine = &mut cluster.engines[0];
+    engine.restart().await.unwrap();
+    engine.restart().await.unwrap();
+    assert_eq!(engine.journals().len(), 3);
+    assert!(engine.latest().is_running());
+    assert_eq!(engine.latest().address(), engine.address());
+    let service = &mut cluster.services[0];
+    service.latest().push_fault(ServiceFault::CrashAfterEffect);
+    let client = JsonClient::new(Duration::from_secs(5));
+    let lost = client.get::<Value>(service.address(), "/seats").await;
+    assert!(lost.is_err());
+    service.restart().await.unwrap();
+    let answer = client.get::<Value>(service.address(), "/seats").await;
+    answer.unwrap();
+    let calls = service.received();
+    let calls = calls.iter().filter(|call| call.path == "/seats");
+    assert_eq!(calls.count(), 2);
+    assert_eq!(service.latest().executions().len(), 1);
+    cluster.shutdown().await.unwrap();
+}
