Connect replicas by peer calls and cut off withdrawn operators

Cause: starts in a log outage need the newest state that a peer has, VMs that lag need records without the log, a running watch outlived its operator's key, and a record of a later format was passed over, after which daemons of two versions would hold different states.

Change: `FleetPeers` asks all entry VMs for their offset and fetches the newest states; `answer_peer` and `push_to_peer` are the two ends of a push. A watch ends with its caller's key. Listing is refused while the daemon cannot check keys (`OperatorHooks::serves_keys`). Records of formats 2 to 15 stop the follower; other malformed ones are still passed over.

Before, a record with format 2 was passed over by every daemon and a watch of a withdrawn operator stayed open.

--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -1,6 +1,7 @@
 //! Change records on the `config` stream.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -15,6 +16,10 @@
 /// Version of the encoding of a change record; the first byte of each.
 const RECORD_FORMAT: u8 = 1;
 
+/// Formats that later versions may use. A daemon that meets one stops following the stream: if it passed over the
+/// record, its state would differ from that of newer daemons.
+const LATER_FORMATS: RangeInclusive<u8> = 2..=15;
+
 /// Longest change record, in bytes. A reader refuses longer ones before it allocates memory for them.
 const MAX_RECORD_BYTES: usize = 64 * 1_024;
 
@@ -177,7 +182,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with `Protocol` if the data is not exactly one change record.
+    /// Fails with `Unavailable` if the record has the format of a later version, and with `Protocol` if the data is
+    /// not exactly one change record; every version agrees on the latter.
     pub fn decode(record: &[u8]) -> Result<Self> {
         let malformed = |cause: String| {
             Error::new(
@@ -185,8 +191,14 @@
                 format!("malformed change record: {cause}"),
             )
         };
-        let Some((&RECORD_FORMAT, body)) = record.split_first() else {
-            return Err(malformed("unknown format".into()));
+        let body = match record.split_first() {
+            Some((&RECORD_FORMAT, body)) => body,
+            Some((format, _)) if LATER_FORMATS.contains(format) => {
+                return Err(Error::unavailable(format!(
+                    "change record has format {format} of a later version"
+                )));
+            }
+            _ => return Err(malformed("unknown format".into())),
         };
         let config = bincode::config::standard().with_limit::<MAX_RECORD_BYTES>();
         let (command, length) = bincode::serde::decode_from_slice(body, config)
--- a/src/catalog/lookup.rs
+++ b/src/catalog/lookup.rs
@@ -25,8 +25,12 @@
 
     /// Finds the operator that holds `secret`. Returns its name.
     pub fn operator_of_key(&self, secret: &str) -> Option<&SmolStr> {
-        let operator = self.operators.find(&KeyDigest::of(secret.as_bytes()))?;
-        Some(&operator.name)
+        self.operator_of_digest(&KeyDigest::of(secret.as_bytes()))
+    }
+
+    /// Finds the operator whose key has `digest`. Returns its name.
+    pub fn operator_of_digest(&self, digest: &KeyDigest) -> Option<&SmolStr> {
+        self.operators.find(digest).map(|operator| &operator.name)
     }
 
     /// Returns whether any operator is declared.
--- a/src/journal/follower.rs
+++ b/src/journal/follower.rs
@@ -58,7 +58,7 @@
     fn next_offset(&self) -> LogOffset;
 
     /// Applies records in offset order without gaps, the first at or before [`Self::next_offset`]. Records before it
-    /// must be passed over.
+    /// must be passed over. A sink that cannot apply a record stays before it and gets it again after a backoff.
     fn apply(&mut self, records: &[LogRecord]);
 
     /// Called when retention has passed the sink's position, again after a backoff for as long as it has.
@@ -189,6 +189,10 @@
     }
 }
 
+fn refused(offset: LogOffset) -> Error {
+    Error::unavailable(format!("records from offset {offset} were not applied"))
+}
+
 fn stopped() -> Error {
     Error::new(Category::ShuttingDown, "the follower has stopped")
 }
@@ -262,8 +266,10 @@
         self.gap.send_if_modified(|gap| gap.take().is_some());
         self.sink.apply(&batch.records);
         self.publish(before, batch.bounds.next);
-        if batch.records.is_empty() {
-            sleep(IDLE_WAIT).await;
+        match batch.records.last() {
+            None => sleep(IDLE_WAIT).await,
+            Some(last) if self.sink.next_offset() <= last.offset => return Err(refused(needed)),
+            Some(_) => {}
         }
         Ok(())
     }
--- a/src/op/mod.rs
+++ b/src/op/mod.rs
@@ -9,6 +9,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use argh::FromArgs;
 
@@ -37,6 +38,12 @@
     Unconfirmed = 5,
 }
 
+impl From<OpExit> for ExitCode {
+    fn from(exit: OpExit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
 /// change or show the configuration of a fleet
 #[derive(Clone, Debug, PartialEq, Eq, FromArgs)]
 #[argh(subcommand, name = "op")]
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -38,6 +38,14 @@
 /// Returns the members as the membership table has them.
 pub type MemberLister = Arc<dyn Fn() -> Vec<crate::proto::Member> + Send + Sync>;
 
+/// What the server needs of other modules.
+#[derive(Clone)]
+pub struct OperatorHooks {
+    pub members: MemberLister,
+    /// Whether this daemon's view is current enough to accept keys.
+    pub serves_keys: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
 /// Running gRPC server for operators.
 #[derive(Debug)]
 pub struct OperatorServer {
@@ -59,13 +67,32 @@
         replica: Arc<CatalogReplica<J>>,
         bootstrap: Option<KeyDigest>,
         members: MemberLister,
+    ) -> Result<Self> {
+        let hooks = OperatorHooks {
+            members,
+            serves_keys: Arc::new(|| true),
+        };
+        Self::bind_with(group, address, replica, bootstrap, hooks).await
+    }
+
+    /// Does what [`Self::bind`] does, with all hooks.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Unavailable` if the address cannot be bound.
+    pub async fn bind_with<J: JournalClient>(
+        group: &TaskGroup,
+        address: SocketAddr,
+        replica: Arc<CatalogReplica<J>>,
+        bootstrap: Option<KeyDigest>,
+        hooks: OperatorHooks,
     ) -> Result<Self> {
         let cannot_bind =
             |cause| Error::unavailable(format!("cannot listen on operator {address}: {cause}"));
         let listener = TcpListener::bind(address).await.map_err(cannot_bind)?;
         let address = listener.local_addr().map_err(cannot_bind)?;
         let stop = CancellationToken::new();
-        let operator = CatalogOperator::new(replica, bootstrap, members, stop.clone());
+        let operator = CatalogOperator::new(group.clone(), replica, bootstrap, hooks, stop.clone());
         let service =
             OperatorServiceServer::new(operator).max_decoding_message_size(MAX_MESSAGE_BYTES);
         let serving = Server::builder()
--- a/src/operator/service.rs
+++ b/src/operator/service.rs
@@ -18,7 +18,8 @@
 use crate::error::{Category, Error, RunVerdict};
 use crate::ids::{KeyDigest, LogOffset};
 use crate::journal::JournalClient;
-use crate::operator::MemberLister;
+use crate::kernel::TaskGroup;
+use crate::operator::OperatorHooks;
 use crate::operator::convert::{
     change_from_proto, command_id_from, kind_from_proto, listed_to_proto,
 };
@@ -40,31 +41,43 @@
 /// still gets to know what its change did.
 const MIN_SUBMIT_WAIT: Duration = Duration::from_secs(5);
 
+/// Longest wait for a change to be read back, which also bounds how long a call can hold up a shutdown.
+const MAX_SUBMIT_WAIT: Duration = Duration::from_secs(30);
+
 /// Serves operators from a replica.
 pub(super) struct CatalogOperator<J> {
     replica: Arc<CatalogReplica<J>>,
     bootstrap: Option<KeyDigest>,
-    members: MemberLister,
+    hooks: OperatorHooks,
+    group: TaskGroup,
     stop: CancellationToken,
 }
 
+/// The operator that makes a call.
+struct CallingOperator {
+    name: SmolStr,
+    digest: KeyDigest,
+}
+
 impl<J: JournalClient> CatalogOperator<J> {
     pub(super) fn new(
+        group: TaskGroup,
         replica: Arc<CatalogReplica<J>>,
         bootstrap: Option<KeyDigest>,
-        members: MemberLister,
+        hooks: OperatorHooks,
         stop: CancellationToken,
     ) -> Self {
         Self {
             replica,
             bootstrap,
-            members,
+            hooks,
+            group,
             stop,
         }
     }
 
-    /// Returns the name of the operator that calls.
-    fn authenticate(&self, metadata: &MetadataMap) -> Result<SmolStr, Status> {
+    /// Returns the operator that calls.
+    fn authenticate(&self, metadata: &MetadataMap) -> Result<CallingOperator, Status> {
         // Before the state is loaded the catalog looks empty, and the bootstrap key must not pass for that reason.
         if !self.replica.is_ready() {
             return Err(Status::unavailable("the configuration is not loaded yet"));
@@ -74,17 +87,22 @@
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.strip_prefix("Bearer "))
             .ok_or_else(|| Status::unauthenticated("an operator's key is needed"))?;
-        self.operator_named(&self.replica.current(), secret)
-            .ok_or_else(|| Status::unauthenticated("the key is not an operator's"))
+        let digest = KeyDigest::of(secret.as_bytes());
+        let catalog = self.replica.current();
+        let name = operator_named(&catalog, self.bootstrap.as_ref(), &digest)
+            .ok_or_else(|| Status::unauthenticated("the key is not an operator's"))?;
+        Ok(CallingOperator { name, digest })
     }
 
-    fn operator_named(&self, catalog: &FleetCatalog, secret: &str) -> Option<SmolStr> {
-        if catalog.has_operators() {
-            return catalog.operator_of_key(secret).cloned();
+    /// Refuses to show anything while this daemon may have missed the withdrawal of the caller's key. Changes need
+    /// no such check, as `apply` checks their author.
+    fn check_current(&self) -> Result<(), Status> {
+        match (self.hooks.serves_keys)() {
+            true => Ok(()),
+            false => Err(Status::unavailable(
+                "this daemon is cut off and cannot check keys",
+            )),
         }
-        let digest = KeyDigest::of(secret.as_bytes());
-        let matches = digests_match(self.bootstrap.as_ref()?, &digest);
-        matches.then(|| BOOTSTRAP_AUTHOR.into())
     }
 }
 
@@ -94,7 +112,7 @@
 
     async fn apply(&self, request: Request<ApplyRequest>) -> Result<Response<ApplyReply>, Status> {
         let start = Instant::now();
-        let author = self.authenticate(request.metadata())?;
+        let author = self.authenticate(request.metadata())?.name;
         let request = request.into_inner();
         let wait = wait_of(request.wait_ms);
         let command = ChangeCommand {
@@ -104,12 +122,16 @@
             change: change_from_proto(request.change).map_err(|cause| status_of(&cause))?,
         };
         let (id, target) = (command.id, command.change.target());
-        let submit = self.replica.submit(command, wait.max(MIN_SUBMIT_WAIT));
+        let submit_wait = wait.clamp(MIN_SUBMIT_WAIT, MAX_SUBMIT_WAIT);
+        let submit = self.replica.submit(command, submit_wait);
         let report = submit.await.map_err(|cause| status_of(&cause))?;
         log::info!("change {id} of {target}: {:?}", report.verdict);
         let revision = accepted_revision(&report)?;
         let left = wait.saturating_sub(start.elapsed());
-        let confirmations = self.replica.wait_confirmed(report.offset, left).await;
+        let confirmations = self.replica.wait_confirmed(report.offset, left);
+        let confirmations = self.stop.run_until_cancelled(confirmations).await;
+        let confirmations =
+            confirmations.unwrap_or_else(|| self.replica.confirmations(report.offset));
         let (confirmed, pending) = names_of(confirmations);
         Ok(Response::new(ApplyReply {
             revision: revision.0,
@@ -121,6 +143,7 @@
 
     async fn list(&self, request: Request<ListRequest>) -> Result<Response<ListReply>, Status> {
         self.authenticate(request.metadata())?;
+        self.check_current()?;
         let kind = kind_from_proto(request.into_inner().kind).map_err(|cause| status_of(&cause))?;
         let catalog = self.replica.current();
         let entities = catalog.entities();
@@ -137,14 +160,19 @@
         &self,
         request: Request<WatchRequest>,
     ) -> Result<Response<Self::WatchStream>, Status> {
-        self.authenticate(request.metadata())?;
-        let offset = LogOffset(request.into_inner().offset);
+        let caller = self.authenticate(request.metadata())?;
+        self.check_current()?;
         let (replies, stream) = mpsc::channel(1);
-        let (replica, stop) = (self.replica.clone(), self.stop.clone());
-        // The task ends with the stream, when all VMs have confirmed, or when the server stops.
-        tokio::spawn(async move {
-            stop.run_until_cancelled(watch_offset(replica, offset, replies))
-                .await;
+        let watch = OffsetWatch {
+            replica: self.replica.clone(),
+            bootstrap: self.bootstrap,
+            digest: caller.digest,
+            offset: LogOffset(request.into_inner().offset),
+            replies,
+        };
+        let stop = self.stop.clone();
+        self.group.spawn(async move {
+            stop.run_until_cancelled(watch.run()).await;
         });
         Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
     }
@@ -154,41 +182,71 @@
         request: Request<MembersRequest>,
     ) -> Result<Response<MembersReply>, Status> {
         self.authenticate(request.metadata())?;
-        let members = (self.members)();
+        self.check_current()?;
+        let members = (self.hooks.members)();
         Ok(Response::new(MembersReply { members }))
     }
 }
 
-async fn watch_offset<J: JournalClient>(
+/// A running `Watch` call. It ends when all VMs have confirmed, or the caller goes away or loses its key.
+struct OffsetWatch<J> {
     replica: Arc<CatalogReplica<J>>,
+    bootstrap: Option<KeyDigest>,
+    digest: KeyDigest,
     offset: LogOffset,
     replies: mpsc::Sender<Result<WatchReply, Status>>,
-) {
-    let mut changes = replica.confirmation_changes();
-    let mut last = None;
-    loop {
-        let confirmations = replica.confirmations(offset);
-        let complete = confirmations.pending.is_empty();
-        if last.as_ref() != Some(&confirmations) {
-            last = Some(confirmations.clone());
-            let (confirmed, pending) = names_of(confirmations);
-            let reply = WatchReply { confirmed, pending };
-            if replies.send(Ok(reply)).await.is_err() {
+}
+
+impl<J: JournalClient> OffsetWatch<J> {
+    async fn run(self) {
+        let mut changes = self.replica.confirmation_changes();
+        let mut last = None;
+        loop {
+            let confirmations = self.replica.confirmations(self.offset);
+            let complete = confirmations.pending.is_empty();
+            if !self.check_caller().await {
                 return;
             }
-        }
-        if complete {
-            return;
-        }
-        tokio::select! {
-            change = changes.next() => {
-                if change.is_none() {
+            if last.as_ref() != Some(&confirmations) {
+                last = Some(confirmations.clone());
+                let (confirmed, pending) = names_of(confirmations);
+                let reply = WatchReply { confirmed, pending };
+                if self.replies.send(Ok(reply)).await.is_err() || complete {
                     return;
                 }
             }
-            () = replies.closed() => return,
+            let change = tokio::select! {
+                change = changes.next() => change,
+                () = self.replies.closed() => None,
+            };
+            if change.is_none() {
+                return;
+            }
         }
     }
+
+    /// Returns whether the caller still is an operator. If not, it is told.
+    async fn check_caller(&self) -> bool {
+        let catalog = self.replica.current();
+        if operator_named(&catalog, self.bootstrap.as_ref(), &self.digest).is_some() {
+            return true;
+        }
+        let status = Status::unauthenticated("the operator's key was withdrawn");
+        // The caller may be gone already.
+        let _ = self.replies.send(Err(status)).await;
+        false
+    }
+}
+
+fn operator_named(
+    catalog: &FleetCatalog,
+    bootstrap: Option<&KeyDigest>,
+    digest: &KeyDigest,
+) -> Option<SmolStr> {
+    if catalog.has_operators() {
+        return catalog.operator_of_digest(digest).cloned();
+    }
+    digests_match(bootstrap?, digest).then(|| BOOTSTRAP_AUTHOR.into())
 }
 
 fn wait_of(wait_ms: u32) -> Duration {
--- a/src/replica/confirm.rs
+++ b/src/replica/confirm.rs
@@ -61,6 +61,10 @@
         }
     }
 
+    pub(super) fn reported(&self, name: &SmolStr) -> Option<LogOffset> {
+        self.with(|inner| inner.reports.get(name).copied())
+    }
+
     /// Reports of VMs that are not expected are kept: a VM may report before it is on any list.
     pub(super) fn expect(&self, names: BTreeSet<SmolStr>) {
         self.with(|inner| inner.expected = names);
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the catalog current from the `config` stream, makes changes and tells which VMs have them in force.
 
 mod confirm;
+mod peers;
 mod snapshot;
 mod state;
 mod sync;
@@ -27,6 +28,7 @@
 use crate::timer::TimerService;
 
 pub use self::confirm::{ConfirmationChanges, Confirmations};
+pub use self::peers::{FleetPeers, first_in_rendezvous_order};
 pub use self::snapshot::{decode_state, encode_state};
 
 /// Wait for a command to be read back before it is appended again. A repeated record has no effect.
@@ -279,6 +281,11 @@
         self.confirms.note(name, next);
     }
 
+    /// Returns the next `config` offset that the VM `name` last reported.
+    pub fn reported_offset(&self, name: &SmolStr) -> Option<LogOffset> {
+        self.confirms.reported(name)
+    }
+
     /// Sets the names of the VMs that must confirm a change. This VM is always one of them.
     pub fn expect_peers(&self, names: BTreeSet<SmolStr>) {
         self.confirms.expect(names);
--- a/src/replica/state.rs
+++ b/src/replica/state.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::catalog::{AppliedCommand, ChangeCommand, FleetCatalog};
+use crate::error::Category;
 use crate::ids::{LogOffset, RecordId};
 use crate::replica::{ChangeReport, ConfigRecords};
 
@@ -134,6 +135,10 @@
             }
             // Only the log can tell whether the record really is malformed on all daemons.
             Err(_) if source == RecordSource::Peer => return false,
+            Err(cause) if cause.category() == Category::Unavailable => {
+                log::error!("config record {offset} cannot be applied: {cause}");
+                return false;
+            }
             Err(cause) => {
                 log::error!("config record {offset} is passed over: {cause}");
                 Arc::make_mut(&mut self.catalog).skip(offset);
--- a/tests/config_support/daemon.rs
+++ b/tests/config_support/daemon.rs
@@ -1,11 +1,12 @@
 //! A daemon's configuration side: replica and operator server.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use foxtailhill::ids::KeyDigest;
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill::operator::OperatorServer;
+use foxtailhill::operator::{OperatorHooks, OperatorServer};
 use foxtailhill::replica::{CatalogReplica, NoPeers, ReplicaOptions};
 use foxtailhill::timer::TimerService;
 
@@ -16,6 +17,7 @@
     pub group: TaskGroup,
     pub replica: Arc<CatalogReplica<FakeLog>>,
     pub server: OperatorServer,
+    pub serves_keys: Arc<AtomicBool>,
 }
 
 impl Daemon {
@@ -31,12 +33,18 @@
         let replica = Arc::new(replica);
         replica.wait_ready().await.expect("daemon runs");
         replica.allow_append(true);
-        let server = OperatorServer::bind(
+        let serves_keys = Arc::new(AtomicBool::new(true));
+        let flag = serves_keys.clone();
+        let hooks = OperatorHooks {
+            members: Arc::new(Vec::new),
+            serves_keys: Arc::new(move || flag.load(Ordering::Relaxed)),
+        };
+        let server = OperatorServer::bind_with(
             &group,
             "127.0.0.1:0".parse().expect("daemon runs"),
             replica.clone(),
             Some(KeyDigest::of(b"first")),
-            Arc::new(Vec::new),
+            hooks,
         )
         .await
         .expect("daemon runs");
@@ -44,6 +52,7 @@
             group,
             replica,
             server,
+            serves_keys,
         }
     }
 }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -3,6 +3,7 @@
 mod config_support;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use foxtailhill::ids::KeyDigest;
 use foxtailhill::operator::CURRENT_REVISION_KEY;
@@ -150,3 +151,44 @@
     assert_eq!(watch.message().await.unwrap(), None);
     daemon.group.shutdown().await;
 }
+
+/// Guards against a withdrawn operator that goes on watching, makes changes, or is shown anything by a daemon that may
+/// have missed the withdrawal.
+#[tokio::test]
+async fn a_withdrawn_operator_is_cut_off() {
+    let journal = Arc::new(FakeLog::default());
+    let daemon = Daemon::start(&journal, "vm-1").await;
+    let mut client = connect(&daemon).await;
+    for (name, key, author) in [("ada", "a", "first"), ("eve", "e", "a")] {
+        let request = with_key(author, put(operator(name, key), 0));
+        client.apply(request).await.unwrap();
+    }
+    let request = proto::WatchRequest { offset: 1_000 };
+    let watch = client.watch(with_key("e", request)).await;
+    let mut watch = watch.unwrap().into_inner();
+    assert_eq!(watch.message().await.unwrap().unwrap().pending, ["vm-1"]);
+    let retire = |name: &str, base_revision| proto::ApplyRequest {
+        base_revision,
+        change: Some(proto::apply_request::Change::Retire(proto::EntityRef {
+            kind: proto::Kind::Operator.into(),
+            name: name.into(),
+        })),
+        wait_ms: 100,
+        ..Default::default()
+    };
+    client.apply(with_key("a", retire("eve", 2))).await.unwrap();
+    let ended = watch.message().await.unwrap_err();
+    assert_eq!(ended.code(), Code::Unauthenticated);
+    let refused = client.apply(with_key("e", put(team(5), 0))).await;
+    assert_eq!(refused.unwrap_err().code(), Code::Unauthenticated);
+    // The last operator stays, so that the bootstrap key cannot come back to life.
+    let refused = client.apply(with_key("a", retire("ada", 1))).await;
+    assert_eq!(refused.unwrap_err().code(), Code::InvalidArgument);
+
+    daemon.serves_keys.store(false, Ordering::Relaxed);
+    let refused = client
+        .list(with_key("a", proto::ListRequest::default()))
+        .await;
+    assert_eq!(refused.unwrap_err().code(), Code::Unavailable);
+    daemon.group.shutdown().await;
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -2,17 +2,24 @@
 
 mod config_support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use foxtailhill::catalog::{ApplyVerdict, ChangeCommand, Revision};
-use foxtailhill::error::RunVerdict;
+use foxtailhill::error::{Error, Result, RunVerdict};
 use foxtailhill::ids::LogOffset;
 use foxtailhill::journal::StreamName;
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill::replica::{CatalogReplica, ReplicaOptions, ReplicaPeers, encode_state};
+use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
+use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::replica::{
+    CatalogReplica, FleetPeers, ReplicaOptions, ReplicaPeers, decode_state, encode_state,
+    first_in_rendezvous_order,
+};
 use foxtailhill::timer::TimerService;
+use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::config_support::{FakeLog, PATIENCE, put_team, until};
@@ -304,3 +311,125 @@
     assert_eq!(at(0), ("vm-1".into(), String::new()));
     replica.group.shutdown().await;
 }
+
+/// Guards against a daemon that passes over a record of a later version, after which its state would differ from that
+/// of newer daemons.
+#[tokio::test]
+async fn a_record_of_a_later_version_stops_the_replica() {
+    let journal = Arc::new(FakeLog::default());
+    put(&journal, &put_team("desks", 5, 0));
+    journal.put(StreamName::Config, vec![2, 0, 0]);
+    put(&journal, &put_team("agents", 5, 0));
+    let replica = start(&journal, FakePeers::default(), NEVER);
+    until("the first record is applied", || {
+        replica.catalog.next_offset() == LogOffset(1)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(replica.catalog.next_offset(), LogOffset(1));
+    assert!(!replica.catalog.is_ready());
+    assert_eq!(replica.catalog.status().end_seen_at, None);
+    replica.group.shutdown().await;
+}
+
+/// Peer calls that reach replicas in this process; addresses are told apart by port.
+struct LocalCaller {
+    replicas: Vec<Arc<CatalogReplica<FakeLog>>>,
+}
+
+impl PeerCaller for LocalCaller {
+    async fn call(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        _wait: Duration,
+    ) -> Result<PeerReply> {
+        let replica = self.replicas.get(usize::from(peer.port()));
+        let replica = replica.ok_or_else(|| Error::unavailable("no such peer"))?;
+        replica.answer_peer(&request).expect("a configuration call")
+    }
+}
+
+struct LocalList {
+    vms: usize,
+}
+
+impl VmList for LocalList {
+    async fn list(&self) -> Result<Vec<ListedVm>> {
+        let vms = (0..self.vms).map(|port| ListedVm {
+            name: format!("vm-{port}").into(),
+            zone: "z".into(),
+            role: VmRole::Entry,
+            address: address(port),
+            state: VmState::Live,
+        });
+        Ok(vms.collect())
+    }
+}
+
+fn address(port: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("port fits")))
+}
+
+/// Guards against a state from a peer that is not the newest, or from one that is not ready, and against pushes that
+/// do not reach a peer behind.
+#[tokio::test]
+async fn peers_give_states_and_take_records() {
+    let journal = Arc::new(FakeLog::default());
+    put_changes(&journal, 2);
+    let old = start_ready(&journal).await;
+    // The old replica follows a log of its own that stays behind.
+    let longer = Arc::new(FakeLog::default());
+    for record in journal.records(StreamName::Config) {
+        longer.put(StreamName::Config, record);
+    }
+    put_changes(&longer, 3);
+    let new = start_ready(&longer).await;
+    let down = Arc::new(FakeLog::default());
+    down.set_down(true);
+    let unready = start(&down, FakePeers::default(), NEVER);
+    let groups = [old.group, new.group, unready.group];
+    let replicas: Vec<_> = [old.catalog, new.catalog, unready.catalog]
+        .into_iter()
+        .map(Arc::new)
+        .collect();
+    let caller = Arc::new(LocalCaller {
+        replicas: replicas.clone(),
+    });
+    let peers = FleetPeers::new(
+        caller.clone(),
+        Arc::new(LocalList { vms: 5 }),
+        address(4),
+        || true,
+    );
+    let states = peers.fetch_states().await;
+    let offsets: Vec<_> = states
+        .iter()
+        .map(|state| decode_state(state).unwrap().next_offset())
+        .collect();
+    assert_eq!(offsets, [LogOffset(5), LogOffset(2)]);
+
+    let name = "vm-0".into();
+    replicas[1].note_peer(&name, replicas[0].next_offset());
+    replicas[1]
+        .push_to_peer(&*caller, &name, address(0))
+        .await
+        .unwrap();
+    assert_eq!(replicas[0].next_offset(), LogOffset(5));
+    assert_eq!(replicas[1].reported_offset(&name), Some(LogOffset(5)));
+    for group in groups {
+        group.shutdown().await;
+    }
+}
+
+/// Guards against VMs that choose different snapshot writers from the same view.
+#[test]
+fn rendezvous_order_does_not_depend_on_the_order_of_names() {
+    let names: Vec<SmolStr> = (0..9).map(|vm| format!("vm-{vm}").into()).collect();
+    let first = first_in_rendezvous_order("snapshots", &names);
+    assert!(first.is_some());
+    assert_eq!(
+        first_in_rendezvous_order("snapshots", names.iter().rev()),
+        first
+    );
+}
