Serve the first request through separate processes

Cause: the parts had run alone only. Operator changes failed for the first seconds of a daemon, because it may append only after it has been on the VM list for the list's lag; links behind a proxy need an advertised peer address.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -174,7 +174,7 @@
         draining.clone(),
     ));
     let context = TaskContext {
-        peer: settings.listen.peer,
+        peer: settings.listen.advertised_peer(),
         orders,
         dispatcher: dispatcher.clone(),
         currency,
@@ -284,7 +284,7 @@
         MemberSettings {
             name: settings.vm.clone(),
             zone: settings.zone.clone(),
-            peer: settings.listen.peer,
+            peer: settings.listen.advertised_peer(),
             term: settings.timing.term,
             list_lag: settings.platform.list_lag,
             promise: PROMISE,
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -9,7 +9,6 @@
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -87,7 +86,7 @@
     follower: StreamFollower,
     ready: watch::Receiver<bool>,
     confirms: ConfirmTable,
-    may_append: AtomicBool,
+    may_append: watch::Sender<bool>,
 }
 
 impl<J: JournalClient> CatalogReplica<J> {
@@ -129,7 +128,7 @@
             follower,
             ready,
             confirms: ConfirmTable::new(options.vm),
-            may_append: AtomicBool::new(false),
+            may_append: watch::Sender::new(false),
         }
     }
 
@@ -185,7 +184,7 @@
     /// Allows or refuses appends; they are refused at first. A daemon may append only after it has been on the VM
     /// list for the list's longest lag, so that daemons that judge their view by the list cannot miss it.
     pub fn allow_append(&self, allowed: bool) {
-        self.may_append.store(allowed, Ordering::Relaxed);
+        self.may_append.send_replace(allowed);
     }
 
     /// Appends `command`, reads it back and returns what it did. Waits up to `wait`.
@@ -201,11 +200,9 @@
         if let Some(report) = self.earlier_report(&command) {
             return Ok(report);
         }
-        if !self.may_append.load(Ordering::Relaxed) {
-            return Err(Error::unavailable(
-                "this daemon has not been on the VM list for long enough",
-            ));
-        }
+        let deadline = Instant::now() + wait;
+        self.wait_for_permission(deadline).await?;
+        let wait = deadline.saturating_duration_since(Instant::now());
         let record = Bytes::from(command.encode()?);
         let mut report = self.state.wait_for(&command);
         let mut unresolved = None;
@@ -234,6 +231,17 @@
         }
     }
 
+    async fn wait_for_permission(&self, deadline: Instant) -> Result<()> {
+        let mut permission = self.may_append.subscribe();
+        let allowed = permission.wait_for(|allowed| *allowed);
+        match tokio::time::timeout_at(deadline.into(), allowed).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Error::unavailable(
+                "this daemon has not been on the VM list for long enough",
+            )),
+        }
+    }
+
     fn earlier_report(&self, command: &ChangeCommand) -> Option<ChangeReport> {
         let catalog = self.current();
         let applied = catalog.applied_command(command.id)?;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -58,8 +58,11 @@
     pub caller: SocketAddr,
     /// gRPC for operators.
     pub operator: SocketAddr,
-    /// Calls from other daemons; other daemons must reach this address.
+    /// Calls from other daemons.
     pub peer: SocketAddr,
+    /// Address at which other daemons reach `peer`, as the VM list shows it; default `peer`.
+    #[serde(default)]
+    pub peer_advertised: Option<SocketAddr>,
     /// Health, metrics and state dump.
     pub admin: SocketAddr,
 }
@@ -208,6 +211,13 @@
     Duration::from_secs(10)
 }
 
+impl ListenSettings {
+    /// Returns the address at which other daemons reach this one.
+    pub fn advertised_peer(&self) -> SocketAddr {
+        self.peer_advertised.unwrap_or(self.peer)
+    }
+}
+
 impl DaemonSettings {
     /// Reads and checks the settings in `path`.
     ///
--- a/standins/src/cluster/settings.rs
+++ b/standins/src/cluster/settings.rs
@@ -13,6 +13,8 @@
 pub struct SettingsInput {
     pub spec: DaemonSpec,
     pub addresses: DaemonAddresses,
+    /// Address at which other daemons reach the peer address.
+    pub peer_advertised: SocketAddr,
     pub log: SocketAddr,
     pub weights: SocketAddr,
     pub vms: SocketAddr,
@@ -31,6 +33,7 @@
             "caller": input.addresses.caller,
             "operator": input.addresses.operator,
             "peer": input.addresses.peer,
+            "peer_advertised": input.peer_advertised,
             "admin": input.addresses.admin,
         },
         "platform": {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! `shutdown()`. The binary `foxtailhill-standin` runs each as a process of its own.
 
 pub mod balancer;
+pub mod caller;
 pub mod client;
 pub mod cluster;
 pub mod engine;
