Add the load driver with both deployments

Cause: attainment, fairness and refusals have to be measured under load, with whole answers checked. No load was run against a daemon yet.

--- /dev/null
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -0,0 +1,173 @@
+//! Runs a load against entry VMs and prints a table and, if asked for, JSON.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use eyre::{OptionExt, WrapErr};
+use foxtailhill_standins::load::{
+    LoadOptions, LoadShape, Scenario, built_in, plan, read_trace, run,
+};
+use smol_str::SmolStr;
+
+/// Open-loop load driver.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(RunArguments),
+    Declare(DeclareArguments),
+    Plan(PlanArguments),
+}
+
+/// Sends the calls of a scenario and checks the answers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArguments {
+    /// address of the balancer or of an entry VM; repeatable, calls go to them in turn
+    #[argh(option)]
+    target: Vec<SocketAddr>,
+    /// scenario: navette or grainotheque
+    #[argh(option, default = "\"navette\".to_owned()")]
+    scenario: String,
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// length, such as 30s
+    #[argh(
+        option,
+        default = "Duration::from_secs(60)",
+        from_str_fn(parse_duration)
+    )]
+    length: Duration,
+    /// factor on all rates
+    #[argh(option, default = "1.0")]
+    rate_factor: f64,
+    /// factor on the rate of a team, as TEAM=FACTOR; repeatable
+    #[argh(option, from_str_fn(parse_factor))]
+    team_factor: Vec<(SmolStr, f64)>,
+    /// keep the demand for each model constant
+    #[argh(switch)]
+    no_moves: bool,
+    /// trace of planned calls, one JSON object on each line, in place of drawn arrivals
+    #[argh(option)]
+    trace: Option<PathBuf>,
+    /// longest time of one call
+    #[argh(
+        option,
+        default = "Duration::from_secs(900)",
+        from_str_fn(parse_duration)
+    )]
+    call_timeout: Duration,
+    /// file to which the results are written as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
+/// Prints the declaration file of a scenario, without its backend servers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "declare")]
+struct DeclareArguments {
+    /// scenario: navette or grainotheque
+    #[argh(option, default = "\"navette\".to_owned()")]
+    scenario: String,
+}
+
+/// Prints the planned calls of a scenario as a trace.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+struct PlanArguments {
+    /// scenario: navette or grainotheque
+    #[argh(option, default = "\"navette\".to_owned()")]
+    scenario: String,
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// length, such as 30s
+    #[argh(
+        option,
+        default = "Duration::from_secs(60)",
+        from_str_fn(parse_duration)
+    )]
+    length: Duration,
+}
+
+fn parse_duration(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text).map_err(|error| format!("`{text}`: {error}"))
+}
+
+fn parse_factor(text: &str) -> Result<(SmolStr, f64), String> {
+    let (team, factor) = text
+        .split_once('=')
+        .ok_or_else(|| format!("`{text}` is not TEAM=FACTOR"))?;
+    let factor = factor
+        .parse()
+        .map_err(|error| format!("`{text}`: {error}"))?;
+    Ok((team.into(), factor))
+}
+
+fn scenario(name: &str) -> eyre::Result<Scenario> {
+    built_in(name).ok_or_eyre("the scenario is neither navette nor grainotheque")
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Run(arguments) => run_load(arguments).await,
+        Command::Declare(arguments) => {
+            let declaration = scenario(&arguments.scenario)?.declaration();
+            println!("{}", serde_json::to_string_pretty(&declaration)?);
+            Ok(())
+        }
+        Command::Plan(arguments) => print_plan(&arguments),
+    }
+}
+
+fn print_plan(arguments: &PlanArguments) -> eyre::Result<()> {
+    let shape = LoadShape {
+        seed: arguments.seed,
+        length: arguments.length,
+        ..LoadShape::default()
+    };
+    for call in plan(&scenario(&arguments.scenario)?, &shape) {
+        println!("{}", serde_json::to_string(&call)?);
+    }
+    Ok(())
+}
+
+async fn run_load(arguments: RunArguments) -> eyre::Result<()> {
+    let scenario = scenario(&arguments.scenario)?;
+    let shape = LoadShape {
+        seed: arguments.seed,
+        length: arguments.length,
+        rate_factor: arguments.rate_factor,
+        team_factors: arguments.team_factor.into_iter().collect(),
+        moves: !arguments.no_moves,
+    };
+    let calls = match &arguments.trace {
+        Some(path) => {
+            read_trace(&std::fs::read_to_string(path).wrap_err("cannot read the trace")?)?
+        }
+        None => plan(&scenario, &shape),
+    };
+    let options = LoadOptions {
+        targets: arguments.target,
+        call_timeout: arguments.call_timeout,
+        versions: HashMap::new(),
+    };
+    let report = run(&scenario, &shape, calls, options).await?;
+    print!("{report}");
+    if let Some(path) = arguments.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&report)?)
+            .wrap_err("cannot write the results")?;
+    }
+    Ok(())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod cluster;
 pub mod engine;
+pub mod load;
 pub mod proxy;
 pub mod record;
 mod serve;
--- /dev/null
+++ b/standins/src/load/deployments.rs
@@ -0,0 +1,366 @@
+//! The deployments of the design page as scenarios. Memory sizes, rates and fleets of engines are invented.
+
+use std::time::Duration;
+
+use foxtailhill::catalog::{
+    AdapterSpec, ModelSpec, RequestClass, RouteSpec, RouteTarget, TeamSpec,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::load::scenario::{
+    BurstShape, DemandMove, DemandStream, DemandTarget, Scenario, ScenarioEngine, ScenarioModel,
+    ScenarioService, StoreLimits,
+};
+
+const GIB: u64 = 1 << 30;
+const MIB: u64 = 1 << 20;
+const VERSION: SmolStr = SmolStr::new_static("v1");
+/// Target for the first token on the design page.
+const FIRST_TOKEN_MS: u32 = 510;
+/// Rate of a team relative to what its streams are charged on average.
+const RATE_HEADROOM: f64 = 1.5;
+/// Burst of a team in seconds of its rate.
+const BURST_SECONDS: u64 = 20;
+/// Prompt bytes that are charged as one token.
+const BYTES_PER_TOKEN: f64 = 4.0;
+const INTERACTIVE_TOKENS: (u32, u32) = (16, 128);
+const OVERNIGHT_TOKENS: (u32, u32) = (128, 384);
+
+/// Sizes by which the two deployments differ.
+struct DeploymentPlan {
+    name: &'static str,
+    zones: [&'static str; 3],
+    /// Models with a known number of replicas: name, replicas, GiB.
+    known: [(&'static str, u32, u64); 2],
+    /// Names of the other models.
+    others: &'static [&'static str],
+    adapters: usize,
+    teams: [&'static str; 5],
+    /// Engines by memory in GiB and number.
+    engines: [(u64, usize); 3],
+    store: StoreLimits,
+    /// Route prefix and group of the calls that must not run twice, and of those that may.
+    once: &'static str,
+    repeatable: &'static str,
+    /// Interactive calls per second over all teams and models.
+    rate: f64,
+    /// Overnight calls per second.
+    overnight_rate: f64,
+}
+
+const NAVETTE: DeploymentPlan = DeploymentPlan {
+    name: "navette",
+    zones: ["catania", "palermo", "siracusa"],
+    known: [("drafter", 9, 14), ("booking-desk", 3, 26)],
+    others: &[
+        "day-summary",
+        "route-planner",
+        "fare-explainer",
+        "luggage-help",
+        "driver-notes",
+        "complaint-reply",
+        "timetable-reader",
+        "translator-it",
+        "voice-notes",
+        "parcel-desk",
+        "partner-mail",
+    ],
+    adapters: 55,
+    teams: [
+        "etna-lines",
+        "conca-oro",
+        "ortigea",
+        "charter-sud",
+        "islands",
+    ],
+    engines: [(24, 6), (48, 6), (80, 4)],
+    store: StoreLimits {
+        loads_per_s: 1.5,
+        loads_in_flight: 7,
+        adapters_in_flight: 55,
+    },
+    once: "seats",
+    repeatable: "availability",
+    rate: 40.0,
+    overnight_rate: 4.0,
+};
+
+const GRAINOTHEQUE: DeploymentPlan = DeploymentPlan {
+    name: "grainotheque",
+    zones: ["qc-sud-a", "qc-sud-b", "qc-sud-c"],
+    known: [("catalogue-scribe", 18, 8), ("pret-semences", 3, 20)],
+    others: &[
+        "germination-digest",
+        "lot-labels",
+        "variety-finder",
+        "soil-advice",
+        "calendar-notes",
+        "donor-mail",
+        "member-reply",
+        "translator-fr",
+        "photo-captions",
+        "pest-notes",
+        "harvest-log",
+        "swap-desk",
+        "newsletter",
+        "archive-reader",
+        "label-checker",
+        "workshop-plans",
+        "grant-drafts",
+        "inventory-notes",
+        "voice-notes",
+    ],
+    adapters: 115,
+    teams: ["volunteers", "archives", "growers", "schools", "exchange"],
+    engines: [(24, 10), (48, 8), (80, 4)],
+    store: StoreLimits {
+        loads_per_s: 3.0,
+        loads_in_flight: 3,
+        adapters_in_flight: 25,
+    },
+    once: "withdrawals",
+    repeatable: "stock",
+    rate: 50.0,
+    overnight_rate: 6.0,
+};
+
+/// Returns the scenario of the minibus franchises.
+pub fn navette() -> Scenario {
+    build(&NAVETTE)
+}
+
+/// Returns the scenario of the seed library.
+pub fn grainotheque() -> Scenario {
+    build(&GRAINOTHEQUE)
+}
+
+/// Returns a scenario by name.
+pub fn built_in(name: &str) -> Option<Scenario> {
+    match name {
+        "navette" => Some(navette()),
+        "grainotheque" => Some(grainotheque()),
+        _ => None,
+    }
+}
+
+fn build(plan: &DeploymentPlan) -> Scenario {
+    let models = models(plan);
+    let streams = streams(plan, &models);
+    Scenario {
+        name: plan.name.into(),
+        zones: plan.zones.iter().map(|zone| (*zone).into()).collect(),
+        teams: teams(plan, &streams),
+        routes: vec![route(plan.once, false), route(plan.repeatable, true)],
+        engines: engines(plan),
+        services: services(plan),
+        store: plan.store,
+        moves: moves(plan),
+        models,
+        streams,
+    }
+}
+
+fn models(plan: &DeploymentPlan) -> Vec<ScenarioModel> {
+    let known = plan.known.iter().copied();
+    // Sizes of the other models repeat: most are small, some fill half of a large accelerator.
+    let sizes = [6, 8, 12, 16, 8, 24, 10, 14, 6, 36];
+    let others = plan.others.iter().zip(sizes.iter().cycle());
+    let others = others.map(|(name, gib)| (*name, 1, *gib));
+    let mut models: Vec<_> = known
+        .chain(others)
+        .map(|(name, replicas, gib)| ScenarioModel {
+            spec: ModelSpec {
+                name: name.into(),
+                memory_bytes: gib * GIB,
+                min_replicas: replicas,
+                version: VERSION,
+                first_token_ms: FIRST_TOKEN_MS,
+                open: false,
+            },
+            adapters: Vec::new(),
+        })
+        .collect();
+    // The first model gets every third adapter, the others share the rest.
+    let count = models.len();
+    for index in 0..plan.adapters {
+        let position = if index % 3 == 0 {
+            0
+        } else {
+            1 + index % (count - 1)
+        };
+        let model = &mut models[position];
+        let adapter = AdapterSpec {
+            name: format_smolstr!("{}-{}", model.spec.name, model.adapters.len() + 1),
+            model: model.spec.name.clone(),
+            memory_bytes: (64 + 32 * (index as u64 % 5)) * MIB,
+        };
+        model.adapters.push(adapter);
+    }
+    models
+}
+
+/// Shares of demand that fall with the rank, as a few models and teams are large.
+fn share(rank: usize, count: usize) -> f64 {
+    let weight = |rank: usize| 1.0 / (rank + 1) as f64;
+    weight(rank) / (0..count).map(weight).sum::<f64>()
+}
+
+fn streams(plan: &DeploymentPlan, models: &[ScenarioModel]) -> Vec<DemandStream> {
+    let mut streams = Vec::new();
+    for (team_rank, team) in plan.teams.iter().enumerate() {
+        let team_share = share(team_rank, plan.teams.len());
+        for (rank, model) in models.iter().enumerate() {
+            let rate = plan.rate * team_share * share(rank, models.len());
+            streams.push(interactive(team, model, team_rank, rank, rate));
+        }
+        let rate = plan.overnight_rate * team_share;
+        streams.push(overnight(team, &models[2], rate));
+        for (path, factor) in [(plan.once, 0.02), (plan.repeatable, 0.1)] {
+            let rate = plan.rate * team_share * factor;
+            streams.push(service_stream(team, path, rate));
+        }
+    }
+    streams
+}
+
+fn interactive(
+    team: &str,
+    model: &ScenarioModel,
+    team_rank: usize,
+    rank: usize,
+    rate: f64,
+) -> DemandStream {
+    let adapter = match model.adapters.len() {
+        0 => None,
+        count => Some(model.adapters[team_rank % count].name.clone()),
+    };
+    DemandStream {
+        team: team.into(),
+        target: DemandTarget::Model {
+            model: model.spec.name.clone(),
+            adapter,
+        },
+        class: RequestClass::Interactive,
+        rate,
+        prompt_bytes: (400, 2400),
+        tokens: INTERACTIVE_TOKENS,
+        deadline: Some(Duration::from_secs(20)),
+        // Models of low rank are bursty: quiet most of the time, then several times their rate.
+        burst: (rank > 2).then(|| BurstShape {
+            period: Duration::from_secs(30 + 7 * rank as u64),
+            length: Duration::from_secs(6),
+            factor: 4.0,
+        }),
+    }
+}
+
+fn overnight(team: &str, model: &ScenarioModel, rate: f64) -> DemandStream {
+    DemandStream {
+        team: team.into(),
+        target: DemandTarget::Model {
+            model: model.spec.name.clone(),
+            adapter: None,
+        },
+        class: RequestClass::Overnight,
+        rate,
+        prompt_bytes: (2000, 8000),
+        tokens: OVERNIGHT_TOKENS,
+        deadline: Some(Duration::from_secs(600)),
+        burst: None,
+    }
+}
+
+fn service_stream(team: &str, path: &str, rate: f64) -> DemandStream {
+    DemandStream {
+        team: team.into(),
+        target: DemandTarget::Service {
+            path: format_smolstr!("/{path}"),
+        },
+        class: RequestClass::Interactive,
+        rate,
+        prompt_bytes: (40, 200),
+        tokens: (0, 0),
+        deadline: None,
+        burst: None,
+    }
+}
+
+fn teams(plan: &DeploymentPlan, streams: &[DemandStream]) -> Vec<TeamSpec> {
+    let teams = plan.teams.iter().map(|team| {
+        let own = streams.iter().filter(|stream| stream.team == *team);
+        let charged: f64 = own.map(charge_per_s).sum();
+        let rate = (charged * RATE_HEADROOM).ceil() as u64;
+        TeamSpec {
+            name: (*team).into(),
+            rate,
+            burst: rate * BURST_SECONDS,
+        }
+    });
+    teams.collect()
+}
+
+/// Tokens per second that a stream is charged at admission.
+fn charge_per_s(stream: &DemandStream) -> f64 {
+    let (shortest, longest) = stream.prompt_bytes;
+    let prompt = (shortest + longest) as f64 / 2.0 / BYTES_PER_TOKEN;
+    stream.rate * (prompt + f64::from(stream.tokens.1))
+}
+
+fn route(group: &str, repeatable: bool) -> RouteSpec {
+    RouteSpec {
+        name: group.into(),
+        prefix: format_smolstr!("/{group}"),
+        target: RouteTarget::Service(group.into()),
+        open: false,
+        repeatable,
+        class: RequestClass::Interactive,
+        teams: Vec::new(),
+        cost: 1,
+    }
+}
+
+fn engines(plan: &DeploymentPlan) -> Vec<ScenarioEngine> {
+    let sizes = plan.engines.iter();
+    let sizes = sizes.flat_map(|(gib, count)| std::iter::repeat_n(*gib, *count));
+    let engines = sizes.enumerate().map(|(index, gib)| ScenarioEngine {
+        name: format_smolstr!("engine-{}", index + 1),
+        zone: plan.zones[index % 3].into(),
+        memory_bytes: gib * GIB,
+        accelerators: if gib > 48 { 2 } else { 1 },
+        slots: if gib > 24 { 24 } else { 12 },
+        // A third of the engines are of a kind that ignores fencing numbers.
+        checks_fencing: index % 3 != 2,
+        base_step_us: if gib > 24 { 12_000 } else { 16_000 },
+    });
+    engines.collect()
+}
+
+fn services(plan: &DeploymentPlan) -> Vec<ScenarioService> {
+    let groups = [plan.once, plan.repeatable];
+    let services = groups.iter().flat_map(|group| {
+        plan.zones.iter().map(move |zone| ScenarioService {
+            name: format_smolstr!("{group}-{zone}"),
+            zone: (*zone).into(),
+            group: (*group).into(),
+            slots: 32,
+            delay: Duration::from_millis(5),
+        })
+    });
+    services.collect()
+}
+
+/// Tenfold moves of demand: one up, one down, and back.
+fn moves(plan: &DeploymentPlan) -> Vec<DemandMove> {
+    let step = |at: f64, model: &str, factor: f64| DemandMove {
+        at,
+        model: model.into(),
+        factor,
+    };
+    vec![
+        step(0.3, plan.others[2], 10.0),
+        step(0.3, plan.known[0].0, 0.5),
+        step(0.6, plan.others[2], 1.0),
+        step(0.6, plan.known[0].0, 1.0),
+        step(0.6, plan.others[5], 10.0),
+    ]
+}
--- /dev/null
+++ b/standins/src/load/mod.rs
@@ -0,0 +1,71 @@
+//! Open-loop load driver: calls start at their planned times, however slowly earlier ones are answered.
+//!
+//! Latencies count from the planned time, so a driver that falls behind does not hide waiting. Whole answers are
+//! compared with the token function of the stand-in engines.
+
+mod arrivals;
+mod caller;
+mod deployments;
+mod measure;
+mod report;
+mod scenario;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use eyre::ensure;
+use smol_str::SmolStr;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub use self::arrivals::{LoadShape, PlannedCall, plan, read_trace};
+use self::caller::CallClient;
+pub use self::caller::{CallEnd, CallOutcome};
+pub use self::deployments::{built_in, grainotheque, navette};
+use self::measure::LoadMeasure;
+pub use self::report::{GroupReport, LatencyReport, LoadReport, RefusalCount};
+pub use self::scenario::{
+    BurstShape, DemandMove, DemandStream, DemandTarget, Scenario, ScenarioEngine, ScenarioModel,
+    ScenarioService, StoreLimits,
+};
+use crate::serve::lock;
+
+/// How a load is run.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Addresses that calls go to in turn: the balancer's, or those of entry VMs.
+    pub targets: Vec<SocketAddr>,
+    /// Longest time of one call.
+    pub call_timeout: Duration,
+    /// Further versions that an answer may come from, by model, while versions change.
+    pub versions: HashMap<SmolStr, Vec<SmolStr>>,
+}
+
+/// Sends the planned calls and waits for all answers.
+pub async fn run(
+    scenario: &Scenario,
+    shape: &LoadShape,
+    calls: Vec<PlannedCall>,
+    options: LoadOptions,
+) -> eyre::Result<LoadReport> {
+    ensure!(!options.targets.is_empty(), "no target address is given");
+    let measure = Arc::new(Mutex::new(LoadMeasure::new(scenario)));
+    let client = CallClient::new(scenario, &options);
+    let start = Instant::now();
+    let mut tasks = JoinSet::new();
+    for (call, target) in calls.into_iter().zip(options.targets.iter().cycle()) {
+        let due = start + call.at;
+        tokio::time::sleep_until(due).await;
+        while tasks.try_join_next().is_some() {}
+        let (client, measure, target) = (client.clone(), measure.clone(), *target);
+        tasks.spawn(async move {
+            let outcome = client.call(target, &call, due).await;
+            lock(&measure).add(&call, outcome);
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    let report = lock(&measure).report(scenario, shape, start.elapsed());
+    Ok(report)
+}
