--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -1,10 +1,26 @@
 //! Rate and burst of teams across the fleet.
+//!
+//! Each daemon holds a share of every team's rate and burst in a [`TokenBucket`] and borrows what peers have
+//! spare before it refuses. Tokens are created only by buckets inside a term; a lent token leaves the lender's
+//! balance and capacity before the borrower hears of it. [`LimitService`] does this for all teams;
+//! [`EvenSplitLimiter`] is the baseline without loans.
+
+mod bucket;
+mod budget;
+mod even;
+mod loan;
+mod service;
 
 use std::future::Future;
 use std::time::Instant;
 
 use smol_str::SmolStr;
 
+pub use self::bucket::{BucketLimit, ChargeMark, TokenBucket};
+pub use self::budget::{BudgetCharge, BudgetDump, BudgetTable, LimitDump, Shortage};
+pub use self::even::{EvenSplitCharge, EvenSplitLimiter};
+pub use self::loan::LoanLedger;
+pub use self::service::{LOAN_LIFETIME, LimitCharge, LimitService};
 use crate::error::Result;
 
 /// Charges teams for tokens.
@@ -27,7 +43,7 @@
 }
 
 /// A charge of a [`TokenLimiter`].
-pub trait TokenCharge: Send + 'static {
+pub trait TokenCharge: Send + Sync + 'static {
     /// Ends the charge: `used` tokens were consumed, the rest is refunded.
     fn settle(self, used: u64);
 }
