Run scenarios as fleets of stand-ins and daemons

Change: open_fleet starts a scenario's stand-ins and daemons, declares it and waits for the floor; the command foxtailhill-load fleet runs a load through the balancer on it. The readiness path is the daemon's. Result: rendered settings and both declarations are verified against the parsers. No fleet has run yet.

--- a/standins/src/balancer.rs
+++ b/standins/src/balancer.rs
@@ -46,7 +46,7 @@
             bind: crate::any_port(),
             control_bind: crate::any_port(),
             targets: Vec::new(),
-            ready_path: "/ready".to_owned(),
+            ready_path: "/readyz".to_owned(),
             check_period: Duration::from_millis(200),
         }
     }
--- a/standins/src/bin/foxtailhill-load.rs
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -7,9 +7,12 @@
 
 use argh::FromArgs;
 use eyre::{OptionExt, WrapErr};
+use foxtailhill_standins::cluster::{ClusterEngine, TestCluster};
 use foxtailhill_standins::load::{
-    LoadOptions, LoadShape, Scenario, built_in, plan, read_trace, run,
+    FleetOptions, LoadOptions, LoadReport, LoadShape, Scenario, built_in, open_fleet, plan,
+    read_trace, run,
 };
+use foxtailhill_standins::{BalancerOptions, BalancerStandin, BalancerTarget};
 use smol_str::SmolStr;
 
 /// Open-loop load driver.
@@ -23,6 +26,7 @@
 #[argh(subcommand)]
 enum Command {
     Run(RunArguments),
+    Fleet(FleetArguments),
     Declare(DeclareArguments),
     Plan(PlanArguments),
 }
@@ -71,6 +75,50 @@
     json: Option<PathBuf>,
 }
 
+/// Starts the fleet of a scenario with stand-ins, and sends the calls of the scenario through a balancer.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetArguments {
+    /// the daemon's program
+    #[argh(option)]
+    program: PathBuf,
+    /// number of entry VMs
+    #[argh(option, default = "7")]
+    daemons: usize,
+    /// scenario: navette or grainotheque
+    #[argh(option, default = "\"navette\".to_owned()")]
+    scenario: String,
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// length, such as 30s
+    #[argh(
+        option,
+        default = "Duration::from_secs(60)",
+        from_str_fn(parse_duration)
+    )]
+    length: Duration,
+    /// factor on all rates
+    #[argh(option, default = "1.0")]
+    rate_factor: f64,
+    /// factor on the rate of a team, as TEAM=FACTOR; repeatable
+    #[argh(option, from_str_fn(parse_factor))]
+    team_factor: Vec<(SmolStr, f64)>,
+    /// factor on the times of engines and weight store
+    #[argh(option, default = "1.0")]
+    time_scale: f64,
+    /// longest wait for the floor to be loaded
+    #[argh(
+        option,
+        default = "Duration::from_secs(300)",
+        from_str_fn(parse_duration)
+    )]
+    floor_wait: Duration,
+    /// file to which the results are written as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 /// Prints the declaration file of a scenario, without its backend servers.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "declare")]
@@ -122,6 +170,7 @@
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Run(arguments) => run_load(arguments).await,
+        Command::Fleet(arguments) => run_fleet(arguments).await,
         Command::Declare(arguments) => {
             let declaration = scenario(&arguments.scenario)?.declaration();
             println!("{}", serde_json::to_string_pretty(&declaration)?);
@@ -164,10 +213,69 @@
         versions: HashMap::new(),
     };
     let report = run(&scenario, &shape, calls, options).await?;
+    publish(&report, arguments.json)
+}
+
+fn publish(report: &LoadReport, json: Option<PathBuf>) -> eyre::Result<()> {
     print!("{report}");
-    if let Some(path) = arguments.json {
-        std::fs::write(path, serde_json::to_vec_pretty(&report)?)
+    if let Some(path) = json {
+        std::fs::write(path, serde_json::to_vec_pretty(report)?)
             .wrap_err("cannot write the results")?;
     }
     Ok(())
 }
+
+async fn run_fleet(arguments: FleetArguments) -> eyre::Result<()> {
+    let scenario = scenario(&arguments.scenario)?;
+    let fleet = FleetOptions {
+        program: arguments.program,
+        daemons: arguments.daemons,
+        time_scale: arguments.time_scale,
+        proxied: false,
+        settings: serde_json::Map::new(),
+        floor_wait: arguments.floor_wait,
+    };
+    let cluster = open_fleet(&scenario, &fleet).await?;
+    let balancer = open_balancer(&cluster).await?;
+    let shape = LoadShape {
+        seed: arguments.seed,
+        length: arguments.length,
+        rate_factor: arguments.rate_factor,
+        team_factors: arguments.team_factor.into_iter().collect(),
+        moves: true,
+    };
+    let options = LoadOptions {
+        targets: vec![balancer.address()],
+        call_timeout: Duration::from_secs(900),
+        versions: HashMap::new(),
+    };
+    let calls = plan(&scenario, &shape);
+    let report = run(&scenario, &shape, calls, options).await?;
+    publish(&report, arguments.json)?;
+    let journals = cluster.engines.iter().flat_map(ClusterEngine::journals);
+    let (mut runs, mut overcommits) = (0, 0);
+    for journal in journals {
+        runs += journal.runs.len();
+        overcommits += journal.overcommits.len();
+    }
+    println!("engines: {runs} runs, {overcommits} levels above the capacity");
+    balancer.shutdown().await;
+    cluster.shutdown().await
+}
+
+async fn open_balancer(cluster: &TestCluster) -> eyre::Result<BalancerStandin> {
+    let targets = cluster.daemons.iter().map(|daemon| BalancerTarget {
+        caller: daemon.addresses().caller,
+        admin: Some(daemon.addresses().admin),
+        weight: 1,
+    });
+    let balancer = BalancerStandin::open(BalancerOptions {
+        targets: targets.collect(),
+        ..BalancerOptions::default()
+    })
+    .await?;
+    while balancer.targets().iter().all(|target| !target.ready) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(balancer)
+}
--- a/standins/src/bin/foxtailhill-standin.rs
+++ b/standins/src/bin/foxtailhill-standin.rs
@@ -137,7 +137,7 @@
     #[argh(option, default = "foxtailhill_standins::any_port()")]
     control_bind: SocketAddr,
     /// path of the readiness check
-    #[argh(option, default = "\"/ready\".to_owned()")]
+    #[argh(option, default = "\"/readyz\".to_owned()")]
     ready_path: String,
     /// caller address of an entry VM, or caller and admin address separated by a comma; repeatable
     #[argh(option, from_str_fn(parse_target))]
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -6,6 +6,7 @@
 mod arrivals;
 mod caller;
 mod deployments;
+mod fleet;
 mod measure;
 mod report;
 mod scenario;
@@ -24,6 +25,7 @@
 use self::caller::CallClient;
 pub use self::caller::{CallEnd, CallOutcome};
 pub use self::deployments::{built_in, grainotheque, navette};
+pub use self::fleet::{FleetOptions, open_fleet};
 use self::measure::LoadMeasure;
 pub use self::report::{GroupReport, LatencyReport, LoadReport, RefusalCount};
 pub use self::scenario::{
--- a/standins/tests/cluster.rs
+++ b/standins/tests/cluster.rs
@@ -6,13 +6,14 @@
 use foxtailhill::engine::{HttpService, ServiceClient, ServiceRequest};
 use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
 use foxtailhill::platform::{HttpVmList, VmList};
+use foxtailhill::settings::DaemonSettings;
 use foxtailhill_standins::client::JsonClient;
 use foxtailhill_standins::cluster::{
     ClusterOptions, DaemonSpec, EngineSpec, PLATFORM_ZONE, ServiceSpec, TestCluster,
 };
 use foxtailhill_standins::service::ServiceFault;
 use foxtailhill_standins::{EngineOptions, LinkFault, ServiceOptions};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const EXIT_WAIT: Duration = Duration::from_secs(30);
 
@@ -123,6 +124,27 @@
     cluster.shutdown().await.unwrap();
 }
 
+/// Guards against settings files that the daemon refuses.
+#[tokio::test]
+async fn rendered_settings_are_valid() {
+    let mut replaced = options(false);
+    replaced
+        .settings
+        .insert("timing".into(), json!({"term": "9s"}));
+    replaced.list_lag = Duration::from_millis(300);
+    let cluster = TestCluster::open(replaced).await.unwrap();
+    let file = cluster.directory().join("entry-2.json");
+    let settings = DaemonSettings::read(&file).unwrap();
+    assert_eq!(settings.vm, "entry-2");
+    assert_eq!(settings.zone, "palermo");
+    assert_eq!(settings.listen.peer, cluster.daemons[1].addresses().peer);
+    assert_eq!(settings.platform.log, cluster.log.address());
+    assert_eq!(settings.platform.list_lag, Duration::from_millis(300));
+    assert_eq!(settings.timing.term, Duration::from_secs(9));
+    assert!(settings.bootstrap_operator.is_some());
+    cluster.shutdown().await.unwrap();
+}
+
 /// Guards against links that bypass the proxy.
 #[tokio::test]
 async fn links_of_a_proxied_cluster_can_be_cut() {
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -8,6 +8,7 @@
 use axum::extract::Request;
 use axum::response::{IntoResponse, Response};
 use foxtailhill::catalog::{ModelSpec, RequestClass, TeamSpec};
+use foxtailhill::declaration::Declaration;
 use foxtailhill_standins::load::{
     DemandMove, DemandStream, DemandTarget, LoadOptions, LoadReport, LoadShape, Scenario,
     ScenarioModel, StoreLimits, built_in, grainotheque, navette, plan, read_trace, run,
@@ -299,6 +300,9 @@
             let fits = free.iter_mut().find(|free| **free >= bytes);
             *fits.expect("the floor fits") -= bytes;
         }
+        let declaration = scenario.declaration().to_string();
+        let declaration = Declaration::parse("scenario", &declaration).unwrap();
+        declaration.check().unwrap();
         assert_eq!(built_in(&scenario.name), Some(scenario));
     }
     assert_eq!(built_in("other"), None);
