--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod cluster;
 pub mod engine;
+pub mod load;
 pub mod proxy;
 pub mod record;
 mod serve;
