--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::routing::BackendView;
+use crate::routing::prefix::{ServerHash, server_hash};
 
 /// Live counters of one backend server, shared by all snapshots.
 #[derive(Debug, Default)]
@@ -106,6 +107,7 @@
 pub struct FleetSnapshot {
     views: Vec<BackendView>,
     handles: Vec<Arc<ServerHandle>>,
+    hashes: Vec<ServerHash>,
     models: HashMap<(SmolStr, SmolStr), ModelServers>,
     services: HashMap<SmolStr, Vec<u32>>,
     names: HashMap<SmolStr, u32>,
@@ -141,6 +143,7 @@
                 servers.push(position);
             }
         }
+        self.hashes.push(server_hash(&view.name));
         self.views.push(view);
         self.handles.push(handle);
     }
@@ -174,6 +177,10 @@
             .any(|position| self.is_usable(*position as usize))
     }
 
+    pub(super) fn hash(&self, position: usize) -> ServerHash {
+        self.hashes[position]
+    }
+
     pub(super) fn model(&self, model: &SmolStr, version: &SmolStr) -> Option<&ModelServers> {
         self.models.get(&(model.clone(), version.clone()))
     }
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 
+use crate::routing::prefix::{PrefixHolders, ServerHash, server_hash};
 use crate::routing::{BackendView, FleetSnapshot, PrefixIndex, RouteNeed, RoutingPolicy};
 
 /// Computing a prompt of usual length without a cached prefix, in microseconds.
@@ -26,6 +27,7 @@
 struct Candidate<'a> {
     position: usize,
     view: &'a BackendView,
+    name: ServerHash,
     /// Requests on the server, own and others'.
     outstanding: u64,
     has_adapter: bool,
@@ -59,16 +61,14 @@
         need: &RouteNeed,
         candidates: impl Iterator<Item = Candidate<'a>>,
     ) -> Option<usize> {
-        let cached = self.prefixes.matches(&need.prefixes);
+        let table = self.prefixes.read();
+        let holders = table.holders(&need.prefixes);
         let ranked: Vec<_> = candidates
             .filter(|candidate| candidate.outstanding < bound(candidate.view))
             .filter(|candidate| !need.avoid.contains(&candidate.view.name))
-            .map(|candidate| Ranked {
-                position: candidate.position,
-                expected_us: expected_us(need, &candidate, &cached),
-                own_zone: candidate.view.zone == need.zone,
-            })
+            .map(|candidate| Ranked::new(need, &candidate, &holders))
             .collect();
+        drop(table);
         self.pick(&ranked).map(|choice| choice.position)
     }
 
@@ -78,13 +78,11 @@
         let limit = best.expected_us + best.expected_us / 8 + NEAR_US;
         let is_near =
             |entry: &&Ranked| entry.expected_us <= limit && (entry.own_zone || !best.own_zone);
-        let near = ranked.iter().filter(is_near).count() as u64;
+        let near: Vec<_> = ranked.iter().filter(is_near).collect();
         let random = self.random();
         // Two halves of one random number make two draws.
-        let draw = |half: u64| ((half * near) >> 32) as usize;
+        let draw = |half: u64| near[((half * near.len() as u64) >> 32) as usize];
         let (first, second) = (draw(random >> 32), draw(random & u64::from(u32::MAX)));
-        let first = ranked.iter().filter(is_near).nth(first)?;
-        let second = ranked.iter().filter(is_near).nth(second)?;
         Some(if second.expected_us < first.expected_us {
             *second
         } else {
@@ -109,6 +107,7 @@
         let candidates = resident.map(|(position, view)| Candidate {
             position,
             view,
+            name: server_hash(&view.name),
             // What was sent since the report and has ended again no longer counts.
             outstanding: u64::from(view.report.running)
                 + u64::from(view.report.waiting)
@@ -134,6 +133,7 @@
             Some(Candidate {
                 position,
                 view,
+                name: fleet.hash(position),
                 outstanding: u64::from(others) + u64::from(handle.in_flight()),
                 has_adapter: with_adapter.is_none_or(|servers| {
                     servers.is_some_and(|servers| servers.binary_search(index).is_ok())
@@ -151,28 +151,33 @@
     slots + slots / 4 + 1
 }
 
-fn expected_us(need: &RouteNeed, candidate: &Candidate<'_>, cached: &[(SmolStr, usize)]) -> u64 {
-    let view = candidate.view;
+impl Ranked {
+    fn new(need: &RouteNeed, candidate: &Candidate<'_>, holders: &PrefixHolders<'_>) -> Self {
+        let view = candidate.view;
+        let own_zone = view.zone == need.zone;
+        let prefixes = need.prefixes.len().max(1) as u64;
+        let held = holders.held(candidate.name) as u64;
+        let prefill = PREFILL_US - PREFILL_US * 3 / 4 * held / prefixes;
+        let adapter = if candidate.has_adapter { 0 } else { ADAPTER_US };
+        let zone = if own_zone { 0 } else { OTHER_ZONE_US };
+        Self {
+            position: candidate.position,
+            expected_us: prefill + adapter + zone + wait_us(view, candidate.outstanding),
+            own_zone,
+        }
+    }
+}
+
+/// Estimates how long a request waits for the engine's batch, in microseconds.
+fn wait_us(view: &BackendView, outstanding: u64) -> u64 {
     let slots = u64::from(view.slots.max(1));
     let token_us = match u64::from(view.report.token_us) {
         0 => DEFAULT_TOKEN_US,
         token_us => token_us,
     };
-    let held = cached.iter().find(|(server, _)| *server == view.name);
-    let held = held.map_or(0, |(_, count)| *count as u64);
-    let prefixes = need.prefixes.len().max(1) as u64;
-    let prefill = PREFILL_US - PREFILL_US * 3 / 4 * held / prefixes;
     // A free slot joins the batch at its next step; without one, the request waits for a running one to end.
-    let step = token_us * candidate.outstanding.min(slots) / slots;
-    let excess = (candidate.outstanding + 1).saturating_sub(slots);
-    let wait = token_us * SERVICE_TOKENS * excess / slots;
-    let adapter = if candidate.has_adapter { 0 } else { ADAPTER_US };
-    let zone = if view.zone == need.zone {
-        0
-    } else {
-        OTHER_ZONE_US
-    };
-    prefill + step + wait + adapter + zone
+    let steps = outstanding.min(slots) + SERVICE_TOKENS * (outstanding + 1).saturating_sub(slots);
+    token_us * steps / slots
 }
 
 fn is_usable(view: &BackendView) -> bool {
--- a/src/routing/prefix.rs
+++ b/src/routing/prefix.rs
@@ -1,9 +1,11 @@
 //! Which backend server probably holds which prompt prefix in its cache.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{PoisonError, RwLock};
+use std::hash::{BuildHasherDefault, Hasher};
+use std::sync::{PoisonError, RwLock, RwLockReadGuard};
 
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::engine::CacheEvent;
 
@@ -12,8 +14,70 @@
 /// After this many lost events the removals among them outweigh what is known.
 const MAX_GAP: u64 = 256;
 
+/// Hash of a server's name. A collision costs latency only.
+pub(super) type ServerHash = u64;
+
+/// Hashes the name of a server.
+pub(super) fn server_hash(name: &str) -> ServerHash {
+    xxh3_64(name.as_bytes())
+}
+
+/// Passes on keys that are hashes of operators' names already.
+#[derive(Default)]
+pub(super) struct PassHasher(u64);
+
+impl Hasher for PassHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = xxh3_64(bytes);
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = value;
+    }
+}
+
+/// Set of servers by slot, one bit each.
+#[derive(Debug, Default)]
+struct SlotSet(Vec<u64>);
+
+impl SlotSet {
+    fn contains(&self, slot: usize) -> bool {
+        let word = self.0.get(slot / 64);
+        word.is_some_and(|word| (word >> (slot % 64)) & 1 == 1)
+    }
+
+    /// Returns whether the slot was added.
+    fn insert(&mut self, slot: usize) -> bool {
+        let added = !self.contains(slot);
+        if self.0.len() <= slot / 64 {
+            self.0.resize(slot / 64 + 1, 0);
+        }
+        self.0[slot / 64] |= 1 << (slot % 64);
+        added
+    }
+
+    /// Returns whether the slot was removed.
+    fn remove(&mut self, slot: usize) -> bool {
+        let removed = self.contains(slot);
+        if removed {
+            self.0[slot / 64] &= !(1 << (slot % 64));
+        }
+        removed
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.iter().all(|word| *word == 0)
+    }
+}
+
 #[derive(Debug, Default)]
 struct ServerPrefixes {
+    /// Bit of the server in each [`SlotSet`].
+    slot: usize,
     /// Sequence number of the event that is expected next.
     next: u64,
     /// Prefixes that the server holds, in order of their arrival.
@@ -21,9 +85,11 @@
 }
 
 #[derive(Debug, Default)]
-struct PrefixTable {
-    servers: HashMap<SmolStr, ServerPrefixes>,
-    holders: HashMap<u64, Vec<SmolStr>>,
+pub(super) struct PrefixTable {
+    servers: HashMap<ServerHash, ServerPrefixes, BuildHasherDefault<PassHasher>>,
+    /// Slots of servers that were forgotten.
+    free: Vec<usize>,
+    holders: HashMap<u64, SlotSet>,
 }
 
 /// Learns from cache events, which are late and may be missing, and from own dispatches. A wrong entry costs
@@ -42,21 +108,23 @@
     /// Returns the sequence number from which events of `server` are needed.
     pub fn next_sequence(&self, server: &SmolStr) -> u64 {
         let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
-        table.servers.get(server).map_or(0, |entry| entry.next)
+        let entry = table.servers.get(&server_hash(server));
+        entry.map_or(0, |entry| entry.next)
     }
 
     /// Applies events of `server`. Repeated events are skipped; after a long gap the server is learnt anew.
     pub fn apply(&self, server: &SmolStr, events: &[CacheEvent]) {
+        let server = server_hash(server);
         let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
         for event in events {
-            let next = table.servers.get(server).map_or(0, |entry| entry.next);
+            let next = table.servers.get(&server).map_or(0, |entry| entry.next);
             if event.sequence < next {
                 continue;
             }
             if event.sequence - next > MAX_GAP {
                 table.forget(server);
             }
-            table.servers.entry(server.clone()).or_default().next = event.sequence + 1;
+            table.server(server).next = event.sequence.saturating_add(1);
             if event.present {
                 table.insert(server, event.prefix_hash);
             } else {
@@ -70,6 +138,7 @@
         if prefixes.is_empty() {
             return;
         }
+        let server = server_hash(server);
         let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
         for prefix in prefixes {
             table.insert(server, *prefix);
@@ -78,72 +147,102 @@
 
     /// Forgets a server that restarted or is gone.
     pub fn forget(&self, server: &SmolStr) {
+        let server = server_hash(server);
         let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
         table.forget(server);
-        table.servers.remove(server);
+        if let Some(entry) = table.servers.remove(&server) {
+            table.free.push(entry.slot);
+        }
     }
 
-    /// Returns for each server that holds any of `prefixes` (the longest last) the number of leading prefixes
-    /// up to the longest one it holds.
-    pub fn matches(&self, prefixes: &[u64]) -> Vec<(SmolStr, usize)> {
-        let mut found: Vec<(SmolStr, usize)> = Vec::new();
-        if prefixes.is_empty() {
-            return found;
-        }
-        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
-        for (index, prefix) in prefixes.iter().enumerate().rev() {
-            for server in table.holders.get(prefix).into_iter().flatten() {
-                if !found.iter().any(|(name, _)| name == server) {
-                    found.push((server.clone(), index + 1));
-                }
-            }
+    /// Gives access to the table for one routing decision.
+    pub(super) fn read(&self) -> RwLockReadGuard<'_, PrefixTable> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Holders of the prefixes of one request.
+pub(super) struct PrefixHolders<'a> {
+    table: &'a PrefixTable,
+    holders: Vec<Option<&'a SlotSet>>,
+}
+
+impl PrefixHolders<'_> {
+    /// Returns the number of leading prefixes up to the longest one that a server holds.
+    pub(super) fn held(&self, server: ServerHash) -> usize {
+        if self.holders.is_empty() {
+            return 0;
         }
-        found
+        let Some(entry) = self.table.servers.get(&server) else {
+            return 0;
+        };
+        let holds = |set: &Option<&SlotSet>| set.is_some_and(|set| set.contains(entry.slot));
+        let longest = self.holders.iter().rposition(holds);
+        longest.map_or(0, |index| index + 1)
     }
 }
 
 impl PrefixTable {
-    fn insert(&mut self, server: &SmolStr, prefix: u64) {
-        let holders = self.holders.entry(prefix).or_default();
-        if holders.contains(server) {
+    /// Looks up the holders of `prefixes`, the longest last.
+    pub(super) fn holders(&self, prefixes: &[u64]) -> PrefixHolders<'_> {
+        let holders = prefixes.iter().map(|prefix| self.holders.get(prefix));
+        PrefixHolders {
+            table: self,
+            holders: holders.collect(),
+        }
+    }
+
+    fn server(&mut self, server: ServerHash) -> &mut ServerPrefixes {
+        // Slots are those of known servers and the free ones, so the next new one is their number.
+        let fresh = self.servers.len() + self.free.len();
+        let free = &mut self.free;
+        self.servers
+            .entry(server)
+            .or_insert_with(|| ServerPrefixes {
+                slot: free.pop().unwrap_or(fresh),
+                ..ServerPrefixes::default()
+            })
+    }
+
+    fn insert(&mut self, server: ServerHash, prefix: u64) {
+        let slot = self.server(server).slot;
+        if !self.holders.entry(prefix).or_default().insert(slot) {
             return;
         }
-        holders.push(server.clone());
-        let entry = self.servers.entry(server.clone()).or_default();
+        let entry = self.server(server);
         entry.order.push_back(prefix);
         if entry.order.len() > MAX_PREFIXES
             && let Some(oldest) = entry.order.pop_front()
         {
-            self.unlink(server, oldest);
+            self.unlink(slot, oldest);
         }
     }
 
-    fn remove(&mut self, server: &SmolStr, prefix: u64) {
-        let held = self.holders.get(&prefix);
-        if !held.is_some_and(|holders| holders.contains(server)) {
-            return;
-        }
-        self.unlink(server, prefix);
-        if let Some(entry) = self.servers.get_mut(server) {
-            entry.order.retain(|known| *known != prefix);
+    fn remove(&mut self, server: ServerHash, prefix: u64) {
+        let slot = self.server(server).slot;
+        if self.unlink(slot, prefix) {
+            self.server(server).order.retain(|known| *known != prefix);
         }
     }
 
-    fn unlink(&mut self, server: &SmolStr, prefix: u64) {
-        if let Some(holders) = self.holders.get_mut(&prefix) {
-            holders.retain(|holder| holder != server);
-            if holders.is_empty() {
-                self.holders.remove(&prefix);
-            }
+    fn unlink(&mut self, slot: usize, prefix: u64) -> bool {
+        let Some(holders) = self.holders.get_mut(&prefix) else {
+            return false;
+        };
+        let held = holders.remove(slot);
+        if holders.is_empty() {
+            self.holders.remove(&prefix);
         }
+        held
     }
 
-    fn forget(&mut self, server: &SmolStr) {
-        let Some(entry) = self.servers.get_mut(server) else {
+    fn forget(&mut self, server: ServerHash) {
+        let Some(entry) = self.servers.get_mut(&server) else {
             return;
         };
+        let slot = entry.slot;
         for prefix in std::mem::take(&mut entry.order) {
-            self.unlink(server, prefix);
+            self.unlink(slot, prefix);
         }
     }
 }
--- /dev/null
+++ b/tests/queue.rs
@@ -0,0 +1,306 @@
+//! The waiting queue against a naive twin that sorts everything on each call.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use bolero::{TypeGenerator, check};
+use foxtailhill::catalog::RequestClass::{self, Interactive, Overnight};
+use foxtailhill::queue::{FifoQueue, QueuePolicy, RISE_SLACK, WaitEntry, WaitId, WaitQueue};
+use smol_str::SmolStr;
+
+const CAPACITY: usize = 12;
+const TEAMS: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Debug, TypeGenerator)]
+enum Op {
+    Push {
+        team: u8,
+        overnight: bool,
+        deadline_s: u8,
+        work_s: u8,
+        tokens: u8,
+    },
+    Pop {
+        mask: u8,
+    },
+    Remove {
+        id: u8,
+    },
+    Expire {
+        estimate_s: u8,
+    },
+    Served {
+        team: u8,
+        tokens: i8,
+    },
+    Advance {
+        seconds: u8,
+    },
+}
+
+struct NaiveEntry {
+    id: WaitId,
+    entry: WaitEntry,
+    item: u64,
+    in_team: bool,
+}
+
+#[derive(Default)]
+struct NaiveQueue {
+    next: u64,
+    entries: Vec<NaiveEntry>,
+    counters: HashMap<SmolStr, i64>,
+    floor: i64,
+}
+
+impl NaiveQueue {
+    fn latest_start(entry: &NaiveEntry) -> (Instant, WaitId) {
+        (entry.entry.deadline - entry.entry.work, entry.id)
+    }
+
+    fn counter(&self, team: &SmolStr) -> i64 {
+        self.counters.get(team).copied().unwrap_or(0)
+    }
+
+    fn lift(&mut self, team: &SmolStr) {
+        let active: Vec<_> = self.entries.iter().filter(|e| e.in_team).collect();
+        if active.iter().any(|e| e.entry.team == *team) {
+            return;
+        }
+        let lowest = active.iter().map(|e| self.counter(&e.entry.team)).min();
+        let lifted = self.counter(team).max(lowest.unwrap_or(self.floor));
+        self.counters.insert(team.clone(), lifted);
+    }
+
+    fn push(&mut self, entry: WaitEntry, item: u64) -> Option<WaitId> {
+        let of_class = |class| {
+            self.entries
+                .iter()
+                .filter(|e| e.entry.class == class)
+                .count()
+        };
+        let full = entry.class == Overnight && of_class(Overnight) >= CAPACITY / 2;
+        if full || self.entries.len() >= CAPACITY {
+            return None;
+        }
+        let in_team = entry.class == Interactive;
+        if in_team {
+            self.lift(&entry.team);
+        }
+        let id = WaitId(self.next);
+        self.next += 1;
+        self.entries.push(NaiveEntry {
+            id,
+            entry,
+            item,
+            in_team,
+        });
+        Some(id)
+    }
+
+    fn pop(&mut self, now: Instant, admissible: impl Fn(u64) -> bool) -> Option<(WaitId, u64)> {
+        self.entries.sort_by_key(Self::latest_start);
+        for index in 0..self.entries.len() {
+            let due = Self::latest_start(&self.entries[index]).0 <= now + RISE_SLACK;
+            if due && !self.entries[index].in_team {
+                let team = self.entries[index].entry.team.clone();
+                self.lift(&team);
+                self.entries[index].in_team = true;
+            }
+        }
+        let allowed = self.entries.iter().filter(|e| admissible(e.item));
+        let first = allowed.min_by_key(|e| {
+            let team = e
+                .in_team
+                .then(|| (self.counter(&e.entry.team), e.entry.team.clone()));
+            (!e.in_team, team, Self::latest_start(e))
+        })?;
+        let (id, team, charged) = (first.id, first.entry.team.clone(), first.in_team);
+        let taken = self.take(id)?;
+        if charged {
+            let counter = self.counter(&team);
+            self.floor = self.floor.max(counter);
+            self.counters
+                .insert(team, counter + taken.entry.tokens as i64);
+        }
+        Some((id, taken.item))
+    }
+
+    fn take(&mut self, id: WaitId) -> Option<NaiveEntry> {
+        let index = self.entries.iter().position(|e| e.id == id)?;
+        Some(self.entries.remove(index))
+    }
+
+    fn expire(&mut self, now: Instant, estimate: Duration) -> Vec<(WaitId, u64)> {
+        self.entries.sort_by_key(|e| e.id);
+        let late = self
+            .entries
+            .extract_if(.., |e| now + estimate > e.entry.deadline);
+        late.map(|e| (e.id, e.item)).collect()
+    }
+
+    fn len(&self, class: RequestClass) -> usize {
+        self.entries
+            .iter()
+            .filter(|e| e.entry.class == class)
+            .count()
+    }
+}
+
+fn team(index: u8) -> SmolStr {
+    TEAMS[usize::from(index) % TEAMS.len()].into()
+}
+
+/// Guards against an order that differs from the specification after any sequence of calls, against requests
+/// that are lost or doubled, and against wrong lengths.
+#[test]
+fn agrees_with_naive_twin() {
+    check!().with_type::<Vec<Op>>().for_each(|ops| {
+        let (mut queue, mut naive) = (WaitQueue::new(CAPACITY), NaiveQueue::default());
+        let mut now = Instant::now() + Duration::from_secs(1_000);
+        for (item, op) in (0_u64..).zip(ops) {
+            match *op {
+                Op::Push {
+                    team: index,
+                    overnight,
+                    deadline_s,
+                    work_s,
+                    tokens,
+                } => {
+                    let entry = WaitEntry {
+                        team: team(index),
+                        class: if overnight { Overnight } else { Interactive },
+                        deadline: now + Duration::from_secs(deadline_s.into()),
+                        work: Duration::from_secs(work_s.into()),
+                        tokens: tokens.into(),
+                    };
+                    assert_eq!(
+                        queue.push(entry.clone(), item).ok(),
+                        naive.push(entry, item)
+                    );
+                }
+                Op::Pop { mask } => {
+                    let admissible = |item: u64| (mask >> (item % 8)) & 1 == 1;
+                    let popped = queue.pop_next(now, |item| admissible(*item));
+                    assert_eq!(popped, naive.pop(now, admissible));
+                }
+                Op::Remove { id } => {
+                    let id = WaitId(id.into());
+                    assert_eq!(queue.remove(id), naive.take(id).map(|e| e.item));
+                }
+                Op::Expire { estimate_s } => {
+                    let estimate = Duration::from_secs(estimate_s.into());
+                    assert_eq!(queue.expire(now, |_| estimate), naive.expire(now, estimate));
+                }
+                Op::Served {
+                    team: index,
+                    tokens,
+                } => {
+                    queue.served(&team(index), tokens.into());
+                    *naive.counters.entry(team(index)).or_default() += i64::from(tokens);
+                }
+                Op::Advance { seconds } => now += Duration::from_secs(seconds.into()),
+            }
+            for class in [Interactive, Overnight] {
+                assert_eq!(queue.len(class), naive.len(class));
+            }
+        }
+    });
+}
+
+fn entry(team: &str, class: RequestClass, deadline: Instant) -> WaitEntry {
+    WaitEntry {
+        team: team.into(),
+        class,
+        deadline,
+        work: Duration::from_secs(1),
+        tokens: 100,
+    }
+}
+
+/// Guards against a team that starves others by sending five times as much, or by having been away.
+#[test]
+fn teams_share_equally_under_contention() {
+    let now = Instant::now();
+    let mut queue = WaitQueue::new(1_000);
+    for _ in 0..50 {
+        queue
+            .push(
+                entry("loud", Interactive, now + Duration::from_secs(5)),
+                "loud",
+            )
+            .unwrap();
+    }
+    for _ in 0..20 {
+        assert_eq!(queue.pop_next(now, |_| true).unwrap().1, "loud");
+    }
+    for _ in 0..10 {
+        queue
+            .push(
+                entry("quiet", Interactive, now + Duration::from_secs(9)),
+                "quiet",
+            )
+            .unwrap();
+    }
+    let popped: Vec<_> = (0..20)
+        .map(|_| queue.pop_next(now, |_| true).unwrap().1)
+        .collect();
+    assert_eq!(popped.iter().filter(|team| **team == "quiet").count(), 10);
+    // Had the absence been saved up, the quiet team would have been served ten times in a row.
+    assert!(popped[..10].contains(&"loud"));
+}
+
+/// Guards against overnight work that delays callers, misses its deadline or is never served.
+#[test]
+fn overnight_fills_and_rises() {
+    let now = Instant::now();
+    let mut queue = WaitQueue::new(10);
+    queue
+        .push(
+            entry("a", Overnight, now + Duration::from_secs(9_000)),
+            "late",
+        )
+        .unwrap();
+    queue
+        .push(
+            entry("a", Overnight, now + Duration::from_secs(3_000)),
+            "early",
+        )
+        .unwrap();
+    queue
+        .push(
+            entry("b", Interactive, now + Duration::from_secs(10_000)),
+            "now",
+        )
+        .unwrap();
+    queue
+        .push(
+            entry("b", Interactive, now + Duration::from_secs(10_000)),
+            "next",
+        )
+        .unwrap();
+    assert_eq!(queue.pop_next(now, |_| true).unwrap().1, "now");
+    let later = now + Duration::from_secs(2_950);
+    assert_eq!(queue.pop_next(later, |_| true).unwrap().1, "early");
+    assert_eq!(queue.pop_next(later, |_| true).unwrap().1, "next");
+    assert_eq!(queue.pop_next(later, |_| true).unwrap().1, "late");
+    assert!(queue.is_empty());
+}
+
+/// Guards against a baseline that is anything but first come, first served.
+#[test]
+fn fifo_ignores_class_and_team() {
+    let now = Instant::now();
+    let mut queue = FifoQueue::new(2);
+    queue
+        .push(entry("a", Overnight, now + Duration::from_secs(90)), 1)
+        .unwrap();
+    queue
+        .push(entry("b", Interactive, now + Duration::from_secs(1)), 2)
+        .unwrap();
+    assert_eq!(queue.push(entry("c", Interactive, now), 3), Err(3));
+    assert_eq!(queue.pop_next(now, |_| true).unwrap().1, 1);
+    assert_eq!(queue.expire(now, |_| Duration::from_secs(2))[0].1, 2);
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,242 @@
+//! Routing policies: which servers are never chosen, what is preferred, and index against scan.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bolero::{TypeGenerator, check};
+use foxtailhill::engine::{CacheEvent, LoadReport, ResidentItem};
+use foxtailhill::routing::{
+    BackendView, ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy, RouteNeed,
+    RoutingPolicy, ServerHandle,
+};
+
+fn item(model: u8, adapter: Option<&str>) -> (ResidentItem, u64) {
+    let item = ResidentItem {
+        model: format!("m{model}").into(),
+        version: "v1".into(),
+        adapter: adapter.map(Into::into),
+    };
+    (item, 1)
+}
+
+fn view(name: usize, zone: &str, model: u8) -> BackendView {
+    BackendView {
+        name: format!("s{name}").into(),
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: 8,
+        report: LoadReport {
+            token_us: 20_000,
+            resident: vec![item(model, None)],
+            ..LoadReport::default()
+        },
+        reported_at: Some(Instant::now()),
+        in_flight: 0,
+        sent_since_report: 0,
+        suspected_down: false,
+        leaving: false,
+    }
+}
+
+fn need(model: u8) -> RouteNeed {
+    RouteNeed {
+        model: format!("m{model}").into(),
+        version: "v1".into(),
+        adapter: None,
+        prefixes: Vec::new(),
+        zone: "z0".into(),
+        avoid: Vec::new(),
+    }
+}
+
+fn policy(seed: u64) -> ExpectedTimePolicy {
+    ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), seed)
+}
+
+fn fleet(views: &[BackendView]) -> FleetSnapshot {
+    FleetSnapshot::new(
+        views
+            .iter()
+            .map(|view| (view.clone(), Arc::default(), None)),
+    )
+}
+
+/// Returns the servers that a policy chooses in many draws.
+fn choices(policy: &impl RoutingPolicy, need: &RouteNeed, views: &[BackendView]) -> Vec<usize> {
+    let draws = (0..200).filter_map(|_| policy.choose(need, views, Instant::now()));
+    let mut choices: Vec<_> = draws.collect();
+    choices.sort_unstable();
+    choices.dedup();
+    choices
+}
+
+#[derive(Debug, TypeGenerator)]
+struct Server {
+    zone: u8,
+    model: u8,
+    adapter: bool,
+    running: u8,
+    waiting: u8,
+    token_ms: u8,
+    leaving: bool,
+    reports_leaving: bool,
+    suspected: bool,
+}
+
+fn random_view((name, server): (usize, &Server)) -> BackendView {
+    let mut view = view(name, &format!("z{}", server.zone % 2), server.model % 3);
+    if server.adapter {
+        view.report.resident.push(item(server.model % 3, Some("a")));
+    }
+    view.report.running = (server.running % 12).into();
+    view.report.waiting = (server.waiting % 4).into();
+    view.report.token_us = u32::from(server.token_ms) * 1_000;
+    view.report.leaving = server.reports_leaving && server.zone > 128;
+    view.leaving = server.leaving && server.zone < 64;
+    view.suspected_down = server.suspected && server.model > 128;
+    view
+}
+
+/// Guards against an unusable server being chosen (G10), a usable one being passed over, and an index that
+/// disagrees with a scan.
+#[test]
+fn choice_is_usable_and_index_agrees() {
+    check!()
+        .with_type::<(Vec<Server>, u64, bool, u8)>()
+        .for_each(|(servers, seed, adapter, avoid)| {
+            let views: Vec<_> = servers.iter().enumerate().map(random_view).collect();
+            let mut need = need(1);
+            need.adapter = adapter.then(|| "a".into());
+            need.avoid = vec![format!("s{}", avoid % 4).into()];
+            let allowed = |view: &BackendView| {
+                let outstanding = view.report.running + view.report.waiting;
+                !(view.leaving || view.report.leaving || view.suspected_down)
+                    && view.report.resident[0] == item(1, None)
+                    && outstanding < 11
+                    && !need.avoid.contains(&view.name)
+            };
+            let choice = policy(*seed).choose(&need, &views, Instant::now());
+            match choice {
+                Some(position) => assert!(allowed(&views[position])),
+                None => assert!(!views.iter().any(allowed)),
+            }
+            // Live flags start unset, so the index is compared on the servers that are usable.
+            let usable: Vec<_> = views
+                .iter()
+                .filter(|view| !(view.leaving || view.report.leaving || view.suspected_down))
+                .cloned()
+                .collect();
+            let scanned = policy(*seed).choose(&need, &usable, Instant::now());
+            let indexed = policy(*seed).choose_in(&need, &fleet(&usable), Instant::now());
+            assert_eq!(scanned, indexed);
+        });
+}
+
+/// Guards against a ranking that ignores what the design names: load, adapter, cached prefix, own zone.
+#[test]
+fn preferences() {
+    let prefixes = Arc::new(PrefixIndex::new());
+    let policy = ExpectedTimePolicy::new(prefixes.clone(), 7);
+    let mut views: Vec<_> = (0..3).map(|name| view(name, "z0", 1)).collect();
+    let mut need = need(1);
+    assert_eq!(choices(&policy, &need, &views), [0, 1, 2]);
+
+    views[0].zone = "z1".into();
+    assert_eq!(choices(&policy, &need, &views), [1, 2]);
+    views[1].report.running = 8;
+    assert_eq!(choices(&policy, &need, &views), [2]);
+    // Another zone costs less than waiting for a slot.
+    views[2].report.running = 8;
+    assert_eq!(choices(&policy, &need, &views), [0]);
+
+    views = (0..3).map(|name| view(name, "z0", 1)).collect();
+    need.adapter = Some("a".into());
+    views[1].report.resident.push(item(1, Some("a")));
+    assert_eq!(choices(&policy, &need, &views), [1]);
+
+    need.adapter = None;
+    need.prefixes = vec![10, 20];
+    let event = |sequence, present| CacheEvent {
+        sequence,
+        prefix_hash: 20,
+        present,
+    };
+    prefixes.apply(&"s2".into(), &[event(0, true)]);
+    assert_eq!(choices(&policy, &need, &views), [2]);
+    // Repeated events change nothing; a removal does.
+    prefixes.apply(&"s2".into(), &[event(0, true), event(1, false)]);
+    assert_eq!(choices(&policy, &need, &views), [0, 1, 2]);
+    prefixes.sent(&"s0".into(), &[10, 20]);
+    assert_eq!(choices(&policy, &need, &views), [0]);
+    // A long gap may hide the removal.
+    prefixes.apply(
+        &"s0".into(),
+        &[CacheEvent {
+            sequence: 9_999,
+            prefix_hash: 1,
+            present: true,
+        }],
+    );
+    assert_eq!(choices(&policy, &need, &views), [0, 1, 2]);
+    assert_eq!(prefixes.next_sequence(&"s0".into()), 10_000);
+}
+
+/// Guards against unbounded dispatch to one server between two load reports, and against a bound that stays
+/// reached after the requests have ended.
+#[test]
+fn dispatch_is_bounded_live() {
+    let handle = Arc::new(ServerHandle::default());
+    let fleet = FleetSnapshot::new([(view(0, "z0", 1), handle.clone(), None)]);
+    let (policy, need) = (policy(1), need(1));
+    let mut sent = Vec::new();
+    while policy.choose_in(&need, &fleet, Instant::now()).is_some() {
+        sent.push(handle.begin());
+        assert!(sent.len() < 100);
+    }
+    assert_eq!(sent.len(), 11);
+    assert_eq!((handle.in_flight(), handle.sent_since_report()), (11, 11));
+    sent.clear();
+    assert_eq!((handle.in_flight(), handle.sent_since_report()), (0, 11));
+    assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
+}
+
+/// Guards against a baseline that leaves servers out, and against service calls beyond a server's slots.
+#[test]
+fn round_robin_and_services() {
+    let mut views: Vec<_> = (0..3).map(|name| view(name, "z0", 1)).collect();
+    views[1].leaving = true;
+    let policy = RoundRobinPolicy::new();
+    assert_eq!(choices(&policy, &need(1), &views), [0, 2]);
+
+    let handles: Vec<Arc<ServerHandle>> = vec![Arc::default(), Arc::default()];
+    let servers = handles.iter().enumerate().map(|(index, handle)| {
+        let mut view = view(index, &format!("z{index}"), 9);
+        view.slots = 1;
+        (view, handle.clone(), Some("booking".into()))
+    });
+    let fleet = FleetSnapshot::new(servers);
+    assert_eq!(fleet.choose_service("booking", "z1", &[]), Some(1));
+    let _busy = handles[1].begin();
+    assert_eq!(fleet.choose_service("booking", "z1", &[]), Some(0));
+    assert_eq!(fleet.choose_service("booking", "z1", &["s0".into()]), None);
+    assert!(fleet.has_service("booking") && !fleet.has_service("other"));
+}
+
+/// Guards against a server that inherits the prefixes of one that was forgotten.
+#[test]
+fn forgotten_prefixes_are_not_inherited() {
+    let prefixes = Arc::new(PrefixIndex::new());
+    let policy = ExpectedTimePolicy::new(prefixes.clone(), 3);
+    let views: Vec<_> = (0..3).map(|name| view(name, "z0", 1)).collect();
+    let mut need = need(1);
+    need.prefixes = vec![10];
+    prefixes.sent(&"s0".into(), &[10]);
+    prefixes.sent(&"s1".into(), &[11]);
+    prefixes.forget(&"s0".into());
+    prefixes.sent(&"s2".into(), &[12]);
+    assert_eq!(choices(&policy, &need, &views), [0, 1, 2]);
+    prefixes.sent(&"s1".into(), &[10]);
+    assert_eq!(choices(&policy, &need, &views), [1]);
+}
