Serve connections that wait in the backlog when the listener closes

Change: a stopped listener accepts for another 50 ms, and a connection without a first byte gets 100 ms before it is told to end. FleetWatch announces the end of a suspicion at once. The history separates the dispatcher's whole time from the time to the first token. Tests of FleetWatch. A request that is sent on an idle keep-alive connection at the moment of the shutdown can still be cut; HTTP/1.1 has no message against that.

--- a/src/history.rs
+++ b/src/history.rs
@@ -27,8 +27,10 @@
     Claim,
     /// Waiting for a backend server.
     Queue,
-    /// From the dispatch to the first token or the whole answer.
+    /// From the sending to a backend server to the first token or the whole answer.
     FirstToken,
+    /// The dispatcher's whole work up to the first token or the whole answer; includes the stages between.
+    Dispatch,
     /// From the first token to the end.
     Stream,
 }
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -29,6 +29,11 @@
 
 /// Wait after a failed accept, which mostly means that file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a stopped listener still accepts: closing it resets the connections in its backlog.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
+/// Time for which a new connection may still send its first byte after a stop. Ending it before would cut a
+/// request that is on its way.
+const FIRST_BYTE_TIME: Duration = Duration::from_millis(100);
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 /// Bytes of answers that one HTTP/2 stream buffers for its caller.
@@ -101,10 +106,19 @@
 
 impl Acceptor {
     async fn run(self) {
+        if self
+            .stop
+            .run_until_cancelled(self.accept_all())
+            .await
+            .is_none()
+        {
+            let _ = tokio::time::timeout(BACKLOG_TIME, self.accept_all()).await;
+        }
+    }
+
+    async fn accept_all(&self) {
         loop {
-            let Some((stream, slot)) = self.stop.run_until_cancelled(self.accept()).await else {
-                return;
-            };
+            let (stream, slot) = self.accept().await;
             let connection = serve(
                 stream,
                 self.router.clone(),
@@ -155,6 +169,12 @@
     });
     let builder = builder(&limits, group);
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    let mut stopped = std::pin::pin!(async {
+        stop.cancelled().await;
+        if state.is_new() {
+            tokio::time::sleep(FIRST_BYTE_TIME).await;
+        }
+    });
     let mut closing = false;
     loop {
         tokio::select! {
@@ -164,7 +184,7 @@
                 }
                 return;
             }
-            () = stop.cancelled(), if !closing => {
+            () = stopped.as_mut(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -225,6 +245,7 @@
     idle_since: AtomicU64,
     head_since: AtomicU64,
     http2: AtomicBool,
+    new: AtomicBool,
 }
 
 /// Marks a request as active until it is dropped.
@@ -238,6 +259,7 @@
             idle_since: AtomicU64::new(1),
             head_since: AtomicU64::new(0),
             http2: AtomicBool::new(false),
+            new: AtomicBool::new(true),
         }
     }
 
@@ -251,8 +273,14 @@
         ActiveRequest(self.clone())
     }
 
+    /// Returns whether no byte has arrived.
+    fn is_new(&self) -> bool {
+        self.new.load(Ordering::SeqCst)
+    }
+
     /// Notes that bytes arrived. On HTTP/2 bytes between requests need not belong to a request.
     fn received(&self) {
+        self.new.store(false, Ordering::SeqCst);
         let between = self.active.load(Ordering::SeqCst) == 0;
         if between && !self.http2.load(Ordering::SeqCst) {
             let now = self.now();
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -138,7 +138,7 @@
     exchange.target(model.clone());
     let started = Instant::now();
     let result = edge.dispatcher.model_call(input.call).await;
-    exchange.stage(RequestStage::FirstToken, started);
+    exchange.stage(RequestStage::Dispatch, started);
     let (usage, tokens) = result?;
     let format = ChatFormat {
         model,
@@ -243,7 +243,7 @@
     };
     let started = Instant::now();
     let result = edge.dispatcher.service_call(call).await;
-    exchange.stage(RequestStage::FirstToken, started);
+    exchange.stage(RequestStage::Dispatch, started);
     result.map_err(|error| match error.category() {
         // The input is well-formed here; it contradicts an earlier call or the route's rules.
         Category::Invalid => Refusal::new(StatusCode::UNPROCESSABLE_ENTITY, error),
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -302,6 +302,7 @@
     let call_time = shared.settings.call_time;
     let load = tokio::time::timeout(call_time, shared.engine.load(address)).await;
     let report = load.ok().and_then(Result::ok);
+    let suspected = handle.is_suspected();
     let effect = {
         let mut servers = shared.servers();
         let state = servers.get_mut(&name);
@@ -316,6 +317,9 @@
             }
         }
     };
+    if suspected && !handle.is_suspected() {
+        shared.notify();
+    }
     if let (Some(effect), Some(report)) = (effect, &report) {
         shared.reported(&name, effect);
         if effect != ReportEffect::Nothing {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -492,3 +492,36 @@
     );
     edge.group.shutdown().await;
 }
+
+/// Guards against shutdown that cuts an HTTP/1.1 answer or waits for an idle connection that was used before.
+#[tokio::test]
+async fn drain_finishes_http1_requests() {
+    let edge = EdgeFixture::open(tight_limits()).await;
+    let body = chat_body("echo", false);
+    let request = |body: &str| {
+        let length = body.len();
+        format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    };
+    let mut idle = edge.connect().await;
+    idle.write_all(request(&body).as_bytes()).await.unwrap();
+    let mut buffer = vec![0; 64 << 10];
+    assert!(idle.read(&mut buffer).await.unwrap() > 0);
+    let mut busy = edge.connect().await;
+    let endless = request(&chat_body("endless", true));
+    busy.write_all(endless.as_bytes()).await.unwrap();
+    let mut drain = std::pin::pin!(edge.server.drain());
+    for _ in 0..50 {
+        tokio::select! {
+            () = &mut drain => panic!("drained with a request in progress"),
+            read = busy.read(&mut buffer) => assert!(read.unwrap() > 0),
+        }
+    }
+    assert_eq!(read_to_end(&mut idle).await, "");
+    drop(busy);
+    tokio::time::timeout(PATIENCE, drain)
+        .await
+        .expect("drain must end");
+    edge.group.shutdown().await;
+}
--- /dev/null
+++ b/tests/watch.rs
@@ -0,0 +1,330 @@
+//! The fleet watch against fake engines and a fake VM list.
+
+#![allow(clippy::unwrap_used)]
+
+mod edge;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foxtailhill::catalog::{BackendKind, BackendSpec};
+use foxtailhill::engine::{
+    CacheEvent, EngineChunk, EngineClient, EngineOrder, EngineRequest, LoadReport, OrderReply,
+    ResidentItem,
+};
+use foxtailhill::error::{Error, Result};
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex, RouteNeed, RoutingPolicy};
+use foxtailhill::timer::TimerService;
+use foxtailhill::watch::{FleetWatch, WatchSettings};
+use futures_util::stream;
+
+use crate::edge::eventually;
+
+/// Reports by port; `None` never answers, a missing one fails.
+#[derive(Default)]
+struct FakeEngines {
+    reports: Mutex<HashMap<u16, Option<LoadReport>>>,
+}
+
+impl FakeEngines {
+    fn set(&self, port: u16, report: Option<LoadReport>) {
+        self.reports.lock().unwrap().insert(port, report);
+    }
+}
+
+impl EngineClient for FakeEngines {
+    type Tokens = stream::Empty<Result<EngineChunk>>;
+
+    async fn complete(&self, _: SocketAddr, _: &EngineRequest) -> Result<Self::Tokens> {
+        Ok(stream::empty())
+    }
+
+    async fn load(&self, server: SocketAddr) -> Result<LoadReport> {
+        let report = self.reports.lock().unwrap().get(&server.port()).cloned();
+        match report {
+            Some(Some(report)) => Ok(report),
+            Some(None) => std::future::pending().await,
+            None => Err(Error::unavailable("connection refused")),
+        }
+    }
+
+    async fn cache_events(&self, server: SocketAddr, sequence: u64) -> Result<Vec<CacheEvent>> {
+        let event = CacheEvent {
+            sequence: 0,
+            prefix_hash: server.port().into(),
+            present: true,
+        };
+        Ok(if sequence == 0 {
+            vec![event]
+        } else {
+            Vec::new()
+        })
+    }
+
+    async fn order(&self, _: SocketAddr, _: &EngineOrder) -> Result<OrderReply> {
+        Ok(OrderReply::Refused)
+    }
+}
+
+#[derive(Default)]
+struct FakeList {
+    vms: Mutex<Vec<ListedVm>>,
+}
+
+impl VmList for FakeList {
+    async fn list(&self) -> Result<Vec<ListedVm>> {
+        Ok(self.vms.lock().unwrap().clone())
+    }
+}
+
+fn report(sequence: u64) -> LoadReport {
+    let item = ResidentItem {
+        model: "m".into(),
+        version: "v".into(),
+        adapter: None,
+    };
+    LoadReport {
+        sequence,
+        resident: vec![(item, 1)],
+        ..LoadReport::default()
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn engine(name: &str, port: u16) -> BackendSpec {
+    let kind = BackendKind::Engine {
+        memory_bytes: 1,
+        accelerators: 1,
+        slots: 4,
+        checks_fencing: true,
+    };
+    BackendSpec {
+        name: name.into(),
+        zone: "z".into(),
+        address: address(port),
+        kind,
+    }
+}
+
+fn service(name: &str, port: u16) -> BackendSpec {
+    let kind = BackendKind::Service {
+        group: "booking".into(),
+        slots: 4,
+    };
+    BackendSpec {
+        kind,
+        ..engine(name, port)
+    }
+}
+
+struct WatchFixture {
+    group: TaskGroup,
+    engines: Arc<FakeEngines>,
+    list: Arc<FakeList>,
+    prefixes: Arc<PrefixIndex>,
+    watch: FleetWatch<FakeEngines, FakeList>,
+    seen: Arc<Mutex<Vec<(String, u64)>>>,
+}
+
+impl WatchFixture {
+    fn open() -> Self {
+        let group = TaskGroup::new();
+        let timer = TimerService::spawn(&group);
+        let (engines, list) = (
+            Arc::new(FakeEngines::default()),
+            Arc::new(FakeList::default()),
+        );
+        let prefixes = Arc::new(PrefixIndex::new());
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let sink = seen.clone();
+        let settings = WatchSettings {
+            report_period: Duration::from_millis(40),
+            list_period: Duration::from_millis(20),
+            call_time: Duration::from_millis(100),
+        };
+        let watch = FleetWatch::spawn(
+            &group,
+            &timer,
+            settings,
+            (engines.clone(), list.clone()),
+            prefixes.clone(),
+            move |name, report| {
+                sink.lock()
+                    .unwrap()
+                    .push((name.to_string(), report.sequence))
+            },
+        );
+        Self {
+            group,
+            engines,
+            list,
+            prefixes,
+            watch,
+            seen,
+        }
+    }
+
+    /// Returns the server that a request for model `m` goes to.
+    fn choice(&self) -> Option<String> {
+        let need = RouteNeed {
+            model: "m".into(),
+            version: "v".into(),
+            adapter: None,
+            prefixes: Vec::new(),
+            zone: "z".into(),
+            avoid: Vec::new(),
+        };
+        let fleet = self.watch.snapshot();
+        let policy = ExpectedTimePolicy::new(self.prefixes.clone(), 1);
+        let position = policy.choose_in(&need, &fleet, Instant::now())?;
+        Some(fleet.views()[position].name.to_string())
+    }
+}
+
+/// Guards against servers that are used before they report, and against reports and cache events that are lost
+/// on the way to their readers or passed on twice.
+#[tokio::test]
+async fn reports_reach_snapshot_and_sink() {
+    let fixture = WatchFixture::open();
+    fixture.engines.set(1, Some(report(5)));
+    fixture
+        .watch
+        .set_backends(&[engine("s1", 1), engine("s2", 2)]);
+    assert_eq!(fixture.choice(), None);
+    eventually("first report", || fixture.choice().as_deref() == Some("s1")).await;
+    eventually("cache events", || {
+        fixture.prefixes.next_sequence(&"s1".into()) == 1
+    })
+    .await;
+    fixture.engines.set(1, Some(report(6)));
+    eventually("second report", || fixture.seen.lock().unwrap().len() == 2).await;
+    fixture.engines.set(1, Some(report(4)));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let seen = fixture.seen.lock().unwrap().clone();
+    assert_eq!(seen, [("s1".to_string(), 5), ("s1".to_string(), 6)]);
+    fixture.watch.set_backends(&[engine("s2", 2)]);
+    assert_eq!(fixture.choice(), None);
+    assert_eq!(fixture.prefixes.next_sequence(&"s1".into()), 0);
+    fixture.group.shutdown().await;
+}
+
+/// Guards against new work for a server that any source calls leaving (G10), and against notices of peers that
+/// are repeated to peers.
+#[tokio::test]
+async fn leaving_from_any_source_stops_work() {
+    let fixture = WatchFixture::open();
+    for port in 1..=3 {
+        fixture.engines.set(port, Some(report(1)));
+    }
+    fixture
+        .watch
+        .set_backends(&[engine("s1", 1), engine("s2", 2), engine("s3", 3)]);
+    eventually("reports", || fixture.seen.lock().unwrap().len() == 3).await;
+    // An old report may say so as well as a new one.
+    fixture.engines.set(
+        1,
+        Some(LoadReport {
+            leaving: true,
+            ..report(0)
+        }),
+    );
+    let listed = ListedVm {
+        name: "vm-17".into(),
+        zone: "z".into(),
+        role: VmRole::Backend,
+        address: address(2),
+        state: VmState::Leaving,
+    };
+    *fixture.list.vms.lock().unwrap() = vec![listed];
+    eventually("leaving", || fixture.watch.leaving() == ["s1", "s2"]).await;
+    assert_eq!(fixture.choice().as_deref(), Some("s3"));
+    let fleet = fixture.watch.snapshot();
+    fixture.watch.note_leaving(&["s3".into(), "unknown".into()]);
+    // The flag is live: a snapshot taken before shows it too.
+    assert!(fleet.handle(fleet.position("s3").unwrap()).is_leaving());
+    assert_eq!(fixture.choice(), None);
+    assert_eq!(fixture.watch.leaving(), ["s1", "s2"]);
+    assert!(fixture.watch.listing().read_at.is_some());
+    // Another process at the same address starts anew.
+    fixture.engines.set(
+        1,
+        Some(LoadReport {
+            incarnation: 2,
+            ..report(1)
+        }),
+    );
+    eventually("return", || fixture.choice().as_deref() == Some("s1")).await;
+    fixture.group.shutdown().await;
+}
+
+/// Guards against work for servers that fail or hang, against one hanging server that stops the polls of the
+/// others, and against suspicion that never ends.
+#[tokio::test]
+async fn failing_servers_are_suspected_until_they_report() {
+    let fixture = WatchFixture::open();
+    fixture.engines.set(1, Some(report(1)));
+    fixture.engines.set(2, Some(report(1)));
+    fixture
+        .watch
+        .set_backends(&[engine("s1", 1), engine("s2", 2), service("b", 9)]);
+    eventually("reports", || fixture.seen.lock().unwrap().len() == 2).await;
+    fixture.engines.set(1, None);
+    eventually("suspicion", || {
+        let fleet = fixture.watch.snapshot();
+        fleet.handle(fleet.position("s1").unwrap()).is_suspected()
+    })
+    .await;
+    assert_eq!(fixture.choice().as_deref(), Some("s2"));
+    let mut changes = fixture.watch.subscribe();
+    fixture.engines.set(1, Some(report(2)));
+    let returned = || {
+        let fleet = fixture.watch.snapshot();
+        !fleet.handle(fleet.position("s1").unwrap()).is_suspected()
+    };
+    eventually("return", returned).await;
+    tokio::time::timeout(edge::PATIENCE, changes.changed())
+        .await
+        .unwrap()
+        .unwrap();
+
+    fixture.engines.set(2, None);
+    fixture.watch.call_failed("s2");
+    assert_eq!(fixture.choice().as_deref(), Some("s1"));
+    fixture.watch.call_failed("b");
+    let chosen = || fixture.watch.snapshot().choose_service("booking", "z", &[]);
+    assert_eq!(chosen(), None);
+    eventually("return of the service", || chosen().is_some()).await;
+    fixture.group.shutdown().await;
+}
+
+/// Guards against own requests that count twice, or not at all, until the next report.
+#[tokio::test]
+async fn counters_follow_reports() {
+    let fixture = WatchFixture::open();
+    fixture.engines.set(1, Some(report(1)));
+    fixture.watch.set_backends(&[engine("s1", 1)]);
+    eventually("report", || fixture.choice().is_some()).await;
+    let handle = fixture.watch.snapshot().handle(0).clone();
+    // The server takes 4 slots + 1 + 1 requests.
+    let sent: Vec<_> = (0..6).map(|_| handle.begin()).collect();
+    assert_eq!(fixture.choice(), None);
+    fixture.engines.set(
+        1,
+        Some(LoadReport {
+            running: 6,
+            ..report(2)
+        }),
+    );
+    eventually("second report", || handle.sent_since_report() == 0).await;
+    assert_eq!(fixture.choice(), None);
+    drop(sent);
+    assert!(fixture.choice().is_some());
+    fixture.group.shutdown().await;
+}
