Box the futures of connections and streams

Cause: each async block that awaits a captured future holds its space twice, so two levels of wrapping made a connection task four times as large as needed. Change: the futures of connections, HTTP/2 streams and event pumps are boxed before they are wrapped.

--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -160,7 +160,12 @@
 {
     let (sender, receiver) = mpsc::channel(BUFFERED_EVENTS);
     let id = exchange.id.clone();
-    let pump = pump_events(exchange, EventWriter::new(&id, format), tokens, sender);
+    let pump = Box::pin(pump_events(
+        exchange,
+        EventWriter::new(&id, format),
+        tokens,
+        sender,
+    ));
     group.spawn_cancellable(logging::in_request(id, pump));
     let mut response = Response::new(Body::new(ChannelBody(receiver)));
     let headers = response.headers_mut();
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -119,13 +119,14 @@
     async fn accept_all(&self) {
         loop {
             let (stream, slot) = self.accept().await;
-            let connection = serve(
+            // Each enclosing future would hold the space of this one twice: as captured and as awaited.
+            let connection = Box::pin(serve(
                 stream,
                 self.router.clone(),
                 self.limits.clone(),
                 self.group.clone(),
                 self.stop.clone(),
-            );
+            ));
             let open = self.open.clone();
             self.group.spawn_cancellable(async move {
                 connection.await;
@@ -234,7 +235,7 @@
 
 impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for GroupExecutor {
     fn execute(&self, future: F) {
-        self.0.spawn_cancellable(future);
+        self.0.spawn_cancellable(Box::pin(future));
     }
 }
 
