--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -118,6 +118,12 @@
         self.state.journal()
     }
 
+    /// Returns the models and adapters in memory.
+    pub fn resident(&self) -> Vec<ResidentItem> {
+        let (resident, _) = lock(&self.state.memory).report();
+        resident.into_iter().map(|(item, _)| item).collect()
+    }
+
     /// Returns the received requests, if they are kept.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state.received.all()
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod engine;
 pub mod load;
+pub mod local;
 pub mod proxy;
 pub mod record;
 mod serve;
