Check replicas under random faults and close a race in submit

Cause: a command that was applied between the look at the catalog and the registration of its waiter was appended again, and its report needed a correction of the offset that no test reached.

Two tests are stricter: a push of a malformed record uses a format that is not reserved, and a refused second append must not turn into `not_run`.

--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -23,7 +23,7 @@
 use crate::journal::{FollowerStatus, JournalClient, StreamFollower, StreamGap, StreamName};
 use crate::kernel::TaskGroup;
 use crate::replica::confirm::ConfirmTable;
-use crate::replica::state::{RecordSource, ReplicaState};
+use crate::replica::state::{CommandState, RecordSource, ReplicaState};
 use crate::replica::sync::{CatalogSink, SnapshotMemo, watch_readiness, write_snapshots};
 use crate::timer::TimerService;
 
@@ -198,16 +198,16 @@
         if !self.is_ready() {
             return Err(Error::unavailable("the configuration is not loaded yet"));
         }
-        if let Some(report) = self.earlier_report(&command) {
-            return Ok(report);
-        }
+        let mut report = match self.state.wait_for(&command) {
+            CommandState::Applied(report) => return Ok(report),
+            CommandState::Waiting(report) => report,
+        };
         if !self.may_append.load(Ordering::Relaxed) {
             return Err(Error::unavailable(
                 "this daemon has not been on the VM list for long enough",
             ));
         }
         let record = Bytes::from(command.encode()?);
-        let mut report = self.state.wait_for(&command);
         let mut unresolved = None;
         let submission = async {
             loop {
@@ -234,15 +234,6 @@
         }
     }
 
-    fn earlier_report(&self, command: &ChangeCommand) -> Option<ChangeReport> {
-        let catalog = self.current();
-        let applied = catalog.applied_command(command.id)?;
-        (applied.digest == command.digest()).then(|| ChangeReport {
-            offset: applied.offset,
-            verdict: applied.verdict.clone(),
-        })
-    }
-
     /// Applies records that a peer read from the log; those beyond a gap are left to the log. Returns the next offset.
     pub fn push(&self, first: LogOffset, records: &[Vec<u8>]) -> LogOffset {
         let records = records.iter().map(Vec::as_slice);
--- a/src/replica/state.rs
+++ b/src/replica/state.rs
@@ -23,6 +23,21 @@
     Peer,
 }
 
+/// What is known of a command.
+pub(super) enum CommandState {
+    Applied(ChangeReport),
+    Waiting(oneshot::Receiver<ChangeReport>),
+}
+
+impl From<&AppliedCommand> for ChangeReport {
+    fn from(applied: &AppliedCommand) -> Self {
+        Self {
+            offset: applied.offset,
+            verdict: applied.verdict.clone(),
+        }
+    }
+}
+
 /// Shared by the replica's handle and its tasks.
 pub(super) struct ReplicaState {
     inner: Mutex<StateInner>,
@@ -91,16 +106,21 @@
         inner.catalog.next_offset()
     }
 
-    /// Registers a wait for the verdict of `command`.
-    pub(super) fn wait_for(&self, command: &ChangeCommand) -> oneshot::Receiver<ChangeReport> {
+    /// Registers a wait for the verdict of `command`, or returns the verdict if the command was applied already.
+    pub(super) fn wait_for(&self, command: &ChangeCommand) -> CommandState {
         let (sender, receiver) = oneshot::channel();
         let mut inner = self.lock();
+        if let Some(applied) = inner.catalog.applied_command(command.id)
+            && applied.digest == command.digest()
+        {
+            return CommandState::Applied(applied.into());
+        }
         for waiters in inner.waiters.values_mut() {
             waiters.retain(|waiter| !waiter.is_closed());
         }
         inner.waiters.retain(|_, waiters| !waiters.is_empty());
         inner.waiters.entry(command.id).or_default().push(sender);
-        receiver
+        CommandState::Waiting(receiver)
     }
 
     /// Returns records from `from` on, or `None` if there are none or they are no longer kept.
@@ -151,17 +171,8 @@
         true
     }
 
-    fn answer(&mut self, id: RecordId, mut report: ChangeReport) {
-        let Some(waiters) = self.waiters.remove(&id) else {
-            return;
-        };
-        // A repeated command reports the offset at which it took effect.
-        if let Some(applied) = self.catalog.applied_command(id)
-            && applied.verdict == report.verdict
-        {
-            report.offset = applied.offset;
-        }
-        for waiter in waiters {
+    fn answer(&mut self, id: RecordId, report: ChangeReport) {
+        for waiter in self.waiters.remove(&id).unwrap_or_default() {
             // The waiting call may have ended at its deadline.
             let _ = waiter.send(report.clone());
         }
@@ -175,11 +186,7 @@
             .filter_map(|id| self.catalog.applied_command(*id).cloned())
             .collect();
         for applied in known {
-            let report = ChangeReport {
-                offset: applied.offset,
-                verdict: applied.verdict,
-            };
-            self.answer(applied.id, report);
+            self.answer(applied.id, ChangeReport::from(&applied));
         }
     }
 }
--- a/tests/config_support/mod.rs
+++ b/tests/config_support/mod.rs
@@ -12,6 +12,8 @@
 use foxtailhill::error::{Category, Error, Result, RunVerdict};
 use foxtailhill::ids::{LogOffset, RecordId};
 use foxtailhill::journal::{JournalClient, LogRecord, ReadBatch, StreamBounds, StreamName};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -26,6 +28,49 @@
     lose_after: u32,
     /// Appends that are lost before they take effect, with an unclear answer.
     lose_before: u32,
+    /// Goes down with the next answer that is lost.
+    down_after_loss: bool,
+    /// Draws a fault for each call, if set.
+    chaos: Option<StdRng>,
+}
+
+/// Fault of one call.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Refused,
+    LostBefore,
+    LostAfter,
+}
+
+impl Streams {
+    fn draw_fault(&mut self) -> Fault {
+        let Some(random) = &mut self.chaos else {
+            return Fault::None;
+        };
+        match random.random_range(0..20) {
+            0 => Fault::Refused,
+            1 | 2 => Fault::LostBefore,
+            3..6 => Fault::LostAfter,
+            _ => Fault::None,
+        }
+    }
+
+    fn append_fault(&mut self) -> Fault {
+        if self.down {
+            return Fault::Refused;
+        }
+        for (count, fault) in [
+            (&mut self.lose_before, Fault::LostBefore),
+            (&mut self.lose_after, Fault::LostAfter),
+        ] {
+            if *count > 0 {
+                *count -= 1;
+                return fault;
+            }
+        }
+        self.draw_fault()
+    }
 }
 
 #[derive(Default)]
@@ -44,10 +89,21 @@
         self.streams.lock().expect("log lock").lose_after = count;
     }
 
+    /// Loses the next answer of an append that takes effect, and is down from then on.
+    pub fn lose_answer_and_go_down(&self) {
+        self.streams.lock().expect("log lock").down_after_loss = true;
+        self.lose_answers(1);
+    }
+
     pub fn lose_appends(&self, count: u32) {
         self.streams.lock().expect("log lock").lose_before = count;
     }
 
+    /// Lets calls fail at random from now on, or no longer.
+    pub fn set_chaos(&self, seed: Option<u64>) {
+        self.streams.lock().expect("log lock").chaos = seed.map(StdRng::seed_from_u64);
+    }
+
     /// Removes the records before `first`.
     pub fn retain_from(&self, stream: StreamName, first: u64) {
         let mut streams = self.streams.lock().expect("log lock");
@@ -84,8 +140,8 @@
     }
 
     fn read_now(&self, stream: StreamName, from: LogOffset, max: usize) -> Result<ReadBatch> {
-        let streams = self.streams.lock().expect("log lock");
-        if streams.down {
+        let mut streams = self.streams.lock().expect("log lock");
+        if streams.down || streams.draw_fault() == Fault::Refused {
             return Err(Error::unavailable("the log is down"));
         }
         let empty = (0, Vec::new());
@@ -111,25 +167,23 @@
 
 impl JournalClient for FakeLog {
     async fn append(&self, stream: StreamName, record: Bytes) -> Result<LogOffset> {
-        let unclear =
-            || Error::new(Category::Timeout, "answer lost").with_verdict(RunVerdict::MayHaveRun);
-        {
-            let mut streams = self.streams.lock().expect("log lock");
-            if streams.down {
-                return Err(Error::unavailable("the log is down"));
-            }
-            if streams.lose_before > 0 {
-                streams.lose_before -= 1;
-                return Err(unclear());
+        let fault = self.streams.lock().expect("log lock").append_fault();
+        // Lets other appends in between a caller's look at the state and its append.
+        tokio::task::yield_now().await;
+        let lost = Error::new(Category::Timeout, "answer lost");
+        match fault {
+            Fault::None => Ok(self.put(stream, record)),
+            Fault::Refused => Err(Error::unavailable("the log is down")),
+            Fault::LostBefore => Err(lost.with_verdict(RunVerdict::MayHaveRun)),
+            Fault::LostAfter => {
+                {
+                    let mut streams = self.streams.lock().expect("log lock");
+                    streams.down |= std::mem::take(&mut streams.down_after_loss);
+                }
+                self.put(stream, record);
+                Err(lost.with_verdict(RunVerdict::MayHaveRun))
             }
         }
-        let offset = self.put(stream, record);
-        let mut streams = self.streams.lock().expect("log lock");
-        if streams.lose_after > 0 {
-            streams.lose_after -= 1;
-            return Err(unclear());
-        }
-        Ok(offset)
     }
 
     async fn read(
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -136,6 +136,25 @@
     replica.group.shutdown().await;
 }
 
+/// Guards against `not_run` for a change that took effect, because a second append of it was refused.
+#[tokio::test]
+async fn a_refused_second_append_does_not_hide_the_first() {
+    let journal = Arc::new(FakeLog::default());
+    let replica = start_ready(&journal).await;
+    journal.lose_answer_and_go_down();
+    let command = put_team("desks", 5, 0);
+    let wait = Duration::from_millis(2_500);
+    let unknown = replica.catalog.submit(command.clone(), wait).await;
+    assert_eq!(unknown.unwrap_err().verdict(), RunVerdict::MayHaveRun);
+    journal.set_down(false);
+    let report = replica.catalog.submit(command, PATIENCE).await.unwrap();
+    assert_eq!(
+        (report.offset, report.verdict),
+        (LogOffset(0), ApplyVerdict::Accepted(Revision(1)))
+    );
+    replica.group.shutdown().await;
+}
+
 /// Guards against a start from a snapshot that is corrupt or incomplete, and against one that is older than need be.
 #[tokio::test]
 async fn a_start_takes_the_newest_sound_snapshot() {
@@ -254,7 +273,7 @@
     assert_eq!(catalog.push(LogOffset(1), &records[1..]), LogOffset(0));
     assert_eq!(catalog.push(LogOffset(0), &records[..3]), LogOffset(3));
     assert_eq!(catalog.push(LogOffset(1), &records[1..4]), LogOffset(4));
-    assert_eq!(catalog.push(LogOffset(4), &[vec![9, 9]]), LogOffset(4));
+    assert_eq!(catalog.push(LogOffset(4), &[vec![0xff, 9]]), LogOffset(4));
     assert_eq!(catalog.install_state(&empty).unwrap(), LogOffset(4));
     assert_eq!(catalog.current().teams().count(), 4);
     let kept = catalog.records_from(LogOffset(2)).unwrap();
