--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -1,4 +1,4 @@
-//! Time of one routing decision over 600 servers at 13, 320 and 1,000 models.
+//! Time of one routing decision over 600 servers at 13, 320 and 1,000 models, and of one snapshot.
 
 use std::hint::black_box;
 use std::sync::Arc;
@@ -81,5 +81,17 @@
     group.finish();
 }
 
-criterion_group!(benches, routing);
+fn snapshot(criterion: &mut Criterion) {
+    let views: Vec<_> = (0..SERVERS).map(|server| view(server, 320)).collect();
+    criterion.bench_function("snapshot/320", |bencher| {
+        bencher.iter(|| {
+            let servers = views
+                .iter()
+                .map(|view| (view.clone(), Arc::default(), None));
+            FleetSnapshot::new(black_box(servers))
+        });
+    });
+}
+
+criterion_group!(benches, routing, snapshot);
 criterion_main!(benches);
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -525,3 +525,35 @@
         .expect("drain must end");
     edge.group.shutdown().await;
 }
+
+/// Guards against an HTTP/2 stream whose caller stops reading: it must end without harm to other streams of
+/// the same connection.
+#[tokio::test]
+async fn stalled_http2_stream_is_cancelled() {
+    let edge = EdgeFixture::open(tight_limits()).await;
+    let io = TokioIo::new(edge.connect().await);
+    let (mut sender, connection) = hyper::client::conn::http2::handshake(TokioExecutor::new(), io)
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let request = |model: &str, stream| {
+        let body = Full::new(Bytes::from(chat_body(model, stream)));
+        http::Request::post("http://x/v1/chat/completions")
+            .body(body)
+            .unwrap()
+    };
+    let stalled = sender.send_request(request("endless", true)).await.unwrap();
+    for _ in 0..20 {
+        let answer = sender.send_request(request("echo", true)).await.unwrap();
+        let body = answer.into_body().collect().await.unwrap().to_bytes();
+        assert!(body.ends_with(b"data: [DONE]\n\n"));
+    }
+    eventually("cancellation", || edge.metrics.in_flight.get() == 0).await;
+    assert_eq!(edge.dispatcher.open.load(Ordering::SeqCst), 0);
+    let recent = edge.history.recent(100);
+    let cause = recent.last().unwrap().cause.clone().unwrap();
+    assert!(cause.contains("stopped reading"), "{cause}");
+    let body = stalled.into_body().collect().await.unwrap().to_bytes();
+    assert!(!body.ends_with(b"data: [DONE]\n\n"));
+    edge.group.shutdown().await;
+}
