--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -82,7 +82,9 @@
 }
 
 fn snapshot(criterion: &mut Criterion) {
-    let views: Vec<_> = (0..SERVERS).map(|server| view(server, 320)).collect();
+    let views: Vec<_> = (0..SERVERS)
+        .map(|server| Arc::new(view(server, 320)))
+        .collect();
     criterion.bench_function("snapshot/320", |bencher| {
         bencher.iter(|| {
             let servers = views
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -102,10 +102,9 @@
     pub(super) adapters: HashMap<SmolStr, Vec<u32>>,
 }
 
-/// All backend servers as last reported. Counters and flags are read live through the handles.
-#[derive(Clone, Debug, Default)]
-pub struct FleetSnapshot {
-    views: Vec<BackendView>,
+/// What changes only when servers are declared or load and unload items.
+#[derive(Debug, Default)]
+struct FleetIndex {
     handles: Vec<Arc<ServerHandle>>,
     hashes: Vec<ServerHash>,
     models: HashMap<(SmolStr, SmolStr), ModelServers>,
@@ -113,21 +112,17 @@
     names: HashMap<SmolStr, u32>,
 }
 
-impl FleetSnapshot {
-    /// Builds a snapshot and its index. Each server has a view, a handle and, for a plain service, a group.
-    pub fn new(
-        servers: impl IntoIterator<Item = (BackendView, Arc<ServerHandle>, Option<SmolStr>)>,
-    ) -> Self {
-        let mut fleet = Self::default();
-        for (view, handle, group) in servers {
-            fleet.add(view, handle, group);
-        }
-        fleet
-    }
+/// All backend servers as last reported. Counters and flags are read live through the handles.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSnapshot {
+    views: Vec<Arc<BackendView>>,
+    index: Arc<FleetIndex>,
+}
 
-    fn add(&mut self, view: BackendView, handle: Arc<ServerHandle>, group: Option<SmolStr>) {
+impl FleetIndex {
+    fn add(&mut self, view: &BackendView, handle: Arc<ServerHandle>, group: Option<SmolStr>) {
         // A fleet of 4 billion servers is out of scope.
-        let position = self.views.len() as u32;
+        let position = self.handles.len() as u32;
         self.names.insert(view.name.clone(), position);
         if let Some(group) = group {
             self.services.entry(group).or_default().push(position);
@@ -144,28 +139,57 @@
             }
         }
         self.hashes.push(server_hash(&view.name));
-        self.views.push(view);
         self.handles.push(handle);
     }
+}
 
-    /// Returns the views, with counters as of the time of the snapshot.
-    pub fn views(&self) -> &[BackendView] {
+impl FleetSnapshot {
+    /// Builds a snapshot and its index. Each server has a view, a handle and, for a plain service, a group.
+    pub fn new<V: Into<Arc<BackendView>>>(
+        servers: impl IntoIterator<Item = (V, Arc<ServerHandle>, Option<SmolStr>)>,
+    ) -> Self {
+        let (mut views, mut index) = (Vec::new(), FleetIndex::default());
+        for (view, handle, group) in servers {
+            let view = view.into();
+            index.add(&view, handle, group);
+            views.push(view);
+        }
+        Self {
+            views,
+            index: Arc::new(index),
+        }
+    }
+
+    /// Returns a snapshot with newer views of the same servers and the same index. Items that were loaded or
+    /// unloaded since the index was built show in the views only.
+    pub(crate) fn refreshed(&self, views: Vec<Arc<BackendView>>) -> Self {
+        Self {
+            views,
+            index: self.index.clone(),
+        }
+    }
+
+    /// Returns the views. Counters in them are those at the latest report or change of a flag.
+    pub fn views(&self) -> &[Arc<BackendView>] {
         &self.views
     }
 
     /// Returns the live counters of the server at `position`.
     pub fn handle(&self, position: usize) -> &Arc<ServerHandle> {
-        &self.handles[position]
+        &self.index.handles[position]
     }
 
     /// Returns the position of a server.
     pub fn position(&self, name: &str) -> Option<usize> {
-        self.names.get(name).map(|position| *position as usize)
+        self.index
+            .names
+            .get(name)
+            .map(|position| *position as usize)
     }
 
     /// Returns the positions of the servers that hold a version of a model, usable or not.
     pub fn holders(&self, model: &SmolStr, version: &SmolStr) -> &[u32] {
-        let model = self.models.get(&(model.clone(), version.clone()));
+        let model = self.index.models.get(&(model.clone(), version.clone()));
         model.map_or(&[], |model| &model.servers)
     }
 
@@ -178,29 +202,31 @@
     }
 
     pub(super) fn hash(&self, position: usize) -> ServerHash {
-        self.hashes[position]
+        self.index.hashes[position]
     }
 
     pub(super) fn model(&self, model: &SmolStr, version: &SmolStr) -> Option<&ModelServers> {
-        self.models.get(&(model.clone(), version.clone()))
+        self.index.models.get(&(model.clone(), version.clone()))
     }
 
     fn is_usable(&self, position: usize) -> bool {
-        let handle = &self.handles[position];
+        let handle = &self.index.handles[position];
         !handle.is_leaving() && !handle.is_suspected()
     }
 
     /// Picks the least busy server of a service group that has a free slot, own zone first.
     pub fn choose_service(&self, group: &str, zone: &str, avoid: &[SmolStr]) -> Option<usize> {
-        let servers = self.services.get(group)?.iter();
+        let servers = self.index.services.get(group)?.iter();
         let servers = servers.map(|position| *position as usize);
         servers
             .filter(|position| self.is_usable(*position))
             .filter(|position| !avoid.contains(&self.views[*position].name))
-            .filter(|position| self.handles[*position].in_flight() < self.views[*position].slots)
+            .filter(|position| {
+                self.index.handles[*position].in_flight() < self.views[*position].slots
+            })
             .min_by_key(|position| {
                 let view = &self.views[*position];
-                let busy = u64::from(self.handles[*position].in_flight()) * 1_000;
+                let busy = u64::from(self.index.handles[*position].in_flight()) * 1_000;
                 let busy = busy / u64::from(view.slots.max(1));
                 (view.zone != zone, busy, rand::random::<u16>())
             })
@@ -208,7 +234,7 @@
 
     /// Returns whether a service group has any server that is neither leaving nor suspected.
     pub fn has_service(&self, group: &str) -> bool {
-        let servers = self.services.get(group);
+        let servers = self.index.services.get(group);
         servers.is_some_and(|servers| servers.iter().any(|at| self.is_usable(*at as usize)))
     }
 }
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -118,32 +118,46 @@
     }
 
     fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
-        let model = fleet.model(&need.model, &need.version)?;
-        let adapter = need.adapter.as_ref();
-        let with_adapter = adapter.map(|adapter| model.adapters.get(adapter));
-        let candidates = model.servers.iter().filter_map(|index| {
-            let position = *index as usize;
-            let handle = fleet.handle(position);
-            if handle.is_leaving() || handle.is_suspected() {
-                return None;
-            }
-            let view = &fleet.views()[position];
-            let reported = view.report.running.saturating_add(view.report.waiting);
-            let others = reported.saturating_sub(handle.own_at_report());
-            Some(Candidate {
-                position,
-                view,
-                name: fleet.hash(position),
-                outstanding: u64::from(others) + u64::from(handle.in_flight()),
-                has_adapter: with_adapter.is_none_or(|servers| {
-                    servers.is_some_and(|servers| servers.binary_search(index).is_ok())
-                }),
-            })
-        });
-        self.rank(need, candidates)
+        let choice = self.rank(need, indexed(need, fleet))?;
+        if holds(&fleet.views()[choice], need, None) {
+            return Some(choice);
+        }
+        // The index is older than the views: another server may hold the model still.
+        let holders = indexed(need, fleet).filter(|one| holds(one.view, need, None));
+        self.rank(need, holders)
     }
 }
 
+/// Returns the usable servers that hold the model according to the index.
+fn indexed<'a>(
+    need: &'a RouteNeed,
+    fleet: &'a FleetSnapshot,
+) -> impl Iterator<Item = Candidate<'a>> {
+    let model = fleet.model(&need.model, &need.version);
+    let adapter = need.adapter.as_ref();
+    let with_adapter = adapter.map(|adapter| model.and_then(|model| model.adapters.get(adapter)));
+    let servers = model.map_or(&[][..], |model| &model.servers);
+    servers.iter().filter_map(move |index| {
+        let position = *index as usize;
+        let handle = fleet.handle(position);
+        if handle.is_leaving() || handle.is_suspected() {
+            return None;
+        }
+        let view = &fleet.views()[position];
+        let reported = view.report.running.saturating_add(view.report.waiting);
+        let others = reported.saturating_sub(handle.own_at_report());
+        Some(Candidate {
+            position,
+            view,
+            name: fleet.hash(position),
+            outstanding: u64::from(others) + u64::from(handle.in_flight()),
+            has_adapter: with_adapter.is_none_or(|servers| {
+                servers.is_some_and(|servers| servers.binary_search(index).is_ok())
+            }),
+        })
+    })
+}
+
 /// Requests up to which a server gets more. The excess over the slots hides the lag of load reports; the rest
 /// waits here, where the order is fair.
 fn bound(view: &BackendView) -> u64 {
@@ -229,8 +243,9 @@
         let choice = self.take_turn(holders.len(), |index| {
             let position = holders[index] as usize;
             let handle = fleet.handle(position);
-            let name = &fleet.views()[position].name;
-            !handle.is_leaving() && !handle.is_suspected() && !need.avoid.contains(name)
+            let view = &fleet.views()[position];
+            let usable = !handle.is_leaving() && !handle.is_suspected();
+            usable && holds(view, need, None) && !need.avoid.contains(&view.name)
         })?;
         Some(holders[choice] as usize)
     }
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -25,8 +25,10 @@
 /// Each period is cut into slices, and a server is polled in the slice that a random salt gives it. This
 /// spreads the calls of one daemon over the period and those of several daemons on one server.
 const SLICES: u32 = 8;
-/// Fleets up to this size publish each report at once; larger ones once a slice, to bound the copying.
+/// Fleets up to this size publish each report at once; larger ones once a slice.
 const SMALL_FLEET: usize = 64;
+/// A larger fleet is indexed anew once in this many slices: that takes 0.6 ms with 600 servers.
+const INDEX_SLICES: u64 = 4;
 
 /// Periods and bounds of a [`FleetWatch`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +51,15 @@
 
 type ReportSink = Box<dyn Fn(&SmolStr, &LoadReport) + Send + Sync>;
 
+#[derive(Default)]
+struct ServerMap {
+    states: BTreeMap<SmolStr, ServerState>,
+    /// Whether the servers differ from those of the published index.
+    redeclared: bool,
+    /// Whether items were loaded or unloaded since the index was built.
+    moved: bool,
+}
+
 struct WatchShared<E, V> {
     engine: Arc<E>,
     list: Arc<V>,
@@ -57,9 +68,10 @@
     group: TaskGroup,
     sink: ReportSink,
     salt: u64,
-    servers: Mutex<BTreeMap<SmolStr, ServerState>>,
+    servers: Mutex<ServerMap>,
     snapshot: RwLock<Arc<FleetSnapshot>>,
     listing: RwLock<Arc<VmListing>>,
+    /// Whether reports have arrived that the snapshot lacks.
     unpublished: AtomicBool,
     changes: watch::Sender<u64>,
 }
@@ -113,7 +125,8 @@
         let mut added = Vec::new();
         {
             let mut servers = self.shared.servers();
-            let mut old = std::mem::take(&mut *servers);
+            let mut old = std::mem::take(&mut servers.states);
+            servers.redeclared = true;
             for spec in specs {
                 let known = old.remove(&spec.name).filter(|state| state.is_for(spec));
                 let mut state = known.unwrap_or_else(|| {
@@ -121,7 +134,7 @@
                     ServerState::new(spec)
                 });
                 state.redeclare(spec);
-                servers.insert(spec.name.clone(), state);
+                servers.states.insert(spec.name.clone(), state);
             }
             for name in old.keys().chain(&added) {
                 self.shared.prefixes.forget(name);
@@ -129,7 +142,7 @@
         }
         let listing = self.listing();
         self.shared.apply_listing(&listing.vms, now);
-        self.shared.publish();
+        self.shared.publish(true);
         for name in &added {
             self.shared.poll(name);
         }
@@ -153,7 +166,7 @@
     /// Notes that a call to a server failed. It gets no new work until a report that is asked for after this
     /// arrives; a plain service, which reports nothing, gets none for 2 s.
     pub fn call_failed(&self, server: &str) {
-        if let Some(state) = self.shared.servers().get_mut(server) {
+        if let Some(state) = self.shared.servers().states.get_mut(server) {
             state.suspect(Instant::now());
         }
     }
@@ -163,7 +176,7 @@
         let now = Instant::now();
         let mut servers = self.shared.servers();
         for name in names {
-            if let Some(state) = servers.get_mut(name) {
+            if let Some(state) = servers.states.get_mut(name) {
                 state.note_leaving(now);
             }
         }
@@ -173,7 +186,8 @@
     /// Notices of peers are not among them; repeated in turn, they would never end.
     pub fn leaving(&self) -> Vec<SmolStr> {
         let servers = self.shared.servers();
-        let leaving = servers.iter().filter(|(_, state)| state.seen_leaving());
+        let states = servers.states.iter();
+        let leaving = states.filter(|(_, state)| state.seen_leaving());
         leaving.map(|(name, _)| name.clone()).collect()
     }
 }
@@ -181,7 +195,7 @@
 impl<E: EngineClient, V: VmList> WatchShared<E, V> {
     fn poll(self: &Arc<Self>, name: &SmolStr) {
         let mut servers = self.servers();
-        let Some(state) = servers.get_mut(name) else {
+        let Some(state) = servers.states.get_mut(name) else {
             return;
         };
         if let Some((address, handle)) = state.start_poll() {
@@ -195,43 +209,55 @@
             let hash = xxh3_64_with_seed(name.as_bytes(), self.salt);
             hash % u64::from(SLICES) == u64::from(slice)
         };
-        let names: Vec<_> = self
-            .servers()
-            .keys()
-            .filter(|name| in_slice(name))
-            .cloned()
-            .collect();
+        let names: Vec<_> = {
+            let servers = self.servers();
+            let names = servers.states.keys().filter(|name| in_slice(name));
+            names.cloned().collect()
+        };
         for name in &names {
             self.poll(name);
         }
     }
 
     /// Applies the passing of time and publishes what reports have changed.
-    fn tick(&self, now: Instant) {
+    fn tick(&self, now: Instant, tick: u64) {
         let mut ended = false;
-        for state in self.servers().values_mut() {
+        for state in self.servers().states.values_mut() {
             ended |= state.expire(now);
         }
         if self.unpublished.load(Ordering::Relaxed) {
-            self.publish();
+            self.publish(tick.is_multiple_of(INDEX_SLICES));
         } else if ended {
             self.notify();
         }
     }
 
-    fn publish(&self) {
+    /// Publishes a snapshot; `index` allows the index to be built anew if items have moved.
+    fn publish(&self, index: bool) {
         self.unpublished.store(false, Ordering::Relaxed);
         // The lock is held until the snapshot is stored, so that an older one never replaces a newer one.
-        let servers = self.servers();
-        let fleet = FleetSnapshot::new(servers.values().map(ServerState::entry));
-        *self
-            .snapshot
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = Arc::new(fleet);
+        let mut servers = self.servers();
+        if servers.redeclared || index && servers.moved {
+            self.store(servers.indexed());
+        } else {
+            let views = servers.states.values_mut().map(ServerState::view);
+            let fleet = read(&self.snapshot).refreshed(views.collect());
+            self.store(fleet);
+            // What has moved is published in a later slice.
+            self.unpublished.fetch_or(servers.moved, Ordering::Relaxed);
+        }
         drop(servers);
         self.notify();
     }
 
+    fn store(&self, fleet: FleetSnapshot) {
+        let mut snapshot = self
+            .snapshot
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *snapshot = Arc::new(fleet);
+    }
+
     fn notify(&self) {
         self.changes.send_modify(|version| *version += 1);
     }
@@ -242,9 +268,13 @@
             ReportEffect::Restarted => self.prefixes.forget(name),
             ReportEffect::Load | ReportEffect::Residency => {}
         }
-        let small = self.servers().len() <= SMALL_FLEET;
-        if small || effect != ReportEffect::Load {
-            self.publish();
+        let small = {
+            let mut servers = self.servers();
+            servers.moved |= effect != ReportEffect::Load;
+            servers.states.len() <= SMALL_FLEET
+        };
+        if small {
+            self.publish(true);
         } else {
             self.unpublished.store(true, Ordering::Relaxed);
         }
@@ -254,15 +284,13 @@
         let mut servers = self.servers();
         for vm in vms.iter().filter(|vm| vm.role == VmRole::Backend) {
             let leaving = vm.state == VmState::Leaving;
-            if let Some(state) = servers.get_mut(&vm.name) {
+            if let Some(state) = servers.states.get_mut(&vm.name) {
                 state.listed(leaving, now);
                 continue;
             }
             // The platform may know the server by another name than the operators.
-            for state in servers
-                .values_mut()
-                .filter(|state| state.address() == vm.address)
-            {
+            let states = servers.states.values_mut();
+            for state in states.filter(|state| state.address() == vm.address) {
                 state.listed(leaving, now);
             }
         }
@@ -270,11 +298,19 @@
 }
 
 impl<E, V> WatchShared<E, V> {
-    fn servers(&self) -> MutexGuard<'_, BTreeMap<SmolStr, ServerState>> {
+    fn servers(&self) -> MutexGuard<'_, ServerMap> {
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl ServerMap {
+    fn indexed(&mut self) -> FleetSnapshot {
+        (self.redeclared, self.moved) = (false, false);
+        let states = self.states.values_mut();
+        FleetSnapshot::new(states.map(|state| (state.view(), state.handle(), state.group())))
+    }
+}
+
 fn read<T>(lock: &RwLock<Arc<T>>) -> Arc<T> {
     lock.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
@@ -284,11 +320,11 @@
     timer: TimerService,
 ) {
     let mut ticks = timer.every(shared.settings.report_period / SLICES);
-    let mut slice = 0;
+    let mut tick = 0_u64;
     while let Some(now) = ticks.next().await {
-        shared.poll_slice(slice);
-        shared.tick(now);
-        slice = (slice + 1) % SLICES;
+        shared.poll_slice((tick % u64::from(SLICES)) as u32);
+        shared.tick(now, tick);
+        tick += 1;
     }
 }
 
@@ -305,7 +341,7 @@
     let suspected = handle.is_suspected();
     let effect = {
         let mut servers = shared.servers();
-        let state = servers.get_mut(&name);
+        let state = servers.states.get_mut(&name);
         let Some(state) = state.filter(|state| state.is_handle(&handle)) else {
             return;
         };
@@ -328,7 +364,7 @@
         poll_events(&shared, &name, address).await;
     }
     let mut servers = shared.servers();
-    let state = servers.get_mut(&name);
+    let state = servers.states.get_mut(&name);
     if let Some(state) = state.filter(|state| state.is_handle(&handle)) {
         state.end_poll();
     }
--- a/src/watch/server.rs
+++ b/src/watch/server.rs
@@ -40,6 +40,8 @@
     reports_leaving: bool,
     listed_leaving: bool,
     noticed_at: Option<Instant>,
+    /// View for snapshots, unless it is out of date.
+    view: Option<Arc<BackendView>>,
 }
 
 impl ServerState {
@@ -55,6 +57,7 @@
             reports_leaving: false,
             listed_leaving: false,
             noticed_at: None,
+            view: None,
         }
     }
 
@@ -67,6 +70,7 @@
 
     pub(super) fn redeclare(&mut self, spec: &BackendSpec) {
         self.spec = spec.clone();
+        self.view = None;
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -118,6 +122,7 @@
         self.handle.reported(mark);
         self.report = report.clone();
         self.reported_at = Some(asked);
+        self.view = None;
         match (restarted, moved) {
             (true, _) => ReportEffect::Restarted,
             (false, true) => ReportEffect::Residency,
@@ -186,13 +191,34 @@
         self.handle.set_suspected(self.suspected_at.is_some());
     }
 
-    /// Returns the part of a snapshot that stands for this server.
-    pub(super) fn entry(&self) -> (BackendView, Arc<ServerHandle>, Option<SmolStr>) {
-        let (slots, group) = match &self.spec.kind {
-            BackendKind::Engine { slots, .. } => (*slots, None),
-            BackendKind::Service { group, slots } => (*slots, Some(group.clone())),
+    /// Returns the group of a plain service.
+    pub(super) fn group(&self) -> Option<SmolStr> {
+        match &self.spec.kind {
+            BackendKind::Engine { .. } => None,
+            BackendKind::Service { group, .. } => Some(group.clone()),
+        }
+    }
+
+    pub(super) fn handle(&self) -> Arc<ServerHandle> {
+        self.handle.clone()
+    }
+
+    /// Returns the view for a snapshot; it is built anew only after a change.
+    pub(super) fn view(&mut self) -> Arc<BackendView> {
+        let (suspected, leaving) = (self.suspected_at.is_some(), self.is_leaving());
+        match &self.view {
+            Some(view) if view.suspected_down == suspected && view.leaving == leaving => {
+                view.clone()
+            }
+            _ => self.view.insert(Arc::new(self.build_view())).clone(),
+        }
+    }
+
+    fn build_view(&self) -> BackendView {
+        let slots = match &self.spec.kind {
+            BackendKind::Engine { slots, .. } | BackendKind::Service { slots, .. } => *slots,
         };
-        let view = BackendView {
+        BackendView {
             name: self.spec.name.clone(),
             zone: self.spec.zone.clone(),
             address: self.spec.address,
@@ -203,7 +229,6 @@
             sent_since_report: self.handle.sent_since_report(),
             suspected_down: self.suspected_at.is_some(),
             leaving: self.is_leaving(),
-        };
-        (view, self.handle.clone(), group)
+        }
     }
 }
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -328,3 +328,33 @@
     assert!(fixture.choice().is_some());
     fixture.group.shutdown().await;
 }
+
+/// Guards against a large fleet, which is indexed less often, being routed to servers that have unloaded the
+/// model, or never to those that have loaded it.
+#[tokio::test]
+async fn large_fleet_follows_residency() {
+    let fixture = WatchFixture::open();
+    let empty = |sequence| LoadReport {
+        sequence,
+        ..LoadReport::default()
+    };
+    let specs: Vec<_> = (100..200)
+        .map(|port| engine(&format!("s{port}"), port))
+        .collect();
+    for port in 100..200 {
+        fixture.engines.set(port, Some(empty(1)));
+    }
+    fixture.engines.set(150, Some(report(1)));
+    fixture.watch.set_backends(&specs);
+    eventually("load", || fixture.choice().as_deref() == Some("s150")).await;
+    fixture.engines.set(150, Some(empty(2)));
+    fixture.engines.set(151, Some(report(2)));
+    eventually("move", || fixture.choice().as_deref() == Some("s151")).await;
+    let mut busy = report(3);
+    busy.running = 9;
+    fixture.engines.set(151, Some(busy));
+    eventually("load-only report", || fixture.choice().is_none()).await;
+    fixture.watch.set_backends(&specs[..10]);
+    assert_eq!(fixture.watch.snapshot().views().len(), 10);
+    fixture.group.shutdown().await;
+}
