Refuse settings with one address for two listeners

Cause: such settings were accepted and failed only when the daemon bound its second listener. Change: the check runs in the deserializer, with a position. A fuzz test replaces parts of valid settings with any text.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -50,9 +50,9 @@
     pub timing: TimingSettings,
 }
 
-/// Addresses that the daemon binds. Port 0 lets the operating system choose a port.
+/// Addresses that the daemon binds, all different. Port 0 lets the operating system choose a port.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "ListenAddresses")]
 pub struct ListenSettings {
     /// HTTP for callers.
     pub caller: SocketAddr,
@@ -64,6 +64,40 @@
     pub admin: SocketAddr,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListenAddresses {
+    caller: SocketAddr,
+    operator: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl TryFrom<ListenAddresses> for ListenSettings {
+    type Error = String;
+
+    fn try_from(addresses: ListenAddresses) -> std::result::Result<Self, String> {
+        let ListenAddresses {
+            caller,
+            operator,
+            peer,
+            admin,
+        } = addresses;
+        let mut all = [caller, operator, peer, admin];
+        all.sort_unstable();
+        let same = |pair: &&[SocketAddr]| pair[0] == pair[1] && pair[0].port() != 0;
+        if let Some(pair) = all.windows(2).find(same) {
+            return Err(format!("address `{}` is listed twice", pair[0]));
+        }
+        Ok(Self {
+            caller,
+            operator,
+            peer,
+            admin,
+        })
+    }
+}
+
 /// Addresses and properties of the platform's services.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -193,3 +193,36 @@
     std::fs::remove_file(&path).unwrap();
     assert!(error.message().contains(":2:10: "), "{error}");
 }
+
+/// Guards against two listeners on one address, which would fail only when the daemon starts.
+#[test]
+fn listen_addresses_differ() {
+    let text = VALID.replacen("127.0.0.1:0", "127.0.0.1:80", 2);
+    let error = DaemonSettings::parse("s.jsonc", &text).expect_err("must be refused");
+    let message = error.message();
+    assert!(message.starts_with("s.jsonc:10:"), "{message}");
+    assert!(
+        message.contains("`127.0.0.1:80` is listed twice"),
+        "{message}"
+    );
+}
+
+/// Guards against panics and errors without a position, whatever is put into the text.
+#[test]
+fn any_text_is_read_or_refused_with_a_position() {
+    bolero::check!()
+        .with_type::<(u16, u16, String)>()
+        .for_each(|(at, length, insert)| {
+            let mut text = VALID.to_string();
+            let start = usize::from(*at) % text.len();
+            let end = (start + usize::from(*length) % 40).min(text.len());
+            text.replace_range(start..end, insert);
+            if let Err(error) = DaemonSettings::parse("s.jsonc", &text) {
+                let parts: Vec<_> = error.message().splitn(4, ':').collect();
+                let lines = text.bytes().filter(|byte| *byte == b'\n').count() + 1;
+                let line: usize = parts[1].parse().unwrap();
+                assert!((1..=lines).contains(&line), "{error}");
+                parts[2].parse::<usize>().unwrap();
+            }
+        });
+}
