--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -61,7 +61,6 @@
     /// Calls from other daemons.
     pub peer: SocketAddr,
     /// Address at which other daemons reach `peer`, as the VM list shows it; default `peer`.
-    #[serde(default)]
     pub peer_advertised: Option<SocketAddr>,
     /// Health, metrics and state dump.
     pub admin: SocketAddr,
@@ -73,6 +72,8 @@
     caller: SocketAddr,
     operator: SocketAddr,
     peer: SocketAddr,
+    #[serde(default)]
+    peer_advertised: Option<SocketAddr>,
     admin: SocketAddr,
 }
 
@@ -84,6 +85,7 @@
             caller,
             operator,
             peer,
+            peer_advertised,
             admin,
         } = addresses;
         let mut all = [caller, operator, peer, admin];
@@ -96,6 +98,7 @@
             caller,
             operator,
             peer,
+            peer_advertised,
             admin,
         })
     }
