Fix the deadlock of the demand board

Cause: the demo hung. Thread stacks showed DemandBoard::note and DemandBoard::facts waiting for each other: they took the board's two locks in opposite order. Ruled out: the load driver, whose calls have a timeout, and the queue locks.

--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -7,7 +7,6 @@
 use smol_str::SmolStr;
 
 use crate::daemon::CoreServices;
-use crate::daemon::facts::DemandBoard;
 use crate::daemon::parts::{Limits, Members, PolicyParts, Replica, Watch};
 use crate::dispatch::RequestDispatcher;
 use crate::error::{Error, Result};
@@ -15,6 +14,7 @@
 use crate::member::StatusSource;
 use crate::operator::MemberLister;
 use crate::peer::{PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest};
+use crate::placement::DemandBoard;
 use crate::proto;
 use crate::replica::ReplicaPeers;
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! facts reach the same plan, so a missing replica is loaded once and not once per zone.
 
 mod board;
+mod demand;
 mod draft;
 mod floor;
 mod lru;
@@ -22,6 +23,7 @@
 use smol_str::SmolStr;
 
 pub use self::board::{OrderBoard, ReadBack, SendBar};
+pub use self::demand::DemandBoard;
 pub use self::floor::{FloorFirstPolicy, FloorSettings};
 pub use self::lru::LruPolicy;
 pub use self::order::{OrderEffect, OrderRecord, OrderTable, PlannedOrder};
--- /dev/null
+++ b/tests/regression/demand_board_deadlock.rs
@@ -0,0 +1,46 @@
+//! The demo hung: readers and writers of the demand board took its two locks in opposite order.
+
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use foxtailhill::dispatch::ModelDemand;
+use foxtailhill::placement::DemandBoard;
+
+const ROUNDS: usize = 20_000;
+/// Generous bound; the loop takes milliseconds.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Guards against a deadlock between a daemon that reports demand and a planning round that reads it.
+#[test]
+fn readers_and_writers_of_demand_do_not_block_each_other_forever() {
+    let board = Arc::new(DemandBoard::new());
+    let (done, finished) = mpsc::channel();
+    for reporter in 0..4u16 {
+        let (board, done) = (board.clone(), done.clone());
+        std::thread::spawn(move || {
+            let demand = ModelDemand {
+                model: "drafter".into(),
+                arrivals: 1,
+                ..Default::default()
+            };
+            for _ in 0..ROUNDS {
+                if reporter % 2 == 0 {
+                    board.note(
+                        ([127, 0, 0, 1], reporter).into(),
+                        &[demand.clone()],
+                        Instant::now(),
+                    );
+                } else {
+                    board.facts(&demand.model, None, Instant::now());
+                }
+            }
+            done.send(()).unwrap();
+        });
+    }
+    for _ in 0..4 {
+        finished
+            .recv_timeout(PATIENCE)
+            .expect("a thread is blocked");
+    }
+}
--- /dev/null
+++ b/tests/regression/main.rs
@@ -0,0 +1,3 @@
+//! One module per fault that was found and fixed.
+
+mod demand_board_deadlock;
