--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -3,6 +3,7 @@
 //! Amounts are integers in units of 10⁻¹⁵ tokens: a rate in tokens per second times a share in parts per
 //! million times a time in nanoseconds is a whole number of units, so no rounding accumulates.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Units per token.
@@ -62,8 +63,9 @@
     limit: BucketLimit,
     balance: u128,
     refilled_at: Instant,
-    /// Loans to others, the earliest end first.
-    lent: Vec<LentAmount>,
+    /// Loans to others, the earliest end first, and their sum.
+    lent: VecDeque<LentAmount>,
+    lent_units: u128,
     /// Sum of unsettled charges.
     reserved: u128,
     /// Refill that a bucket charged with final amounts might not have accepted, accumulated.
@@ -77,7 +79,8 @@
             limit,
             balance: 0,
             refilled_at: now,
-            lent: Vec::new(),
+            lent: VecDeque::new(),
+            lent_units: 0,
             reserved: 0,
             contested: 0,
         }
@@ -107,7 +110,7 @@
     /// Returns the tokens that are lent and still kept out of the capacity.
     pub fn lent(&mut self, now: Instant) -> u64 {
         self.refill(now);
-        u64::try_from(self.lent_units().div_ceil(UNITS)).unwrap_or(u64::MAX)
+        u64::try_from(self.lent_units.div_ceil(UNITS)).unwrap_or(u64::MAX)
     }
 
     /// Returns the sum of the unsettled charges in tokens.
@@ -165,13 +168,14 @@
         };
         let place = self.lent.partition_point(|lent| lent.until <= amount.until);
         self.lent.insert(place, amount);
+        self.lent_units += units;
         Some((tokens, lifetime))
     }
 
     /// Returns the time from which loans fit into the capacity; `now` if they fit already.
     pub fn settled_at(&mut self, now: Instant) -> Instant {
         self.refill(now);
-        let mut rest = self.lent_units();
+        let mut rest = self.lent_units;
         let mut settled = now;
         for lent in &self.lent {
             if rest <= self.limit.capacity() {
@@ -186,25 +190,22 @@
     /// Returns the end of the last loan, or `now` if there is none.
     pub fn loans_end(&mut self, now: Instant) -> Instant {
         self.refill(now);
-        self.lent.last().map_or(now, |lent| lent.until)
-    }
-
-    fn lent_units(&self) -> u128 {
-        self.lent.iter().map(|lent| lent.units).sum()
+        self.lent.back().map_or(now, |lent| lent.until)
     }
 
     fn capacity(&self) -> u128 {
-        self.limit.capacity().saturating_sub(self.lent_units())
+        self.limit.capacity().saturating_sub(self.lent_units)
     }
 
     /// Creates what is due up to `now`, stopping at the end of each loan because the capacity grows there.
     fn refill(&mut self, now: Instant) {
-        while let Some(lent) = self.lent.first().copied() {
+        while let Some(lent) = self.lent.front().copied() {
             if lent.until > now {
                 break;
             }
             self.fill_until(lent.until);
-            self.lent.remove(0);
+            self.lent.pop_front();
+            self.lent_units -= lent.units;
         }
         self.fill_until(now);
     }
--- a/src/limit/loan.rs
+++ b/src/limit/loan.rs
@@ -73,6 +73,7 @@
     }
 
     fn drop_lapsed(&mut self, now: Instant) {
-        self.loans.retain(|loan| now < loan.until);
+        let lapsed = self.loans.partition_point(|loan| loan.until <= now);
+        self.loans.drain(..lapsed);
     }
 }
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -51,7 +51,8 @@
 pub struct LimitCharge {
     budgets: SharedBudgets,
     team: SmolStr,
-    charge: BudgetCharge,
+    /// `None` once settled.
+    charge: Option<BudgetCharge>,
 }
 
 impl<C: PeerCaller> LimitService<C> {
@@ -100,7 +101,7 @@
         Ok(LimitCharge {
             budgets: self.budgets.clone(),
             team: team.clone(),
-            charge,
+            charge: Some(charge),
         })
     }
 
@@ -203,8 +204,23 @@
 }
 
 impl TokenCharge for LimitCharge {
-    fn settle(self, used: u64) {
-        lock(&self.budgets).settle(&self.team, self.charge, used, Instant::now());
+    fn settle(mut self, used: u64) {
+        self.end(used);
+    }
+}
+
+impl LimitCharge {
+    fn end(&mut self, used: u64) {
+        if let Some(charge) = self.charge.take() {
+            lock(&self.budgets).settle(&self.team, charge, used, Instant::now());
+        }
+    }
+}
+
+impl Drop for LimitCharge {
+    /// Ends an unsettled charge as fully used; a reservation that stayed would cut all later refunds.
+    fn drop(&mut self) {
+        self.end(u64::MAX);
     }
 }
 
--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -171,8 +171,7 @@
         let removed = self.was_member && self.table.member(self.vm).is_none();
         if self.caught_up && removed && !self.leaving {
             self.start_incarnation(read_at);
-        }
-        if self.table.usable(self.vm) < before {
+        } else if self.table.usable(self.vm) < before {
             self.renew_early(read_at);
         }
     }
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -146,7 +146,13 @@
                 vm,
                 renewal,
                 applied,
-            }) => self.renew(offset, *vm, *renewal, *applied),
+            }) => {
+                // Most records are renewals that change no share; only a reduction leaves something to give.
+                if self.renew(offset, *vm, *renewal, *applied) {
+                    self.distribute();
+                }
+                return;
+            }
             Some(MemberRecord::Leave { vm }) => self.remove(*vm),
             Some(MemberRecord::Expire { vm, renewal }) => self.expire(*vm, *renewal),
             Some(MemberRecord::Snapshot { .. }) => self.snapshot = self.next,
@@ -185,16 +191,23 @@
         self.members.insert(*vm, entry);
     }
 
-    fn renew(&mut self, offset: LogOffset, vm: VmId, renewal: MemberRenewal, applied: LogOffset) {
+    /// Starts a new term of `vm`. Returns whether its share became smaller.
+    fn renew(
+        &mut self,
+        offset: LogOffset,
+        vm: VmId,
+        renewal: MemberRenewal,
+        applied: LogOffset,
+    ) -> bool {
         let ceiling = self.highest_target_since(applied.min(offset));
         let Some(entry) = self.members.get_mut(&vm) else {
-            return;
+            return false;
         };
         entry.renewed = offset;
         entry.renewal = renewal;
-        if let Some(ceiling) = ceiling {
-            entry.granted = entry.granted.min(ceiling);
-        }
+        let granted = entry.granted;
+        entry.granted = granted.min(ceiling.unwrap_or(granted));
+        entry.granted < granted
     }
 
     fn expire(&mut self, vm: VmId, renewal: LogOffset) {
--- /dev/null
+++ b/tests/currency.rs
@@ -0,0 +1,59 @@
+//! The rule by which a daemon judges whether its view of the configuration is recent.
+
+use std::time::{Duration, Instant};
+
+use foxtailhill::currency::{MAX_VIEW_AGE, ViewCurrency, ViewState, current_at};
+use foxtailhill::ids::LogOffset;
+use foxtailhill::member::ViewEvidence;
+
+fn evidence(list: Instant, reports: Vec<Option<(LogOffset, Instant)>>) -> ViewEvidence {
+    ViewEvidence {
+        list_seen_at: Some(list),
+        reports,
+    }
+}
+
+/// Guards against a view that counts as current although one daemon is silent or has newer configuration.
+#[test]
+fn in_a_log_outage_every_daemon_must_have_reported_nothing_newer() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let own = LogOffset(7);
+    let same = Some((LogOffset(7), now));
+    let older = Some((LogOffset(3), later));
+    let newer = Some((LogOffset(8), later));
+    let all = evidence(later, vec![same, older]);
+    assert_eq!(current_at(None, own, &all), Some(now));
+    assert_eq!(
+        current_at(None, own, &evidence(later, vec![same, None])),
+        None
+    );
+    assert_eq!(
+        current_at(None, own, &evidence(later, vec![same, newer])),
+        None
+    );
+    let unlisted = ViewEvidence {
+        list_seen_at: None,
+        reports: vec![same],
+    };
+    assert_eq!(current_at(None, own, &unlisted), None);
+    assert_eq!(current_at(Some(later), own, &unlisted), Some(later));
+}
+
+/// Guards against keys honoured past the grace period, or by a daemon whose view was never current.
+#[test]
+fn a_view_ages_into_isolation() {
+    let start = Instant::now();
+    let grace = Duration::from_secs(5);
+    let view = ViewCurrency::new();
+    assert_eq!(view.state(start), ViewState::Starting);
+    assert!(!view.state(start).honours_keys(grace, start));
+    view.observe(Some(start), LogOffset(1), &ViewEvidence::default());
+    view.observe(None, LogOffset(1), &ViewEvidence::default());
+    assert_eq!(view.state(start + MAX_VIEW_AGE), ViewState::Current);
+    let isolated = start + MAX_VIEW_AGE + Duration::from_millis(1);
+    assert_eq!(view.state(isolated), ViewState::Isolated { since: start });
+    assert!(view.state(isolated).honours_keys(grace, isolated));
+    let end = start + MAX_VIEW_AGE + grace;
+    assert!(!view.state(end).honours_keys(grace, end));
+}
--- a/tests/member_service.rs
+++ b/tests/member_service.rs
@@ -1,6 +1,7 @@
 //! Membership of several daemons over an in-memory log, VM list and network.
 
 mod member_support;
+mod net_support;
 
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -8,7 +9,8 @@
 use foxtailhill::limit::{TokenCharge, TokenLimiter};
 use foxtailhill::member::MemberRecord;
 use foxtailhill::{Category, RunVerdict};
-use member_support::{Fleet, Node, eventually, team};
+use member_support::{Fleet, Node};
+use net_support::{eventually, team};
 
 const TERM: Duration = Duration::from_millis(1_500);
 
--- a/tests/member_support/mod.rs
+++ b/tests/member_support/mod.rs
@@ -5,7 +5,6 @@
     reason = "a broken test set-up fails by panicking"
 )]
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -20,13 +19,15 @@
 use foxtailhill::member::{
     MemberParts, MemberRecord, MemberService, MemberSettings, PeerBoard, StatusSource,
 };
-use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
+use foxtailhill::peer::{PeerReply, PeerRequest};
 use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::timer::TimerService;
 use foxtailhill::{Error, Result, RunVerdict};
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use crate::net_support::{Answer, MemoryNet, address};
+
 /// Log in memory that can be down, lose answers, or have dropped old records.
 #[derive(Default)]
 pub struct MemoryLog {
@@ -105,32 +106,6 @@
     }
 }
 
-type Answer = Box<dyn Fn(PeerRequest) -> Option<PeerReply> + Send + Sync>;
-
-/// Peer network in memory; calls to addresses in `cut` fail.
-#[derive(Default)]
-pub struct MemoryNet {
-    pub nodes: Mutex<HashMap<SocketAddr, Answer>>,
-    pub cut: Mutex<HashSet<SocketAddr>>,
-}
-
-impl PeerCaller for MemoryNet {
-    async fn call(
-        &self,
-        peer: SocketAddr,
-        request: PeerRequest,
-        _wait: Duration,
-    ) -> Result<PeerReply> {
-        let failure = || Error::unavailable("peer is cut off");
-        if self.cut.lock().unwrap().contains(&peer) {
-            return Err(failure());
-        }
-        let nodes = self.nodes.lock().unwrap();
-        let answer = nodes.get(&peer).ok_or_else(failure)?;
-        answer(request).ok_or_else(failure)
-    }
-}
-
 /// Log, VM list and network that the nodes of a test share.
 #[derive(Default)]
 pub struct Fleet {
@@ -165,18 +140,6 @@
     }
 }
 
-pub fn team(rate: u64, burst: u64) -> TeamSpec {
-    TeamSpec {
-        name: "riders".into(),
-        rate,
-        burst,
-    }
-}
-
-pub fn address(index: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1_000 + index))
-}
-
 impl Fleet {
     pub fn list(&self, address: SocketAddr) {
         let vm = ListedVm {
@@ -250,12 +213,3 @@
         self.group.shutdown().await;
     }
 }
-
-/// Waits until `condition` holds, for at most 20 s.
-pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
-    let bound = Instant::now() + Duration::from_secs(20);
-    while !condition() {
-        assert!(Instant::now() < bound, "not reached: {what}");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
