Let loans move a team's whole rate between daemons

Cause: a lent amount stays out of the lender's capacity for 2 s, so a lender passes on at most its part of the burst per 2 s; and spare tokens were known only from statuses a second apart. With a burst of 0.4 s of the rate, a daemon that received all of a team's traffic at 90% of its rate served 5010 of 8100 tokens. Change: a loan lives a quarter of the time in which the rate refills the burst, between 100 ms and 2 s. The spare tokens of a peer are estimated from the last known value and the refill of an even share; no peer is asked when all together should not have enough. Expiry turns are computed only for silent members. Ruled out: returning unspent loans, which needs another exchange per loan.

--- a/src/limit/budget.rs
+++ b/src/limit/budget.rs
@@ -9,9 +9,14 @@
 
 use crate::catalog::TeamSpec;
 use crate::limit::{BucketLimit, ChargeMark, LoanLedger, TokenBucket};
-use crate::member::ShareGrant;
+use crate::member::{ShareGrant, TeamRefill};
 use crate::peer::TokenLoan;
 
+/// Longest lifetime of a loan.
+pub const MAX_LOAN_LIFETIME: Duration = Duration::from_secs(2);
+/// Shortest lifetime of a loan, which covers a call between regions.
+const MIN_LOAN_LIFETIME: Duration = Duration::from_millis(100);
+
 /// Budget of one team for the state dump.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BudgetDump {
@@ -54,7 +59,7 @@
 }
 
 /// Why a charge was not possible at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub enum Shortage {
     /// The team has no budget here.
     UnknownTeam,
@@ -65,8 +70,8 @@
     /// Tokens are missing.
     Missing {
         tokens: u64,
-        /// Fleet-wide tokens per second.
-        rate: u64,
+        /// Fleet-wide limit of the team.
+        refill: TeamRefill,
     },
 }
 
@@ -178,7 +183,10 @@
         let held = held.saturating_add(budget.loans.available(now));
         let missing = Shortage::Missing {
             tokens: tokens.saturating_sub(held),
-            rate: budget.spec.rate,
+            refill: TeamRefill {
+                rate: budget.spec.rate,
+                burst,
+            },
         };
         if held < tokens {
             return Err(missing);
@@ -208,17 +216,12 @@
     }
 
     /// Debits a loan of up to `tokens`.
-    pub fn lend(
-        &mut self,
-        team: &str,
-        tokens: u64,
-        lifetime: Duration,
-        now: Instant,
-    ) -> Option<TokenLoan> {
+    pub fn lend(&mut self, team: &str, tokens: u64, now: Instant) -> Option<TokenLoan> {
         if !self.in_term(now) {
             return None;
         }
         let budget = self.teams.get_mut(team)?;
+        let lifetime = loan_lifetime(&budget.spec);
         let (tokens, lifetime) = budget.bucket.lend(tokens, lifetime, now)?;
         self.next_loan += 1;
         Some(TokenLoan {
@@ -274,3 +277,12 @@
         LimitDump { ppm, teams }
     }
 }
+
+/// Returns a quarter of the time in which the rate refills the burst, within the limits for loans.
+///
+/// A lender can pass on at most its part of the burst per lifetime, because loans stay out of its capacity. With
+/// a fixed 2 s, teams with a burst below two seconds of their rate could not move their rate between daemons.
+fn loan_lifetime(spec: &TeamSpec) -> Duration {
+    let millis = spec.burst.saturating_mul(250) / spec.rate.max(1);
+    Duration::from_millis(millis).clamp(MIN_LOAN_LIFETIME, MAX_LOAN_LIFETIME)
+}
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -17,10 +17,12 @@
 use smol_str::SmolStr;
 
 pub use self::bucket::{BucketLimit, ChargeMark, TokenBucket};
-pub use self::budget::{BudgetCharge, BudgetDump, BudgetTable, LimitDump, Shortage};
+pub use self::budget::{
+    BudgetCharge, BudgetDump, BudgetTable, LimitDump, MAX_LOAN_LIFETIME, Shortage,
+};
 pub use self::even::{EvenSplitCharge, EvenSplitLimiter};
 pub use self::loan::LoanLedger;
-pub use self::service::{LOAN_LIFETIME, LimitCharge, LimitService};
+pub use self::service::{LimitCharge, LimitService};
 use crate::error::Result;
 
 /// Charges teams for tokens.
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -12,11 +12,9 @@
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
 use crate::limit::{BudgetCharge, BudgetTable, LimitDump, Shortage, TokenCharge, TokenLimiter};
-use crate::member::{Lender, PeerBoard, ShareGrant, ShareSink};
+use crate::member::{Lender, PeerBoard, ShareGrant, ShareSink, TeamRefill};
 use crate::peer::{PeerCaller, PeerReply, PeerRequest, TokenLoan};
 
-/// Lifetime of a loan.
-pub const LOAN_LIFETIME: Duration = Duration::from_secs(2);
 /// Peers that one request asks at once.
 const MAX_LENDERS: usize = 4;
 /// Rounds of asking per request; with nine daemons two rounds reach all others.
@@ -77,7 +75,7 @@
 
     /// Lends up to `tokens` of `team` to `borrower`. The tokens are debited before this returns.
     pub fn lend(&self, borrower: VmId, team: &str, tokens: u64) -> Option<TokenLoan> {
-        let loan = lock(&self.budgets).lend(team, tokens, LOAN_LIFETIME, Instant::now())?;
+        let loan = lock(&self.budgets).lend(team, tokens, Instant::now())?;
         log::trace!("lent {} tokens of team {team} to {borrower}", loan.tokens);
         Some(loan)
     }
@@ -106,14 +104,23 @@
     }
 
     /// Asks the peers with the most spare tokens. Returns whether any was asked.
-    async fn borrow(&self, team: &SmolStr, missing: u64, deadline: Instant) -> bool {
+    ///
+    /// None is asked if all of them together should not have enough: a team far above its rate would otherwise
+    /// cause calls for each refusal.
+    async fn borrow(
+        &self,
+        team: &SmolStr,
+        missing: u64,
+        refill: TeamRefill,
+        deadline: Instant,
+    ) -> bool {
         let now = Instant::now();
         let wait = deadline.saturating_duration_since(now).min(ROUND_WAIT);
-        let lenders = choose_lenders(self.board.lenders(team, now), missing);
-        if lenders.is_empty() || wait.is_zero() {
+        let lenders = self.board.lenders(team, refill, now);
+        if wait.is_zero() || total(&lenders) < missing {
             return false;
         }
-        let calls = lenders
+        let calls = choose_lenders(lenders, missing)
             .into_iter()
             .map(|(lender, tokens)| self.borrow_from(lender, team, tokens, wait));
         join_all(calls).await;
@@ -127,7 +134,7 @@
         let asked_at = Instant::now();
         // Reserving the amount on the board keeps concurrent requests from asking for the same tokens.
         let left = lender.spare.saturating_sub(tokens);
-        self.board.set_spare(lender.address, team, left);
+        self.board.set_spare(lender.address, team, left, asked_at);
         let request = PeerRequest::Borrow {
             borrower,
             team: team.clone(),
@@ -147,26 +154,24 @@
             }
         };
         if lent < tokens {
-            // The peer has no more; asking again before its next status only adds load.
-            self.board.set_spare(lender.address, team, 0);
+            // The peer has no more until its bucket refills.
+            let now = Instant::now();
+            self.board.set_spare(lender.address, team, 0, now);
         }
     }
 
     /// Creates the refusal of a request for which tokens are missing fleet-wide.
-    fn refusal(&self, team: &SmolStr, missing: u64, rate: u64) -> Error {
-        let lenders = self.board.lenders(team, Instant::now());
-        let spare = lenders
-            .iter()
-            .fold(0, |sum: u64, lender| sum.saturating_add(lender.spare));
-        let short = missing.saturating_sub(spare);
+    fn refusal(&self, team: &SmolStr, missing: u64, refill: TeamRefill) -> Error {
+        let lenders = self.board.lenders(team, refill, Instant::now());
+        let short = missing.saturating_sub(total(&lenders));
         let error = Error::new(
             Category::RateLimited,
             format!("team `{team}` is {missing} tokens short of its rate"),
         );
-        if rate == 0 {
+        if refill.rate == 0 {
             return error;
         }
-        let millis = short.saturating_mul(1_000).div_ceil(rate);
+        let millis = short.saturating_mul(1_000).div_ceil(refill.rate);
         error.with_retry_after(Duration::from_millis(millis).max(MIN_RETRY_AFTER))
     }
 }
@@ -176,12 +181,12 @@
 
     async fn charge(&self, team: &SmolStr, tokens: u64, deadline: Instant) -> Result<Self::Charge> {
         for _ in 0..MAX_ROUNDS {
-            let missing = match self.try_charge(team, tokens) {
+            let (missing, refill) = match self.try_charge(team, tokens) {
                 Ok(charge) => return Ok(charge),
-                Err(Shortage::Missing { tokens, .. }) => tokens,
+                Err(Shortage::Missing { tokens, refill }) => (tokens, refill),
                 Err(shortage) => return Err(refuse_at_once(team, tokens, shortage)),
             };
-            if !self.borrow(team, missing, deadline).await {
+            if !self.borrow(team, missing, refill, deadline).await {
                 break;
             }
         }
@@ -189,8 +194,8 @@
             .map_err(|shortage| match shortage {
                 Shortage::Missing {
                     tokens: missing,
-                    rate,
-                } => self.refusal(team, missing, rate),
+                    refill,
+                } => self.refusal(team, missing, refill),
                 other => refuse_at_once(team, tokens, other),
             })
     }
@@ -239,6 +244,12 @@
     }
 }
 
+fn total(lenders: &[Lender]) -> u64 {
+    lenders
+        .iter()
+        .fold(0, |sum: u64, lender| sum.saturating_add(lender.spare))
+}
+
 /// Picks the fewest lenders whose spare tokens cover `missing` and what to ask of each.
 fn choose_lenders(lenders: Vec<Lender>, missing: u64) -> Vec<(Lender, u64)> {
     let mut left = missing;
--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -351,8 +351,11 @@
             .filter_map(|(vm, entry)| {
                 let (renewed, read_at) = self.seen.get(&vm).copied()?;
                 let silent = now.saturating_duration_since(read_at);
-                let patience = entry.term.mul_f64(1.1) + self.turn(vm, entry.term);
-                (renewed == entry.renewed && silent >= patience).then_some((vm, renewed))
+                let patience = entry.term.mul_f64(1.1);
+                let due = renewed == entry.renewed
+                    && silent >= patience
+                    && silent >= patience + self.turn(vm, entry.term);
+                due.then_some((vm, renewed))
             })
             .collect();
         let mut records = Vec::new();
--- a/src/member/board.rs
+++ b/src/member/board.rs
@@ -20,6 +20,17 @@
     pub status: PeerStatus,
     /// Time before the question whose answer this is.
     pub asked_at: Instant,
+    /// Spare tokens where a loan has changed them since the status, and when.
+    corrected: HashMap<SmolStr, (u64, Instant)>,
+}
+
+/// Fleet-wide limit of a team, by which the refill of peers since their last status is estimated.
+#[derive(Clone, Copy, Debug)]
+pub struct TeamRefill {
+    /// Tokens per second.
+    pub rate: u64,
+    /// Tokens.
+    pub burst: u64,
 }
 
 /// A peer that may have spare tokens of a team.
@@ -27,7 +38,7 @@
 pub struct Lender {
     pub address: SocketAddr,
     pub vm: VmId,
-    /// Spare tokens by its latest status, less what it has lent since.
+    /// Estimate of its spare tokens: the latest known, plus the refill of an even share since.
     pub spare: u64,
 }
 
@@ -60,6 +71,7 @@
             address,
             status,
             asked_at,
+            corrected: HashMap::new(),
         };
         entries.insert(address, entry);
     }
@@ -79,16 +91,17 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Returns the peers with spare tokens of `team`, the most first.
-    pub fn lenders(&self, team: &str, now: Instant) -> Vec<Lender> {
+    /// Returns the peers that should have spare tokens of `team`, the most first.
+    pub fn lenders(&self, team: &str, refill: TeamRefill, now: Instant) -> Vec<Lender> {
         let entries = self.lock();
+        let members = entries.len() as u64 + 1;
         let mut lenders: Vec<Lender> = entries
             .values()
             .filter(|entry| now.saturating_duration_since(entry.asked_at) <= MAX_LENDER_AGE)
             .map(|entry| Lender {
                 address: entry.address,
                 vm: entry.status.vm,
-                spare: spare_of(&entry.status, team),
+                spare: entry.estimate(team, refill, members, now),
             })
             .filter(|lender| lender.spare > 0)
             .collect();
@@ -97,20 +110,24 @@
     }
 
     /// Corrects the spare tokens of `team` at the peer until its next status.
-    pub fn set_spare(&self, address: SocketAddr, team: &str, spare: u64) {
-        let mut entries = self.lock();
-        let Some(entry) = entries.get_mut(&address) else {
-            return;
-        };
-        for (name, tokens) in &mut entry.status.spare {
-            if name == team {
-                *tokens = spare;
-            }
+    pub fn set_spare(&self, address: SocketAddr, team: &str, spare: u64, now: Instant) {
+        if let Some(entry) = self.lock().get_mut(&address) {
+            entry.corrected.insert(team.into(), (spare, now));
         }
     }
 }
 
-fn spare_of(status: &PeerStatus, team: &str) -> u64 {
-    let spare: Option<&(SmolStr, u64)> = status.spare.iter().find(|(name, _)| name == team);
-    spare.map_or(0, |(_, tokens)| *tokens)
+impl PeerEntry {
+    /// Estimates the spare tokens. A team that the status does not name has no budget there, or no term.
+    fn estimate(&self, team: &str, refill: TeamRefill, members: u64, now: Instant) -> u64 {
+        let Some((_, reported)) = self.status.spare.iter().find(|(name, _)| name == team) else {
+            return 0;
+        };
+        let known = self.corrected.get(team).copied();
+        let (spare, at) = known.unwrap_or((*reported, self.asked_at));
+        let millis = u64::try_from(now.saturating_duration_since(at).as_millis());
+        let refilled = refill.rate.saturating_mul(millis.unwrap_or(u64::MAX)) / (1_000 * members);
+        let capacity = (refill.burst / members).max(spare);
+        spare.saturating_add(refilled).min(capacity)
+    }
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -13,7 +13,7 @@
 mod table;
 
 pub use self::agent::{AgentSettings, MemberAgent, ViewEvidence};
-pub use self::board::{Lender, PeerBoard, PeerEntry};
+pub use self::board::{Lender, PeerBoard, PeerEntry, TeamRefill};
 pub use self::hooks::{ShareGrant, ShareSink, StatusSource};
 pub use self::record::{MemberRecord, MemberRenewal};
 pub use self::service::{MemberParts, MemberService, MemberSettings};
--- a/tests/fleet_sim/node.rs
+++ b/tests/fleet_sim/node.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxtailhill::ids::{LogOffset, VmId};
-use foxtailhill::limit::{BudgetCharge, BudgetTable, LOAN_LIFETIME};
+use foxtailhill::limit::{BudgetCharge, BudgetTable};
 use foxtailhill::member::{AgentSettings, MemberAgent, MemberRecord, PeerBoard};
 use foxtailhill::peer::PeerStatus;
 use foxtailhill::{Error, RunVerdict};
@@ -173,7 +173,7 @@
                 self.board.note(address(from), status, asked_at);
             }
             Message::Borrow { tokens, asked_at } => {
-                if let Some(loan) = self.budgets.lend(TEAM, tokens, LOAN_LIFETIME, now) {
+                if let Some(loan) = self.budgets.lend(TEAM, tokens, now) {
                     world.send(self.index, from, Message::Loan { loan, asked_at });
                 }
             }
--- a/tests/member_service.rs
+++ b/tests/member_service.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use foxtailhill::limit::{TokenCharge, TokenLimiter};
+use foxtailhill::limit::{EvenSplitLimiter, TokenCharge, TokenLimiter};
 use foxtailhill::member::MemberRecord;
 use foxtailhill::{Category, RunVerdict};
 use member_support::{Fleet, Node};
@@ -196,3 +196,57 @@
         node.group.shutdown().await;
     }
 }
+
+/// Tokens granted of those offered at a daemon that receives all of a team's traffic, below the team's rate.
+async fn serve_skewed<L: TokenLimiter>(limiter: &L) -> (u64, u64) {
+    let (mut offered, mut granted) = (0, 0);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        // 90% of the rate of 3000 tokens/s, whatever the delays of this loop.
+        let due = start.elapsed().as_millis() * 27 / 10;
+        while u128::from(offered) < due {
+            offered += 30;
+            let deadline = Instant::now() + Duration::from_secs(1);
+            if let Ok(charge) = limiter.charge(&"riders".into(), 30, deadline).await {
+                charge.settle(30);
+                granted += 30;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    (offered, granted)
+}
+
+/// Guards against refusals within a team's rate when one daemon receives all of its traffic and the burst is
+/// shorter than the time between two statuses.
+#[tokio::test(flavor = "multi_thread")]
+async fn loans_serve_a_skewed_team_that_the_even_split_refuses() {
+    let fleet = Fleet::default();
+    let teams = vec![team(3_000, 1_200)];
+    // With a term of 12 s, statuses are exchanged once a second as in service.
+    let term = Duration::from_secs(12);
+    let nodes: Vec<Node> = (1..=3)
+        .map(|index| fleet.start(index, term, teams.clone()))
+        .collect();
+    eventually("full buckets known to the first", || {
+        let peers = nodes[0].members.peers();
+        let full = |entry: &foxtailhill::member::PeerEntry| {
+            entry
+                .status
+                .spare
+                .first()
+                .is_some_and(|spare| spare.1 >= 399)
+        };
+        peers.len() == 2 && peers.iter().all(full) && nodes[0].share() == Some(333_333)
+    })
+    .await;
+    let even = EvenSplitLimiter::new(&teams, 3, Instant::now() + Duration::from_secs(3_600));
+    let (offered, granted) = serve_skewed(&nodes[0].limiter).await;
+    let (even_offered, even_granted) = serve_skewed(&even).await;
+    println!("with loans {granted} of {offered}, even split {even_granted} of {even_offered}");
+    assert!(granted * 100 >= offered * 98);
+    assert!(even_granted * 100 <= even_offered * 60);
+    for node in nodes {
+        node.group.shutdown().await;
+    }
+}
