--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -5,7 +5,8 @@
 //!
 //! - an order that was sent reaches the engine within [`LedgerTiming::order_delay`] or never, and so does every
 //!   copy of it;
-//! - a report arrives at most [`LedgerTiming::report_lag`] after the state that it shows;
+//! - a report shows a state at most [`LedgerTiming::report_lag`] older than the moment it was asked for (the
+//!   moment of arrival proves nothing: a paused process reads an old report as if it were new);
 //! - a planner sends nothing after the members stream says that it left or expired.
 //!
 //! A load order is *open* while its planner may still send it. Once closed, it stays reserved until a report
@@ -24,7 +25,7 @@
 pub struct LedgerTiming {
     /// Longest time from sending an order until its last copy arrives.
     pub order_delay: Duration,
-    /// Longest time from the state that a report shows until the report arrives.
+    /// Longest time from the state that a report shows until the report was asked for.
     pub report_lag: Duration,
     /// Whether an engine that checks fencing numbers still knows the highest one after a restart. Only then
     /// does a newer accepted order end an older one early.
@@ -80,6 +81,9 @@
 #[derive(Clone, Debug)]
 struct SeenReport {
     sequence: u64,
+    /// When the report was asked for: its state is at most the lag older.
+    asked_at: Instant,
+    /// When it arrived: its state is not newer.
     seen_at: Instant,
     resident: HashMap<ResidentItem, u64>,
     loading: HashMap<ResidentItem, u64>,
@@ -197,16 +201,16 @@
     pub fn resident(&self) -> impl Iterator<Item = (&ResidentItem, u64)> {
         self.reports
             .values()
-            .max_by_key(|report| report.seen_at)
+            .max_by_key(|report| report.asked_at)
             .into_iter()
             .flat_map(|report| report.resident.iter())
             .filter(|(item, _)| self.is_resident(item))
             .map(|(item, bytes)| (item, *bytes))
     }
 
-    /// Returns when the newest report arrived.
-    pub fn seen_at(&self) -> Option<Instant> {
-        self.reports.values().map(|report| report.seen_at).max()
+    /// Returns when the newest report was asked for.
+    pub fn asked_at(&self) -> Option<Instant> {
+        self.reports.values().map(|report| report.asked_at).max()
     }
 
     /// Returns the orders that can still take effect, by fencing number.
@@ -219,7 +223,7 @@
         self.orders.get(&fence)
     }
 
-    /// Counts a valid order from its record on. `now` is when the record was read.
+    /// Counts a valid order from its record on.
     ///
     /// The order of another planner may be sent at any time until it is closed.
     pub fn order_recorded(&mut self, fence: LogOffset, planner: VmId, action: OrderAction) {
@@ -285,8 +289,9 @@
         }
     }
 
-    /// Notes a report that arrived at `now`. Returns `false` if it is older than one seen before.
-    pub fn report_seen(&mut self, report: &LoadReport, now: Instant) -> bool {
+    /// Notes a report that was asked for at `asked_at` and arrived at `now`. Returns `false` if it is older than
+    /// one seen before.
+    pub fn report_seen(&mut self, report: &LoadReport, asked_at: Instant, now: Instant) -> bool {
         let known = self.reports.get(&report.incarnation);
         if known.is_some_and(|known| known.sequence >= report.sequence) {
             return false;
@@ -295,6 +300,7 @@
             report.incarnation,
             SeenReport {
                 sequence: report.sequence,
+                asked_at,
                 seen_at: now,
                 resident: report.resident.iter().cloned().collect(),
                 loading: report.loading.iter().cloned().collect(),
@@ -302,10 +308,10 @@
         );
         let lag = self.timing.report_lag;
         self.reports.retain(|incarnation, seen| {
-            *incarnation == report.incarnation || now < seen.seen_at + lag
+            *incarnation == report.incarnation || asked_at < seen.seen_at + lag
         });
         self.mark_effects(report.incarnation);
-        self.drop_settled(now);
+        self.drop_settled(asked_at);
         true
     }
 
@@ -322,12 +328,12 @@
     }
 
     /// Drops closed orders of which no copy can arrive after the state that the newest report shows.
-    fn drop_settled(&mut self, now: Instant) {
+    fn drop_settled(&mut self, asked_at: Instant) {
         let timing = self.timing;
         let fenced_below = self
             .accepted
             .filter(|_| self.checks_fencing && timing.fences_survive_restart)
-            .filter(|(_, answered)| now >= *answered + timing.report_lag)
+            .filter(|(_, answered)| asked_at >= *answered + timing.report_lag)
             .map(|(fence, _)| fence);
         self.orders.retain(|fence, order| {
             if order.open {
@@ -335,7 +341,7 @@
             }
             let delivered = order
                 .last_send
-                .is_none_or(|sent| now >= sent + timing.order_delay + timing.report_lag);
+                .is_none_or(|sent| asked_at >= sent + timing.order_delay + timing.report_lag);
             let fenced = fenced_below.is_some_and(|accepted| *fence < accepted);
             !delivered && !fenced
         });
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -287,9 +287,15 @@
     }
 
     /// Notes a load report and ends own orders whose effect it shows.
-    pub fn note_report(&mut self, server: &SmolStr, report: &LoadReport, now: Instant) {
+    pub fn note_report(
+        &mut self,
+        server: &SmolStr,
+        report: &LoadReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
         let ledger = self.ledger(server);
-        if !ledger.report_seen(report, now) {
+        if !ledger.report_seen(report, asked_at, now) {
             return;
         }
         let seen: Vec<LogOffset> = ledger
@@ -340,6 +346,9 @@
     }
 
     /// Checks an own order again and notes that it is being sent.
+    ///
+    /// Two planners cannot both remove the last two replicas of a model: each reads its own record back before it
+    /// checks, so the later one in offset order finds the earlier unload in the other server's ledger.
     pub fn begin_send(
         &mut self,
         offset: LogOffset,
@@ -390,7 +399,7 @@
                 return false;
             };
             let fresh = ledger
-                .seen_at()
+                .asked_at()
                 .is_some_and(|at| now < at + self.report_max_age);
             fresh
                 && ledger.resident().any(|(item, _)| {
--- a/src/placement/draft.rs
+++ b/src/placement/draft.rs
@@ -103,7 +103,7 @@
     fn add_server(&mut self, index: usize) {
         let server = &self.input.facts.servers[index];
         let ledger = self.input.ledgers[index];
-        let usable = server.reachable && !server.leaving && ledger.seen_at().is_some();
+        let usable = server.reachable && !server.leaving && ledger.asked_at().is_some();
         self.servers.push(DraftServer {
             free: if usable { ledger.free() } else { 0 },
             freeing: 0,
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -86,15 +86,12 @@
     server: SmolStr,
     zone: SmolStr,
     planner_fence: LogOffset,
-    /// Model whose weights the order unloads.
-    unloads: Option<SmolStr>,
 }
 
 /// Valid and open orders, replayed in offset order.
 ///
-/// A record is void if a higher planner fence of its zone precedes it. An unload of weights is also void while
-/// another unload of the same model is open anywhere: two planners that each see one other replica would
-/// otherwise remove both.
+/// A record is void if a higher planner fence of its zone precedes it. The `members` and `orders` streams have no
+/// common order, so a planner's first record is its `Lead`: what a former planner appends later is void.
 #[derive(Clone, Debug, Default)]
 pub struct OrderTable {
     next: LogOffset,
@@ -173,33 +170,20 @@
     }
 
     fn order(&mut self, offset: LogOffset, order: &PlannedOrder) -> OrderEffect {
-        let void = OrderEffect::Void { id: order.id };
         // A repeated append is one order while that order is open; later its planner closes the copy unsent.
         if self.open.values().any(|open| open.id == order.id) {
             return OrderEffect::Nothing;
         }
         if !self.takes_lead(&order.zone, order.planner_fence) {
-            return void;
-        }
-        let unloads = unloaded_model(&order.action);
-        if unloads.is_some() && self.open.values().any(|open| open.unloads == unloads) {
-            return void;
+            return OrderEffect::Void { id: order.id };
         }
         let open = OpenOrder {
             id: order.id,
             server: order.server.clone(),
             zone: order.zone.clone(),
             planner_fence: order.planner_fence,
-            unloads,
         };
         self.open.insert(offset, open);
         OrderEffect::Valid(order.clone())
     }
 }
-
-fn unloaded_model(action: &OrderAction) -> Option<SmolStr> {
-    match action {
-        OrderAction::Unload { item } if item.adapter.is_none() => Some(item.model.clone()),
-        _ => None,
-    }
-}
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -209,12 +209,13 @@
         Self { shared }
     }
 
-    /// Notes a load report of `server`, at the time it arrives.
-    pub fn note_report(&self, server: &SmolStr, report: &LoadReport) {
+    /// Notes a load report of `server` that was asked for at `asked_at`. Call it with every report on every
+    /// daemon: any of them may be planner next.
+    pub fn note_report(&self, server: &SmolStr, report: &LoadReport, asked_at: Instant) {
         self.shared
             .desk()
             .board
-            .note_report(server, report, Instant::now());
+            .note_report(server, report, asked_at, Instant::now());
         self.shared.done.notify_one();
     }
 
--- a/tests/order_service.rs
+++ b/tests/order_service.rs
@@ -263,9 +263,10 @@
     /// Feeds load reports until `done` holds.
     async fn until(&self, what: &str, done: impl Fn(&Fleet) -> bool) {
         for _ in 0..3_000 {
+            let asked_at = Instant::now();
             for (server, report) in self.fleet.reports() {
                 for service in &self.services {
-                    service.note_report(&server, &report);
+                    service.note_report(&server, &report, asked_at);
                 }
             }
             if done(&self.fleet) {
