--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -388,7 +388,8 @@
     /// Returns whether a reachable server other than `server` surely keeps a replica of `model`, or nobody
     /// declares the model any more.
     fn served_elsewhere(&self, model: &SmolStr, server: &SmolStr, now: Instant) -> bool {
-        if !self.facts.models.iter().any(|known| known.name == *model) {
+        let models = &self.facts.models;
+        if !models.is_empty() && models.iter().all(|known| known.name != *model) {
             return true;
         }
         self.facts.servers.iter().any(|other| {
--- a/src/placement/draft.rs
+++ b/src/placement/draft.rs
@@ -63,6 +63,7 @@
     /// Items that the facts do not declare.
     pub(super) strays: Vec<(usize, ResidentItem)>,
     pub(super) model_index: HashMap<&'a str, usize>,
+    adapter_index: HashMap<&'a str, usize>,
     /// Models of which an unload is under way anywhere.
     unloading: HashSet<usize>,
     budget: LoadBudget,
@@ -77,6 +78,13 @@
             .enumerate()
             .map(|(index, model)| (model.name.as_str(), index))
             .collect();
+        let adapter_index = input
+            .facts
+            .adapters
+            .iter()
+            .enumerate()
+            .map(|(index, adapter)| (adapter.name.as_str(), index))
+            .collect();
         let mut draft = Self {
             input,
             servers: Vec::with_capacity(input.facts.servers.len()),
@@ -84,6 +92,7 @@
             adapters: Vec::new(),
             strays: Vec::new(),
             model_index,
+            adapter_index,
             unloading: HashSet::new(),
             budget: input.budget,
             orders: Vec::new(),
@@ -134,8 +143,12 @@
         if going {
             self.servers[server].freeing += bytes;
         }
+        let declared = item
+            .adapter
+            .as_ref()
+            .is_none_or(|adapter| self.adapter_index.contains_key(adapter.as_str()));
         let model = self.model_index.get(item.model.as_str()).copied();
-        let Some(model) = model else {
+        let Some(model) = model.filter(|_| declared) else {
             self.strays.push((server, item.clone()));
             return;
         };
@@ -248,6 +261,17 @@
             .collect()
     }
 
+    /// Returns whether the replica at `position` is the model's only one in its zone.
+    pub(super) fn is_alone_in_zone(&self, model: usize, position: usize) -> bool {
+        let zone = |replica: &Replica| &self.server_facts(replica.server).zone;
+        let own = zone(&self.replicas[model][position]);
+        self.replicas[model]
+            .iter()
+            .filter(|replica| replica.state != ReplicaState::Fading && zone(replica) == own)
+            .count()
+            == 1
+    }
+
     /// Returns the best server with room for a replica of `model`.
     ///
     /// A zone without the model comes first, then the least loaded server, then the tightest fit. Equal servers
@@ -260,13 +284,7 @@
         let item = self.current_item(model);
         let bytes = self.facts(model).memory_bytes;
         let zones = self.zones(model);
-        let mut taken: HashSet<usize> = HashSet::new();
-        taken.extend(
-            self.replicas[model]
-                .iter()
-                .filter(|replica| replica.item == item)
-                .map(|replica| replica.server),
-        );
+        let taken = self.hosts(model);
         let mut best: Option<(bool, u32, u64, u64, usize)> = None;
         for (index, server) in self.servers.iter().enumerate() {
             if !server.usable || server.free < bytes || taken.contains(&index) {
@@ -323,6 +341,29 @@
         }
     }
 
+    /// Returns whether the adapter copy sits next to a replica of its model's version.
+    pub(super) fn is_hosted(&self, copy: &AdapterCopy) -> bool {
+        let Some(model) = self.model_index.get(copy.item.model.as_str()) else {
+            return false;
+        };
+        self.replicas[*model].iter().any(|replica| {
+            replica.server == copy.server
+                && replica.item.version == copy.item.version
+                && replica.state != ReplicaState::Fading
+        })
+    }
+
+    /// Returns whether no request asks for the adapter of this copy, or the copy cannot serve any.
+    pub(super) fn is_idle(&self, copy: &AdapterCopy) -> bool {
+        let adapter = copy.item.adapter.as_ref();
+        let index = adapter.and_then(|adapter| self.adapter_index.get(adapter.as_str()));
+        let wanted = index.is_some_and(|index| {
+            let demand = &self.input.facts.adapters[*index].demand;
+            demand.waiting > 0 || demand.arrivals_per_s > 0.0
+        });
+        !wanted || !self.is_hosted(copy)
+    }
+
     /// Plans an unload of an item that serves no floor: an idle adapter or one that is not declared.
     pub(super) fn unload_item(&mut self, server: usize, item: &ResidentItem, reason: OrderReason) {
         if self.servers[server].own && self.input.ledgers[server].may_unload(item) {
@@ -356,13 +397,25 @@
         self.unload_item(server, &item, reason);
     }
 
-    /// Reserves a server whose unloads under way make room for `bytes`. Returns whether there is one.
-    pub(super) fn reserve_freeing(&mut self, bytes: u64) -> bool {
+    /// Returns the servers that hold or load the current version of `model`; another copy would add nothing.
+    pub(super) fn hosts(&self, model: usize) -> HashSet<usize> {
+        let item = self.current_item(model);
+        self.replicas[model]
+            .iter()
+            .filter(|replica| replica.item == item)
+            .map(|replica| replica.server)
+            .collect()
+    }
+
+    /// Reserves a server whose unloads under way make room for `model`. Returns whether there is one.
+    pub(super) fn reserve_freeing(&mut self, model: usize) -> bool {
+        let bytes = self.facts(model).memory_bytes;
+        let hosts = self.hosts(model);
         let found = self
             .servers
             .iter()
             .enumerate()
-            .filter(|(_, server)| server.usable && server.freeing > 0)
+            .filter(|(index, server)| server.usable && server.freeing > 0 && !hosts.contains(index))
             .filter(|(_, server)| server.free.saturating_add(server.freeing) >= bytes)
             .min_by_key(|(_, server)| Reverse(server.free))
             .map(|(index, _)| index);
--- a/src/placement/floor.rs
+++ b/src/placement/floor.rs
@@ -1,6 +1,6 @@
 //! The planner: floors first, then marginal attainment per byte.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
@@ -23,6 +23,9 @@
     pub min_residence: Duration,
     /// Time after which a planner loads a missing model itself although the plan names another zone.
     pub takeover_after: Duration,
+    /// Requests per second that a model's presence in a second zone is worth. The copy in a second zone uses
+    /// memory that demand may claim: at full size there is less than two replicas' room per model.
+    pub zone_worth: f64,
     /// Demand-driven loads considered per round, so that a round's work is bounded.
     pub demand_moves: usize,
 }
@@ -35,6 +38,7 @@
             hysteresis: 1.5,
             min_residence: Duration::from_secs(120),
             takeover_after: Duration::from_secs(5),
+            zone_worth: 1.0,
             demand_moves: 16,
         }
     }
@@ -166,10 +170,11 @@
         }
     }
 
-    /// Adds replicas where they gain the most requests per byte, replacing others only for a clear gain.
-    fn follow_demand(&self, draft: &mut Draft<'_>) {
+    /// Adds replicas that gain at least `least_gain` requests per second where they gain the most per byte,
+    /// replacing others only for a clear gain.
+    fn follow_demand(&self, draft: &mut Draft<'_>, least_gain: f64) {
         for _ in 0..self.settings.demand_moves {
-            let Some((model, gain)) = self.best_addition(draft) else {
+            let Some((model, gain)) = self.best_addition(draft, least_gain) else {
                 return;
             };
             if let Some(server) = draft.find_room(model, |_, _| true) {
@@ -183,13 +188,14 @@
     }
 
     /// Returns the model with the highest gain per byte that is worth a move, and the gain per second.
-    fn best_addition(&self, draft: &Draft<'_>) -> Option<(usize, f64)> {
+    fn best_addition(&self, draft: &Draft<'_>, least_gain: f64) -> Option<(usize, f64)> {
         let horizon = self.settings.horizon.as_secs_f64();
         (0..draft.replicas.len())
             .filter(|model| draft.present(*model) > 0)
             .filter_map(|model| {
                 let gain = gain_per_s(&draft.facts(model).demand, draft.present(model));
-                (gain * horizon > self.settings.move_cost).then_some((model, gain))
+                let worthwhile = gain >= least_gain && gain * horizon > self.settings.move_cost;
+                worthwhile.then_some((model, gain))
             })
             .max_by(|(a, gain_a), (b, gain_b)| {
                 let density =
@@ -200,13 +206,15 @@
 
     fn replace_for(&self, draft: &mut Draft<'_>, model: usize, gain: f64) {
         let bytes = draft.facts(model).memory_bytes;
-        if draft.reserve_freeing(bytes) {
+        if draft.reserve_freeing(model) {
             return;
         }
         let density = gain / bytes.max(1) as f64;
         let horizon = self.settings.horizon.as_secs_f64();
         let best = self.cheapest_room(draft, model, bytes, Spare::AboveMinimum, true);
-        let Some((_, victims)) = best else { return };
+        let Some((server, victims)) = best else {
+            return;
+        };
         let loss: f64 = victims
             .iter()
             .map(|victim| victim.loss * victim.bytes as f64)
@@ -218,13 +226,14 @@
         let cost = self.settings.move_cost * (1 + victims.len()) as f64;
         if clear && (gain - loss) * horizon > cost {
             remove(draft, &victims);
+            draft.reserve(server, bytes);
         }
     }
 
-    /// Removes the replicas or idle adapters that lose least, so that `model` fits somewhere.
+    /// Removes the replicas that lose least, so that `model` fits somewhere.
     fn make_room(&self, draft: &mut Draft<'_>, model: usize, spare: Spare) {
         let bytes = draft.facts(model).memory_bytes;
-        if draft.reserve_freeing(bytes) {
+        if draft.reserve_freeing(model) || remove_idle_adapters(draft, model) {
             return;
         }
         if let Some((server, victims)) = self.cheapest_room(draft, model, bytes, spare, false) {
@@ -257,8 +266,10 @@
                 }
             }
         }
+        let hosts = draft.hosts(model);
         by_server
             .into_iter()
+            .filter(|(server, _)| !hosts.contains(server))
             .filter_map(|(server, victims)| {
                 let missing = bytes.saturating_sub(draft.servers[server].free);
                 Some((server, cheapest(victims, missing)?))
@@ -279,7 +290,10 @@
 
     fn victim(&self, draft: &Draft<'_>, model: usize, position: usize) -> Victim {
         let bytes = draft.replicas[model][position].bytes;
-        let loss = loss_per_s(&draft.facts(model).demand, draft.safe(model));
+        let mut loss = loss_per_s(&draft.facts(model).demand, draft.safe(model));
+        if draft.zones(model).len() == 2 && draft.is_alone_in_zone(model, position) {
+            loss += self.settings.zone_worth;
+        }
         Victim {
             model,
             position,
@@ -324,10 +338,11 @@
             .collect();
         wanted.sort_by_key(|index| std::cmp::Reverse(adapters[*index].demand.waiting));
         for index in wanted {
+            let name = &adapters[index].name;
             let present = draft
                 .adapters
                 .iter()
-                .any(|copy| copy.item.adapter.as_ref() == Some(&adapters[index].name));
+                .any(|copy| copy.item.adapter.as_ref() == Some(name) && draft.is_hosted(copy));
             if !present {
                 self.load_adapter(draft, index);
             }
@@ -362,15 +377,18 @@
             let copy = &draft.adapters[*position];
             copy.safe
                 && hosts.iter().any(|(server, _)| *server == copy.server)
-                && is_idle(draft, &copy.item)
+                && draft.is_idle(copy)
         });
         if let Some(position) = idle {
             draft.unload_adapter(position, OrderReason::MakeRoom);
         }
     }
 
-    /// Removes items that are not declared any more.
+    /// Removes items that are not declared any more. Facts without any model are taken for missing facts.
     fn remove_strays(&self, draft: &mut Draft<'_>) {
+        if draft.replicas.is_empty() {
+            return;
+        }
         for (server, item) in std::mem::take(&mut draft.strays) {
             draft.unload_item(server, &item, OrderReason::Retired);
         }
@@ -384,8 +402,11 @@
         self.restore_unreachable(&mut draft);
         self.restore_minimum(&mut draft);
         self.change_versions(&mut draft);
+        // Demand that may replace a copy in a second zone goes before the copies, or they would return at once.
+        let clear_gain = self.settings.zone_worth * self.settings.hysteresis;
+        self.follow_demand(&mut draft, clear_gain);
         self.spread_zones(&mut draft);
-        self.follow_demand(&mut draft);
+        self.follow_demand(&mut draft, 0.0);
         self.load_adapters(&mut draft);
         self.remove_strays(&mut draft);
         draft.into_orders()
@@ -414,7 +435,7 @@
 fn keep(draft: &Draft<'_>, model: usize, spare: Spare) -> usize {
     match spare {
         Spare::AboveOne => 1,
-        Spare::AboveMinimum => minimum(draft, model).max(draft.zones(model).len().min(2)),
+        Spare::AboveMinimum => minimum(draft, model),
     }
 }
 
@@ -443,15 +464,32 @@
     (found >= missing).then_some(chosen)
 }
 
+/// Removes idle adapters where that makes room for `model`. Returns whether there was such a server.
+fn remove_idle_adapters(draft: &mut Draft<'_>, model: usize) -> bool {
+    let bytes = draft.facts(model).memory_bytes;
+    let hosts = draft.hosts(model);
+    let mut idle: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    for (position, copy) in draft.adapters.iter().enumerate() {
+        if copy.safe && !hosts.contains(&copy.server) && draft.is_idle(copy) {
+            idle.entry(copy.server).or_default().push(position);
+        }
+    }
+    let room = idle.into_iter().find(|(server, positions)| {
+        let found: u64 = positions.iter().map(|at| draft.adapters[*at].bytes).sum();
+        draft.servers[*server].free.saturating_add(found) >= bytes
+    });
+    let Some((server, positions)) = room else {
+        return false;
+    };
+    for position in positions {
+        draft.unload_adapter(position, OrderReason::MakeRoom);
+    }
+    draft.reserve(server, bytes);
+    true
+}
+
 fn remove(draft: &mut Draft<'_>, victims: &[Victim]) {
     for victim in victims {
         draft.unload(victim.model, victim.position, OrderReason::MakeRoom);
     }
 }
-
-fn is_idle(draft: &Draft<'_>, item: &ResidentItem) -> bool {
-    !draft.input.facts.adapters.iter().any(|adapter| {
-        Some(&adapter.name) == item.adapter.as_ref()
-            && (adapter.demand.waiting > 0 || adapter.demand.arrivals_per_s > 0.0)
-    })
-}
--- a/src/placement/lru.rs
+++ b/src/placement/lru.rs
@@ -37,7 +37,7 @@
     /// Evicts replicas of one own server, the least recently used first, until `bytes` are free or coming.
     fn evict(&self, draft: &mut Draft<'_>, wanted: usize) {
         let bytes = draft.facts(wanted).memory_bytes;
-        if draft.reserve_freeing(bytes) {
+        if draft.reserve_freeing(wanted) {
             return;
         }
         let mut victims: Vec<(Instant, usize, usize)> = Vec::new();
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -43,7 +43,8 @@
 
 /// Source of the facts of a planning round: catalog, VM list, demand.
 pub trait FleetView: Send + Sync + 'static {
-    /// Returns the facts as of now.
+    /// Returns the facts as of now. Until the catalog has been replayed they must have no models: items of
+    /// models that are not declared are unloaded.
     fn facts(&self) -> Arc<FleetFacts>;
 }
 
