--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -365,7 +365,7 @@
             .cloned()
             .ok_or(SendBar::Unsafe)?;
         let allowed = match &order.action {
-            OrderAction::Load { .. } => self.ledger(&order.server).fits(),
+            OrderAction::Load { .. } => !server.leaving && self.ledger(&order.server).fits(),
             OrderAction::Unload { item } if item.adapter.is_none() && keep_last => {
                 self.served_elsewhere(&item.model, &order.server, now)
             }
