--- a/tests/order_model.rs
+++ b/tests/order_model.rs
@@ -120,7 +120,7 @@
     unloads: u64,
 }
 
-fn facts(now: u64, random: &mut StdRng) -> FleetFacts {
+fn facts(now: u64, checks_fencing: bool, random: &mut StdRng) -> FleetFacts {
     let hot = random.random_range(0..MODELS);
     let models = (0..MODELS).map(|index| ModelFacts {
         name: format_smolstr!("model-{index}"),
@@ -139,7 +139,7 @@
         address: ([127, 0, 0, 1], 40_000 + index as u16).into(),
         memory_bytes: CAPACITY,
         slots: 16,
-        checks_fencing: false,
+        checks_fencing,
         leaving: false,
         reachable: true,
     });
@@ -199,12 +199,8 @@
     fn step(&mut self) {
         self.now += 1;
         if self.now % 250 == 1 {
-            self.facts = Arc::new(facts(self.now, &mut self.random));
-            let mut facts = (*self.facts).clone();
-            for server in &mut facts.servers {
-                server.checks_fencing = self.trial.checks_fencing;
-            }
-            self.facts = Arc::new(facts);
+            let checks_fencing = self.trial.checks_fencing;
+            self.facts = Arc::new(facts(self.now, checks_fencing, &mut self.random));
         }
         self.deliver();
         for engine in &mut self.engines {
@@ -227,23 +223,17 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let frozen = |daemons: &[Daemon], to: usize| daemons[to].frozen_until > now;
-        let mut due = Vec::new();
-        let mut rest = Vec::new();
-        for (at, event) in std::mem::take(&mut self.events) {
-            // What reaches a frozen daemon waits in its sockets.
-            let waits = match &event {
-                Event::Reply { to, .. } | Event::Report { to, .. } => frozen(&self.daemons, *to),
-                _ => false,
-            };
-            if at <= now && !waits {
-                due.push(event);
-            } else {
-                rest.push((at, event));
-            }
-        }
+        let daemons = &self.daemons;
+        // What reaches a frozen daemon waits in its sockets.
+        let waits = |event: &Event| match event {
+            Event::Reply { to, .. } | Event::Report { to, .. } => daemons[*to].frozen_until > now,
+            _ => false,
+        };
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at, event)| *at <= now && !waits(event));
         self.events = rest;
-        for event in due {
+        for (_, event) in due {
             self.deliver_one(event);
         }
     }
