--- a/tests/regression/demand_board_deadlock.rs
+++ b/tests/regression/demand_board_deadlock.rs
@@ -28,7 +28,7 @@
                 if reporter % 2 == 0 {
                     board.note(
                         ([127, 0, 0, 1], reporter).into(),
-                        &[demand.clone()],
+                        std::slice::from_ref(&demand),
                         Instant::now(),
                     );
                 } else {
