--- a/standins/src/bin/foxtailhill-load.rs
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -14,6 +14,7 @@
 };
 use foxtailhill_standins::{BalancerOptions, BalancerStandin, BalancerTarget};
 use smol_str::SmolStr;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Open-loop load driver.
 #[derive(FromArgs)]
@@ -70,6 +71,13 @@
         from_str_fn(parse_duration)
     )]
     call_timeout: Duration,
+    /// time after the last call at which unanswered calls count as timed out
+    #[argh(
+        option,
+        default = "Duration::from_secs(60)",
+        from_str_fn(parse_duration)
+    )]
+    drain: Duration,
     /// file to which the results are written as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -114,6 +122,13 @@
         from_str_fn(parse_duration)
     )]
     floor_wait: Duration,
+    /// time after the last call at which unanswered calls count as timed out
+    #[argh(
+        option,
+        default = "Duration::from_secs(60)",
+        from_str_fn(parse_duration)
+    )]
+    drain: Duration,
     /// file to which the results are written as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -170,7 +185,11 @@
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Run(arguments) => run_load(arguments).await,
-        Command::Fleet(arguments) => run_fleet(arguments).await,
+        Command::Fleet(arguments) => tokio::select! {
+            done = run_fleet(arguments) => done,
+            // Dropping the fleet ends its processes.
+            stopped = wait_for_stop() => stopped,
+        },
         Command::Declare(arguments) => {
             let declaration = scenario(&arguments.scenario)?.declaration();
             println!("{}", serde_json::to_string_pretty(&declaration)?);
@@ -180,6 +199,16 @@
     }
 }
 
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    eyre::bail!("stopped by a signal")
+}
+
 fn print_plan(arguments: &PlanArguments) -> eyre::Result<()> {
     let shape = LoadShape {
         seed: arguments.seed,
@@ -210,6 +239,7 @@
     let options = LoadOptions {
         targets: arguments.target,
         call_timeout: arguments.call_timeout,
+        drain: arguments.drain,
         versions: HashMap::new(),
     };
     let report = run(&scenario, &shape, calls, options).await?;
@@ -247,6 +277,7 @@
     let options = LoadOptions {
         targets: vec![balancer.address()],
         call_timeout: Duration::from_secs(900),
+        drain: arguments.drain,
         versions: HashMap::new(),
     };
     let calls = plan(&scenario, &shape);
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 
 use eyre::{WrapErr, ensure};
+use foxtailhill::op::OpExit;
 use foxtailhill::platform::{ListedVm, VmRole, VmState};
 use serde_json::Value;
 use smol_str::SmolStr;
@@ -238,17 +239,27 @@
     }
 
     /// Applies a declaration through the daemon at `index`.
+    ///
+    /// It is applied again while the daemon cannot accept changes, as it does until it has been on the VM list for
+    /// the list's lag. Applying a declaration twice changes nothing.
     pub async fn declare(&self, index: usize, declaration: &Value) -> eyre::Result<()> {
         let file = self.directory.path().join("declaration.json");
         std::fs::write(&file, serde_json::to_vec_pretty(declaration)?)?;
-        let output = self.op(index, &["apply", &file.to_string_lossy()]).await?;
-        ensure!(
-            output.status.success(),
-            "{}: {}",
-            output.status,
-            String::from_utf8_lossy(&output.stderr)
-        );
-        Ok(())
+        let deadline = tokio::time::Instant::now() + READY_WAIT;
+        loop {
+            let output = self.op(index, &["apply", &file.to_string_lossy()]).await?;
+            if output.status.success() {
+                return Ok(());
+            }
+            let unreachable = output.status.code() == Some(OpExit::Unreachable as i32);
+            ensure!(
+                unreachable && tokio::time::Instant::now() < deadline,
+                "{}: {}",
+                output.status,
+                String::from_utf8_lossy(&output.stderr)
+            );
+            tokio::time::sleep(READY_POLL).await;
+        }
     }
 
     /// Returns the directory of settings files and of the daemons' output.
--- a/standins/src/load/caller.rs
+++ b/standins/src/load/caller.rs
@@ -110,16 +110,18 @@
         }
     }
 
-    /// Makes a call that was planned for `due`.
+    /// Makes a call that was planned for `due`, and gives up at `end`.
     pub(super) async fn call(
         &self,
         target: SocketAddr,
         call: &PlannedCall,
         due: Instant,
+        end: Instant,
     ) -> CallOutcome {
         let mut answer = AnswerText::default();
         let exchange = self.exchange(target, call, &mut answer);
-        let end = tokio::time::timeout(self.timeout, exchange)
+        let limit = end.min(Instant::now() + self.timeout);
+        let end = tokio::time::timeout_at(limit, exchange)
             .await
             .unwrap_or(CallEnd::TimedOut);
         let pairs = answer.arrivals.windows(2);
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -41,6 +41,8 @@
     pub targets: Vec<SocketAddr>,
     /// Longest time of one call.
     pub call_timeout: Duration,
+    /// Time after the last planned call at which unanswered calls count as timed out.
+    pub drain: Duration,
     /// Further versions that an answer may come from, by model, while versions change.
     pub versions: HashMap<SmolStr, Vec<SmolStr>>,
 }
@@ -56,6 +58,8 @@
     let measure = Arc::new(Mutex::new(LoadMeasure::new(scenario)));
     let client = CallClient::new(scenario, &options);
     let start = Instant::now();
+    let last = calls.last().map_or(Duration::ZERO, |call| call.at);
+    let end = start + last + options.drain;
     let mut tasks = JoinSet::new();
     for (call, target) in calls.into_iter().zip(options.targets.iter().cycle()) {
         let due = start + call.at;
@@ -63,7 +67,7 @@
         while tasks.try_join_next().is_some() {}
         let (client, measure, target) = (client.clone(), measure.clone(), *target);
         tasks.spawn(async move {
-            let outcome = client.call(target, &call, due).await;
+            let outcome = client.call(target, &call, due, end).await;
             lock(&measure).add(&call, outcome);
         });
     }
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -137,6 +137,7 @@
     let options = LoadOptions {
         targets: vec![target],
         call_timeout: Duration::from_secs(20),
+        drain: Duration::from_secs(20),
         versions: HashMap::new(),
     };
     run(&scenario, &shape, calls, options)
@@ -190,6 +191,28 @@
     assert_eq!(report.failures[0].cause, "unreachable");
 }
 
+/// Guards against a driver that waits forever for calls that are never answered.
+#[tokio::test]
+async fn unanswered_calls_time_out() {
+    let silent = tokio::net::TcpListener::bind(any_port()).await.unwrap();
+    let scenario = scenario(&["right"]);
+    let shape = LoadShape {
+        length: Duration::from_millis(200),
+        ..LoadShape::default()
+    };
+    let options = LoadOptions {
+        targets: vec![silent.local_addr().unwrap()],
+        call_timeout: Duration::from_secs(3600),
+        drain: Duration::from_millis(50),
+        versions: HashMap::new(),
+    };
+    let calls = plan(&scenario, &shape);
+    let offered = calls.len() as u64;
+    let report = run(&scenario, &shape, calls, options).await.unwrap();
+    assert_eq!(report.failures[0].cause, "timed_out");
+    assert_eq!(report.failures[0].count, offered);
+}
+
 /// Guards against loads that cannot be repeated, and against rates, factors and moves that are ignored.
 #[test]
 fn plan_follows_seed_rates_and_moves() {
