Advertise proxied peer addresses and bound the engine's export list

Cause: links between daemons could not pass the fault proxy; the stand-in engine kept the prefixes of every request. Change: a proxied cluster renders listen.peer_advertised; exports cover the latest 4,096 requests; chunks are encoded without an intermediate JSON value.

--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -144,6 +144,7 @@
             let input = SettingsInput {
                 spec: spec.clone(),
                 addresses: daemon.addresses(),
+                peer,
                 log: self.platform_address(self.log.address(), spec).await?,
                 weights: self.platform_address(self.weights.address(), spec).await?,
                 vms: self.platform_address(self.vms.address(), spec).await?,
--- a/standins/src/cluster/settings.rs
+++ b/standins/src/cluster/settings.rs
@@ -13,6 +13,8 @@
 pub struct SettingsInput {
     pub spec: DaemonSpec,
     pub addresses: DaemonAddresses,
+    /// Address at which other daemons reach the peer address.
+    pub peer: SocketAddr,
     pub log: SocketAddr,
     pub weights: SocketAddr,
     pub vms: SocketAddr,
@@ -47,6 +49,9 @@
             "report_period": "50ms",
         },
     });
+    if input.peer != input.addresses.peer {
+        settings["listen"]["peer_advertised"] = json!(input.peer);
+    }
     for (name, section) in &input.sections {
         settings[name] = section.clone();
     }
--- a/standins/src/engine/batch.rs
+++ b/standins/src/engine/batch.rs
@@ -255,13 +255,17 @@
 }
 
 fn encode(id: &str, model: &str, index: u32, text: Option<&str>, finish: Option<&str>) -> Bytes {
-    let delta = text.map_or_else(|| json!({}), |text| json!({"content": text}));
-    let chunk = json!({
-        "id": id,
-        "object": "chat.completion.chunk",
-        "model": model,
-        "token_index": index,
-        "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
-    });
-    format!("data: {chunk}\n\n").into()
+    // Runs for each token, so the chunk is not built as a JSON value first.
+    let (id, model) = (json!(id), json!(model));
+    let delta = text.map_or_else(
+        || "{}".to_owned(),
+        |text| format!("{{\"content\":{}}}", json!(text)),
+    );
+    let finish = json!(finish);
+    format!(
+        "data: {{\"id\":{id},\"object\":\"chat.completion.chunk\",\"model\":{model},\
+         \"token_index\":{index},\"choices\":[{{\"index\":0,\"delta\":{delta},\
+         \"finish_reason\":{finish}}}]}}\n\n"
+    )
+    .into()
 }
--- a/standins/src/engine/http_api.rs
+++ b/standins/src/engine/http_api.rs
@@ -264,7 +264,7 @@
 
 async fn export_kv(State(state): State<Arc<EngineState>>, Path(id): Path<SmolStr>) -> Response {
     let exports = lock(&state.exports);
-    match exports.get(&id) {
+    match exports.by_id.get(&id) {
         Some(prefixes) => Json(KvExport {
             prefixes: prefixes.clone(),
         })
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -42,9 +42,32 @@
 const LOAD_RETRY: Duration = Duration::from_millis(200);
 /// Longest time of one load.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(3600);
+/// Requests whose KV cache can be exported.
+const KEPT_EXPORTS: usize = 4096;
 /// Bytes of a prompt that count as one token, as in [`crate::tokens`].
 const BYTES_PER_TOKEN: usize = 4;
 
+/// Prefix hashes of the latest requests, for KV export.
+#[derive(Default)]
+struct ExportList {
+    by_id: HashMap<SmolStr, Vec<u64>>,
+    /// Ids in order of arrival.
+    ids: VecDeque<SmolStr>,
+}
+
+impl ExportList {
+    fn insert(&mut self, id: SmolStr, prefixes: Vec<u64>) {
+        if self.by_id.insert(id.clone(), prefixes).is_none() {
+            self.ids.push_back(id);
+        }
+        if self.ids.len() > KEPT_EXPORTS
+            && let Some(oldest) = self.ids.pop_front()
+        {
+            self.by_id.remove(&oldest);
+        }
+    }
+}
+
 struct EngineState {
     options: EngineOptions,
     group: TaskGroup,
@@ -52,8 +75,7 @@
     batch: Mutex<BatchQueue>,
     wake: Notify,
     cache: Mutex<PrefixCache>,
-    /// Prefix hashes by request id, for KV export.
-    exports: Mutex<HashMap<SmolStr, Vec<u64>>>,
+    exports: Mutex<ExportList>,
     reports: Mutex<ReportHistory>,
     faults: Mutex<VecDeque<EngineFault>>,
     order_faults: Mutex<VecDeque<OrderFault>>,
--- a/standins/tests/cluster.rs
+++ b/standins/tests/cluster.rs
@@ -153,6 +153,14 @@
     let settings = settings(&cluster, "entry-1");
     let log = serde_json::from_value(settings["platform"]["log"].clone()).unwrap();
     assert_ne!(log, cluster.log.address());
+    let listed = HttpVmList::open(cluster.vms.address())
+        .list()
+        .await
+        .unwrap();
+    let entry = listed.iter().find(|vm| vm.name == "entry-1").unwrap();
+    assert_ne!(entry.address, cluster.daemons[0].addresses().peer);
+    let advertised = &settings["listen"]["peer_advertised"];
+    assert_eq!(*advertised, json!(entry.address));
     let journal = HttpJournal::open(log).with_timeout(Duration::from_millis(300));
     let append = || journal.append(StreamName::Config, "record".into());
     append().await.unwrap();
