--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the catalog current from the `config` stream, makes changes and tells which VMs have them in force.
 
 mod confirm;
+mod peers;
 mod snapshot;
 mod state;
 mod sync;
@@ -8,7 +9,6 @@
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -22,11 +22,12 @@
 use crate::journal::{FollowerStatus, JournalClient, StreamFollower, StreamGap, StreamName};
 use crate::kernel::TaskGroup;
 use crate::replica::confirm::ConfirmTable;
-use crate::replica::state::{RecordSource, ReplicaState};
+use crate::replica::state::{CommandState, RecordSource, ReplicaState};
 use crate::replica::sync::{CatalogSink, SnapshotMemo, watch_readiness, write_snapshots};
 use crate::timer::TimerService;
 
 pub use self::confirm::{ConfirmationChanges, Confirmations};
+pub use self::peers::{FleetPeers, first_in_rendezvous_order};
 pub use self::snapshot::{decode_state, encode_state};
 
 /// Wait for a command to be read back before it is appended again. A repeated record has no effect.
@@ -85,7 +86,7 @@
     follower: StreamFollower,
     ready: watch::Receiver<bool>,
     confirms: ConfirmTable,
-    may_append: AtomicBool,
+    may_append: watch::Sender<bool>,
 }
 
 impl<J: JournalClient> CatalogReplica<J> {
@@ -127,7 +128,7 @@
             follower,
             ready,
             confirms: ConfirmTable::new(options.vm),
-            may_append: AtomicBool::new(false),
+            may_append: watch::Sender::new(false),
         }
     }
 
@@ -183,7 +184,7 @@
     /// Allows or refuses appends; they are refused at first. A daemon may append only after it has been on the VM
     /// list for the list's longest lag, so that daemons that judge their view by the list cannot miss it.
     pub fn allow_append(&self, allowed: bool) {
-        self.may_append.store(allowed, Ordering::Relaxed);
+        self.may_append.send_replace(allowed);
     }
 
     /// Appends `command`, reads it back and returns what it did. Waits up to `wait`.
@@ -196,16 +197,14 @@
         if !self.is_ready() {
             return Err(Error::unavailable("the configuration is not loaded yet"));
         }
-        if let Some(report) = self.earlier_report(&command) {
-            return Ok(report);
-        }
-        if !self.may_append.load(Ordering::Relaxed) {
-            return Err(Error::unavailable(
-                "this daemon has not been on the VM list for long enough",
-            ));
-        }
+        let mut report = match self.state.wait_for(&command) {
+            CommandState::Applied(report) => return Ok(report),
+            CommandState::Waiting(report) => report,
+        };
+        let deadline = Instant::now() + wait;
+        self.wait_for_permission(deadline).await?;
+        let wait = deadline.saturating_duration_since(Instant::now());
         let record = Bytes::from(command.encode()?);
-        let mut report = self.state.wait_for(&command);
         let mut unresolved = None;
         let submission = async {
             loop {
@@ -232,13 +231,15 @@
         }
     }
 
-    fn earlier_report(&self, command: &ChangeCommand) -> Option<ChangeReport> {
-        let catalog = self.current();
-        let applied = catalog.applied_command(command.id)?;
-        (applied.digest == command.digest()).then(|| ChangeReport {
-            offset: applied.offset,
-            verdict: applied.verdict.clone(),
-        })
+    async fn wait_for_permission(&self, deadline: Instant) -> Result<()> {
+        let mut permission = self.may_append.subscribe();
+        let allowed = permission.wait_for(|allowed| *allowed);
+        match tokio::time::timeout_at(deadline.into(), allowed).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Error::unavailable(
+                "this daemon has not been on the VM list for long enough",
+            )),
+        }
     }
 
     /// Applies records that a peer read from the log; those beyond a gap are left to the log. Returns the next offset.
@@ -279,6 +280,11 @@
         self.confirms.note(name, next);
     }
 
+    /// Returns the next `config` offset that the VM `name` last reported.
+    pub fn reported_offset(&self, name: &SmolStr) -> Option<LogOffset> {
+        self.confirms.reported(name)
+    }
+
     /// Sets the names of the VMs that must confirm a change. This VM is always one of them.
     pub fn expect_peers(&self, names: BTreeSet<SmolStr>) {
         self.confirms.expect(names);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -50,20 +50,60 @@
     pub timing: TimingSettings,
 }
 
-/// Addresses that the daemon binds. Port 0 lets the operating system choose a port.
+/// Addresses that the daemon binds, all different. Port 0 lets the operating system choose a port.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "ListenAddresses")]
 pub struct ListenSettings {
     /// HTTP for callers.
     pub caller: SocketAddr,
     /// gRPC for operators.
     pub operator: SocketAddr,
-    /// Calls from other daemons; other daemons must reach this address.
+    /// Calls from other daemons.
     pub peer: SocketAddr,
+    /// Address at which other daemons reach `peer`, as the VM list shows it; default `peer`.
+    pub peer_advertised: Option<SocketAddr>,
     /// Health, metrics and state dump.
     pub admin: SocketAddr,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ListenAddresses {
+    caller: SocketAddr,
+    operator: SocketAddr,
+    peer: SocketAddr,
+    #[serde(default)]
+    peer_advertised: Option<SocketAddr>,
+    admin: SocketAddr,
+}
+
+impl TryFrom<ListenAddresses> for ListenSettings {
+    type Error = String;
+
+    fn try_from(addresses: ListenAddresses) -> std::result::Result<Self, String> {
+        let ListenAddresses {
+            caller,
+            operator,
+            peer,
+            peer_advertised,
+            admin,
+        } = addresses;
+        let mut all = [caller, operator, peer, admin];
+        all.sort_unstable();
+        let same = |pair: &&[SocketAddr]| pair[0] == pair[1] && pair[0].port() != 0;
+        if let Some(pair) = all.windows(2).find(same) {
+            return Err(format!("address `{}` is listed twice", pair[0]));
+        }
+        Ok(Self {
+            caller,
+            operator,
+            peer,
+            peer_advertised,
+            admin,
+        })
+    }
+}
+
 /// Addresses and properties of the platform's services.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -208,6 +248,13 @@
     Duration::from_secs(10)
 }
 
+impl ListenSettings {
+    /// Returns the address at which other daemons reach this one.
+    pub fn advertised_peer(&self) -> SocketAddr {
+        self.peer_advertised.unwrap_or(self.peer)
+    }
+}
+
 impl DaemonSettings {
     /// Reads and checks the settings in `path`.
     ///
--- a/standins/src/cluster/settings.rs
+++ b/standins/src/cluster/settings.rs
@@ -14,7 +14,7 @@
     pub spec: DaemonSpec,
     pub addresses: DaemonAddresses,
     /// Address at which other daemons reach the peer address.
-    pub peer: SocketAddr,
+    pub peer_advertised: SocketAddr,
     pub log: SocketAddr,
     pub weights: SocketAddr,
     pub vms: SocketAddr,
@@ -33,6 +33,7 @@
             "caller": input.addresses.caller,
             "operator": input.addresses.operator,
             "peer": input.addresses.peer,
+            "peer_advertised": input.peer_advertised,
             "admin": input.addresses.admin,
         },
         "platform": {
@@ -49,9 +50,6 @@
             "report_period": "50ms",
         },
     });
-    if input.peer != input.addresses.peer {
-        settings["listen"]["peer_advertised"] = json!(input.peer);
-    }
     for (name, section) in &input.sections {
         settings[name] = section.clone();
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,10 +4,12 @@
 //! `shutdown()`. The binary `foxtailhill-standin` runs each as a process of its own.
 
 pub mod balancer;
+pub mod caller;
 pub mod client;
 pub mod cluster;
 pub mod engine;
 pub mod load;
+pub mod local;
 pub mod proxy;
 pub mod record;
 mod serve;
