--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -117,6 +117,7 @@
     let options = LoadOptions {
         targets: callers(fleet),
         call_timeout: CALL_TIME,
+        drain: CALL_TIME,
         versions: std::collections::HashMap::new(),
     };
     load::run(scenario, &shape, load::plan(scenario, &shape), options).await
