Pass the time of asking with each load report

Cause: the order service judges reports by the time before they were asked for; the watch did not pass it on. A planner also unloaded undeclared items before its configuration was loaded. Change: the report sink takes that time; no facts until the replica is ready.

--- a/src/daemon/facts.rs
+++ b/src/daemon/facts.rs
@@ -39,6 +39,10 @@
 
 impl FleetView for DaemonFacts {
     fn facts(&self) -> Arc<FleetFacts> {
+        // What is not declared gets unloaded, so there are no facts before the configuration is loaded.
+        if !self.replica.is_ready() {
+            return Arc::default();
+        }
         let now = Instant::now();
         let catalog = self.replica.current();
         let zones: BTreeSet<SmolStr> = self
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -36,17 +36,17 @@
 const PEER_TIME: Duration = Duration::from_secs(1);
 
 /// Load reports on their way to the order service.
-pub(super) type ReportInbox = mpsc::UnboundedReceiver<(SmolStr, LoadReport)>;
+pub(super) type ReportInbox = mpsc::UnboundedReceiver<(SmolStr, LoadReport, Instant)>;
 
 /// Returns a sink for the fleet watch, and the inbox that the order service reads. The two start in that order.
 pub(super) fn report_channel() -> (
-    impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static,
+    impl Fn(&SmolStr, &LoadReport, Instant) + Send + Sync + 'static,
     ReportInbox,
 ) {
     let (sender, inbox) = mpsc::unbounded_channel();
-    let sink = move |name: &SmolStr, report: &LoadReport| {
+    let sink = move |name: &SmolStr, report: &LoadReport, asked_at: Instant| {
         // The inbox closes at shutdown only.
-        let _ = sender.send((name.clone(), report.clone()));
+        let _ = sender.send((name.clone(), report.clone(), asked_at));
     };
     (sink, inbox)
 }
@@ -123,8 +123,8 @@
 }
 
 async fn forward_reports(mut reports: ReportInbox, orders: Arc<Orders>) {
-    while let Some((name, report)) = reports.recv().await {
-        orders.note_report(&name, &report);
+    while let Some((name, report, asked_at)) = reports.recv().await {
+        orders.note_report(&name, &report, asked_at);
     }
 }
 
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -49,7 +49,7 @@
     pub vms: Vec<ListedVm>,
 }
 
-type ReportSink = Box<dyn Fn(&SmolStr, &LoadReport) + Send + Sync>;
+type ReportSink = Box<dyn Fn(&SmolStr, &LoadReport, Instant) + Send + Sync>;
 
 #[derive(Default)]
 struct ServerMap {
@@ -90,14 +90,14 @@
 }
 
 impl<E: EngineClient, V: VmList> FleetWatch<E, V> {
-    /// Starts to watch; `sink` gets each new load report with the name of its server.
+    /// Starts to watch; `sink` gets each new load report with the name of its server and the time before it was asked for.
     pub fn spawn(
         group: &TaskGroup,
         timer: &TimerService,
         settings: WatchSettings,
         clients: (Arc<E>, Arc<V>),
         prefixes: Arc<PrefixIndex>,
-        sink: impl Fn(&SmolStr, &LoadReport) + Send + Sync + 'static,
+        sink: impl Fn(&SmolStr, &LoadReport, Instant) + Send + Sync + 'static,
     ) -> Self {
         let (engine, list) = clients;
         let shared = Arc::new(WatchShared {
@@ -359,7 +359,7 @@
     if let (Some(effect), Some(report)) = (effect, &report) {
         shared.reported(&name, effect);
         if effect != ReportEffect::Nothing {
-            (shared.sink)(&name, report);
+            (shared.sink)(&name, report, asked);
         }
         poll_events(&shared, &name, address).await;
     }
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -155,7 +155,7 @@
             settings,
             (engines.clone(), list.clone()),
             prefixes.clone(),
-            move |name, report| {
+            move |name, report, _asked_at| {
                 sink.lock()
                     .unwrap()
                     .push((name.to_string(), report.sequence))
