Run fleet loads under seeded link faults

Cause: loads under faults could only be written as tests. Change: foxtailhill-load fleet takes a seed and a number of link faults and prints the schedule, one line a fault.

--- a/standins/src/bin/foxtailhill-load.rs
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -7,12 +7,12 @@
 
 use argh::FromArgs;
 use eyre::{OptionExt, WrapErr};
-use foxtailhill_standins::cluster::{ClusterEngine, TestCluster};
+use foxtailhill_standins::cluster::{ClusterEngine, PLATFORM_ZONE, TestCluster};
 use foxtailhill_standins::load::{
     FleetOptions, LoadOptions, LoadReport, LoadShape, Scenario, built_in, open_fleet, plan,
     read_trace, run,
 };
-use foxtailhill_standins::{BalancerOptions, BalancerStandin, BalancerTarget};
+use foxtailhill_standins::{BalancerOptions, BalancerStandin, BalancerTarget, FaultSchedule};
 use smol_str::SmolStr;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -115,6 +115,15 @@
     /// factor on the times of engines and weight store
     #[argh(option, default = "1.0")]
     time_scale: f64,
+    /// put the fault proxy on all links
+    #[argh(switch)]
+    proxied: bool,
+    /// seed of link faults during the load; puts the proxy on all links
+    #[argh(option)]
+    fault_seed: Option<u64>,
+    /// number of link faults
+    #[argh(option, default = "10")]
+    faults: usize,
     /// longest wait for the floor to be loaded
     #[argh(
         option,
@@ -261,7 +270,7 @@
         program: arguments.program,
         daemons: arguments.daemons,
         time_scale: arguments.time_scale,
-        proxied: false,
+        proxied: arguments.proxied || arguments.fault_seed.is_some(),
         settings: serde_json::Map::new(),
         floor_wait: arguments.floor_wait,
     };
@@ -281,8 +290,14 @@
         versions: HashMap::new(),
     };
     let calls = plan(&scenario, &shape);
-    let report = run(&scenario, &shape, calls, options).await?;
-    publish(&report, arguments.json)?;
+    let schedule = arguments.fault_seed.map(|seed| {
+        let mut zones = scenario.zones.clone();
+        zones.push(SmolStr::new_static(PLATFORM_ZONE));
+        FaultSchedule::draw(seed, &zones, arguments.faults, arguments.length)
+    });
+    let faults = run_faults(&cluster, schedule.as_ref());
+    let (report, ()) = tokio::join!(run(&scenario, &shape, calls, options), faults);
+    publish(&report?, arguments.json)?;
     let journals = cluster.engines.iter().flat_map(ClusterEngine::journals);
     let (mut runs, mut overcommits) = (0, 0);
     for journal in journals {
@@ -294,6 +309,13 @@
     cluster.shutdown().await
 }
 
+async fn run_faults(cluster: &TestCluster, schedule: Option<&FaultSchedule>) {
+    if let (Some(proxy), Some(schedule)) = (&cluster.proxy, schedule) {
+        print!("{schedule}");
+        proxy.run(schedule).await;
+    }
+}
+
 async fn open_balancer(cluster: &TestCluster) -> eyre::Result<BalancerStandin> {
     let targets = cluster.daemons.iter().map(|daemon| BalancerTarget {
         caller: daemon.addresses().caller,
--- a/standins/src/proxy/schedule.rs
+++ b/standins/src/proxy/schedule.rs
@@ -101,8 +101,36 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "fault schedule, seed {}:", self.seed)?;
         for fault in &self.faults {
-            writeln!(f, "  {:>8.3} s  {:?}", fault.at.as_secs_f64(), fault.action)?;
+            writeln!(f, "  {:>8.3} s  {}", fault.at.as_secs_f64(), fault.action)?;
         }
         Ok(())
     }
 }
+
+impl fmt::Display for FaultAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Link { from, to, fault } => write!(f, "{from} to {to}: {fault}"),
+            Self::Zone { zone, fault } => write!(f, "zone {zone}: {fault}"),
+            Self::Heal => f.write_str("no faults"),
+        }
+    }
+}
+
+impl fmt::Display for LinkFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.cut {
+            return f.write_str("cut");
+        }
+        write!(f, "forward {}, backward {}", self.forward, self.backward)
+    }
+}
+
+impl fmt::Display for DirectionFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.drop {
+            return f.write_str("dropped");
+        }
+        write!(f, "{} ms later", self.delay_ms)
+    }
+}
