Release an excess share early in all cases

Change: the next renewal moves forward whenever more is reserved for the member than its target, once per target. Ruled out: comparing the reserved share per batch, which repeats the early renewal until it lands.

--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -77,6 +77,8 @@
     last_renewal: MemberRenewal,
     until: Option<Instant>,
     renew_due: Option<Instant>,
+    /// Target for which the next renewal was moved forward.
+    early_for: Option<u32>,
     snapshot_due: Option<Instant>,
     /// Offset that must not be acknowledged before the time.
     hold: Option<(LogOffset, Instant)>,
@@ -104,6 +106,7 @@
             last_renewal: MemberRenewal(0),
             until: None,
             renew_due: None,
+            early_for: None,
             snapshot_due: None,
             hold: None,
             promised: HashMap::new(),
@@ -155,7 +158,6 @@
 
     /// Applies the records of a read that ended at `read_at`.
     pub fn apply(&mut self, batch: &ReadBatch, read_at: Instant) {
-        let before = self.table.usable(self.vm);
         for record in &batch.records {
             if record.offset >= self.read_from() {
                 self.take(record, read_at);
@@ -171,9 +173,8 @@
         let removed = self.was_member && self.table.member(self.vm).is_none();
         if self.caught_up && removed && !self.leaving {
             self.start_incarnation(read_at);
-        } else if self.table.usable(self.vm) < before {
-            self.renew_early(read_at);
         }
+        self.renew_early(read_at);
     }
 
     fn take(&mut self, record: &LogRecord, read_at: Instant) {
@@ -268,7 +269,18 @@
         self.hold = None;
     }
 
+    /// Moves the next renewal forward if it has to release a part of the share that others wait for.
     fn renew_early(&mut self, now: Instant) {
+        let target = self.table.target();
+        let held = self.table.member(self.vm).map_or(0, |own| own.granted);
+        if held <= target {
+            self.early_for = None;
+            return;
+        }
+        if self.early_for == Some(target) {
+            return;
+        }
+        self.early_for = Some(target);
         let members = u32::try_from(self.table.len()).unwrap_or(u32::MAX);
         let spread = EARLY_RENEWAL_SPREAD.saturating_mul(members);
         let at = now + spread.mul_f64(rand::rng().random());
--- a/tests/member_agent.rs
+++ b/tests/member_agent.rs
@@ -358,3 +358,15 @@
     assert!(expiries(&fleet.log) <= 3 * 53);
     assert!(*peak <= 200);
 }
+
+/// Guards against a member that reads its own join and later ones at once and keeps their share until its
+/// regular renewal.
+#[test]
+fn an_excess_share_is_released_early() {
+    let start = Instant::now();
+    let (mut log, mut one, mut two) = pair(start);
+    assert_eq!(two.table().usable(VmId(2)), 0);
+    log.append_due(&mut one, start + s(1));
+    log.read(&mut two, start + s(1));
+    assert_eq!(two.table().usable(VmId(2)), 500_000);
+}
