--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod dump;
 mod facts;
+mod gauges;
 mod parts;
 mod peers;
 mod tasks;
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -12,6 +12,7 @@
 use crate::catalog::{BackendSpec, FleetCatalog, TeamSpec};
 use crate::currency::{ViewCurrency, ViewState};
 use crate::daemon::CoreServices;
+use crate::daemon::gauges;
 use crate::daemon::parts::{Members, Orders, PolicyParts, Replica};
 use crate::dispatch::{DemandMeter, RequestDispatcher};
 use crate::engine::LoadReport;
@@ -102,6 +103,7 @@
     spawn_demand(group, core, &context);
     spawn_notices(group, core, &context);
     spawn_pump(group, core, &context);
+    gauges::spawn(group, core, &context);
     log::debug!("background tasks of {} are running", settings.vm);
 }
 
