--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,58 @@
 //! Serves many language models and their adapters on fewer accelerators.
+//!
+//! A fleet consists of *daemons*, one on each entry VM. Callers reach them over HTTP through the platform's balancer,
+//! operators over gRPC. A daemon authenticates a request, charges the team, picks a backend server and streams the
+//! answer. Daemons share no disk and run no consensus of their own. What must be decided once is a record on the
+//! platform's append-only log, and everything else can be lost.
+//!
+//! # Running a daemon
+//!
+//! [`daemon::open`] starts all services of a daemon and returns a handle, which shuts them down in order.
+//!
+//! ```no_run
+//! use std::path::Path;
+//!
+//! use foxtailhill::daemon;
+//! use foxtailhill::settings::DaemonSettings;
+//!
+//! # async fn example() -> foxtailhill::Result<()> {
+//! let settings = DaemonSettings::read(Path::new("examples/settings/local.jsonc"))?;
+//! let daemon = daemon::open(settings).await?;
+//! println!("callers connect to {}", daemon.addresses().caller);
+//! daemon.wait_ready().await?;
+//! daemon.shutdown().await;
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # Where to start reading
+//!
+//! - The request path: [`http`] receives a call, [`dispatch`] carries it out with [`limit`], [`claim`], [`queue`],
+//!   [`routing`], [`retry`] and [`suspect`], and [`engine`] sends it on.
+//! - The control path: [`catalog`] applies operator changes, [`replica`] keeps them current, [`member`] decides shares
+//!   and planners, [`placement`] and [`ledger`] decide what is loaded where.
+//! - Decisions are pure functions of their input and take the time as an argument, so that tests can compare them with
+//!   a naive twin:
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use foxtailhill::limit::{BucketLimit, TokenBucket};
+//! use foxtailhill::member::WHOLE_PPM;
+//!
+//! let start = Instant::now();
+//! let until = Some(start + Duration::from_secs(30));
+//! let limit = BucketLimit { rate: 100, burst: 1_000, ppm: WHOLE_PPM, until };
+//! let mut bucket = TokenBucket::new(limit, start);
+//! // A new incarnation starts with an empty bucket and fills at the rate.
+//! assert!(bucket.charge(50, start).is_none());
+//! assert!(bucket.charge(50, start + Duration::from_secs(1)).is_some());
+//! ```
+//!
+//! # Errors
+//!
+//! Every [`Error`] has a [`Category`] and a [`RunVerdict`]. `NotRun` is said only if no byte of the request was sent to a
+//! backend server, or if the backend server itself refused it.
 
 pub mod admin;
 pub mod catalog;
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -146,6 +146,11 @@
         resident.into_iter().map(|(item, _)| item).collect()
     }
 
+    /// Returns the number of requests in the batch.
+    pub fn running(&self) -> usize {
+        lock(&self.state.batch).running.len()
+    }
+
     /// Returns the received requests, if they are kept.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state.received.all()
