Record orders under the incarnation that leads now

Cause: the order service kept the incarnation of the daemon's start. A daemon that was expired while it was paused joins again under a new one, so its later orders named a writer that other planners know to have left; they closed those orders at once and released their memory after the delay, although the orders could still be sent.

Change: the planner fence carries the incarnation, read together with the fencing number under one lock, and records are written under it. The board knows all incarnations under which this daemon has ordered. Open orders of an earlier one are ended; an attempt that began before the pause may send its bytes after it, so such an order counts as sent when the daemon leads again.

Result: new tests orders_carry_the_incarnation_that_leads (service, in-memory log), orders_name_the_incarnation_that_leads_now and order_of_former_incarnation_stays_reserved_after_a_pause (board) pass.

--- a/src/daemon/facts.rs
+++ b/src/daemon/facts.rs
@@ -25,10 +25,11 @@
 
 impl PlannerRole for DaemonFacts {
     fn planner_fence(&self) -> Option<PlannerFence> {
-        let fence = self.members.planner_fence(&self.zone, Instant::now())?;
+        let planner = self.members.planner_fence(&self.zone, Instant::now())?;
         Some(PlannerFence {
             zone: self.zone.clone(),
-            fence,
+            vm: planner.vm,
+            fence: planner.fence,
         })
     }
 
--- a/src/daemon/parts.rs
+++ b/src/daemon/parts.rs
@@ -150,7 +150,6 @@
     Arc::new(OrderService::spawn(
         core.journal.clone(),
         core.engine.clone(),
-        core.members.vm(),
         facts.clone(),
         facts,
         P::placement(),
--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -113,12 +113,13 @@
         self.shared.agent().share(now)
     }
 
-    /// Returns the fencing number of `zone` if this daemon is its planner and inside its term.
-    pub fn planner_fence(&self, zone: &str, now: Instant) -> Option<LogOffset> {
+    /// Returns the present incarnation and the fencing number of `zone` if this daemon is its planner and inside its
+    /// term. Both are read at once: the incarnation changes when the daemon was expired.
+    pub fn planner_fence(&self, zone: &str, now: Instant) -> Option<ZonePlanner> {
         let agent = self.shared.agent();
         agent.share(now)?;
         let planner = agent.table().planner(zone)?;
-        (planner.vm == agent.vm()).then_some(planner.fence)
+        (planner.vm == agent.vm()).then_some(planner)
     }
 
     /// Returns the planner of `zone`.
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -61,7 +61,8 @@
 /// order may be sent now.
 #[derive(Debug)]
 pub struct OrderBoard {
-    vm: VmId,
+    /// Incarnations under which this daemon has ordered. Their orders are its own, and no other process sends them.
+    incarnations: HashSet<VmId>,
     table: OrderTable,
     /// Shared with a planning round while it runs; changes copy then.
     ledgers: HashMap<SmolStr, Arc<MemoryLedger>>,
@@ -80,11 +81,11 @@
 }
 
 impl OrderBoard {
-    /// Creates an empty board for the daemon `vm`. A replica counts as present while a report is younger than
+    /// Creates an empty board. A replica counts as present while a report is younger than
     /// `report_max_age`.
-    pub fn new(vm: VmId, timing: LedgerTiming, report_max_age: Duration) -> Self {
+    pub fn new(timing: LedgerTiming, report_max_age: Duration) -> Self {
         Self {
-            vm,
+            incarnations: HashSet::new(),
             table: OrderTable::new(),
             ledgers: HashMap::new(),
             awaited: HashSet::new(),
@@ -185,7 +186,7 @@
     }
 
     fn recorded(&mut self, offset: LogOffset, order: PlannedOrder, now: Instant) {
-        let (id, own) = (order.id, order.planner == self.vm);
+        let (id, own) = (order.id, self.incarnations.contains(&order.planner));
         self.ledger(&order.server)
             .order_recorded(offset, order.planner, order.action.clone());
         if !own {
@@ -268,11 +269,12 @@
         if matches!(&proposed.action, OrderAction::Load { item, .. } if item.adapter.is_none()) {
             self.tokens.tokens = (self.tokens.tokens - 1.0).max(0.0);
         }
+        self.incarnations.insert(planner.vm);
         Some(PlannedOrder {
             id: RecordId::random(),
             zone: planner.zone.clone(),
             planner_fence: planner.fence,
-            planner: self.vm,
+            planner: planner.vm,
             server: server.name,
             action: proposed.action.clone(),
         })
@@ -286,6 +288,23 @@
         }
     }
 
+    /// Ends own orders of another fencing number than `fence`: they were recorded before this daemon was expired and
+    /// are not sent again. An attempt that began before may still send its bytes, so they count as sent at `now`.
+    pub fn end_former(&mut self, fence: LogOffset, now: Instant) {
+        let former: Vec<(LogOffset, OwnOrder)> = self
+            .own
+            .iter()
+            .filter(|(_, own)| own.order.planner_fence != fence)
+            .map(|(offset, own)| (*offset, own.clone()))
+            .collect();
+        for (offset, own) in former {
+            if own.sent_at.is_some() {
+                self.ledger(&own.order.server).order_sent(offset, now);
+            }
+            self.end(offset);
+        }
+    }
+
     /// Notes a load report and ends own orders whose effect it shows.
     pub fn note_report(
         &mut self,
@@ -310,7 +329,7 @@
 
     /// Closes orders of former planners that `has_left` knows to be gone.
     pub fn close_former(&mut self, has_left: impl Fn(VmId) -> bool, now: Instant) {
-        let vm = self.vm;
+        let own = &self.incarnations;
         for ledger in self.ledgers.values_mut() {
             if ledger.orders().next().is_none() {
                 continue;
@@ -318,7 +337,7 @@
             let ledger = Arc::make_mut(ledger);
             let former: HashSet<VmId> = ledger
                 .orders()
-                .filter(|(_, order)| order.open && order.planner != vm)
+                .filter(|(_, order)| order.open && !own.contains(&order.planner))
                 .map(|(_, order)| order.planner)
                 .collect();
             for planner in former.into_iter().filter(|planner| has_left(*planner)) {
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -70,6 +70,7 @@
             log::debug!("the lead of {} is not taken yet: {error}", planner.zone);
             continue;
         }
+        rounds.end_former(&planner);
         rounds.send_due();
         let (same, proposals) = rounds.propose(&planner, policy).await;
         policy = same;
@@ -113,7 +114,7 @@
             id,
             zone: planner.zone.clone(),
             planner_fence: planner.fence,
-            planner: self.shared.vm,
+            planner: planner.vm,
         };
         match self.record(id, &record).await? {
             ReadBack::Valid(_) => {
@@ -187,6 +188,11 @@
         }
     }
 
+    fn end_former(&self, planner: &PlannerFence) {
+        let board = &mut self.shared.desk().board;
+        board.end_former(planner.fence, Instant::now());
+    }
+
     fn send_due(&self) {
         let settings = &self.shared.settings;
         let due = self.shared.desk().board.due(
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -24,17 +24,19 @@
 /// Added to the read's wait before a hanging read is given up.
 const READ_SLACK: Duration = Duration::from_secs(2);
 
-/// A planner's zone and fencing number.
+/// A planner's zone, incarnation and fencing number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlannerFence {
     pub zone: SmolStr,
+    /// Incarnation that leads; a daemon that was expired while it was paused leads as another one later.
+    pub vm: VmId,
     /// Offset of the `members` record that made the daemon planner.
     pub fence: LogOffset,
 }
 
 /// What the order service needs of the member table.
 pub trait PlannerRole: Send + Sync + 'static {
-    /// Returns the zone and fencing number if this daemon is planner and inside its term, on a monotonic clock.
+    /// Returns zone, incarnation and fencing number if this daemon is planner and inside its term, on a monotonic clock.
     fn planner_fence(&self) -> Option<PlannerFence>;
 
     /// Returns whether `vm` left or expired on the replayed `members` stream, or is not on the table.
@@ -145,7 +147,6 @@
 pub(super) struct Shared<J, E> {
     pub(super) journal: Arc<J>,
     pub(super) engine: Arc<E>,
-    pub(super) vm: VmId,
     pub(super) settings: OrderSettings,
     desk: Mutex<Desk>,
     /// Wakes the task that appends `Done` records.
@@ -177,7 +178,6 @@
     pub fn spawn<R: PlannerRole, V: FleetView, P: PlacementPolicy>(
         journal: Arc<J>,
         engine: Arc<E>,
-        vm: VmId,
         role: Arc<R>,
         view: Arc<V>,
         policy: P,
@@ -186,14 +186,13 @@
         group: &TaskGroup,
     ) -> Self {
         let desk = Desk {
-            board: OrderBoard::new(vm, settings.timing, settings.report_max_age),
+            board: OrderBoard::new(settings.timing, settings.report_max_age),
             waiters: HashMap::new(),
         };
         let ticks = timer.every(settings.round);
         let shared = Arc::new(Shared {
             journal,
             engine,
-            vm,
             settings,
             desk: Mutex::new(desk),
             done: Notify::new(),
--- a/tests/order_board.rs
+++ b/tests/order_board.rs
@@ -51,13 +51,14 @@
 fn planner() -> PlannerFence {
     PlannerFence {
         zone: "catania".into(),
+        vm: VmId(1),
         fence: LogOffset(1),
     }
 }
 
 /// Makes a board that has seen the model on the first two of three servers.
 fn board(now: Instant) -> OrderBoard {
-    let mut board = OrderBoard::new(VmId(1), LedgerTiming::default(), MAX_AGE);
+    let mut board = OrderBoard::new(LedgerTiming::default(), MAX_AGE);
     board.declare(facts(false));
     for index in 0..3 {
         let resident = if index < 2 {
@@ -158,3 +159,59 @@
     let later = full + Duration::from_secs(2);
     assert_eq!(board.budget(&planner().zone, later).models, 2);
 }
+
+/// Guards against orders that name an incarnation which the others know to have left: they would give the memory
+/// away while the order can still be sent.
+#[test]
+fn orders_name_the_incarnation_that_leads_now() {
+    let now = Instant::now();
+    let mut board = board(now);
+    let (former, _) = record(&mut board, 2, load(), true, now);
+    assert!(board.begin_send(former, true, now).is_ok());
+    let next = PlannerFence {
+        vm: VmId(2),
+        fence: LogOffset(9),
+        ..planner()
+    };
+    let unload = ProposedOrder {
+        server: 0,
+        action: OrderAction::Unload { item: item() },
+        reason: OrderReason::Demand,
+    };
+    let order = board.admit(&next, &unload).unwrap();
+    assert_eq!(order.planner, VmId(2));
+    let offset = board.next();
+    board.expect(order.id);
+    let place = board.apply(offset, &OrderRecord::Order(order), now);
+    assert!(matches!(place, Some((_, ReadBack::Valid(_)))));
+    assert_eq!(board.own_len(), 2);
+    // The other members see the former incarnation as gone; this daemon's own orders stay its own.
+    board.close_former(|vm| vm == VmId(1), now);
+    assert_eq!(board.own_len(), 2);
+}
+
+/// Guards against memory that is given away while an order of this daemon's former incarnation is on its way: the
+/// attempt began before the pause and its bytes may leave after it.
+#[test]
+fn order_of_former_incarnation_stays_reserved_after_a_pause() {
+    let (now, timing) = (Instant::now(), LedgerTiming::default());
+    let mut board = board(now);
+    let (offset, _) = record(&mut board, 2, load(), true, now);
+    assert!(board.begin_send(offset, true, now).is_ok());
+    let resumed = now + Duration::from_secs(300);
+    board.end_former(LogOffset(9), resumed);
+    assert_eq!((board.own_len(), board.unlogged_done()), (0, Some(offset)));
+    let mut committed_at = |sequence, at: Instant| {
+        let report = LoadReport {
+            sequence,
+            ..LoadReport::default()
+        };
+        let server = format_smolstr!("engine-2");
+        board.note_report(&server, &report, at, at);
+        let found = board.ledgers().find(|(name, _)| **name == server).unwrap();
+        found.1.committed()
+    };
+    assert_eq!(committed_at(2, resumed + Duration::from_secs(1)), 4);
+    let settled = resumed + timing.order_delay + timing.report_lag;
+    assert_eq!(committed_at(3, settled), 0);
+}
--- a/tests/order_model.rs
+++ b/tests/order_model.rs
@@ -92,7 +92,7 @@
         Self {
             vm: VmId(vm),
             zone,
-            board: OrderBoard::new(VmId(vm), timing, Duration::from_millis(60)),
+            board: OrderBoard::new(timing, Duration::from_millis(60)),
             policy: FloorFirstPolicy::new(floors),
             awaited: HashMap::new(),
             frozen_until: 0,
@@ -389,6 +389,7 @@
         let fence = daemon.believes.filter(|_| daemon.term_until >= self.now)?;
         Some(PlannerFence {
             zone: zone_name(daemon.zone),
+            vm: daemon.vm,
             fence: LogOffset(fence),
         })
     }
--- a/tests/order_service.rs
+++ b/tests/order_service.rs
@@ -16,11 +16,12 @@
     CacheEvent, EngineChunk, EngineClient, EngineOrder, EngineRequest, LoadReport, OrderReply,
 };
 use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::journal::StreamName;
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::ledger::LedgerTiming;
 use foxtailhill::placement::{
-    DemandFacts, FleetFacts, FleetView, FloorFirstPolicy, ModelFacts, OrderService, OrderSettings,
-    PlannerFence, PlannerRole, ServerFacts,
+    DemandFacts, FleetFacts, FleetView, FloorFirstPolicy, ModelFacts, OrderRecord, OrderService,
+    OrderSettings, PlannerFence, PlannerRole, ServerFacts,
 };
 use foxtailhill::timer::TimerService;
 use foxtailhill::{Error, Result, RunVerdict};
@@ -227,7 +228,6 @@
                 OrderService::spawn(
                     log.clone(),
                     fleet.clone(),
-                    VmId(index),
                     Arc::new(role),
                     Arc::new(View(facts())),
                     FloorFirstPolicy::default(),
@@ -249,6 +249,7 @@
     fn elect(&self, vm: u64, zone: u64, fence: u64) {
         let fence = PlannerFence {
             zone: format_smolstr!("zone-{zone}"),
+            vm: VmId(vm),
             fence: LogOffset(fence),
         };
         let mut planners = self.members.planners.lock().unwrap();
@@ -333,3 +334,47 @@
     assert_eq!(trial.services[1].dump().led, Some(LogOffset(20)));
     trial.end().await;
 }
+
+/// Guards against orders under an incarnation that was expired while the daemon was paused: other planners take their
+/// writer for gone and give the memory away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn orders_carry_the_incarnation_that_leads() {
+    let trial = Trial::start(2, LogFaults::default(), 0.0);
+    trial.elect(0, 0, 10);
+    let placed = |fleet: &Fleet| fleet.replicas(&model_name(0)) >= 1;
+    trial.until("placed", placed).await;
+    let again = PlannerFence {
+        zone: "zone-0".into(),
+        vm: VmId(7),
+        fence: LogOffset(20),
+    };
+    trial.members.left.lock().unwrap().insert(VmId(0));
+    trial
+        .members
+        .planners
+        .lock()
+        .unwrap()
+        .insert(VmId(0), again);
+    for engine in trial.fleet.engines.lock().unwrap().values_mut() {
+        engine.restart();
+    }
+    trial.until("restored", placed).await;
+    let records = trial.log.records(StreamName::Orders);
+    let mut led = 0;
+    for record in &records {
+        let (fence, planner) = match OrderRecord::decode(record).unwrap() {
+            OrderRecord::Lead {
+                planner_fence,
+                planner,
+                ..
+            } => (planner_fence, planner),
+            OrderRecord::Order(order) => (order.planner_fence, order.planner),
+            OrderRecord::Done { .. } => continue,
+        };
+        let leads_again = fence == LogOffset(20);
+        assert_eq!(planner, if leads_again { VmId(7) } else { VmId(0) });
+        led += usize::from(leads_again);
+    }
+    assert!(led > 1, "no order after the second lead");
+    trial.end().await;
+}
