Wait for a model that an engine does not hold, and for an engine that queues

Cause: an engine's `not_found` after a stale load report reached the caller as 404, although the catalog has the adapter. A request that waited in an engine's own queue for 10 s without a token counted as timed out.

Change: a refusal for want of the model sends the request back to the waiting room until its deadline; that is no retry, since nothing ran. A server that failed a request is passed over for 500 ms only, so that a model's only server gets it again. A missing token no longer ends the engine client's stream: the dispatcher asks for the load report, and the request waits on if it has no token of this engine yet, the same incarnation answers and reports waiting requests, and the deadline has not passed. The names of models moved to a module of their own.

A dead connection to a live engine that has other requests in its queue is noticed at the deadline only.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod demand;
 mod model;
+mod name;
 mod room;
 mod service;
 
@@ -19,7 +20,8 @@
 pub use self::access::{AccessGate, AccessGrant};
 pub use self::answer::{AnswerChecker, ChunkVerdict};
 pub use self::demand::{DemandMeter, ModelDemand};
-pub use self::model::{ModelName, TokenStream};
+pub use self::model::TokenStream;
+pub use self::name::ModelName;
 pub use self::room::{FleetSource, ModelNeed, ServerSlot, WaitCount, WaitRoom, Waiter};
 use crate::catalog::RequestClass;
 use crate::claim::ClaimKeeper;
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -12,6 +12,7 @@
 use crate::catalog::{FleetCatalog, ModelSpec, RequestClass};
 use crate::dispatch::access::AccessGrant;
 use crate::dispatch::answer::{AnswerChecker, ChunkVerdict};
+use crate::dispatch::name::{ModelName, find_model, other_versions};
 use crate::dispatch::room::{FleetSource, ModelNeed, ServerSlot};
 use crate::dispatch::{DispatchParts, ModelCall, RequestDispatcher, TokenUsage};
 use crate::engine::{EngineChunk, EngineClient, EngineRequest, prefix_hashes};
@@ -37,36 +38,12 @@
 const TOKEN_TIME: Duration = Duration::from_millis(26);
 /// Longest wait for the load report that tells whether a backend server died.
 const PROBE_TIME: Duration = Duration::from_millis(500);
+/// Time for which a request passes over servers that failed it. A load report is newer than that, and a model's
+/// only server must get the request again.
+const AVOID_TIME: Duration = Duration::from_millis(500);
 /// Part of an interactive deadline within which tokens may be borrowed.
 const BORROW_TIME: Duration = Duration::from_secs(1);
 
-/// `model`, adapter and version as named in a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ModelName {
-    pub model: SmolStr,
-    pub adapter: Option<SmolStr>,
-    pub version: Option<SmolStr>,
-}
-
-impl ModelName {
-    /// Splits `model`, `model:adapter`, `model@version` or `model:adapter@version`.
-    pub fn parse(text: &str) -> Self {
-        let (text, version) = match text.split_once('@') {
-            Some((name, version)) => (name, Some(version.into())),
-            None => (text, None),
-        };
-        let (model, adapter) = match text.split_once(':') {
-            Some((model, adapter)) => (model, Some(adapter.into())),
-            None => (text, None),
-        };
-        Self {
-            model: model.into(),
-            adapter,
-            version,
-        }
-    }
-}
-
 /// Tokens of one model call. Dropping it cancels the request.
 #[derive(Debug)]
 pub struct TokenStream {
@@ -92,6 +69,8 @@
     Abandoned,
     /// The request may not go on, on any backend server.
     Stopped(Error),
+    /// The backend server refused because the model or adapter is not in its memory: the load report was stale.
+    NotResident,
     /// The backend server failed; another one may go on.
     Failed {
         error: Error,
@@ -110,6 +89,8 @@
     deadline: Instant,
     prompt_tokens: u32,
     answer: AnswerChecker,
+    /// Tokens that the present engine was given to resume from.
+    resumed: usize,
     verdict: RunVerdict,
     started: Instant,
     _admission: OwnedSemaphorePermit,
@@ -187,6 +168,7 @@
             class,
             deadline,
             prompt_tokens,
+            resumed: 0,
             verdict: RunVerdict::NotRun,
             started,
             _admission: admission,
@@ -250,11 +232,14 @@
         self.retries.request();
         let mut attempts = 0;
         let error = loop {
-            attempts += 1;
             match self.attempt(&mut job, &tokens).await {
                 Attempt::Finished | Attempt::Abandoned => break None,
                 Attempt::Stopped(error) => break Some(error),
+                // Nothing ran, so this is no retry; the wait for a server paces it.
+                Attempt::NotResident if Instant::now() < job.deadline => {}
+                Attempt::NotResident => break Some(not_loaded()),
                 Attempt::Failed { error, died } => {
+                    attempts += 1;
                     if died && let Err(error) = self.note_death(&mut job) {
                         break Some(error);
                     }
@@ -300,7 +285,7 @@
     ) -> Attempt {
         let asked = Instant::now();
         let slot = tokio::select! {
-            slot = self.room.acquire(job.need.clone(), wait_entry(job)) => slot,
+            slot = self.acquire(job) => slot,
             () = tokens.closed() => return Attempt::Abandoned,
         };
         self.note_stage(&job.call.id, RequestStage::Queue, asked);
@@ -321,7 +306,9 @@
         }
         match &result {
             Attempt::Finished => self.clear_suspect(&job.fingerprint),
-            Attempt::Failed { .. } => job.need.route.avoid.push(slot.name.clone()),
+            Attempt::Failed { .. } | Attempt::NotResident => {
+                job.need.route.avoid.push(slot.name.clone());
+            }
             Attempt::Abandoned | Attempt::Stopped(_) => {}
         }
         drop(slot);
@@ -329,6 +316,21 @@
         result
     }
 
+    /// Waits for a place on a backend server, at first on one that has not failed this request.
+    async fn acquire(
+        &self,
+        job: &mut ModelJob<<P::Limiter as TokenLimiter>::Charge>,
+    ) -> Result<ServerSlot> {
+        if !job.need.route.avoid.is_empty() {
+            let other = self.room.acquire(job.need.clone(), wait_entry(job));
+            if let Ok(slot) = tokio::time::timeout(AVOID_TIME, other).await {
+                return slot;
+            }
+            job.need.route.avoid.clear();
+        }
+        self.room.acquire(job.need.clone(), wait_entry(job)).await
+    }
+
     async fn stream_from(
         &self,
         slot: &ServerSlot,
@@ -339,6 +341,7 @@
             return Attempt::Stopped(error);
         }
         let request = engine_request(job, slot);
+        job.resumed = request.resume.len();
         let before = job.verdict;
         job.verdict = job.verdict.max_with(RunVerdict::MayHaveRun);
         let started = tokio::select! {
@@ -371,6 +374,7 @@
             };
             let chunk = match chunk {
                 Some(Ok(chunk)) => chunk,
+                Some(Err(error)) if self.waits_in_engine(slot, job, &error).await => continue,
                 Some(Err(error)) => return self.judge_failure(slot, error).await,
                 None => return self.judge_failure(slot, truncated()).await,
             };
@@ -426,10 +430,35 @@
         self.note_stage(id, RequestStage::FirstToken, started);
     }
 
+    /// Tells a request that waits in the engine's own queue from one whose engine is dead or stuck.
+    ///
+    /// It waits if it has no token of this engine yet and the same engine process reports waiting requests. After
+    /// the first token a request is in the batch and gets tokens steadily.
+    async fn waits_in_engine(
+        &self,
+        slot: &ServerSlot,
+        job: &ModelJob<<P::Limiter as TokenLimiter>::Charge>,
+        error: &Error,
+    ) -> bool {
+        if error.category() != Category::Timeout
+            || job.answer.tokens().len() > job.resumed
+            || Instant::now() >= job.deadline
+        {
+            return false;
+        }
+        let probe = tokio::time::timeout(PROBE_TIME, self.engine.load(slot.address)).await;
+        matches!(probe, Ok(Ok(report)) if report.waiting > 0
+            && (slot.incarnation == 0 || report.incarnation == slot.incarnation))
+    }
+
     /// Tells a backend server that died from one that only failed this request.
     async fn judge_failure(&self, slot: &ServerSlot, error: Error) -> Attempt {
-        if error.verdict() == RunVerdict::NotRun && error.category() == Category::Overloaded {
-            return Attempt::Failed { error, died: false };
+        if error.verdict() == RunVerdict::NotRun {
+            match error.category() {
+                Category::Overloaded => return Attempt::Failed { error, died: false },
+                Category::NotFound => return Attempt::NotResident,
+                _ => {}
+            }
         }
         let probe = tokio::time::timeout(PROBE_TIME, self.engine.load(slot.address)).await;
         let died = match &probe {
@@ -468,46 +497,6 @@
     }
 }
 
-fn find_model<'a>(catalog: &'a FleetCatalog, name: &ModelName) -> Result<&'a ModelSpec> {
-    let not_found = |what: String| Error::new(Category::NotFound, what);
-    let model = catalog
-        .model(&name.model)
-        .ok_or_else(|| not_found(format!("model `{}` does not exist", name.model)))?;
-    if let Some(adapter) = &name.adapter {
-        let known = catalog
-            .adapter(adapter)
-            .is_some_and(|spec| spec.model == model.name);
-        if !known {
-            return Err(not_found(format!(
-                "model `{}` has no adapter `{adapter}`",
-                model.name
-            )));
-        }
-    }
-    if let Some(version) = &name.version
-        && !catalog.has_version(&model.name, version)
-    {
-        return Err(not_found(format!(
-            "model `{}` has no version `{version}`",
-            model.name
-        )));
-    }
-    Ok(model)
-}
-
-fn other_versions(catalog: &FleetCatalog, model: &ModelSpec) -> Vec<SmolStr> {
-    let declared = catalog
-        .versions()
-        .filter(|version| version.model == model.name);
-    let declared = declared.map(|version| &version.version);
-    let initial = catalog.initial_version(&model.name);
-    declared
-        .chain(initial)
-        .filter(|version| **version != model.version)
-        .cloned()
-        .collect()
-}
-
 fn engine_request<C>(job: &ModelJob<C>, slot: &ServerSlot) -> EngineRequest {
     EngineRequest {
         id: job.call.id.clone(),
@@ -584,6 +573,11 @@
         .with_verdict(RunVerdict::MayHaveRun)
 }
 
+fn not_loaded() -> Error {
+    let message = "no backend server had the model in memory in time";
+    Error::new(Category::Timeout, message)
+}
+
 fn shutting_down() -> Error {
     Error::new(Category::ShuttingDown, "the daemon is shutting down")
 }
--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -26,7 +26,7 @@
     CacheEvent, EngineChunk, EngineClient, EngineOrder, EngineRequest, FinishReason, LoadReport,
     OrderReply,
 };
-use crate::error::{Error, Result, RunVerdict};
+use crate::error::{Category, Error, Result, RunVerdict};
 use crate::wire::{self, HttpCaller};
 
 /// Upper bound of answers that are read whole, in bytes.
@@ -214,8 +214,9 @@
 
 /// Tokens of one answer. Dropping it before the end closes the connection, which cancels the request.
 ///
-/// It ends with an error if the body ends before the last chunk or no token comes in time. A consumer that polls
-/// until `None` lets the connection be used again.
+/// It ends with an error if the body ends before the last chunk. A `Timeout` says that no token came in time and
+/// does not end the stream: the consumer drops it or polls on. A consumer that polls until `None` lets the
+/// connection be used again.
 #[derive(Debug)]
 pub struct HttpTokens {
     body: Option<Incoming>,
@@ -304,8 +305,14 @@
             TokensState::Ended => return Poll::Ready(None),
         }
         let chunk = ready!(self.poll_chunk(cx));
-        if chunk.is_err() {
-            self.end();
+        match &chunk {
+            // A request may wait in the engine's own queue; only the consumer can tell.
+            Err(error) if error.category() == Category::Timeout => {
+                let next = Instant::now() + self.chunk_timeout;
+                self.deadline.as_mut().reset(next);
+            }
+            Err(_) => self.end(),
+            Ok(_) => {}
         }
         Poll::Ready(Some(chunk))
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -125,7 +125,8 @@
 
 /// Client of model engines. Adapters are the only code that knows their wire format.
 pub trait EngineClient: Send + Sync + 'static {
-    /// Tokens of one answer. Dropping the stream cancels the request on the engine.
+    /// Tokens of one answer. Dropping the stream cancels the request on the engine. A `Timeout` does not end it:
+    /// the engine may still hold the request in its queue.
     type Tokens: Stream<Item = Result<EngineChunk>> + Send + Unpin;
 
     /// Starts a model call.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -1,3 +1,7 @@
 //! One module per fault that was found and fixed.
 
 mod demand_board_deadlock;
+#[path = "../process_support/mod.rs"]
+mod process_support;
+mod stale_load_report;
+mod wait_in_engine;
