Release a claim however its dispatch ends, check keys before the send, hide keys in debug forms

Cause: a cancelled dispatch of a non-repeatable call neither recorded nor released its claim, so the key answered 409 until its memory ended. The key was not checked again after the wait for a free service. A call whose key had been withdrawn was tried again. `ModelCall` and `ServiceCall` printed the key in their `Debug` form.

Change: a held claim releases itself when it is dropped before the send; after the send it stays open, since the call may have run. Key and currency of the view are checked right before the send. An attempt that reached no server ends the call. Keys are `CallerKey`, whose `Debug` form does not show them. There is no separate check of the member's term: the limiter checks it at the charge, and a paused process fails the check of its view.

No test covers the drop of a held claim.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use crate::engine::{EngineChunk, EngineClient, ServiceAnswer, ServiceClient};
 use crate::error::{Category, Error, Result};
 use crate::history::{RequestHistory, RequestStage};
-use crate::ids::KeyDigest;
+use crate::ids::{CallerKey, KeyDigest};
 use crate::kernel::TaskGroup;
 use crate::limit::TokenLimiter;
 use crate::metrics::DaemonMetrics;
@@ -44,7 +44,7 @@
     /// Request id, drawn by the caller-facing server; it goes through all log lines.
     pub id: SmolStr,
     /// Secret from `Authorization: Bearer`, if any.
-    pub key: Option<SmolStr>,
+    pub key: Option<CallerKey>,
     /// `model`, `model:adapter`, or either followed by `@version`.
     pub model: SmolStr,
     /// The `messages` array as JSON text.
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
     pub id: SmolStr,
-    pub key: Option<SmolStr>,
+    pub key: Option<CallerKey>,
     pub method: http::Method,
     /// Path and query, starting with `/`.
     pub path: String,
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services, repeatable or not.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
@@ -46,9 +47,45 @@
     grant: AccessGrant,
     fingerprint: KeyDigest,
     charge: Option<C>,
+    /// Whether a backend server may have received the call.
+    sent: AtomicBool,
     _admission: OwnedSemaphorePermit,
 }
 
+/// A granted claim. However the dispatch ends, also when it is dropped, a call that was not sent releases it.
+struct HeldClaim<'a, K: ClaimKeeper> {
+    claims: &'a K,
+    claim: Option<RecordId>,
+    sent: &'a AtomicBool,
+}
+
+impl<K: ClaimKeeper> HeldClaim<'_, K> {
+    fn end(mut self, result: &Result<ServiceAnswer>) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        match result {
+            Ok(answer) => self.claims.record(claim, outcome_of(answer)),
+            Err(error) if error.verdict() == RunVerdict::NotRun => self.claims.release(claim),
+            // The outcome is unknown, so the claim stays open and nobody sends the request again.
+            Err(error) => log::warn!("the outcome of a non-repeatable call is unknown: {error}"),
+        }
+    }
+}
+
+impl<K: ClaimKeeper> Drop for HeldClaim<'_, K> {
+    fn drop(&mut self) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        if self.sent.load(Ordering::Relaxed) {
+            log::warn!("a non-repeatable call was cancelled after it was sent");
+        } else {
+            self.claims.release(claim);
+        }
+    }
+}
+
 impl<P: DispatchParts> RequestDispatcher<P> {
     /// Carries out a call to a plain service.
     pub(super) async fn start_service(
@@ -104,6 +141,7 @@
             grant,
             fingerprint,
             charge,
+            sent: AtomicBool::new(false),
             _admission: admission,
         })
     }
@@ -149,25 +187,16 @@
             ClaimVerdict::Granted(claim) => claim,
             ClaimVerdict::Recorded(outcome) => return recorded_answer(outcome),
         };
-        // The key may have been withdrawn while the claim was on its way.
-        if let Err(error) = self.gate.recheck(&job.grant) {
-            self.claims.release(claim);
-            return Err(error);
-        }
+        let claim = HeldClaim {
+            claims: &*self.claims,
+            claim: Some(claim),
+            sent: &job.sent,
+        };
         let result = self.call_any(&job, MAX_ATTEMPTS).await;
-        self.end_claim(claim, &result);
+        claim.end(&result);
         result
     }
 
-    fn end_claim(&self, claim: RecordId, result: &Result<ServiceAnswer>) {
-        match result {
-            Ok(answer) => self.claims.record(claim, outcome_of(answer)),
-            Err(error) if error.verdict() == RunVerdict::NotRun => self.claims.release(claim),
-            // The outcome is unknown, so the claim stays open and nobody sends the request again.
-            Err(error) => log::warn!("the outcome of a non-repeatable call is unknown: {error}"),
-        }
-    }
-
     /// Calls one server of the group after another until one answers. After a failure that may have run the call
     /// goes to another server only if the route is repeatable.
     async fn call_any(
@@ -178,6 +207,7 @@
         let mut avoid = Vec::new();
         let mut verdict = RunVerdict::NotRun;
         loop {
+            let tried = avoid.len();
             let result = self.call_one(job, &mut avoid).await;
             let error = match result {
                 Ok(answer) => return Ok(answer),
@@ -187,7 +217,8 @@
                 verdict = error.verdict();
             }
             let stop = verdict != RunVerdict::NotRun && !job.route.repeatable;
-            let exhausted = avoid.len() >= max_attempts || error.category() == Category::Overloaded;
+            // Without a server that was tried, the call itself may not go on.
+            let exhausted = avoid.len() >= max_attempts || avoid.len() == tried;
             if stop || exhausted || !self.try_retry() {
                 return Err(error.with_verdict(verdict));
             }
@@ -204,12 +235,18 @@
         self.note_stage(&job.call.id, RequestStage::Queue, asked);
         self.history
             .update(&job.call.id, |record| record.add_server(name.clone()));
+        // The key may have been withdrawn, or the process paused, while the claim or the wait took its time.
+        self.gate.recheck(&job.grant)?;
         let sent = Instant::now();
+        job.sent.store(true, Ordering::Relaxed);
         let result = self.service.call(address, service_request(&job.call)).await;
         self.note_stage(&job.call.id, RequestStage::FirstToken, sent);
         match &result {
             Ok(_) => self.clear_suspect(&job.fingerprint),
             Err(error) => {
+                if error.verdict() == RunVerdict::NotRun {
+                    job.sent.store(false, Ordering::Relaxed);
+                }
                 self.room.fleet().call_failed(&name);
                 let broken = error.category() == Category::Unavailable;
                 if broken && error.verdict() == RunVerdict::MayHaveRun {
--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -16,6 +16,7 @@
 use crate::dispatch::ModelCall;
 use crate::error::{Category, Error};
 use crate::http::refusal::Refusal;
+use crate::ids::CallerKey;
 use crate::settings::LimitSettings;
 
 /// Header with the request class, `interactive` or `overnight`.
@@ -145,7 +146,7 @@
 }
 
 /// Takes the key from `Authorization: Bearer` and refuses keys in other places.
-pub(super) fn take_key(headers: &mut HeaderMap, uri: &Uri) -> Result<Option<SmolStr>, Error> {
+pub(super) fn take_key(headers: &mut HeaderMap, uri: &Uri) -> Result<Option<CallerKey>, Error> {
     refuse_stray_keys(headers, uri)?;
     let mut values = headers.get_all(AUTHORIZATION).iter();
     let (value, second) = (values.next(), values.next());
@@ -157,7 +158,7 @@
     Ok(key)
 }
 
-fn bearer(value: &http::HeaderValue) -> Result<SmolStr, Error> {
+fn bearer(value: &http::HeaderValue) -> Result<CallerKey, Error> {
     let malformed = || {
         let message = "authorization header is not `Bearer` followed by a key";
         Error::new(Category::Unauthenticated, message)
@@ -274,7 +275,7 @@
 /// Checks a model call.
 pub(super) fn parse_chat(
     id: &SmolStr,
-    key: Option<SmolStr>,
+    key: Option<CallerKey>,
     headers: &HeaderMap,
     body: &[u8],
 ) -> Result<ChatInput, Error> {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,9 +1,11 @@
 //! Identifiers and keys that several modules share.
 
 use std::fmt;
+use std::ops::Deref;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
 
 slotmap::new_key_type! {
     /// Key of a model in the catalog's arena.
@@ -14,6 +16,30 @@
     pub struct BackendKey;
 }
 
+/// A caller's secret key. Its `Debug` form does not show it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CallerKey(SmolStr);
+
+impl From<&str> for CallerKey {
+    fn from(secret: &str) -> Self {
+        Self(secret.into())
+    }
+}
+
+impl Deref for CallerKey {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for CallerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("CallerKey")
+    }
+}
+
 /// Offset of a record in one stream of the platform's log. Offsets start at 0 and have no gaps.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
