Test that a request that crashes engines is stopped

Change: a poison request is sent twelve times through all daemons with neighbours in the same batches; killed engines are restarted by the test. At most four engines may die, every neighbour must get its whole answer, and the last poison request must be refused as quarantined.

--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -77,7 +77,7 @@
         let answer = chat(&cluster, daemon, &neighbour(ROUNDS, daemon)).await?;
         ensure!(answer.status == 200, "{answer:?}");
     }
-    let mut last = None;
+    let (mut last, mut failures) = (None, Vec::new());
     for round in 0..ROUNDS {
         let daemon = random.random_range(0..3);
         let delay = Duration::from_millis(random.random_range(0..150));
@@ -101,17 +101,24 @@
         );
         ensure!(poison.status != 200, "{poison:?}");
         for (messages, answer) in answers {
-            let answer = answer?;
             let script = AnswerScript::new("drafter", "v1", None, messages.as_bytes());
             let expected = script.text(MAX_TOKENS);
-            ensure!(answer.text() == Some(expected), "{messages}: {answer:?}");
+            let text = answer.as_ref().ok().and_then(CallerAnswer::text);
+            if text != Some(expected) {
+                failures.push(format!("{messages}: {answer:?}"));
+            }
         }
         last = Some(poison);
         restart_dead(&mut cluster).await?;
     }
     let deaths = deaths(&cluster);
     println!("{deaths} engines died of {ROUNDS} poison requests");
-    ensure!(deaths <= MAX_DEATHS, "{deaths} engines died");
+    ensure!(
+        deaths <= MAX_DEATHS,
+        "{deaths} engines died and {} neighbours failed",
+        failures.len()
+    );
+    ensure!(failures.is_empty(), "neighbours failed: {failures:#?}");
     ensure!(deaths > 0, "the poison had no effect");
     let last = last.map(|answer| answer.json()["error"]["type"].clone());
     ensure!(last == Some("quarantined".into()), "{last:?}");
