Compare the standard with the naive policies on fleets in one process

The command `foxtailhill-load compare` runs one load against fresh fleets with both sets of policies and prints, with the spread over repeats: attainment per accelerator, moves, the worst-served team, refusals within the rate, latencies by class and team, and overnight work on time. JSON and an SVG plot are optional. Teams' rates scale with the demand.

Rate factor 1 is the default: half of a short load is a burst of the smaller models, so the engines are about 75% busy; factor 2 exceeds them.

--- a/standins/src/bin/foxtailhill-load.rs
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -8,6 +8,7 @@
 use argh::FromArgs;
 use eyre::{OptionExt, WrapErr};
 use foxtailhill_standins::cluster::{ClusterEngine, PLATFORM_ZONE, TestCluster};
+use foxtailhill_standins::compare::{CompareOptions, PolicyKind, compare, plot};
 use foxtailhill_standins::load::{
     FleetOptions, LoadOptions, LoadReport, LoadShape, Scenario, built_in, open_fleet, plan,
     read_trace, run,
@@ -16,6 +17,9 @@
 use smol_str::SmolStr;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Factor on the times of the weight store in comparisons, so that placement acts within a short load.
+const STORE_SCALE: f64 = 0.02;
+
 /// Open-loop load driver.
 #[derive(FromArgs)]
 struct Arguments {
@@ -30,6 +34,7 @@
     Fleet(FleetArguments),
     Declare(DeclareArguments),
     Plan(PlanArguments),
+    Compare(CompareArguments),
 }
 
 /// Sends the calls of a scenario and checks the answers.
@@ -171,6 +176,51 @@
     length: Duration,
 }
 
+/// Compares the standard with the naive policies on fleets in this process.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareArguments {
+    /// scenario: navette or grainotheque
+    #[argh(option, default = "\"navette\".to_owned()")]
+    scenario: String,
+    /// seed of the arrivals; repeatable (default 1)
+    #[argh(option)]
+    seed: Vec<u64>,
+    /// runs of each policy with each seed
+    #[argh(option, default = "2")]
+    repeats: u32,
+    /// length of the measured load, such as 15s
+    #[argh(
+        option,
+        default = "Duration::from_secs(15)",
+        from_str_fn(parse_duration)
+    )]
+    length: Duration,
+    /// length of the load before it
+    #[argh(
+        option,
+        default = "Duration::from_secs(8)",
+        from_str_fn(parse_duration)
+    )]
+    warm_up: Duration,
+    /// factor on the demand and on the teams' rates; 1 keeps the engines about 75% busy in a short load, half of
+    /// which is a burst of the smaller models
+    #[argh(option, default = "1.0")]
+    rate_factor: f64,
+    /// factor on the demand of a team whose rate stays, as TEAM=FACTOR; repeatable
+    #[argh(option, from_str_fn(parse_factor))]
+    team_factor: Vec<(SmolStr, f64)>,
+    /// run the standard policies only
+    #[argh(switch)]
+    standard_only: bool,
+    /// file to which the results are written as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// file to which attainment is drawn as SVG
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
 fn parse_duration(text: &str) -> Result<Duration, String> {
     humantime::parse_duration(text).map_err(|error| format!("`{text}`: {error}"))
 }
@@ -205,6 +255,7 @@
             Ok(())
         }
         Command::Plan(arguments) => print_plan(&arguments),
+        Command::Compare(arguments) => run_compare(arguments).await,
     }
 }
 
@@ -218,6 +269,35 @@
     eyre::bail!("stopped by a signal")
 }
 
+async fn run_compare(arguments: CompareArguments) -> eyre::Result<()> {
+    let mut seeds = arguments.seed;
+    if seeds.is_empty() {
+        seeds.push(1);
+    }
+    let mut policies = vec![PolicyKind::Standard];
+    if !arguments.standard_only {
+        policies.push(PolicyKind::Naive);
+    }
+    let options = CompareOptions {
+        seeds,
+        repeats: arguments.repeats,
+        length: arguments.length,
+        warm_up: arguments.warm_up,
+        rate_factor: arguments.rate_factor,
+        team_factors: arguments.team_factor.into_iter().collect(),
+        store_scale: STORE_SCALE,
+        per_zone: 1,
+        policies,
+    };
+    let report = compare(&scenario(&arguments.scenario)?, &options).await?;
+    print!("{report}");
+    if let Some(path) = arguments.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&report)?)
+            .wrap_err("cannot write the results")?;
+    }
+    arguments.plot.map_or(Ok(()), |path| plot(&report, &path))
+}
+
 fn print_plan(arguments: &PlanArguments) -> eyre::Result<()> {
     let shape = LoadShape {
         seed: arguments.seed,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod client;
 pub mod cluster;
+pub mod compare;
 pub mod engine;
 pub mod load;
 pub mod local;
--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -49,6 +49,7 @@
     right: u64,
     wrong: u64,
     refused: u64,
+    rate_limited: u64,
     failed: u64,
     attained: u64,
     tokens: u64,
@@ -64,6 +65,7 @@
             right: 0,
             wrong: 0,
             refused: 0,
+            rate_limited: 0,
             failed: 0,
             attained: 0,
             tokens: 0,
@@ -77,13 +79,16 @@
         self.offered += 1;
         self.attained += u64::from(attained);
         self.tokens += u64::from(outcome.tokens);
-        match outcome.end {
+        match &outcome.end {
             CallEnd::Right => {
                 self.right += 1;
                 self.total.add(outcome.total);
             }
             CallEnd::Wrong => self.wrong += 1,
-            CallEnd::Refused { .. } => self.refused += 1,
+            CallEnd::Refused { cause, .. } => {
+                self.refused += 1;
+                self.rate_limited += u64::from(cause == "rate_limited");
+            }
             _ => self.failed += 1,
         }
         if let Some(first_token) = outcome.first_token {
@@ -101,6 +106,7 @@
             right: self.right,
             wrong: self.wrong,
             refused: self.refused,
+            rate_limited: self.rate_limited,
             failed: self.failed,
             attainment: self.attained as f64 / self.offered.max(1) as f64,
             tokens: self.tokens,
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -28,6 +28,8 @@
     /// Answers that ended properly and are not those of their requests.
     pub wrong: u64,
     pub refused: u64,
+    /// Refusals because the team had no tokens left; included in `refused`.
+    pub rate_limited: u64,
     /// Calls without an answer or with one that broke off.
     pub failed: u64,
     /// Share of offered calls that met their target.
