Route adapters to servers that hold them, copy adapters by demand, bound dispatch

Cause: routing sent requests with an adapter to engines without it, which refused them, because it only ranked such engines lower and the planner loaded one copy of each adapter. Each daemon filled a free server by itself before a load report showed the others' requests, so requests waited inside engines.

Change: both routing policies choose among holders of the adapter only. A daemon takes half of the reported free places until the next report, and up to slots + slots/8 + 1 in all. Requests sent less than 200 ms before a report was asked for do not count as included in it. An adapter in demand gets its share of the model's replicas twice over and at least two; replicas beyond the minimum leave 1/16 of a server's memory to adapters. The naive placement loads adapters too, or it would answer no request for one.

The tests of dispatch bounds are replaced: bound 10 in place of 11 for 8 slots, half of it before a report, an adapter must be present; the counter test publishes reports until one is old enough, as a report lags.

--- a/src/placement/draft.rs
+++ b/src/placement/draft.rs
@@ -372,6 +372,33 @@
         }
     }
 
+    /// Returns the servers beside whose replica an adapter can be loaded, those with the most free memory first.
+    pub(super) fn adapter_places(&self, index: usize) -> Vec<(usize, ResidentItem)> {
+        let adapter = &self.input.facts.adapters[index];
+        let Some(model) = self.model_index.get(adapter.model.as_str()) else {
+            return Vec::new();
+        };
+        let replicas = self.replicas[*model].iter();
+        let safe = replicas.filter(|replica| replica.state == ReplicaState::Safe);
+        let mut places: Vec<_> = safe
+            .map(|replica| {
+                let item = ResidentItem {
+                    adapter: Some(adapter.name.clone()),
+                    ..replica.item.clone()
+                };
+                (replica.server, item)
+            })
+            .filter(|(server, item)| {
+                let present = |copy: &AdapterCopy| copy.server == *server && copy.item == *item;
+                self.servers[*server].free >= adapter.memory_bytes
+                    && !self.adapters.iter().any(present)
+                    && self.input.ledgers[*server].may_load(item, adapter.memory_bytes)
+            })
+            .collect();
+        places.sort_by_key(|(server, _)| (Reverse(self.servers[*server].free), *server));
+        places
+    }
+
     /// Plans a load of an adapter.
     pub(super) fn load_adapter(&mut self, server: usize, item: ResidentItem, bytes: u64) {
         self.servers[server].free = self.servers[server].free.saturating_sub(bytes);
--- a/src/placement/floor.rs
+++ b/src/placement/floor.rs
@@ -5,8 +5,7 @@
 
 use smol_str::SmolStr;
 
-use crate::engine::ResidentItem;
-use crate::placement::draft::{Draft, ReplicaState};
+use crate::placement::draft::{AdapterCopy, Draft, ReplicaState};
 use crate::placement::utility::{gain_per_s, loss_per_s};
 use crate::placement::{OrderReason, PlacementInput, PlacementPolicy, ProposedOrder};
 
@@ -28,6 +27,14 @@
     pub zone_worth: f64,
     /// Demand-driven loads considered per round, so that a round's work is bounded.
     pub demand_moves: usize,
+    /// Copies of an adapter in demand, where its model has as many replicas. One copy more than needed lets
+    /// requests go on when a server dies or is full.
+    pub adapter_copies: usize,
+    /// Factor on an adapter's share of its model's replicas, for bursts.
+    pub adapter_spread: f64,
+    /// Part of a server's memory, as a divisor, that replicas beyond the minimum leave to adapters. Without it
+    /// the copies in second zones fill the memory before the first request for an adapter arrives.
+    pub adapter_room: u64,
 }
 
 impl Default for FloorSettings {
@@ -40,6 +47,9 @@
             takeover_after: Duration::from_secs(5),
             zone_worth: 1.0,
             demand_moves: 16,
+            adapter_copies: 2,
+            adapter_spread: 2.0,
+            adapter_room: 16,
         }
     }
 }
@@ -128,13 +138,29 @@
     fn spread_zones(&self, draft: &mut Draft<'_>) {
         for model in by_demand(draft, |draft, model| draft.zones(model).len() == 1) {
             let zones = draft.zones(model);
-            let room = draft.find_room(model, |_, server| !zones.contains(&server.zone));
+            let room = draft.find_room(model, |position, server| {
+                !zones.contains(&server.zone) && self.leaves_room(draft, model, position)
+            });
             if let Some(server) = room {
                 draft.load(model, server, OrderReason::SecondZone);
             }
         }
     }
 
+    /// Returns whether a replica of `model` leaves room for adapters on a server, where any are declared.
+    fn leaves_room(&self, draft: &Draft<'_>, model: usize, server: usize) -> bool {
+        let declared: u64 = draft
+            .input
+            .facts
+            .adapters
+            .iter()
+            .map(|one| one.memory_bytes)
+            .sum();
+        let part =
+            draft.input.facts.servers[server].memory_bytes / self.settings.adapter_room.max(1);
+        draft.servers[server].free >= draft.facts(model).memory_bytes + part.min(declared)
+    }
+
     /// Moves models to their declared version, one replica at a time.
     fn change_versions(&mut self, draft: &mut Draft<'_>) {
         for model in 0..draft.replicas.len() {
@@ -177,7 +203,8 @@
             let Some((model, gain)) = self.best_addition(draft, least_gain) else {
                 return;
             };
-            if let Some(server) = draft.find_room(model, |_, _| true) {
+            let room = draft.find_room(model, |server, _| self.leaves_room(draft, model, server));
+            if let Some(server) = room {
                 draft.load(model, server, OrderReason::Demand);
             } else {
                 // Removals wait for a report before their memory is free; one per round keeps them in step.
@@ -338,46 +365,54 @@
             .collect();
         wanted.sort_by_key(|index| std::cmp::Reverse(adapters[*index].demand.waiting));
         for index in wanted {
-            let name = &adapters[index].name;
-            let present = draft
-                .adapters
-                .iter()
-                .any(|copy| copy.item.adapter.as_ref() == Some(name) && draft.is_hosted(copy));
-            if !present {
-                self.load_adapter(draft, index);
+            let missing = self.missing_copies(draft, index);
+            if missing > 0 {
+                self.load_adapter(draft, index, missing);
             }
         }
     }
 
-    fn load_adapter(&self, draft: &mut Draft<'_>, index: usize) {
+    /// Returns how many copies of an adapter are wanted beyond those that are there: its share of the model's
+    /// requests, applied to the replicas of the model, with room for bursts.
+    fn missing_copies(&self, draft: &Draft<'_>, index: usize) -> usize {
+        let adapter = &draft.input.facts.adapters[index];
+        let Some(model) = draft.model_index.get(adapter.model.as_str()) else {
+            return 0;
+        };
+        let safe = draft.safe(*model);
+        let all = draft.facts(*model).demand.arrivals_per_s;
+        let share = match all > 0.0 {
+            true => adapter.demand.arrivals_per_s / all,
+            false => 0.0,
+        };
+        let wanted = (share * safe as f64 * self.settings.adapter_spread).ceil() as usize;
+        let wanted = wanted.max(self.settings.adapter_copies).min(safe);
+        let own = |copy: &&AdapterCopy| {
+            copy.item.adapter.as_ref() == Some(&adapter.name) && draft.is_hosted(copy)
+        };
+        wanted.saturating_sub(draft.adapters.iter().filter(own).count())
+    }
+
+    fn load_adapter(&self, draft: &mut Draft<'_>, index: usize, missing: usize) {
         let adapter = &draft.input.facts.adapters[index];
         let Some(model) = draft.model_index.get(adapter.model.as_str()).copied() else {
             return;
         };
-        let hosts: Vec<(usize, ResidentItem)> = draft.replicas[model]
+        let places = draft.adapter_places(index);
+        if !places.is_empty() {
+            for (server, item) in places.into_iter().take(missing) {
+                draft.load_adapter(server, item, adapter.memory_bytes);
+            }
+            return;
+        }
+        let hosts: Vec<usize> = draft.replicas[model]
             .iter()
             .filter(|replica| replica.state == ReplicaState::Safe)
-            .map(|replica| {
-                let item = ResidentItem {
-                    adapter: Some(adapter.name.clone()),
-                    ..replica.item.clone()
-                };
-                (replica.server, item)
-            })
+            .map(|replica| replica.server)
             .collect();
-        let room = hosts.iter().find(|(server, item)| {
-            draft.servers[*server].free >= adapter.memory_bytes
-                && draft.input.ledgers[*server].may_load(item, adapter.memory_bytes)
-        });
-        if let Some((server, item)) = room {
-            draft.load_adapter(*server, item.clone(), adapter.memory_bytes);
-            return;
-        }
         let idle = (0..draft.adapters.len()).find(|position| {
             let copy = &draft.adapters[*position];
-            copy.safe
-                && hosts.iter().any(|(server, _)| *server == copy.server)
-                && draft.is_idle(copy)
+            copy.safe && hosts.contains(&copy.server) && draft.is_idle(copy)
         });
         if let Some(position) = idle {
             draft.unload_adapter(position, OrderReason::MakeRoom);
@@ -402,12 +437,12 @@
         self.restore_unreachable(&mut draft);
         self.restore_minimum(&mut draft);
         self.change_versions(&mut draft);
+        self.load_adapters(&mut draft);
         // Demand that may replace a copy in a second zone goes before the copies, or they would return at once.
         let clear_gain = self.settings.zone_worth * self.settings.hysteresis;
         self.follow_demand(&mut draft, clear_gain);
         self.spread_zones(&mut draft);
         self.follow_demand(&mut draft, 0.0);
-        self.load_adapters(&mut draft);
         self.remove_strays(&mut draft);
         draft.into_orders()
     }
--- a/src/placement/lru.rs
+++ b/src/placement/lru.rs
@@ -79,6 +79,7 @@
                 None => self.evict(&mut draft, model),
             }
         }
+        load_adapters(&mut draft);
         draft.into_orders()
     }
 
@@ -87,6 +88,19 @@
     }
 }
 
+/// Loads adapters in demand next to every replica of their models where memory is free. Without them the baseline
+/// would answer no request for an adapter, and a comparison with it would say little.
+fn load_adapters(draft: &mut Draft<'_>) {
+    for index in 0..draft.input.facts.adapters.len() {
+        if is_used(&draft.input.facts.adapters[index].demand) {
+            for (server, item) in draft.adapter_places(index) {
+                let bytes = draft.input.facts.adapters[index].memory_bytes;
+                draft.load_adapter(server, item, bytes);
+            }
+        }
+    }
+}
+
 fn is_used(demand: &DemandFacts) -> bool {
     demand.waiting > 0 || demand.arrivals_per_s > 0.0
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -1,14 +1,19 @@
 //! A snapshot of all backend servers with an index by model and live counters.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
 use crate::routing::BackendView;
 use crate::routing::prefix::{ServerHash, server_hash};
 
+/// Age up to which a report answered by an engine lacks requests: engines report with a lag of 0.1 s and take a
+/// report every 0.1 s.
+const REPORT_AGE: Duration = Duration::from_millis(200);
+
 /// Live counters of one backend server, shared by all snapshots.
 #[derive(Debug, Default)]
 pub struct ServerHandle {
@@ -17,8 +22,10 @@
     sent: AtomicU32,
     /// Value of `sent` when the latest report was asked for.
     sent_at_report: AtomicU32,
-    /// Value of `in_flight` when the latest report was asked for.
+    /// Requests of this daemon that the latest report includes.
     own_at_report: AtomicU32,
+    /// Times of asking for reports and the value of `sent` then, from the newest one before [`REPORT_AGE`] on.
+    marks: Mutex<VecDeque<(Instant, u32)>>,
     suspected: AtomicBool,
     leaving: AtomicBool,
 }
@@ -27,7 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReportMark {
     sent: u32,
-    in_flight: u32,
+    own: u32,
 }
 
 impl ServerHandle {
@@ -72,16 +79,25 @@
         self.leaving.store(leaving, Ordering::Relaxed);
     }
 
-    pub(crate) fn mark(&self) -> ReportMark {
+    /// Takes the counters before a report is asked for at `now`.
+    pub(crate) fn mark(&self, now: Instant) -> ReportMark {
+        let sent = self.sent.load(Ordering::Relaxed);
+        let mut marks = self.marks.lock().unwrap_or_else(PoisonError::into_inner);
+        marks.push_back((now, sent));
+        while marks.get(1).is_some_and(|(at, _)| *at + REPORT_AGE <= now) {
+            marks.pop_front();
+        }
+        // Requests that are too recent for the report must not hide as many of other daemons in it.
+        let recent = marks.front().map_or(0, |(_, old)| sent.wrapping_sub(*old));
         ReportMark {
-            sent: self.sent.load(Ordering::Relaxed),
-            in_flight: self.in_flight(),
+            sent,
+            own: self.in_flight().saturating_sub(recent),
         }
     }
 
     pub(crate) fn reported(&self, mark: ReportMark) {
         self.sent_at_report.store(mark.sent, Ordering::Relaxed);
-        self.own_at_report.store(mark.in_flight, Ordering::Relaxed);
+        self.own_at_report.store(mark.own, Ordering::Relaxed);
     }
 }
 
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -11,14 +11,15 @@
 
 /// Computing a prompt of usual length without a cached prefix, in microseconds.
 const PREFILL_US: u64 = 40_000;
-/// Loading an adapter takes 5 to 10 ms on current engines.
-const ADAPTER_US: u64 = 10_000;
 /// Round trip between zones, 1.5 ms one way, in microseconds.
 const OTHER_ZONE_US: u64 = 3_000;
 /// Time between two tokens of an engine that has not reported one yet, in microseconds.
 const DEFAULT_TOKEN_US: u64 = 20_000;
 /// Tokens that a running request generates until it frees its slot.
 const SERVICE_TOKENS: u64 = 128;
+/// Part of a server's free places that one daemon takes between two load reports, as a divisor. Daemons choose
+/// among several servers, so that two of them seldom take their parts of the same one at a time.
+const FREE_PARTS: u64 = 2;
 /// Candidates whose expected time exceeds the best by up to an eighth and this are near-equal: the lag of load
 /// reports hides smaller differences.
 const NEAR_US: u64 = 500;
@@ -30,7 +31,8 @@
     name: ServerHash,
     /// Requests on the server, own and others'.
     outstanding: u64,
-    has_adapter: bool,
+    /// Requests by which this daemon's own ones grew since the latest report.
+    grown: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -64,7 +66,7 @@
         let table = self.prefixes.read();
         let holders = table.holders(&need.prefixes);
         let ranked: Vec<_> = candidates
-            .filter(|candidate| candidate.outstanding < bound(candidate.view))
+            .filter(|candidate| has_place(candidate))
             .filter(|candidate| !need.avoid.contains(&candidate.view.name))
             .map(|candidate| Ranked::new(need, &candidate, &holders))
             .collect();
@@ -103,7 +105,7 @@
 impl RoutingPolicy for ExpectedTimePolicy {
     fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
         let usable = views.iter().enumerate().filter(|(_, view)| is_usable(view));
-        let resident = usable.filter(|(_, view)| holds(view, need, None));
+        let resident = usable.filter(|(_, view)| can_serve(view, need));
         let candidates = resident.map(|(position, view)| Candidate {
             position,
             view,
@@ -112,23 +114,24 @@
             outstanding: u64::from(view.report.running)
                 + u64::from(view.report.waiting)
                 + u64::from(view.sent_since_report.min(view.in_flight)),
-            has_adapter: has_adapter(view, need),
+            grown: view.sent_since_report.min(view.in_flight).into(),
         });
         self.rank(need, candidates)
     }
 
     fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
         let choice = self.rank(need, indexed(need, fleet))?;
-        if holds(&fleet.views()[choice], need, None) {
+        if can_serve(&fleet.views()[choice], need) {
             return Some(choice);
         }
-        // The index is older than the views: another server may hold the model still.
-        let holders = indexed(need, fleet).filter(|one| holds(one.view, need, None));
+        // The index is older than the views: another server may hold the items still.
+        let holders = indexed(need, fleet).filter(|one| can_serve(one.view, need));
         self.rank(need, holders)
     }
 }
 
-/// Returns the usable servers that hold the model according to the index.
+/// Returns the usable servers that hold the model and the adapter according to the index. An engine refuses a
+/// request whose adapter it does not hold, so the request waits until the planner has loaded it somewhere.
 fn indexed<'a>(
     need: &'a RouteNeed,
     fleet: &'a FleetSnapshot,
@@ -138,6 +141,12 @@
     let with_adapter = adapter.map(|adapter| model.and_then(|model| model.adapters.get(adapter)));
     let servers = model.map_or(&[][..], |model| &model.servers);
     servers.iter().filter_map(move |index| {
+        let has_adapter = with_adapter.is_none_or(|servers| {
+            servers.is_some_and(|servers| servers.binary_search(index).is_ok())
+        });
+        if !has_adapter {
+            return None;
+        }
         let position = *index as usize;
         let handle = fleet.handle(position);
         if handle.is_leaving() || handle.is_suspected() {
@@ -151,18 +160,31 @@
             view,
             name: fleet.hash(position),
             outstanding: u64::from(others) + u64::from(handle.in_flight()),
-            has_adapter: with_adapter.is_none_or(|servers| {
-                servers.is_some_and(|servers| servers.binary_search(index).is_ok())
-            }),
+            grown: handle
+                .in_flight()
+                .saturating_sub(handle.own_at_report())
+                .into(),
         })
     })
 }
 
-/// Requests up to which a server gets more. The excess over the slots hides the lag of load reports; the rest
-/// waits here, where the order is fair.
+/// Requests up to which a server gets more. The excess over the slots keeps the batch full while a report is on
+/// its way; the rest waits here, where the order is fair.
 fn bound(view: &BackendView) -> u64 {
     let slots = u64::from(view.slots);
-    slots + slots / 4 + 1
+    slots + slots / 8 + 1
+}
+
+/// Returns whether a server gets one more request from this daemon.
+///
+/// Several daemons see the same free places until the next report, so each takes a part of them only. Otherwise
+/// every daemon fills a free server by itself and requests wait inside the engine. A place that an own request
+/// has left may be filled at once: no other daemon knows of it.
+fn has_place(candidate: &Candidate<'_>) -> bool {
+    let bound = bound(candidate.view);
+    let reported = candidate.outstanding.saturating_sub(candidate.grown);
+    let part = bound.saturating_sub(reported).div_ceil(FREE_PARTS);
+    candidate.outstanding < bound && candidate.grown < part.max(1)
 }
 
 impl Ranked {
@@ -172,11 +194,10 @@
         let prefixes = need.prefixes.len().max(1) as u64;
         let held = holders.held(candidate.name) as u64;
         let prefill = PREFILL_US - PREFILL_US * 3 / 4 * held / prefixes;
-        let adapter = if candidate.has_adapter { 0 } else { ADAPTER_US };
         let zone = if own_zone { 0 } else { OTHER_ZONE_US };
         Self {
             position: candidate.position,
-            expected_us: prefill + adapter + zone + wait_us(view, candidate.outstanding),
+            expected_us: prefill + zone + wait_us(view, candidate.outstanding),
             own_zone,
         }
     }
@@ -205,12 +226,12 @@
     })
 }
 
-fn has_adapter(view: &BackendView, need: &RouteNeed) -> bool {
+fn can_serve(view: &BackendView, need: &RouteNeed) -> bool {
     let adapter = need.adapter.as_ref();
-    adapter.is_none() || holds(view, need, adapter)
+    holds(view, need, None) && (adapter.is_none() || holds(view, need, adapter))
 }
 
-/// The naive policy: each usable server that holds the model in turn, without regard to load or zone.
+/// The naive policy: each usable server that holds the model and the adapter in turn, without regard to load or zone.
 #[derive(Debug, Default)]
 pub struct RoundRobinPolicy {
     turn: AtomicUsize,
@@ -234,7 +255,7 @@
     fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
         self.take_turn(views.len(), |position| {
             let view = &views[position];
-            is_usable(view) && holds(view, need, None) && !need.avoid.contains(&view.name)
+            is_usable(view) && can_serve(view, need) && !need.avoid.contains(&view.name)
         })
     }
 
@@ -245,7 +266,7 @@
             let handle = fleet.handle(position);
             let view = &fleet.views()[position];
             let usable = !handle.is_leaving() && !handle.is_suspected();
-            usable && holds(view, need, None) && !need.avoid.contains(&view.name)
+            usable && can_serve(view, need) && !need.avoid.contains(&view.name)
         })?;
         Some(holders[choice] as usize)
     }
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -334,7 +334,8 @@
     address: SocketAddr,
     handle: Arc<ServerHandle>,
 ) {
-    let (asked, mark) = (Instant::now(), handle.mark());
+    let asked = Instant::now();
+    let mark = handle.mark(asked);
     let call_time = shared.settings.call_time;
     let load = tokio::time::timeout(call_time, shared.engine.load(address)).await;
     let report = load.ok().and_then(Result::ok);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -114,7 +114,8 @@
                 let outstanding = view.report.running + view.report.waiting;
                 !(view.leaving || view.report.leaving || view.suspected_down)
                     && view.report.resident[0] == item(1, None)
-                    && outstanding < 11
+                    && (!adapter || view.report.resident.contains(&item(1, Some("a"))))
+                    && outstanding < 10
                     && !need.avoid.contains(&view.name)
             };
             let choice = policy(*seed).choose(&need, &views, Instant::now());
@@ -183,8 +184,9 @@
     assert_eq!(prefixes.next_sequence(&"s0".into()), 10_000);
 }
 
-/// Guards against unbounded dispatch to one server between two load reports, and against a bound that stays
-/// reached after the requests have ended.
+/// Guards against unbounded dispatch to one server between two load reports, against one daemon that takes all
+/// the free places which the others see as well, and against a bound that stays reached after the requests have
+/// ended.
 #[test]
 fn dispatch_is_bounded_live() {
     let handle = Arc::new(ServerHandle::default());
@@ -195,13 +197,34 @@
         sent.push(handle.begin());
         assert!(sent.len() < 100);
     }
-    assert_eq!(sent.len(), 11);
-    assert_eq!((handle.in_flight(), handle.sent_since_report()), (11, 11));
+    // Half of the 8 slots and 2 further places.
+    assert_eq!(sent.len(), 5);
+    assert_eq!((handle.in_flight(), handle.sent_since_report()), (5, 5));
+    // The place of a request that ended is free at once.
+    sent.pop();
+    assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
     sent.clear();
-    assert_eq!((handle.in_flight(), handle.sent_since_report()), (0, 11));
+    assert_eq!((handle.in_flight(), handle.sent_since_report()), (0, 5));
     assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
 }
 
+/// Guards against a request for an adapter on a server that does not hold it: the engine would refuse it.
+#[test]
+fn missing_adapter_is_waited_for() {
+    let mut views: Vec<_> = (0..3).map(|name| view(name, "z0", 1)).collect();
+    let mut need = need(1);
+    need.adapter = Some("a".into());
+    assert!(choices(&policy(1), &need, &views).is_empty());
+    assert!(choices(&RoundRobinPolicy::new(), &need, &views).is_empty());
+    let missing = policy(1).choose_in(&need, &fleet(&views), Instant::now());
+    assert_eq!(missing, None);
+    views[2].report.resident.push(item(1, Some("a")));
+    assert_eq!(choices(&policy(1), &need, &views), [2]);
+    assert_eq!(choices(&RoundRobinPolicy::new(), &need, &views), [2]);
+    let found = policy(1).choose_in(&need, &fleet(&views), Instant::now());
+    assert_eq!(found, Some(2));
+}
+
 /// Guards against a baseline that leaves servers out, and against service calls beyond a server's slots.
 #[test]
 fn round_robin_and_services() {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -304,7 +304,8 @@
     fixture.group.shutdown().await;
 }
 
-/// Guards against own requests that count twice, or not at all, until the next report.
+/// Guards against own requests that count not at all, and against ones that go on counting twice once the
+/// reports include them.
 #[tokio::test]
 async fn counters_follow_reports() {
     let fixture = WatchFixture::open();
@@ -312,20 +313,39 @@
     fixture.watch.set_backends(&[engine("s1", 1)]);
     eventually("report", || fixture.choice().is_some()).await;
     let handle = fixture.watch.snapshot().handle(0).clone();
-    // The server takes 4 slots + 1 + 1 requests.
-    let sent: Vec<_> = (0..6).map(|_| handle.begin()).collect();
+    // The server takes 4 slots + 1 requests, of which one daemon sends 3 before the next report.
+    let mut sent: Vec<_> = (0..3).map(|_| handle.begin()).collect();
     assert_eq!(fixture.choice(), None);
-    fixture.engines.set(
-        1,
-        Some(LoadReport {
-            running: 6,
-            ..report(2)
-        }),
-    );
-    eventually("second report", || handle.sent_since_report() == 0).await;
+    let mut sequence = 1;
+    let mut publish = |running| {
+        sequence += 1;
+        let report = LoadReport {
+            running,
+            ..report(sequence)
+        };
+        fixture.engines.set(1, Some(report));
+    };
+    // A report lags, so requests count twice at first.
+    eventually("own requests count once", || {
+        publish(3);
+        fixture.choice().is_some()
+    })
+    .await;
+    sent.extend((0..2).map(|_| handle.begin()));
     assert_eq!(fixture.choice(), None);
-    drop(sent);
+    // Places of own requests that ended are free before the next report.
+    sent.truncate(3);
     assert!(fixture.choice().is_some());
+    sent.extend((0..2).map(|_| handle.begin()));
+    publish(5);
+    eventually("later report", || handle.sent_since_report() == 0).await;
+    assert_eq!(fixture.choice(), None);
+    drop(sent);
+    eventually("report without requests", || {
+        publish(0);
+        fixture.choice().is_some()
+    })
+    .await;
     fixture.group.shutdown().await;
 }
 
