--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -247,7 +247,9 @@
     let timer = TimerService::spawn(group);
     let journal = Arc::new(HttpJournal::open(settings.platform.log));
     let vms = Arc::new(HttpVmList::open(settings.platform.vms));
-    let client = Arc::new(PeerClient::open(group));
+    // Network rules and the fault proxy tell peers apart by the address that their peer servers listen on.
+    let local = settings.listen.peer.ip();
+    let client = Arc::new(PeerClient::open(group).with_local_address(local));
     let engine = Arc::new(Engine::open(EngineTimeouts::default()));
     let board = Arc::new(PeerBoard::new());
     let link = Arc::new(PeerLink::new(client.clone()));
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,7 +1,7 @@
 //! Calls other daemons over one kept connection per peer.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::{Method, Request};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::error::{Category, Error, Result};
@@ -24,6 +24,7 @@
 #[derive(Clone)]
 pub struct PeerClient {
     group: TaskGroup,
+    local: Option<IpAddr>,
     peers: Arc<Mutex<HashMap<SocketAddr, Arc<PeerSlot>>>>,
 }
 
@@ -44,10 +45,17 @@
     pub fn open(group: &TaskGroup) -> Self {
         Self {
             group: group.clone(),
+            local: None,
             peers: Arc::default(),
         }
     }
 
+    /// Makes connections come from the address `local`; an unspecified one leaves the choice to the system.
+    pub fn with_local_address(mut self, local: IpAddr) -> Self {
+        self.local = Some(local).filter(|local| !local.is_unspecified());
+        self
+    }
+
     fn slot(&self, peer: SocketAddr) -> Arc<PeerSlot> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         if peers.len() >= MAX_IDLE_PEERS && !peers.contains_key(&peer) {
@@ -73,7 +81,7 @@
     }
 
     async fn connect(&self, peer: SocketAddr) -> Result<KeptConnection> {
-        let socket = TcpStream::connect(peer)
+        let socket = connect_from(self.local, peer)
             .await
             .map_err(|error| Error::unavailable(format!("cannot connect to {peer}: {error}")))?;
         // Small messages must not wait for the acknowledgement of earlier ones.
@@ -93,6 +101,19 @@
     }
 }
 
+/// Connects from `local` if both addresses are of the same family.
+async fn connect_from(local: Option<IpAddr>, peer: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(local) = local.filter(|local| local.is_ipv4() == peer.is_ipv4()) else {
+        return TcpStream::connect(peer).await;
+    };
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind((local, 0).into())?;
+    socket.connect(peer).await
+}
+
 impl PeerSlot {
     fn is_idle(&self) -> bool {
         self.connection
--- a/standins/src/cluster/backend.rs
+++ b/standins/src/cluster/backend.rs
@@ -11,7 +11,7 @@
 use crate::engine::{EngineJournal, EngineOptions, EngineStandin};
 use crate::record::ReceivedRequest;
 use crate::reserve_port;
-use crate::service::{ServiceOptions, ServiceStandin};
+use crate::service::{ServiceOptions, ServiceRun, ServiceStandin};
 
 /// Attempts to bind the address of a server whose predecessor is still closing.
 const BIND_ATTEMPTS: u32 = 500;
@@ -190,6 +190,12 @@
         services.map(|service| service.count(idempotency_key)).sum()
     }
 
+    /// Returns each run with its time, over all services on the address.
+    pub fn runs(&self) -> Vec<ServiceRun> {
+        let services = self.incarnations.iter();
+        services.flat_map(ServiceStandin::runs).collect()
+    }
+
     /// Returns all requests that any service on the address received.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         let services = self.incarnations.iter();
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -45,6 +45,10 @@
 pub const OPERATOR_KEY: &str = "operator-key-of-the-test-cluster";
 /// Zone label of the log, the weight store and the VM list at the proxy.
 pub const PLATFORM_ZONE: &str = "platform";
+/// Zone label of the log at the proxy, if the platform services have links of their own.
+pub const LOG_ZONE: &str = "platform-log";
+/// Zone label of the VM list at the proxy, if the platform services have links of their own.
+pub const VM_LIST_ZONE: &str = "platform-vms";
 /// Zones get the networks 127.0.10.0, 127.0.11.0 and so on, so that the proxy can tell them apart.
 const FIRST_ZONE_NETWORK: u8 = 10;
 /// Generous bound for a daemon to become ready.
@@ -65,6 +69,9 @@
     pub list_lag: Duration,
     /// Whether links to the platform, the backend servers and the listed peer addresses pass the fault proxy.
     pub proxied: bool,
+    /// Whether the log and the VM list have links of their own, [`LOG_ZONE`] and [`VM_LIST_ZONE`], so that a zone
+    /// can be cut off from one of them.
+    pub split_platform: bool,
     /// Sections of the settings file that replace the rendered ones, such as `timing`.
     pub settings: serde_json::Map<String, Value>,
 }
@@ -134,6 +141,10 @@
         options: &ClusterOptions,
         network: &ZoneNetwork,
     ) -> eyre::Result<()> {
+        let (log_zone, list_zone) = match options.split_platform {
+            true => (LOG_ZONE, VM_LIST_ZONE),
+            false => (PLATFORM_ZONE, PLATFORM_ZONE),
+        };
         for spec in &options.daemons {
             let host = network.host(&spec.zone);
             let mut daemon = ClusterDaemon::new(spec.clone(), host, &self.program)?;
@@ -145,9 +156,15 @@
                 spec: spec.clone(),
                 addresses: daemon.addresses(),
                 peer_advertised: peer,
-                log: self.platform_address(self.log.address(), spec).await?,
-                weights: self.platform_address(self.weights.address(), spec).await?,
-                vms: self.platform_address(self.vms.address(), spec).await?,
+                log: self
+                    .platform_address(self.log.address(), spec, log_zone)
+                    .await?,
+                weights: self
+                    .platform_address(self.weights.address(), spec, PLATFORM_ZONE)
+                    .await?,
+                vms: self
+                    .platform_address(self.vms.address(), spec, list_zone)
+                    .await?,
                 list_lag: options.list_lag,
                 sections: options.settings.clone(),
             };
@@ -179,11 +196,12 @@
         &self,
         server: SocketAddr,
         spec: &DaemonSpec,
+        zone: &'static str,
     ) -> eyre::Result<SocketAddr> {
         let link = LinkOptions {
             bind: crate::any_port(),
             server,
-            to: SmolStr::new_static(PLATFORM_ZONE),
+            to: SmolStr::new_static(zone),
             from: Some(spec.zone.clone()),
         };
         self.listen(link).await
--- a/standins/src/load/fleet.rs
+++ b/standins/src/load/fleet.rs
@@ -57,6 +57,7 @@
         weights: scenario.store_options(options.time_scale),
         list_lag: Duration::from_millis(500),
         proxied: options.proxied,
+        split_platform: false,
         settings: options.settings.clone(),
     }
 }
--- a/standins/src/proxy/mod.rs
+++ b/standins/src/proxy/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -121,10 +122,28 @@
 
 type LinkName = (SmolStr, SmolStr);
 
+/// Bytes and connections that passed to one server, TCP payload only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerTraffic {
+    pub connections: u64,
+    /// From the connecting side to the server.
+    pub forward_bytes: u64,
+    /// From the server back.
+    pub backward_bytes: u64,
+}
+
+#[derive(Debug, Default)]
+struct TrafficCounters {
+    connections: AtomicU64,
+    forward: AtomicU64,
+    backward: AtomicU64,
+}
+
 struct ProxyState {
     group: TaskGroup,
     zones: HashMap<IpAddr, SmolStr>,
     links: Mutex<HashMap<LinkName, watch::Sender<LinkFault>>>,
+    traffic: Mutex<HashMap<SocketAddr, Arc<TrafficCounters>>>,
 }
 
 /// A running proxy. Dropping it closes all listeners and connections.
@@ -139,6 +158,7 @@
             group: TaskGroup::new(),
             zones,
             links: Mutex::default(),
+            traffic: Mutex::default(),
         };
         Self {
             state: Arc::new(state),
@@ -178,6 +198,20 @@
         }
     }
 
+    /// Returns what passed to each server so far.
+    pub fn traffic(&self) -> HashMap<SocketAddr, ServerTraffic> {
+        let traffic = lock(&self.state.traffic);
+        let entries = traffic.iter().map(|(server, counters)| {
+            let passed = ServerTraffic {
+                connections: counters.connections.load(Ordering::Relaxed),
+                forward_bytes: counters.forward.load(Ordering::Relaxed),
+                backward_bytes: counters.backward.load(Ordering::Relaxed),
+            };
+            (*server, passed)
+        });
+        entries.collect()
+    }
+
     /// Ends all faults.
     pub fn heal(&self) {
         self.state.heal();
@@ -236,6 +270,10 @@
         }
     }
 
+    fn counters(&self, server: SocketAddr) -> Arc<TrafficCounters> {
+        lock(&self.traffic).entry(server).or_default().clone()
+    }
+
     fn zone_of(&self, source: SocketAddr) -> SmolStr {
         let zone = self.zones.get(&source.ip()).cloned();
         zone.unwrap_or_else(|| SmolStr::new_static(UNKNOWN_ZONE))
@@ -296,9 +334,13 @@
         let from = from.unwrap_or_else(|| state.zone_of(source));
         let link = state.link(&from, &options.to).subscribe();
         let server = options.server;
-        state
-            .group
-            .spawn_cancellable(connect(caller, source, server, link));
+        state.group.spawn_cancellable(connect(
+            caller,
+            source,
+            server,
+            link,
+            state.counters(server),
+        ));
     }
 }
 
@@ -307,13 +349,17 @@
     source: SocketAddr,
     server: SocketAddr,
     link: watch::Receiver<LinkFault>,
+    counters: Arc<TrafficCounters>,
 ) {
     if link.borrow().cut {
         pump::reset(&caller);
         return;
     }
     match connect_from(source, server).await {
-        Ok(server) => pump::run(caller, server, link).await,
+        Ok(server) => {
+            counters.connections.fetch_add(1, Ordering::Relaxed);
+            pump::run(caller, server, link, &counters).await;
+        }
         Err(_) => pump::reset(&caller),
     }
 }
--- a/standins/src/proxy/pump.rs
+++ b/standins/src/proxy/pump.rs
@@ -1,6 +1,7 @@
 //! Moves the bytes of one connection under the fault of its link.
 
 use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use crate::proxy::{DirectionFault, LinkFault};
+use crate::proxy::{DirectionFault, LinkFault, TrafficCounters};
 
 /// Chunks under way in one direction; the sender is held up beyond them.
 const CHUNKS_UNDER_WAY: usize = 256;
@@ -27,6 +28,7 @@
     mut caller: TcpStream,
     mut server: TcpStream,
     link: watch::Receiver<LinkFault>,
+    counters: &TrafficCounters,
 ) {
     // Without this, small chunks wait for the acknowledgement of the one before.
     let _ = caller.set_nodelay(true);
@@ -34,10 +36,12 @@
     let whole = {
         let (caller_read, caller_write) = caller.split();
         let (server_read, server_write) = server.split();
-        let forward = direction(caller_read, server_write, link.clone(), |fault| {
+        let passed = &counters.forward;
+        let forward = direction(caller_read, server_write, link.clone(), passed, |fault| {
             fault.forward
         });
-        let backward = direction(server_read, caller_write, link.clone(), |fault| {
+        let passed = &counters.backward;
+        let backward = direction(server_read, caller_write, link.clone(), passed, |fault| {
             fault.backward
         });
         tokio::select! {
@@ -62,11 +66,12 @@
     read: ReadHalf<'_>,
     write: WriteHalf<'_>,
     link: watch::Receiver<LinkFault>,
+    passed: &AtomicU64,
     fault: impl Fn(&LinkFault) -> DirectionFault + Copy,
 ) -> io::Result<()> {
     let (sender, receiver) = mpsc::channel(CHUNKS_UNDER_WAY);
     let reading = read_chunks(read, sender, link.clone(), fault);
-    let writing = write_chunks(write, receiver, link, fault);
+    let writing = write_chunks(write, receiver, link, passed, fault);
     tokio::try_join!(reading, writing)?;
     Ok(())
 }
@@ -93,6 +98,7 @@
     mut write: WriteHalf<'_>,
     mut receiver: mpsc::Receiver<(Instant, Bytes)>,
     mut link: watch::Receiver<LinkFault>,
+    passed: &AtomicU64,
     fault: impl Fn(&LinkFault) -> DirectionFault,
 ) -> io::Result<()> {
     while let Some((due, chunk)) = receiver.recv().await {
@@ -104,6 +110,7 @@
             return write.shutdown().await;
         }
         write.write_all(&chunk).await?;
+        passed.fetch_add(chunk.len() as u64, Ordering::Relaxed);
     }
     Ok(())
 }
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::extract::{Query, State};
 use axum::response::{IntoResponse, Response};
@@ -66,11 +66,19 @@
     pub count: u64,
 }
 
+/// One call that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRun {
+    pub idempotency_key: Option<String>,
+    pub at: Instant,
+}
+
 struct ServiceState {
     options: ServiceOptions,
     delay: Mutex<Duration>,
     faults: Mutex<VecDeque<ServiceFault>>,
     executions: Mutex<Vec<ExecutionCount>>,
+    runs: Mutex<Vec<ServiceRun>>,
     received: ReceivedLog,
     group: TaskGroup,
 }
@@ -90,6 +98,7 @@
             delay: Mutex::new(options.delay),
             faults: Mutex::default(),
             executions: Mutex::default(),
+            runs: Mutex::default(),
             received: ReceivedLog::new(options.keep_received),
             group: group.clone(),
             options,
@@ -134,6 +143,11 @@
         matching.map(|execution| execution.count).sum()
     }
 
+    /// Returns each run with its time, in order of time; empty unless received requests are kept.
+    pub fn runs(&self) -> Vec<ServiceRun> {
+        lock(&self.state.runs).clone()
+    }
+
     /// Returns the received requests, if they are kept.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state.received.all()
@@ -160,6 +174,13 @@
     }
 
     fn execute(&self, idempotency_key: Option<String>, body: Bytes) -> u64 {
+        if self.options.keep_received {
+            let mut runs = lock(&self.runs);
+            runs.push(ServiceRun {
+                idempotency_key: idempotency_key.clone(),
+                at: Instant::now(),
+            });
+        }
         let mut executions = lock(&self.executions);
         let known = executions.iter_mut().find(|execution| {
             execution.idempotency_key == idempotency_key && execution.body == body
