Measure refusals within the rate against an even split

Cause: it was not known what loans gain, nor whether requests within a team's rate are refused in a real fleet.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -38,7 +38,7 @@
 use crate::timer::TimerService;
 use crate::watch::WatchSettings;
 
-pub use self::parts::{NaiveParts, PolicyParts, StandardParts};
+pub use self::parts::{EvenSplitParts, NaiveParts, PolicyParts, StandardParts};
 
 /// Names under which services register.
 pub mod service_name {
@@ -152,7 +152,7 @@
         group: requests.clone(),
         zone: settings.zone.clone(),
         gate: AccessGate::new(core.replica.subscribe(), currency.clone()),
-        limiter: core.limits.clone(),
+        limiter: P::limiter(&core.limits),
         claims: core.claims.clone(),
         engine: core.engine.clone(),
         service: Arc::new(HttpService::open(ServiceTimeouts::default())),
--- a/src/daemon/parts.rs
+++ b/src/daemon/parts.rs
@@ -10,7 +10,7 @@
 use crate::journal::HttpJournal;
 use crate::kernel::TaskGroup;
 use crate::ledger::LedgerTiming;
-use crate::limit::LimitService;
+use crate::limit::{EvenSplitLimiter, LimitService};
 use crate::member::MemberService;
 use crate::peer::PeerClient;
 use crate::placement::{FloorFirstPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy};
@@ -34,7 +34,6 @@
         Engine = HttpEngine,
         Service = HttpService,
         Claims = ClaimService<HttpJournal>,
-        Limiter = LimitService<PeerClient>,
         Fleet = Arc<FleetWatch<HttpEngine, HttpVmList>>,
     >
 {
@@ -48,6 +47,9 @@
 
     /// Creates the placement policy.
     fn placement() -> Self::Placement;
+
+    /// Returns the limiter that charges requests; `limits` holds the shares.
+    fn limiter(limits: &Arc<LimitService<PeerClient>>) -> Arc<Self::Limiter>;
 }
 
 /// The policies that the product runs with.
@@ -59,12 +61,15 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NaiveParts;
 
+/// The standard policies with limits that are split evenly and never lent: the baseline for rates.
+#[derive(Clone, Copy, Debug)]
+pub struct EvenSplitParts;
+
 /// Implements the parts that do not vary.
 macro_rules! fixed_parts {
     () => {
         type Engine = HttpEngine;
         type Service = HttpService;
-        type Limiter = LimitService<PeerClient>;
         type Claims = ClaimService<HttpJournal>;
         type Fleet = Arc<FleetWatch<HttpEngine, HttpVmList>>;
     };
@@ -72,6 +77,7 @@
 
 impl DispatchParts for StandardParts {
     fixed_parts!();
+    type Limiter = LimitService<PeerClient>;
     type Routing = ExpectedTimePolicy;
     type Queue = WaitQueue<Waiter>;
 }
@@ -90,10 +96,42 @@
     fn placement() -> Self::Placement {
         FloorFirstPolicy::default()
     }
+
+    fn limiter(limits: &Arc<LimitService<PeerClient>>) -> Arc<Self::Limiter> {
+        limits.clone()
+    }
+}
+
+impl DispatchParts for EvenSplitParts {
+    fixed_parts!();
+    type Limiter = EvenSplitLimiter;
+    type Routing = ExpectedTimePolicy;
+    type Queue = WaitQueue<Waiter>;
+}
+
+impl PolicyParts for EvenSplitParts {
+    type Placement = FloorFirstPolicy;
+
+    fn routing(prefixes: Arc<PrefixIndex>) -> Self::Routing {
+        StandardParts::routing(prefixes)
+    }
+
+    fn queue(capacity: usize) -> Self::Queue {
+        StandardParts::queue(capacity)
+    }
+
+    fn placement() -> Self::Placement {
+        StandardParts::placement()
+    }
+
+    fn limiter(limits: &Arc<LimitService<PeerClient>>) -> Arc<Self::Limiter> {
+        Arc::new(limits.without_loans())
+    }
 }
 
 impl DispatchParts for NaiveParts {
     fixed_parts!();
+    type Limiter = LimitService<PeerClient>;
     type Routing = RoundRobinPolicy;
     type Queue = FifoQueue<Waiter>;
 }
@@ -112,6 +150,10 @@
     fn placement() -> Self::Placement {
         LruPolicy::default()
     }
+
+    fn limiter(limits: &Arc<LimitService<PeerClient>>) -> Arc<Self::Limiter> {
+        limits.clone()
+    }
 }
 
 impl<V: VmList> FleetSource for Arc<FleetWatch<HttpEngine, V>> {
--- a/src/limit/even.rs
+++ b/src/limit/even.rs
@@ -33,6 +33,11 @@
             budgets: Arc::new(Mutex::new(budgets)),
         }
     }
+
+    /// Uses budgets that another limiter keeps up to date with the declared teams and the share of this daemon.
+    pub(super) fn over(budgets: Arc<Mutex<BudgetTable>>) -> Self {
+        Self { budgets }
+    }
 }
 
 impl TokenLimiter for EvenSplitLimiter {
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -11,7 +11,9 @@
 use crate::error::{Category, Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
-use crate::limit::{BudgetCharge, BudgetTable, LimitDump, Shortage, TokenCharge, TokenLimiter};
+use crate::limit::{
+    BudgetCharge, BudgetTable, EvenSplitLimiter, LimitDump, Shortage, TokenCharge, TokenLimiter,
+};
 use crate::member::{Lender, PeerBoard, ShareGrant, ShareSink, TeamRefill};
 use crate::peer::{PeerCaller, PeerReply, PeerRequest, TokenLoan};
 
@@ -80,6 +82,11 @@
         Some(loan)
     }
 
+    /// Returns a limiter with the same budgets that never borrows, the baseline of measurements.
+    pub fn without_loans(&self) -> EvenSplitLimiter {
+        EvenSplitLimiter::over(self.budgets.clone())
+    }
+
     /// Returns the spare tokens of each team, for the status.
     pub fn spare(&self) -> Vec<(SmolStr, u64)> {
         lock(&self.budgets).spare(Instant::now())
--- a/standins/src/load/mod.rs
+++ b/standins/src/load/mod.rs
@@ -8,8 +8,10 @@
 mod deployments;
 mod fleet;
 mod measure;
+pub mod refusals;
 mod report;
 mod scenario;
+pub mod slopes;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
