--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -39,7 +39,7 @@
 use crate::timer::TimerService;
 use crate::watch::WatchSettings;
 
-pub use self::parts::{NaiveParts, PolicyParts, StandardParts};
+pub use self::parts::{EvenSplitParts, NaiveParts, PolicyParts, StandardParts};
 
 /// Names under which services register.
 pub mod service_name {
@@ -153,7 +153,7 @@
         group: requests.clone(),
         zone: settings.zone.clone(),
         gate: AccessGate::new(core.replica.subscribe(), currency.clone()),
-        limiter: core.limits.clone(),
+        limiter: P::limiter(&core.limits),
         claims: core.claims.clone(),
         engine: core.engine.clone(),
         service: Arc::new(HttpService::open(ServiceTimeouts::default())),
@@ -248,7 +248,9 @@
     let timer = TimerService::spawn(group);
     let journal = Arc::new(HttpJournal::open(settings.platform.log));
     let vms = Arc::new(HttpVmList::open(settings.platform.vms));
-    let client = Arc::new(PeerClient::open(group));
+    // Network rules and the fault proxy tell peers apart by the address that their peer servers listen on.
+    let local = settings.listen.peer.ip();
+    let client = Arc::new(PeerClient::open(group).with_local_address(local));
     let engine = Arc::new(Engine::open(EngineTimeouts::default()));
     let board = Arc::new(PeerBoard::new());
     let link = Arc::new(PeerLink::new(client.clone()));
