Free the server of a suspect however its request ends; wait briefly for a refill

Cause: a suspect whose caller went away while it held a place kept its reservation for ever, because only the end of a stream gave it back. A request a few tokens short of its team's rate was refused although the bucket refills within milliseconds (seen with the README's example on a new fleet). The first token was counted twice, by the dispatcher and by the HTTP edge. Change: the reservation is part of the place and ends with it; charge waits up to 250 ms for a refill; one of the two observations is gone.

--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -301,9 +301,6 @@
         self.history
             .update(&job.call.id, |record| record.add_server(slot.name.clone()));
         let result = self.stream_from(&slot, job, tokens).await;
-        if let Some(fingerprint) = job.need.suspect {
-            self.suspects().finish(&slot.name, &fingerprint);
-        }
         match &result {
             Attempt::Finished => self.clear_suspect(&job.fingerprint),
             Attempt::Failed { .. } | Attempt::NotResident => {
@@ -410,7 +407,7 @@
             ChunkVerdict::Forward | ChunkVerdict::Finish(_) => {}
         }
         if first {
-            self.note_first_token(job.started, &job.call.id);
+            self.note_stage(&job.call.id, RequestStage::FirstToken, job.started);
         }
         if tokens.send(Ok(chunk)).await.is_err() {
             return Ok(Some(Attempt::Abandoned));
@@ -424,12 +421,6 @@
         }
     }
 
-    fn note_first_token(&self, started: Instant, id: &SmolStr) {
-        self.metrics
-            .observe(&self.metrics.first_token, started.elapsed());
-        self.note_stage(id, RequestStage::FirstToken, started);
-    }
-
     /// Tells a request that waits in the engine's own queue from one whose engine is dead or stuck.
     ///
     /// It waits if it has no token of this engine yet and the same engine process reports waiting requests. After
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -50,6 +50,22 @@
     /// Incarnation of the engine as last reported.
     pub incarnation: u64,
     _guard: DispatchGuard,
+    _suspect: Option<SuspectGuard>,
+}
+
+/// Keeps other suspects away from a server until it is dropped, however the request ends.
+#[derive(Debug)]
+struct SuspectGuard {
+    suspects: Arc<Mutex<SuspectTable>>,
+    server: SmolStr,
+    fingerprint: KeyDigest,
+}
+
+impl Drop for SuspectGuard {
+    fn drop(&mut self) {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.finish(&self.server, &self.fingerprint);
+    }
 }
 
 /// A request in a queue.
@@ -218,11 +234,7 @@
         }
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         let tried = route.avoid.len();
-        let busy = fleet
-            .views()
-            .iter()
-            .filter(|view| suspects.is_busy(&view.name));
-        route.avoid.extend(busy.map(|view| view.name.clone()));
+        route.avoid.extend(suspects.busy_servers().cloned());
         let mut position = self.routing.choose_in(&route, &fleet, now);
         if position.is_none() && need.suspect.is_none() && route.avoid.len() > tried {
             // Sharing a server with a suspect is better than waiting for it to end.
@@ -231,15 +243,21 @@
         }
         let position = position?;
         let view = &fleet.views()[position];
-        if let Some(fingerprint) = need.suspect {
+        let suspect = need.suspect.map(|fingerprint| {
             suspects.start(&view.name, fingerprint);
-        }
+            SuspectGuard {
+                suspects: self.suspects.clone(),
+                server: view.name.clone(),
+                fingerprint,
+            }
+        });
         Some(ServerSlot {
             name: view.name.clone(),
             address: view.address,
             version: route.version,
             incarnation: view.report.incarnation,
             _guard: fleet.handle(position).begin(),
+            _suspect: suspect,
         })
     }
 
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -23,6 +23,11 @@
 const MAX_ROUNDS: usize = 3;
 /// Longest wait for one round, so that an unreachable lender does not use up the deadline.
 const ROUND_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait for the own bucket to refill. A request that is within its team's rate is delayed a little instead of
+/// refused; longer waits would let a team above its rate pile up requests here.
+const MAX_REFILL_WAIT: Duration = Duration::from_millis(250);
+/// Shortest wait for a refill, so that a request does not spin.
+const MIN_REFILL_WAIT: Duration = Duration::from_millis(10);
 /// Shortest `Retry-After`, below which callers would only add load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -163,6 +168,14 @@
         }
     }
 
+    /// Returns the time in which the own share and what the peers spare make up for missing tokens, if ever.
+    fn refill_wait(&self, team: &SmolStr, missing: u64, refill: TeamRefill) -> Option<Duration> {
+        let lenders = self.board.lenders(team, refill, Instant::now());
+        let short = missing.saturating_sub(total(&lenders));
+        let micros = short.saturating_mul(1_000_000).checked_div(refill.rate)?;
+        Some(Duration::from_micros(micros).max(MIN_REFILL_WAIT))
+    }
+
     /// Creates the refusal of a request for which tokens are missing fleet-wide.
     fn refusal(&self, team: &SmolStr, missing: u64, refill: TeamRefill) -> Error {
         let lenders = self.board.lenders(team, refill, Instant::now());
@@ -183,24 +196,27 @@
     type Charge = LimitCharge;
 
     async fn charge(&self, team: &SmolStr, tokens: u64, deadline: Instant) -> Result<Self::Charge> {
-        for _ in 0..MAX_ROUNDS {
+        let refill_deadline = deadline.min(Instant::now() + MAX_REFILL_WAIT);
+        let mut rounds = 0;
+        loop {
             let (missing, refill) = match self.try_charge(team, tokens) {
                 Ok(charge) => return Ok(charge),
                 Err(Shortage::Missing { tokens, refill }) => (tokens, refill),
                 Err(shortage) => return Err(refuse_at_once(team, tokens, shortage)),
             };
-            if !self.borrow(team, missing, refill, deadline).await {
-                break;
+            rounds += 1;
+            if rounds <= MAX_ROUNDS && self.borrow(team, missing, refill, deadline).await {
+                continue;
+            }
+            let refusal = self.refusal(team, missing, refill);
+            let Some(wait) = self.refill_wait(team, missing, refill) else {
+                return Err(refusal);
+            };
+            if Instant::now() + wait > refill_deadline {
+                return Err(refusal);
             }
+            tokio::time::sleep(wait).await;
         }
-        self.try_charge(team, tokens)
-            .map_err(|shortage| match shortage {
-                Shortage::Missing {
-                    tokens: missing,
-                    refill,
-                } => self.refusal(team, missing, refill),
-                other => refuse_at_once(team, tokens, other),
-            })
     }
 }
 
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -108,6 +108,11 @@
         true
     }
 
+    /// Returns the backend servers on which a suspect runs.
+    pub fn busy_servers(&self) -> impl Iterator<Item = &SmolStr> {
+        self.running.keys()
+    }
+
     /// Returns whether a suspect runs on a backend server.
     pub fn is_busy(&self, server: &SmolStr) -> bool {
         self.running.contains_key(server)
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -5,4 +5,5 @@
 #[path = "../process_support/mod.rs"]
 mod process_support;
 mod stale_load_report;
+mod suspect_reservation;
 mod wait_in_engine;
