--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use crate::admin::{AdminServer, AdminSources};
@@ -16,7 +16,7 @@
 use crate::currency::ViewCurrency;
 use crate::daemon::dump::DaemonState;
 use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
-use crate::daemon::peers::{DaemonPeers, DaemonStatus, PeerLink};
+use crate::daemon::peers::{DaemonPeers, DaemonStatus};
 use crate::daemon::tasks::{ReportInbox, TaskContext};
 use crate::dispatch::{AccessGate, DemandMeter, DispatchContext, RequestDispatcher, WaitRoom};
 use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
@@ -93,7 +93,7 @@
 struct CoreServices {
     journal: Arc<HttpJournal>,
     timer: TimerService,
-    link: Arc<PeerLink>,
+    client: Arc<PeerClient>,
     board: Arc<PeerBoard>,
     replica: Arc<Replica>,
     limits: Arc<Limits>,
@@ -250,12 +250,20 @@
     let client = Arc::new(PeerClient::open(group));
     let engine = Arc::new(Engine::open(EngineTimeouts::default()));
     let board = Arc::new(PeerBoard::new());
-    let link = Arc::new(PeerLink::new(client.clone()));
+    let known_members = Arc::new(OnceLock::new());
+    let replica_peers =
+        peers::replica_peers(settings, client.clone(), vms.clone(), known_members.clone());
     let options = ReplicaOptions {
         vm: settings.vm.clone(),
         snapshot_period: SNAPSHOT_PERIOD,
     };
-    let replica = Replica::spawn(group, &timer, journal.clone(), link.clone(), options);
+    let replica = Replica::spawn(
+        group,
+        &timer,
+        journal.clone(),
+        Arc::new(replica_peers),
+        options,
+    );
     let replica = kernel.register(service_name::REPLICA, Arc::new(replica))?;
     let teams = tasks::follow_teams(group, &replica);
     let limits = Limits::open(group, teams, board.clone(), client.clone());
@@ -292,14 +300,15 @@
         MemberParts {
             journal: journal.clone(),
             vms,
-            caller: client,
+            caller: client.clone(),
             board: board.clone(),
             sink: limits.clone(),
             source: Arc::new(status),
         },
     );
     let members = kernel.register(service_name::MEMBERS, Arc::new(members))?;
-    link.set_members(members.clone());
+    // This is the only place that sets it.
+    let _ = known_members.set(members.clone());
     let claim_settings = ClaimSettings {
         memory: settings.timing.claim_memory,
         claim_wait: settings.timing.claim_wait,
@@ -310,7 +319,7 @@
     let core = CoreServices {
         journal,
         timer,
-        link,
+        client,
         board,
         replica: kernel.find(service_name::REPLICA)?,
         limits: kernel.find(service_name::LIMITS)?,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,9 +1,7 @@
 //! What this daemon tells other daemons, and what it asks them.
 
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
 
-use futures_util::future::join_all;
 use smol_str::SmolStr;
 
 use crate::daemon::CoreServices;
@@ -13,65 +11,36 @@
 use crate::ids::LogOffset;
 use crate::member::StatusSource;
 use crate::operator::MemberLister;
-use crate::peer::{PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest};
+use crate::peer::{PeerClient, PeerHandler, PeerReply, PeerRequest};
 use crate::placement::DemandBoard;
+use crate::platform::HttpVmList;
 use crate::proto;
-use crate::replica::ReplicaPeers;
+use crate::replica::{FleetPeers, ReplicaPeers, first_in_rendezvous_order};
+use crate::settings::DaemonSettings;
 
-/// Longest wait for a peer's whole state.
-const STATE_TIME: Duration = Duration::from_secs(5);
+/// Rendezvous topic of the daemon that writes snapshots.
+const SNAPSHOT_TOPIC: &str = "snapshots";
 
-/// Calls to peers before and after the membership is known.
-pub(super) struct PeerLink {
+/// Peers of the replica, which starts before the membership service that `members` is set to.
+///
+/// A wrong view of the members costs a double snapshot, or one that another daemon writes later.
+pub(super) fn replica_peers(
+    settings: &DaemonSettings,
     client: Arc<PeerClient>,
-    members: OnceLock<Arc<Members>>,
-}
-
-impl PeerLink {
-    pub(super) fn new(client: Arc<PeerClient>) -> Self {
-        Self {
-            client,
-            members: OnceLock::new(),
-        }
-    }
-
-    pub(super) fn set_members(&self, members: Arc<Members>) {
-        // Called once, while the daemon is wired.
-        let _ = self.members.set(members);
-    }
-
-    pub(super) fn client(&self) -> &PeerClient {
-        &self.client
-    }
-}
-
-impl ReplicaPeers for PeerLink {
-    async fn fetch_states(&self) -> Vec<Vec<u8>> {
-        let Some(members) = self.members.get() else {
-            return Vec::new();
+    vms: Arc<HttpVmList>,
+    members: Arc<OnceLock<Arc<Members>>>,
+) -> impl ReplicaPeers {
+    let own = settings.vm.clone();
+    let writes_snapshots = move || {
+        let Some(members) = members.get() else {
+            return false;
         };
-        let addresses = members.peer_addresses();
-        let calls = addresses.into_iter().map(|address| {
-            self.client
-                .call(address, PeerRequest::FetchState, STATE_TIME)
-        });
-        let replies = join_all(calls).await.into_iter();
-        let states = replies.filter_map(|reply| match reply {
-            Ok(PeerReply::State(state)) => Some(state),
-            _ => None,
-        });
-        states.collect()
-    }
-
-    fn writes_snapshots(&self) -> bool {
-        // The lowest incarnation writes; a wrong view of the members costs a double snapshot at most.
-        self.members.get().is_some_and(|members| {
-            members
-                .members()
-                .first()
-                .is_some_and(|(vm, _)| *vm == members.vm())
-        })
-    }
+        let entries = members.members().into_iter();
+        let names: Vec<SmolStr> = entries.map(|(_, entry)| entry.name).collect();
+        first_in_rendezvous_order(SNAPSHOT_TOPIC, &names) == Some(&own)
+    };
+    let address = settings.listen.advertised_peer();
+    FleetPeers::new(client, vms, address, writes_snapshots)
 }
 
 /// The parts of this daemon's status that the membership service does not know.
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -184,7 +184,7 @@
     let mut ticks = core.timer.every(PUSH_PERIOD);
     let mut catalogs = core.replica.subscribe();
     let (replica, members) = (core.replica.clone(), core.members.clone());
-    let (link, board) = (core.link.clone(), core.board.clone());
+    let (client, board) = (core.client.clone(), core.board.clone());
     group.spawn_cancellable(async move {
         let mut pushed: HashMap<SocketAddr, LogOffset> = HashMap::new();
         loop {
@@ -214,7 +214,7 @@
                     records: records.records,
                 };
                 pushed.insert(address, next);
-                Some(link.client().call(address, request, PEER_TIME))
+                Some(client.call(address, request, PEER_TIME))
             });
             // A lost push is repeated after the peer's next status.
             join_all(calls.collect::<Vec<_>>()).await;
@@ -229,7 +229,7 @@
 ) {
     let mut ticks = core.timer.every(DEMAND_PERIOD);
     let (members, board) = (core.members.clone(), core.demand.clone());
-    let (link, context) = (core.link.clone(), context.clone());
+    let (client, context) = (core.client.clone(), context.clone());
     group.spawn_cancellable(async move {
         while ticks.next().await.is_some() {
             let waiting = context.dispatcher.waiting().into_iter();
@@ -245,8 +245,7 @@
             };
             let planners = planner_addresses(&members).into_iter();
             let others = planners.filter(|address| *address != context.peer);
-            let calls =
-                others.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            let calls = others.map(|address| client.call(address, request.clone(), PEER_TIME));
             // Demand that is lost makes a planner slower only.
             join_all(calls).await;
         }
@@ -269,7 +268,7 @@
     context: &Arc<TaskContext<P>>,
 ) {
     let mut ticks = core.timer.every(NOTICE_PERIOD);
-    let (members, link) = (core.members.clone(), core.link.clone());
+    let (members, client) = (core.members.clone(), core.client.clone());
     let context = context.clone();
     group.spawn_cancellable(async move {
         while ticks.next().await.is_some() {
@@ -279,8 +278,7 @@
             }
             let request = PeerRequest::Suspects(notices);
             let peers = members.peer_addresses().into_iter();
-            let calls =
-                peers.map(|address| link.client().call(address, request.clone(), PEER_TIME));
+            let calls = peers.map(|address| client.call(address, request.clone(), PEER_TIME));
             join_all(calls).await;
         }
     });
