Exit with 2 on usage errors of the command line

Cause: the argument parser's own exit code is 1, which the documented exit codes give to input that the daemon refused.

Change: the binary maps early exits of the parser itself: help exits with 0, usage errors with 2.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 
 use argh::FromArgs;
 use eyre::WrapErr;
-use foxtailhill::op::OpArgs;
+use foxtailhill::op::{OpArgs, OpExit};
 use foxtailhill::settings::DaemonSettings;
 use foxtailhill::{admin, daemon, declaration, logging, op};
 use tokio::signal::unix::{SignalKind, signal};
@@ -58,7 +58,10 @@
 }
 
 fn main() -> ExitCode {
-    let args: MainArgs = argh::from_env();
+    let args = match parse_args() {
+        Ok(args) => args,
+        Err(exit) => return exit,
+    };
     match run(args.command) {
         Ok(code) => code,
         Err(report) => {
@@ -68,6 +71,25 @@
     }
 }
 
+/// Reads the command line. Help goes to standard output; other early exits are usage errors.
+fn parse_args() -> Result<MainArgs, ExitCode> {
+    let words: Vec<String> = std::env::args_os()
+        .skip(1)
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    MainArgs::from_args(&["foxtailhill"], &words).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            OpExit::Usage.into()
+        }
+    })
+}
+
 fn run(command: MainCommand) -> eyre::Result<ExitCode> {
     match command {
         MainCommand::Serve(args) => {
