Refuse with 503 before the configuration is loaded

Cause: a process that had just started answered from its empty catalog, so callers that a lagging balancer still sent there were told with 404 that a declared model or route does not exist. Clients take 404 as final.

Change: model calls and calls on routes get `unavailable` with `not_run` while no configuration record is applied. This also holds for a fleet in which nothing is declared yet.

The rest of the test suite was not run.

--- a/src/dispatch/access.rs
+++ b/src/dispatch/access.rs
@@ -9,7 +9,7 @@
 use crate::catalog::{FleetCatalog, ModelSpec, RouteSpec};
 use crate::currency::ViewCurrency;
 use crate::error::{Category, Error, Result};
-use crate::ids::KeyDigest;
+use crate::ids::{KeyDigest, LogOffset};
 
 /// Says for whom a request runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +52,19 @@
         self.catalogs.borrow().clone()
     }
 
+    /// Returns the latest catalog for a request.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` before any configuration is loaded, as nothing can be said of models and routes then.
+    pub fn loaded_catalog(&self) -> Result<Arc<FleetCatalog>> {
+        let catalog = self.catalog();
+        if catalog.next_offset() == LogOffset(0) {
+            return Err(Error::unavailable("the configuration is not loaded yet"));
+        }
+        Ok(catalog)
+    }
+
     /// Returns a receiver that is woken by each new catalog.
     pub fn subscribe(&self) -> watch::Receiver<Arc<FleetCatalog>> {
         self.catalogs.clone()
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -153,7 +153,7 @@
         call: ModelCall,
     ) -> Result<ModelJob<<P::Limiter as TokenLimiter>::Charge>> {
         let started = Instant::now();
-        let catalog = self.gate.catalog();
+        let catalog = self.gate.loaded_catalog()?;
         let name = ModelName::parse(&call.model);
         let model = find_model(&catalog, &name)?;
         let grant = self.gate.model(&catalog, model, call.key.as_deref())?;
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -75,7 +75,7 @@
         &self,
         call: ServiceCall,
     ) -> Result<ServiceJob<<P::Limiter as TokenLimiter>::Charge>> {
-        let catalog = self.gate.catalog();
+        let catalog = self.gate.loaded_catalog()?;
         let path = call.path.split('?').next().unwrap_or_default();
         let route = catalog
             .route_for_path(path)
