--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,8 +2,8 @@
 
 mod demand_board_deadlock;
 mod key_in_debug_form;
-#[path = "../process_support/mod.rs"]
 mod process_support;
 mod stale_load_report;
 mod suspect_reservation;
+mod usage_exit_code;
 mod wait_in_engine;
