Count the death of a plain service only if it refuses connections

Cause: each lost answer of a plain service counted as its death, so two of them put all calls of the team with that path and body in quarantine for 10 min.

Change: a connection to the service is tried first; only a refused one counts as a death.

--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -1,5 +1,7 @@
 //! Calls to plain services, repeatable or not.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -7,6 +9,7 @@
 use http::HeaderMap;
 use http::header::{ACCEPT, ACCEPT_LANGUAGE, CONTENT_ENCODING, CONTENT_TYPE, HeaderName};
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use crate::catalog::{RouteSpec, RouteTarget};
@@ -25,6 +28,8 @@
 const MAX_ATTEMPTS: usize = 3;
 /// Longest wait for a free plain service.
 const SERVICE_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait for the connection that tells whether a service died.
+const PROBE_TIME: Duration = Duration::from_millis(500);
 /// Pause between two looks for a free plain service.
 const SERVICE_POLL: Duration = Duration::from_millis(10);
 /// Header by which a caller names a non-repeatable request; it is sent on to the service.
@@ -249,7 +254,10 @@
                 }
                 self.room.fleet().call_failed(&name);
                 let broken = error.category() == Category::Unavailable;
-                if broken && error.verdict() == RunVerdict::MayHaveRun {
+                if broken
+                    && error.verdict() == RunVerdict::MayHaveRun
+                    && refuses_connections(address).await
+                {
                     self.record_death(job.fingerprint);
                 }
                 avoid.push(name);
@@ -284,6 +292,12 @@
     }
 }
 
+/// Tells a service that died from one whose answer was lost on the way: nothing listens on its address any more.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let probe = tokio::time::timeout(PROBE_TIME, TcpStream::connect(address)).await;
+    matches!(probe, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Returns the parts of a call that reach a backend server.
 fn sent_parts(call: &ServiceCall) -> Vec<&[u8]> {
     let headers = FORWARDED_HEADERS
