--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -1,8 +1,10 @@
 //! One module per fault that was found and fixed.
 
+#[path = "../process_support/mod.rs"]
+mod process_support;
+
 mod demand_board_deadlock;
 mod key_in_debug_form;
-mod process_support;
 mod stale_load_report;
 mod suspect_reservation;
 mod usage_exit_code;
