--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -5,6 +5,7 @@
 mod process_support;
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use eyre::{OptionExt, ensure};
@@ -42,8 +43,13 @@
 }
 
 async fn submit(cluster: &TestCluster, daemon: usize, key: &str) -> eyre::Result<CallerAnswer> {
-    let address = cluster.daemons[daemon].addresses().caller;
-    support::caller().submit(address, PATH, key, BODY).await
+    submit_to(cluster.daemons[daemon].addresses().caller, key).await
+}
+
+/// Sends a call whose body differs from that of other keys, so that no quarantine for another call meets it.
+async fn submit_to(daemon: SocketAddr, key: &str) -> eyre::Result<CallerAnswer> {
+    let body = format!("{BODY} of {key}");
+    support::caller().submit(daemon, PATH, key, &body).await
 }
 
 fn executions(cluster: &TestCluster, key: &str) -> u64 {
@@ -220,7 +226,7 @@
         let address = cluster.daemons[victim].addresses().caller;
         let holder = tokio::spawn({
             let key = key.clone();
-            async move { support::caller().submit(address, PATH, &key, BODY).await }
+            async move { submit_to(address, &key).await }
         });
         support::wait_until("the call reaches a service", || {
             received(&cluster, &key) == 1
@@ -344,7 +350,7 @@
         let address = cluster.daemons[victim].addresses().caller;
         let holder = tokio::spawn({
             let key = key.clone();
-            async move { support::caller().submit(address, PATH, &key, BODY).await }
+            async move { submit_to(address, &key).await }
         });
         support::wait_until("the claim is written", || claim_records(&cluster) > before).await?;
         cluster.daemons[victim].pause()?;
