Let the engine stand-in's test give up at the first timeout

Cause: the whole test command hung in standins/tests/engine.rs. The adapter's token stream reports a timeout and goes on since the request may wait in the engine's queue; the test collected until the end of a stream that never ends. Ruled out: the engine stand-in, whose other nine tests pass. Change: the test's consumer stops at the first timeout, as the dispatcher may. Its assertions are the same. Result: before, the run hung; after, all ten tests of the file pass. The rest of the command had passed up to that file.

--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -58,8 +58,17 @@
     engine: &EngineStandin,
     request: &EngineRequest,
 ) -> Result<Vec<Result<EngineChunk>>> {
-    let tokens = client.complete(engine.address(), request).await?;
-    Ok(tokens.collect().await)
+    let mut tokens = client.complete(engine.address(), request).await?;
+    let mut chunks = Vec::new();
+    while let Some(chunk) = tokens.next().await {
+        // A timeout does not end the stream; this consumer gives up at the first one.
+        let gives_up = matches!(&chunk, Err(error) if error.category() == Category::Timeout);
+        chunks.push(chunk);
+        if gives_up {
+            break;
+        }
+    }
+    Ok(chunks)
 }
 
 async fn wait_until(condition: impl Fn() -> bool) {
