--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -196,9 +196,6 @@
     /// Time for which idempotency keys are remembered, at most the log's retention; default 24 h, 1 s to 7 days.
     #[serde(deserialize_with = "parse::term")]
     pub claim_memory: Duration,
-    /// Period of status exchange with other daemons; default 500 ms, 10 ms to 10 min.
-    #[serde(deserialize_with = "parse::positive_wait")]
-    pub status_period: Duration,
     /// Period of load reports from each backend server; default 500 ms, 10 ms to 10 min.
     #[serde(deserialize_with = "parse::positive_wait")]
     pub report_period: Duration,
@@ -238,7 +235,6 @@
             drain: Duration::from_secs(300),
             claim_wait: Duration::from_secs(2),
             claim_memory: Duration::from_secs(24 * 3600),
-            status_period: Duration::from_millis(500),
             report_period: Duration::from_millis(500),
         }
     }
--- a/standins/src/cluster/settings.rs
+++ b/standins/src/cluster/settings.rs
@@ -46,7 +46,6 @@
         "timing": {
             "term": "5s",
             "balancer_lag": "200ms",
-            "status_period": "100ms",
             "report_period": "50ms",
         },
     });
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -29,7 +29,7 @@
 async fn open(grace: Duration, proxied: bool) -> eyre::Result<TestCluster> {
     let mut settings = serde_json::Map::new();
     // The term outlasts each cut, so that the view alone decides about keys.
-    let timing = json!({"term": "60s", "balancer_lag": "200ms", "status_period": "100ms", "report_period": "50ms"});
+    let timing = json!({"term": "60s", "balancer_lag": "200ms", "report_period": "50ms"});
     settings.insert("timing".into(), timing);
     let mut cluster = TestCluster::open(ClusterOptions {
         proxied,
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -41,7 +41,7 @@
 async fn open() -> eyre::Result<TestCluster> {
     let mut settings = serde_json::Map::new();
     let timing = json!({
-        "term": "5s", "status_period": "100ms", "report_period": "50ms",
+        "term": "5s", "report_period": "50ms",
         "balancer_lag": format!("{}ms", BALANCER_LAG.as_millis()),
         "drain": format!("{}s", DRAIN.as_secs()),
     });
