Answer configuration calls of peers in one place

Cause: a read of the whole change found two pieces written twice. The daemon's peer handler repeated what CatalogReplica::answer_peer does for PushConfig and FetchState, and ClaimService had check_key as a method of its own and again as a forwarding method of ClaimKeeper. Change: the handler leaves both calls to answer_peer; check_key stands in the trait's implementation only. Result: behaviour is the same. The whole test command was not run again.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -51,11 +51,12 @@
 
 /// Decides which daemon may dispatch a non-repeatable request.
 pub trait ClaimKeeper: Send + Sync + 'static {
-    /// Checks that an idempotency key is not older than keys are remembered.
+    /// Refuses a time-ordered idempotency key (UUIDv7) that the claim memory may not cover.
     ///
     /// # Errors
     ///
-    /// `Conflict` with `MayHaveRun` if the key carries a time that is too old.
+    /// `Conflict` with `MayHaveRun` if the key is too old; `Unavailable` with `NotRun` if the stream has not
+    /// been replayed yet, since the age that it covers is unknown until then.
     fn check_key(&self, key: &str) -> Result<()>;
 
     /// Claims `key` for a request with this body.
--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -230,23 +230,6 @@
         Self { shared }
     }
 
-    /// Refuses a time-ordered idempotency key (UUIDv7) that the claim memory may not cover.
-    ///
-    /// # Errors
-    ///
-    /// `Conflict` with `MayHaveRun` if the key is too old; `Unavailable` with `NotRun` if the stream has not
-    /// been replayed yet, since the age that it covers is unknown until then.
-    pub fn check_key(&self, key: &str) -> Result<()> {
-        if key_time_ms(key).is_none() {
-            return Ok(());
-        }
-        if self.caught_up_at().is_none() {
-            return Err(Error::unavailable("the claims have not been replayed yet"));
-        }
-        let since_ms = self.shared.state().table.complete_since_ms();
-        check_key_age(key, self.shared.settings.memory, wall_clock_ms(), since_ms)
-    }
-
     /// Returns the time before the last read that reached the end of the stream.
     pub fn caught_up_at(&self) -> Option<Instant> {
         *self.shared.caught_up.borrow()
@@ -333,7 +316,14 @@
 
 impl<J: JournalClient> ClaimKeeper for ClaimService<J> {
     fn check_key(&self, key: &str) -> Result<()> {
-        Self::check_key(self, key)
+        if key_time_ms(key).is_none() {
+            return Ok(());
+        }
+        if self.caught_up_at().is_none() {
+            return Err(Error::unavailable("the claims have not been replayed yet"));
+        }
+        let since_ms = self.shared.state().table.complete_since_ms();
+        check_key_age(key, self.shared.settings.memory, wall_clock_ms(), since_ms)
     }
 
     async fn claim(&self, key: ClaimKey, body: KeyDigest) -> Result<ClaimVerdict> {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -114,9 +114,6 @@
                 team,
                 tokens,
             } => Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens))),
-            PeerRequest::PushConfig { first, records } => {
-                Ok(PeerReply::Applied(self.replica.push(first, &records)))
-            }
             PeerRequest::Suspects(notices) => {
                 self.dispatcher.apply_notices(&notices);
                 Ok(PeerReply::Done)
@@ -126,12 +123,10 @@
                     .note(reporter, &demands, std::time::Instant::now());
                 Ok(PeerReply::Done)
             }
-            PeerRequest::FetchState => {
-                let state = self.replica.encode_state();
-                state
-                    .map(PeerReply::State)
-                    .map_err(|error| Error::unavailable(error.message()))
-            }
+            other => self
+                .replica
+                .answer_peer(&other)
+                .unwrap_or_else(|| Err(Error::internal("no service answers this peer call"))),
         }
     }
 }
