--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -31,7 +31,7 @@
 use crate::operator::OperatorServer;
 use crate::peer::{PeerClient, PeerServer};
 use crate::placement::DemandBoard;
-use crate::platform::HttpVmList;
+use crate::inventory::HttpVmList;
 use crate::replica::ReplicaOptions;
 use crate::routing::PrefixIndex;
 use crate::settings::DaemonSettings;
--- a/src/daemon/parts.rs
+++ b/src/daemon/parts.rs
@@ -14,7 +14,7 @@
 use crate::member::MemberService;
 use crate::peer::PeerClient;
 use crate::placement::{FloorFirstPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy};
-use crate::platform::{HttpVmList, VmList};
+use crate::inventory::{HttpVmList, VmList};
 use crate::queue::{FifoQueue, WaitQueue};
 use crate::replica::CatalogReplica;
 use crate::routing::{ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy};
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -13,7 +13,7 @@
 use crate::operator::MemberLister;
 use crate::peer::{PeerClient, PeerHandler, PeerReply, PeerRequest};
 use crate::placement::DemandBoard;
-use crate::platform::HttpVmList;
+use crate::inventory::HttpVmList;
 use crate::proto;
 use crate::replica::{FleetPeers, ReplicaPeers, first_in_rendezvous_order};
 use crate::settings::DaemonSettings;
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -20,7 +20,7 @@
 use crate::kernel::TaskGroup;
 use crate::metrics::DaemonMetrics;
 use crate::peer::{PeerCaller, PeerRequest};
-use crate::platform::{VmRole, VmState};
+use crate::inventory::{VmRole, VmState};
 use crate::settings::DaemonSettings;
 
 /// Period in which the view's age is judged; well below the age that isolates a daemon.
--- a/src/platform/vms.rs
+++ b/src/inventory/vms.rs
@@ -7,7 +7,7 @@
 use http::Method;
 
 use crate::error::{Result, RunVerdict};
-use crate::platform::{ListedVm, VmList};
+use crate::inventory::{ListedVm, VmList};
 use crate::wire::{self, HttpCaller};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/platform/weights.rs
+++ b/src/inventory/weights.rs
@@ -7,7 +7,7 @@
 use http::Method;
 
 use crate::error::{Result, RunVerdict};
-use crate::platform::{StoreLoad, WeightStore};
+use crate::inventory::{StoreLoad, WeightStore};
 use crate::wire::{self, HttpCaller};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -17,7 +17,7 @@
     StatusSource, ViewEvidence, ZonePlanner,
 };
 use crate::peer::{PeerCaller, PeerReply, PeerRequest, PeerStatus};
-use crate::platform::VmList;
+use crate::inventory::VmList;
 use crate::timer::TimerService;
 
 /// Records per read.
--- a/src/replica/peers.rs
+++ b/src/replica/peers.rs
@@ -12,7 +12,7 @@
 use crate::ids::LogOffset;
 use crate::journal::JournalClient;
 use crate::peer::{PeerCaller, PeerReply, PeerRequest};
-use crate::platform::{VmList, VmRole};
+use crate::inventory::{VmList, VmRole};
 use crate::replica::{CatalogReplica, ConfigRecords, ReplicaPeers};
 
 /// Longest wait for a peer's offset, and for its state.
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -18,7 +18,7 @@
 use crate::catalog::BackendSpec;
 use crate::engine::{EngineClient, LoadReport};
 use crate::kernel::TaskGroup;
-use crate::platform::{ListedVm, VmList, VmRole, VmState};
+use crate::inventory::{ListedVm, VmList, VmRole, VmState};
 use crate::routing::{FleetSnapshot, PrefixIndex, ServerHandle};
 use crate::timer::TimerService;
 
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -28,7 +28,7 @@
 
 use eyre::{WrapErr, ensure};
 use foxtailhill::op::OpExit;
-use foxtailhill::platform::{ListedVm, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use serde_json::Value;
 use smol_str::SmolStr;
 
--- a/standins/src/local.rs
+++ b/standins/src/local.rs
@@ -7,7 +7,7 @@
 use eyre::{ensure, eyre};
 use foxtailhill::daemon::{self, DaemonHandle, PolicyParts};
 use foxtailhill::op::{self, OpArgs, OpExit};
-use foxtailhill::platform::{ListedVm, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use foxtailhill::settings::DaemonSettings;
 use serde_json::Value;
 use tokio::net::TcpSocket;
--- a/standins/src/vm_list.rs
+++ b/standins/src/vm_list.rs
@@ -13,7 +13,7 @@
 use axum::routing::{delete, get, post};
 use axum::{Json, Router};
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill::platform::{ListedVm, VmState};
+use foxtailhill::inventory::{ListedVm, VmState};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/standins/src/weight_store.rs
+++ b/standins/src/weight_store.rs
@@ -13,7 +13,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill::platform::StoreLoad;
+use foxtailhill::inventory::StoreLoad;
 use http::StatusCode;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
--- a/standins/tests/adapters.rs
+++ b/standins/tests/adapters.rs
@@ -9,7 +9,7 @@
 use foxtailhill::engine::{EngineChunk, EngineClient, EngineRequest, HttpEngine};
 use foxtailhill::ids::LogOffset;
 use foxtailhill::journal::{HttpJournal, JournalClient, ReadBatch, StreamName};
-use foxtailhill::platform::{HttpVmList, HttpWeightStore, VmList, WeightStore};
+use foxtailhill::inventory::{HttpVmList, HttpWeightStore, VmList, WeightStore};
 use foxtailhill::{Category, Error, Result, RunVerdict};
 use foxtailhill_standins::any_port;
 use futures_util::StreamExt;
--- a/standins/tests/cluster.rs
+++ b/standins/tests/cluster.rs
@@ -5,7 +5,7 @@
 
 use foxtailhill::engine::{HttpService, ServiceClient, ServiceRequest};
 use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
-use foxtailhill::platform::{HttpVmList, VmList};
+use foxtailhill::inventory::{HttpVmList, VmList};
 use foxtailhill::settings::DaemonSettings;
 use foxtailhill_standins::client::JsonClient;
 use foxtailhill_standins::cluster::{
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -6,7 +6,7 @@
 use foxtailhill::RunVerdict;
 use foxtailhill::ids::LogOffset;
 use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
-use foxtailhill::platform::{
+use foxtailhill::inventory::{
     HttpVmList, HttpWeightStore, ListedVm, VmList, VmRole, VmState, WeightStore,
 };
 use foxtailhill_standins::stream_log::{LogControl, LogOutage};
--- a/tests/fleet_sim/world.rs
+++ b/tests/fleet_sim/world.rs
@@ -9,7 +9,7 @@
 use foxtailhill::journal::{LogRecord, ReadBatch, StreamBounds};
 use foxtailhill::member::MemberRecord;
 use foxtailhill::peer::{PeerStatus, TokenLoan};
-use foxtailhill::platform::{ListedVm, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use rand::Rng;
 use rand::rngs::StdRng;
 
--- a/tests/member_agent.rs
+++ b/tests/member_agent.rs
@@ -13,7 +13,7 @@
 use foxtailhill::journal::{LogRecord, ReadBatch, StreamBounds};
 use foxtailhill::member::{AgentSettings, MemberAgent, MemberRecord, PeerBoard};
 use foxtailhill::peer::PeerStatus;
-use foxtailhill::platform::{ListedVm, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 
 const TERM: Duration = Duration::from_secs(30);
 const LAG: Duration = Duration::from_secs(20);
--- a/tests/member_support/mod.rs
+++ b/tests/member_support/mod.rs
@@ -20,7 +20,7 @@
     MemberParts, MemberRecord, MemberService, MemberSettings, PeerBoard, StatusSource,
 };
 use foxtailhill::peer::{PeerReply, PeerRequest};
-use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::timer::TimerService;
 use foxtailhill::{Error, Result, RunVerdict};
 use smol_str::SmolStr;
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -13,7 +13,7 @@
 use foxtailhill::journal::StreamName;
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
-use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::replica::{
     CatalogReplica, FleetPeers, ReplicaOptions, ReplicaPeers, decode_state, encode_state,
     first_in_rendezvous_order,
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -16,7 +16,7 @@
 };
 use foxtailhill::error::{Error, Result};
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill::platform::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex, RouteNeed, RoutingPolicy};
 use foxtailhill::timer::TimerService;
 use foxtailhill::watch::{FleetWatch, WatchSettings};
