--- /dev/null
+++ b/src/settings/relay.rs
@@ -0,0 +1,132 @@
+//! Settings of a daemon on the users' platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::error::Result;
+use crate::settings::{LimitSettings, LogSettings, parse, parse_text, read_text};
+
+/// All settings of one daemon that finds its configuration and backend servers in the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Name of this VM, unique in the fleet.
+    #[serde(deserialize_with = "parse::name")]
+    pub vm: SmolStr,
+    /// Availability zone of this VM.
+    #[serde(deserialize_with = "parse::name")]
+    pub zone: SmolStr,
+    pub listen: RelayListen,
+    pub store: StoreSettings,
+    #[serde(default)]
+    pub retries: RetrySettings,
+    #[serde(default)]
+    pub log: LogSettings,
+    #[serde(default)]
+    pub limits: LimitSettings,
+    #[serde(default)]
+    pub timing: RelayTiming,
+}
+
+/// Addresses that the daemon binds.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelayListen {
+    /// HTTP for callers.
+    pub caller: SocketAddr,
+    /// HTTP for the balancer's question whether callers may come.
+    pub ready: SocketAddr,
+    /// Calls from other daemons.
+    pub peer: SocketAddr,
+    /// Datagrams from other daemons, over UDP.
+    pub pulse: SocketAddr,
+    /// Health, metrics and state dump.
+    pub admin: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    #[serde(deserialize_with = "parse::remote")]
+    pub address: SocketAddr,
+}
+
+/// Bounds on second sends of all daemons to one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetrySettings {
+    /// Second sends per 100 requests; default 20.
+    pub percent: u32,
+    /// Second sends beyond that in any window of the platform, over all daemons; default 50.
+    pub extra: u32,
+}
+
+/// Periods, terms and waits.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RelayTiming {
+    /// Time for which a renewal lets this daemon use its share; default 30 s, 1 s to 7 days.
+    #[serde(deserialize_with = "parse::term")]
+    pub term: Duration,
+    /// Time in which the balancer notices that this daemon is not ready; default 2500 ms, 0 s to 10 min.
+    #[serde(deserialize_with = "parse::wait")]
+    pub balancer_lag: Duration,
+    /// Longest wait for running requests at shutdown; default 5 s, 1 s to 7 days.
+    #[serde(deserialize_with = "parse::term")]
+    pub drain: Duration,
+    /// Longest time for which one daemon's orders may reach an engine after another took over; default 3 s,
+    /// 10 ms to 10 min.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub lease: Duration,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            percent: 20,
+            extra: 50,
+        }
+    }
+}
+
+impl Default for RelayTiming {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(30),
+            balancer_lag: Duration::from_millis(2_500),
+            drain: Duration::from_secs(5),
+            lease: Duration::from_secs(3),
+        }
+    }
+}
+
+impl RelaySettings {
+    /// Returns whether `text` holds settings of this kind: they alone name a store.
+    pub fn is_kind(text: &str) -> bool {
+        text.contains("\"store\"")
+    }
+
+    /// Reads and checks the settings in `path`.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` with the path if the file cannot be read, else with path, line and column.
+    pub fn read(path: &Path) -> Result<Self> {
+        let name = path.display().to_string();
+        Self::parse(&name, &read_text(path)?)
+    }
+
+    /// Checks the settings in `text`; `name` stands for the file in errors.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` with name, line and column.
+    pub fn parse(name: &str, text: &str) -> Result<Self> {
+        parse_text(name, text)
+    }
+}
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -17,8 +17,8 @@
 use self::server::{ReportEffect, ServerState};
 use crate::catalog::BackendSpec;
 use crate::engine::{EngineClient, LoadReport};
-use crate::kernel::TaskGroup;
 use crate::inventory::{ListedVm, VmList, VmRole, VmState};
+use crate::kernel::TaskGroup;
 use crate::routing::{FleetSnapshot, PrefixIndex, ServerHandle};
 use crate::timer::TimerService;
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -202,3 +202,30 @@
     }
     cause.to_string()
 }
+
+/// Removes the headers that concern one connection, those that `connection` names included.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<header::HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::HeaderName::from_static("keep-alive"),
+    ] {
+        headers.remove(name);
+    }
+}
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -27,8 +27,8 @@
 use std::time::Duration;
 
 use eyre::{WrapErr, ensure};
-use foxtailhill::op::OpExit;
 use foxtailhill::inventory::{ListedVm, VmRole, VmState};
+use foxtailhill::op::OpExit;
 use serde_json::Value;
 use smol_str::SmolStr;
 
--- a/standins/tests/cluster.rs
+++ b/standins/tests/cluster.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use foxtailhill::engine::{HttpService, ServiceClient, ServiceRequest};
-use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
 use foxtailhill::inventory::{HttpVmList, VmList};
+use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
 use foxtailhill::settings::DaemonSettings;
 use foxtailhill_standins::client::JsonClient;
 use foxtailhill_standins::cluster::{
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use foxtailhill::RunVerdict;
 use foxtailhill::ids::LogOffset;
-use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
 use foxtailhill::inventory::{
     HttpVmList, HttpWeightStore, ListedVm, VmList, VmRole, VmState, WeightStore,
 };
+use foxtailhill::journal::{HttpJournal, JournalClient, StreamName};
 use foxtailhill_standins::stream_log::{LogControl, LogOutage};
 use foxtailhill_standins::vm_list::VmListControl;
 use foxtailhill_standins::{
--- a/tests/fleet_sim/world.rs
+++ b/tests/fleet_sim/world.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use foxtailhill::catalog::TeamSpec;
 use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use foxtailhill::journal::{LogRecord, ReadBatch, StreamBounds};
 use foxtailhill::member::MemberRecord;
 use foxtailhill::peer::{PeerStatus, TokenLoan};
-use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use rand::Rng;
 use rand::rngs::StdRng;
 
--- a/tests/member_agent.rs
+++ b/tests/member_agent.rs
@@ -10,10 +10,10 @@
 
 use foxtailhill::Error;
 use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 use foxtailhill::journal::{LogRecord, ReadBatch, StreamBounds};
 use foxtailhill::member::{AgentSettings, MemberAgent, MemberRecord, PeerBoard};
 use foxtailhill::peer::PeerStatus;
-use foxtailhill::inventory::{ListedVm, VmRole, VmState};
 
 const TERM: Duration = Duration::from_secs(30);
 const LAG: Duration = Duration::from_secs(20);
--- a/tests/member_support/mod.rs
+++ b/tests/member_support/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use foxtailhill::catalog::TeamSpec;
 use foxtailhill::ids::LogOffset;
+use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::journal::{JournalClient, LogRecord, ReadBatch, StreamBounds, StreamName};
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::limit::LimitService;
@@ -20,7 +21,6 @@
     MemberParts, MemberRecord, MemberService, MemberSettings, PeerBoard, StatusSource,
 };
 use foxtailhill::peer::{PeerReply, PeerRequest};
-use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::timer::TimerService;
 use foxtailhill::{Error, Result, RunVerdict};
 use smol_str::SmolStr;
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -10,10 +10,10 @@
 use foxtailhill::catalog::{ApplyVerdict, ChangeCommand, Revision};
 use foxtailhill::error::{Error, Result, RunVerdict};
 use foxtailhill::ids::LogOffset;
+use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::journal::StreamName;
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
-use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
 use foxtailhill::replica::{
     CatalogReplica, FleetPeers, ReplicaOptions, ReplicaPeers, decode_state, encode_state,
     first_in_rendezvous_order,
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -15,8 +15,8 @@
     ResidentItem,
 };
 use foxtailhill::error::{Error, Result};
-use foxtailhill::kernel::TaskGroup;
 use foxtailhill::inventory::{ListedVm, VmList, VmRole, VmState};
+use foxtailhill::kernel::TaskGroup;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex, RouteNeed, RoutingPolicy};
 use foxtailhill::timer::TimerService;
 use foxtailhill::watch::{FleetWatch, WatchSettings};
