--- a/src/daemon/facts.rs
+++ b/src/daemon/facts.rs
@@ -10,8 +10,8 @@
 use crate::daemon::parts::{Members, Replica, Watch};
 use crate::ids::VmId;
 use crate::placement::{
-    AdapterFacts, DemandBoard, DemandFacts, FleetFacts, FleetView, ModelFacts, PlannerFence,
-    PlannerRole, ServerFacts,
+    AdapterFacts, DemandBoard, FleetFacts, FleetView, ModelFacts, PlannerFence, PlannerRole,
+    ServerFacts,
 };
 
 /// Facts for the order service of this daemon.
@@ -71,24 +71,11 @@
                 .replica_bytes(&model.name, &model.version)
                 .unwrap_or(model.memory_bytes),
             min_replicas: model.min_replicas,
-            demand: self.model_demand(catalog, &model.name, now),
+            demand: self.demand.model_facts(&model.name, now),
         });
         facts.collect()
     }
 
-    /// Returns the demand for a model, that for its adapters included.
-    fn model_demand(&self, catalog: &FleetCatalog, model: &SmolStr, now: Instant) -> DemandFacts {
-        let mut total = self.demand.facts(model, None, now);
-        for adapter in catalog.adapters().filter(|adapter| adapter.model == *model) {
-            let part = self.demand.facts(model, Some(&adapter.name), now);
-            total.arrivals_per_s += part.arrivals_per_s;
-            total.tokens_per_s += part.tokens_per_s;
-            total.misses_per_s += part.misses_per_s;
-            total.waiting += part.waiting;
-        }
-        total
-    }
-
     fn adapter_facts(&self, catalog: &FleetCatalog, now: Instant) -> Vec<AdapterFacts> {
         let facts = catalog.adapters().map(|adapter| AdapterFacts {
             name: adapter.name.clone(),
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -1,10 +1,13 @@
 //! One running daemon on the users' platform: the opaque edge wired to the shared request path.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use tokio::sync::mpsc;
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::dispatch::{CoreContext, CoreParts, DemandMeter, RequestCore, WaitRoom, Waiter};
@@ -15,14 +18,17 @@
 use crate::limit::LimitService;
 use crate::member::PeerBoard;
 use crate::metrics::DaemonMetrics;
-use crate::peer::{PeerClient, PeerHandler, PeerReply, PeerRequest, PeerServer, PeerStatus};
+use crate::peer::{
+    PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerServer, PeerStatus,
+};
 use crate::placement::DemandBoard;
-use crate::platform::{self, PlatformFormat, StoreClient};
+use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    DaemonRecord, DaemonRegistry, FollowPace, PlanKeeper, Pulse, PulseHandler, RegistrySettings,
-    RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryShare, ServerKeeper, StoreTable,
-    UpstreamPool, bind_ready, follow_table, spawn_pulses,
+    DaemonRecord, DaemonRegistry, FollowPace, PlaceWish, Placement, PlanKeeper, PlannerParts,
+    Pulse, PulseHandler, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
+    ReplicaPlanner, RetryShare, RoleKeeper, ServerKeeper, StoreTable, UpstreamPool, bind_ready,
+    follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -71,6 +77,16 @@
 }
 
 type Core = RequestCore<RelayParts>;
+type Planner = ReplicaPlanner<EngineClient>;
+
+/// Time constant of the demand that the layout follows: demand moves between models within seconds.
+const DEMAND_WINDOW: Duration = Duration::from_secs(4);
+/// Longest wait for the planner's answer to a wish.
+const WISH_WAIT: Duration = Duration::from_millis(1_700);
+/// Times that a wish is repeated while requests may still wait for it.
+const WISH_TRIES: usize = 3;
+/// Pause between two tries of a wish.
+const WISH_PAUSE: Duration = Duration::from_millis(150);
 
 /// Services of a running daemon, by what they know.
 struct RelayServices {
@@ -84,6 +100,9 @@
     demand: Arc<DemandBoard>,
     pool: UpstreamPool,
     core: Arc<Core>,
+    client: Arc<PeerClient>,
+    planner: Arc<Planner>,
+    leader: Arc<KnownPlanner>,
 }
 
 /// A running daemon on the platform.
@@ -126,6 +145,7 @@
     let handler = Arc::new(RelayPeers {
         limits: parts.limits.clone(),
         core: parts.core.clone(),
+        planner: parts.planner.clone(),
     });
     PeerServer::bind(services, settings.listen.peer, handler).await?;
     let pulses = Arc::new(RelayPulses::new(&parts));
@@ -149,6 +169,7 @@
             percent: settings.retries.percent,
             extra: settings.retries.extra / LEAST_DAEMONS,
         },
+        wishes: spawn_wishes(&parts, services),
     });
     let listen = &settings.listen;
     let limits = &settings.limits;
@@ -218,7 +239,7 @@
     }));
     let client = Arc::new(PeerClient::open(services));
     let board = Arc::new(PeerBoard::new());
-    let limits = LimitService::open(services, plans.teams(), board.clone(), client);
+    let limits = LimitService::open(services, plans.teams(), board.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
     let room = WaitRoom::new(
         ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), rand::random()),
@@ -239,7 +260,29 @@
         metrics: Arc::new(DaemonMetrics::new()),
         admission_limit: settings.limits.in_flight,
     });
+    let demand = Arc::new(DemandBoard::with_window(DEMAND_WINDOW));
+    let role = RoleKeeper::spawn(
+        services,
+        store.clone(),
+        settings.vm.clone(),
+        settings.timing.lease,
+    );
+    let planner = ReplicaPlanner::spawn(
+        PlannerParts {
+            name: settings.vm.clone(),
+            role,
+            control: Arc::new(EngineClient::open()),
+            fleet: fleet.clone(),
+            demand: demand.clone(),
+            plans: plans.subscribe(),
+            group: services.clone(),
+        },
+        &timer,
+    );
     RelayServices {
+        client,
+        planner,
+        leader: Arc::default(),
         store,
         timer,
         plans,
@@ -247,7 +290,7 @@
         registry,
         limits,
         board,
-        demand: Arc::new(DemandBoard::new()),
+        demand,
         pool: UpstreamPool::open(requests),
         core,
     }
@@ -307,10 +350,81 @@
     });
 }
 
+/// The daemon that gives orders, as pulses tell.
+#[derive(Default)]
+struct KnownPlanner(Mutex<Option<(u64, SocketAddr)>>);
+
+impl KnownPlanner {
+    fn note(&self, fence: u64, peer: SocketAddr) {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.is_none_or(|(newest, _)| newest <= fence) {
+            *known = Some((fence, peer));
+        }
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        known.map(|(_, peer)| peer)
+    }
+}
+
+/// Hands the wishes of requests to the planner, each item once at a time.
+fn spawn_wishes(parts: &RelayServices, group: &TaskGroup) -> mpsc::UnboundedSender<PlaceWish> {
+    let (sender, mut wishes) = mpsc::unbounded_channel();
+    let open: Arc<Mutex<HashSet<PlaceWish>>> = Arc::default();
+    let (planner, leader) = (parts.planner.clone(), parts.leader.clone());
+    let (client, fleet) = (parts.client.clone(), parts.fleet.clone());
+    let parent = group.clone();
+    group.spawn_cancellable(async move {
+        while let Some(wish) = wishes.recv().await {
+            let mut known = open.lock().unwrap_or_else(PoisonError::into_inner);
+            if !known.insert(PlaceWish::clone(&wish)) {
+                continue;
+            }
+            let (planner, leader) = (planner.clone(), leader.clone());
+            let (client, fleet, open) = (client.clone(), fleet.clone(), open.clone());
+            parent.spawn_cancellable(async move {
+                for _ in 0..WISH_TRIES {
+                    if let Some(placement) = ask(&planner, &leader, &client, &wish).await {
+                        fleet.note_placements(&[placement], Instant::now());
+                        break;
+                    }
+                    tokio::time::sleep(WISH_PAUSE).await;
+                }
+                open.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .remove(&wish);
+            });
+        }
+    });
+    sender
+}
+
+async fn ask(
+    planner: &Planner,
+    leader: &KnownPlanner,
+    client: &PeerClient,
+    wish: &PlaceWish,
+) -> Option<Placement> {
+    if planner.fence().is_some() {
+        return planner.place(wish.clone()).await;
+    }
+    let request = PeerRequest::Place(wish.clone());
+    match client.call(leader.address()?, request, WISH_WAIT).await {
+        Ok(PeerReply::Placed(placement)) => placement,
+        Ok(_) => None,
+        Err(error) => {
+            log::info!("the planner did not place {wish:?}: {error}");
+            None
+        }
+    }
+}
+
 /// Answers the calls of other daemons.
 struct RelayPeers {
     limits: Arc<LimitService<PeerClient>>,
     core: Arc<Core>,
+    planner: Arc<Planner>,
 }
 
 impl PeerHandler for RelayPeers {
@@ -326,6 +440,7 @@
                 self.core.apply_notices(&notices, quarantine);
                 Ok(PeerReply::Done)
             }
+            PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
             _ => Err(Error::internal("no service answers this peer call")),
         }
     }
@@ -340,6 +455,8 @@
     board: Arc<PeerBoard>,
     demand: Arc<DemandBoard>,
     core: Arc<Core>,
+    planner: Arc<Planner>,
+    leader: Arc<KnownPlanner>,
 }
 
 impl RelayPulses {
@@ -352,6 +469,8 @@
             board: parts.board.clone(),
             demand: parts.demand.clone(),
             core: parts.core.clone(),
+            planner: parts.planner.clone(),
+            leader: parts.leader.clone(),
         }
     }
 }
@@ -373,12 +492,18 @@
             spare: self.limits.spare(),
             leaving: Vec::new(),
             demand,
+            fence: self.planner.fence(),
+            placements: self.planner.take_news(),
         }
     }
 
     fn take(&self, pulse: Pulse, now: Instant) {
         self.fleet.note_peer_load(pulse.vm, pulse.loads, now);
         self.demand.note(pulse.peer, &pulse.demand, now);
+        self.fleet.note_placements(&pulse.placements, now);
+        if let Some(fence) = pulse.fence {
+            self.leader.note(fence, pulse.peer);
+        }
         let status = PeerStatus {
             vm: pulse.vm,
             name: pulse.name,
@@ -426,7 +551,7 @@
                 "address": server.address.to_string(),
                 "zone": server.zone,
                 "leaving": server.leaving,
-                "orders": server.orders,
+                "models": server.models.iter().map(|model| &model.name).collect::<Vec<_>>(),
             })
         });
         json!({
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,6 +21,7 @@
 use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
+use crate::relay::{PlaceWish, Placement};
 
 /// What a daemon reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -82,6 +83,8 @@
     },
     /// Asks for the whole catalog state, for a daemon that starts during a log outage.
     FetchState,
+    /// Asks the planner of the users' platform for a place of a model or adapter that a request needs.
+    Place(PlaceWish),
 }
 
 /// Answer to a [`PeerRequest`].
@@ -94,6 +97,8 @@
     /// An encoded catalog snapshot.
     State(Vec<u8>),
     Done,
+    /// Where the item was placed, or `None` if the receiver does not plan or found no place.
+    Placed(Option<Placement>),
 }
 
 /// Serves the calls that a [`PeerServer`] accepts.
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::ModelDemand;
 use crate::placement::DemandFacts;
 
-/// Time constant of the running means of demand.
+/// Time constant of the running means of demand, unless a board has its own.
 const DEMAND_WINDOW: Duration = Duration::from_secs(20);
 /// Age above which a daemon's number of waiting requests no longer counts.
 const WAITING_LIFE: Duration = Duration::from_secs(5);
@@ -18,7 +18,7 @@
 /// A model, or an adapter of it.
 type DemandKey = (SmolStr, Option<SmolStr>);
 
-/// Sums that decay with [`DEMAND_WINDOW`], and the latest number of waiting requests of each reporter.
+/// Sums that decay with the window, and the latest number of waiting requests of each reporter.
 #[derive(Debug)]
 struct DemandEntry {
     updated_at: Instant,
@@ -29,24 +29,39 @@
 }
 
 /// Demand by model and adapter, as reported by all daemons.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DemandBoard {
+    window: Duration,
     entries: Mutex<HashMap<DemandKey, DemandEntry>>,
 }
 
+impl Default for DemandBoard {
+    fn default() -> Self {
+        Self::with_window(DEMAND_WINDOW)
+    }
+}
+
 impl DemandBoard {
     /// Creates a board without demand.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Creates a board whose running means have the time constant `window`.
+    pub fn with_window(window: Duration) -> Self {
+        Self {
+            window,
+            entries: Mutex::default(),
+        }
+    }
+
     /// Takes in the counts of the daemon whose peer address is `reporter`.
     pub fn note(&self, reporter: SocketAddr, demands: &[ModelDemand], now: Instant) {
         let mut entries = self.entries();
         for demand in demands {
             let key = (demand.model.clone(), demand.adapter.clone());
             let entry = entries.entry(key).or_insert_with(|| DemandEntry::new(now));
-            entry.decay(now);
+            entry.decay(self.window, now);
             entry.arrivals += f64::from(demand.arrivals);
             entry.tokens += demand.tokens as f64;
             entry.misses += f64::from(demand.misses);
@@ -60,14 +75,22 @@
         let Some(entry) = entries.get_mut(&(model.clone(), adapter.cloned())) else {
             return DemandFacts::default();
         };
-        entry.decay(now);
-        let window = DEMAND_WINDOW.as_secs_f64();
-        DemandFacts {
-            arrivals_per_s: entry.arrivals / window,
-            tokens_per_s: entry.tokens / window,
-            waiting: entry.waiting.values().map(|(_, count)| *count).sum(),
-            misses_per_s: entry.misses / window,
-        }
+        entry.facts(self.window, now)
+    }
+
+    /// Returns the demand for a model, that for its adapters included.
+    pub fn model_facts(&self, model: &SmolStr, now: Instant) -> DemandFacts {
+        let mut entries = self.entries();
+        let parts = entries.iter_mut().filter(|((name, _), _)| name == model);
+        parts.fold(DemandFacts::default(), |total, (_, entry)| {
+            let part = entry.facts(self.window, now);
+            DemandFacts {
+                arrivals_per_s: total.arrivals_per_s + part.arrivals_per_s,
+                tokens_per_s: total.tokens_per_s + part.tokens_per_s,
+                waiting: total.waiting + part.waiting,
+                misses_per_s: total.misses_per_s + part.misses_per_s,
+            }
+        })
     }
 
     fn entries(&self) -> MutexGuard<'_, HashMap<DemandKey, DemandEntry>> {
@@ -86,9 +109,20 @@
         }
     }
 
-    fn decay(&mut self, now: Instant) {
+    fn facts(&mut self, window: Duration, now: Instant) -> DemandFacts {
+        self.decay(window, now);
+        let seconds = window.as_secs_f64();
+        DemandFacts {
+            arrivals_per_s: self.arrivals / seconds,
+            tokens_per_s: self.tokens / seconds,
+            waiting: self.waiting.values().map(|(_, count)| *count).sum(),
+            misses_per_s: self.misses / seconds,
+        }
+    }
+
+    fn decay(&mut self, window: Duration, now: Instant) {
         let age = now.saturating_duration_since(self.updated_at);
-        let factor = (-age.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
+        let factor = (-age.as_secs_f64() / window.as_secs_f64()).exp();
         self.arrivals *= factor;
         self.tokens *= factor;
         self.misses *= factor;
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -23,7 +23,7 @@
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Id of the server that alone may run the request.
-const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+pub(super) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 /// Name of the team, towards servers.
 const TENANT: HeaderName = HeaderName::from_static("tenant");
--- /dev/null
+++ b/src/platform/engines.rs
@@ -0,0 +1,121 @@
+//! Orders to engines and their reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::platform::edge::EXPECT_INSTANCE;
+use crate::platform::servers::ModelRecord;
+use crate::relay::{EngineControl, EngineReport, OrderAnswer, OrderTicket, ReplicaOrder};
+use crate::wire::{self, HttpCaller};
+
+const CONNECT_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to an order: the engine answers before it carries the order out.
+const CALL_WAIT: Duration = Duration::from_millis(1_000);
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Client of engines.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    caller: HttpCaller,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct OrderBody<'a> {
+    operation: &'static str,
+    model: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    adapter: Option<&'a str>,
+    /// Orders that the engine has accepted so far.
+    precondition: u64,
+    holder: &'a str,
+    fence_token: u64,
+}
+
+#[derive(Deserialize)]
+struct ReportBody {
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    busy: bool,
+    #[serde(default)]
+    models: Vec<ModelRecord>,
+}
+
+impl EngineClient {
+    /// Creates a client; connections are opened on use.
+    pub fn open() -> Self {
+        Self {
+            caller: HttpCaller::open(CONNECT_WAIT),
+        }
+    }
+
+    async fn call(
+        &self,
+        server: &str,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<wire::WireAnswer> {
+        let server = HeaderValue::from_str(server)
+            .map_err(|_| Error::invalid(format!("`{server}` cannot stand in a header")))?;
+        request.headers_mut().insert(EXPECT_INSTANCE, server);
+        self.caller.call(request, CALL_WAIT, ANSWER_LIMIT).await
+    }
+}
+
+impl EngineControl for EngineClient {
+    async fn order(
+        &self,
+        server: &str,
+        address: SocketAddr,
+        order: &ReplicaOrder,
+        ticket: &OrderTicket,
+    ) -> Result<OrderAnswer> {
+        let (operation, item) = match order {
+            ReplicaOrder::Load(item) => ("model_load", item),
+            ReplicaOrder::Unload(item) => ("model_unload", item),
+        };
+        let body = OrderBody {
+            operation,
+            model: &item.model,
+            adapter: item.adapter.as_deref(),
+            precondition: ticket.orders,
+            holder: &ticket.holder,
+            fence_token: ticket.fence,
+        };
+        let body = serde_json::to_vec(&body)
+            .map_err(|error| Error::internal(format!("order cannot be encoded: {error}")))?;
+        let request = wire::json_request(address, Method::POST, "/api/order", body)?;
+        let answer = self.call(server, request).await?;
+        match answer.status {
+            StatusCode::ACCEPTED => Ok(OrderAnswer::Accepted),
+            StatusCode::OK => Ok(OrderAnswer::Holds),
+            StatusCode::CONFLICT => Ok(OrderAnswer::Conflict),
+            StatusCode::PRECONDITION_FAILED => Ok(OrderAnswer::Fenced),
+            StatusCode::BAD_REQUEST => Ok(OrderAnswer::Invalid),
+            StatusCode::MISDIRECTED_REQUEST => Err(Error::unavailable(
+                "another process has the engine's address",
+            )),
+            status => Err(wire::protocol(format!("the engine answered {status}"))),
+        }
+    }
+
+    async fn report(&self, server: &str, address: SocketAddr) -> Result<EngineReport> {
+        let request = wire::request(address, Method::GET, "/api/report", Bytes::new())?;
+        let answer = self.call(server, request).await?;
+        let report: ReportBody = wire::decode(&answer)?;
+        Ok(EngineReport {
+            born_ms: report.born,
+            orders: report.seq,
+            busy: report.busy,
+            models: report.models.into_iter().map(Into::into).collect(),
+        })
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,15 +1,18 @@
 //! The adapter to the users' platform: its names, formats and calls. Nothing here decides.
 //!
-//! [`PlatformFormat`] reads and writes the heads of requests, [`StoreClient`] calls the store, [`decode_plan`] and
+//! [`PlatformFormat`] reads and writes the heads of requests, [`StoreClient`] calls the store, [`EngineClient`]
+//! engines, [`decode_plan`] and
 //! [`decode_server`] turn records of the store into the types of [`relay`](crate::relay).
 
 mod config;
 mod edge;
+mod engines;
 mod servers;
 mod store;
 
 pub use self::config::decode_plan;
 pub use self::edge::PlatformFormat;
+pub use self::engines::EngineClient;
 pub use self::servers::decode_server;
 pub use self::store::StoreClient;
 
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -9,6 +9,7 @@
 use crate::error::{Error, Result};
 use crate::relay::{HeldModel, ServerEntry};
 
+/// The field `seq` of a record counts its writes, not orders as it does in a report, and is not read.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ServerRecord {
@@ -17,9 +18,6 @@
     zone: SmolStr,
     slots: u32,
     state: StateRecord,
-    /// Orders accepted since the start.
-    #[serde(default)]
-    seq: u64,
     /// Unix time of the start, in milliseconds.
     #[serde(default)]
     born: u64,
@@ -37,8 +35,9 @@
     Draining,
 }
 
+/// A model that an engine holds.
 #[derive(Deserialize)]
-struct ModelRecord {
+pub(super) struct ModelRecord {
     name: SmolStr,
     #[serde(default)]
     version: u64,
@@ -70,7 +69,6 @@
         slots: server.slots,
         leaving: matches!(server.state, StateRecord::Draining),
         models: server.models.into_iter().map(HeldModel::from).collect(),
-        orders: server.seq,
         born_ms: server.born,
         in_host_memory: names(&server.at_hand, "in-memory"),
         on_disk: names(&server.at_hand, "on-disk"),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,13 +6,14 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Method, StatusCode};
-use serde::Deserialize;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::ids::LogOffset;
-use crate::relay::{KeyedRecord, RecordStore, StoreTable, TableRead};
+use crate::relay::{KeyedRecord, RecordStore, RoleAnswer, RoleGroup, StoreTable, TableRead};
 use crate::wire::{self, HttpCaller, WireAnswer};
 
 const CONNECT_WAIT: Duration = Duration::from_millis(500);
@@ -20,6 +21,9 @@
 const CALL_WAIT: Duration = Duration::from_millis(1_500);
 /// A page of newest records holds at most 1 MB before its encoding; a read returns at most [`MAX_KB`].
 const ANSWER_LIMIT: usize = 4 << 20;
+/// Topic and group of the planner's role; whoever holds the one partition below holds the role.
+const ROLE_TOPIC: &str = "planner";
+const ROLE_PART: u32 = 0;
 /// KB of records that one read returns at most.
 const MAX_KB: usize = 1_024;
 
@@ -55,7 +59,7 @@
         }
     }
 
-    pub(super) async fn call(
+    async fn call(
         &self,
         method: Method,
         path: &str,
@@ -63,6 +67,10 @@
         wait: Duration,
     ) -> Result<WireAnswer> {
         let request = wire::request(self.address, method, path, body)?;
+        self.send(request, wait).await
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>, wait: Duration) -> Result<WireAnswer> {
         let answer = self
             .caller
             .call(request, CALL_WAIT + wait, ANSWER_LIMIT)
@@ -144,6 +152,45 @@
     }
 }
 
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct JoinBody<'a> {
+    group: &'a str,
+    member: &'a str,
+    topics: [&'a str; 1],
+    ttl_ms: u64,
+    generation: u64,
+}
+
+#[derive(Deserialize)]
+struct JoinAnswer {
+    generation: u64,
+    /// Topic, partition and committed offset of each partition that the member holds.
+    parts: Vec<(SmolStr, u32, u64)>,
+}
+
+impl RoleGroup for StoreClient {
+    async fn join(&self, member: &str, generation: u64, life: Duration) -> Result<RoleAnswer> {
+        let body = JoinBody {
+            group: ROLE_TOPIC,
+            member,
+            topics: [ROLE_TOPIC],
+            ttl_ms: u64::try_from(life.as_millis()).unwrap_or(u64::MAX),
+            generation,
+        };
+        let body = serde_json::to_vec(&body)
+            .map_err(|error| Error::internal(format!("join cannot be encoded: {error}")))?;
+        let request = wire::json_request(self.address, Method::POST, "/api/log-join", body)?;
+        let answer = self.send(request, Duration::ZERO).await?;
+        let answer: JoinAnswer = wire::decode(&answer)?;
+        let mut parts = answer.parts.iter();
+        Ok(RoleAnswer {
+            generation: answer.generation,
+            holds: parts.any(|(topic, part, _)| topic == ROLE_TOPIC && *part == ROLE_PART),
+        })
+    }
+}
+
 fn topic(table: StoreTable) -> &'static str {
     match table {
         StoreTable::Configuration => "keyed.op",
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -12,9 +12,11 @@
 use crate::dispatch::{CoreParts, ModelNeed, RequestCore, RequestJob, fingerprint};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::call::{CallFacts, RelayFormat};
+use crate::relay::engines::LoadItem;
 use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::fleet::{RelayFleet, holding};
 use crate::relay::plan::{RoutePlan, ServicePlan, ServingPlan, TeamPlan};
+use crate::relay::planner::PlaceWish;
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::routing::RouteNeed;
@@ -41,6 +43,8 @@
     pub format: Arc<F>,
     /// Second sends that this daemon may make to one service.
     pub retries: RetryShare,
+    /// Takes the items that requests need and no server holds.
+    pub wishes: mpsc::UnboundedSender<PlaceWish>,
 }
 
 /// Part of the fleet's budget of second sends that one daemon uses, per service.
@@ -130,6 +134,7 @@
         let suspect = self.context.core.check_suspect(&fingerprint)?;
         let service = self.service(&plan, &route)?;
         let model_need = self.need(service, &facts, suspect)?;
+        self.wish(service, &facts);
         let budget = self.budget(&service.name);
         budget.request();
         self.context.core.demand().arrived(
@@ -164,6 +169,7 @@
                     target: head.uri,
                     headers: self.context.format.forwarded(&head.headers),
                     body,
+                    arrived,
                     caller_deadline,
                     deadline,
                     tokens,
@@ -181,6 +187,26 @@
         first_piece(self.context.core.start(job)).await
     }
 
+    /// Asks for the adapter of a request if no server holds it. Models follow from demand alone.
+    fn wish(&self, service: &ServicePlan, facts: &CallFacts) {
+        let (Some(model), Some(adapter)) = (&facts.model, &facts.adapter) else {
+            return;
+        };
+        let item = LoadItem {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        if self.context.fleet.holds(&service.name, &item) {
+            return;
+        }
+        let wish = PlaceWish {
+            service: service.name.clone(),
+            item,
+        };
+        // The receiver ends at shutdown only.
+        let _ = self.context.wishes.send(wish);
+    }
+
     fn budget(&self, service: &SmolStr) -> Arc<RetryBudget> {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let share = self.context.retries;
--- /dev/null
+++ b/src/relay/engines.rs
@@ -0,0 +1,87 @@
+//! Orders to engines and what engines report, behind a trait.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::error::Result;
+use crate::relay::fleet::HeldModel;
+
+/// A model, or an adapter of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LoadItem {
+    pub model: SmolStr,
+    /// `None` for the model's weights.
+    pub adapter: Option<SmolStr>,
+}
+
+/// What an order asks of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplicaOrder {
+    Load(LoadItem),
+    /// Waits for the requests that use the item.
+    Unload(LoadItem),
+}
+
+/// Who gives an order, and the state of the engine that it is meant for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderTicket {
+    /// Name of the VM that holds the planner's role.
+    pub holder: SmolStr,
+    /// Grows with each holder.
+    pub fence: u64,
+    /// Orders that the engine has accepted; it refuses the order if the number differs when it is carried out.
+    pub orders: u64,
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The order is being carried out.
+    Accepted,
+    /// What the order asks for is so already.
+    Holds,
+    /// Another order is being carried out, or the number of accepted orders differs.
+    Conflict,
+    /// A holder with a higher fencing number has given orders.
+    Fenced,
+    /// The engine does not accept the order at all.
+    Invalid,
+}
+
+/// What an engine says when it is asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Unix time of its start, in milliseconds.
+    pub born_ms: u64,
+    /// Orders accepted since its start.
+    pub orders: u64,
+    /// Whether a model is being loaded or unloaded.
+    pub busy: bool,
+    pub models: Vec<HeldModel>,
+}
+
+/// Client of engines for the planner.
+pub trait EngineControl: Send + Sync + 'static {
+    /// Gives an order to the engine `server`; no other process at its address carries it out.
+    ///
+    /// # Errors
+    ///
+    /// Unless the verdict is `NotRun`, the order may still be carried out seconds later.
+    fn order(
+        &self,
+        server: &str,
+        address: SocketAddr,
+        order: &ReplicaOrder,
+        ticket: &OrderTicket,
+    ) -> impl Future<Output = Result<OrderAnswer>> + Send;
+
+    /// Asks the engine `server` for its state.
+    fn report(
+        &self,
+        server: &str,
+        address: SocketAddr,
+    ) -> impl Future<Output = Result<EngineReport>> + Send;
+}
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -14,6 +14,7 @@
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::queue::WaitEntry;
 use crate::relay::call::{AnswerHead, CallFacts, OfferFacts, RelayFormat};
+use crate::relay::engines::LoadItem;
 use crate::relay::events::EventSplitter;
 use crate::relay::fleet::RelayFleet;
 use crate::relay::plan::{CallKind, RoutePlan};
@@ -27,6 +28,8 @@
 const LEAST_TIME: Duration = Duration::from_millis(10);
 /// Taken off the time that a backend server is told, for the way of the answer.
 const ANSWER_WAY: Duration = Duration::from_millis(5);
+/// Part of the caller's patience for which a request waits for a place, in percent.
+const WAIT_PERCENT: u32 = 80;
 /// Part of the caller's patience after which a silent stream is resumed elsewhere, in percent.
 const STALL_PERCENT: u32 = 60;
 /// Multiple of the target latency after which an idempotent call is sent to another server.
@@ -68,6 +71,7 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    pub(super) arrived: Instant,
     /// End of the caller's wait.
     pub(super) caller_deadline: Instant,
     /// Time at which the caller must have been answered.
@@ -132,6 +136,17 @@
         }
     }
 
+    /// Returns until when the request may wait for a place. A caller that has got nothing leaves once its patience is
+    /// over, so it is refused before that.
+    fn wait_deadline(&self) -> Instant {
+        let route = &self.request.route;
+        let patience = match route.kind {
+            CallKind::Streaming => route.patience() * WAIT_PERCENT / 100,
+            _ => return self.request.deadline,
+        };
+        self.request.deadline.min(self.request.arrived + patience)
+    }
+
     /// Returns until when to wait for the next part of an answer.
     fn wait_until(&self) -> Instant {
         let deadline = self.request.deadline;
@@ -221,7 +236,11 @@
     fn refused(&self, slot: &ServerSlot, head: AnswerHead) -> Attempt {
         let error = match head {
             AnswerHead::Missing => {
-                self.fleet.note_missing(&slot.name);
+                if let Some(model) = self.request.facts.model.clone() {
+                    let adapter = self.request.facts.adapter.clone();
+                    let item = LoadItem { model, adapter };
+                    self.fleet.note_missing(&slot.name, item);
+                }
                 return Attempt::NotResident;
             }
             AnswerHead::Replaced => {
@@ -389,7 +408,7 @@
         WaitEntry {
             team: self.request.team.clone().unwrap_or_default(),
             class: RequestClass::Interactive,
-            deadline: self.request.deadline,
+            deadline: self.wait_deadline(),
             work: Duration::ZERO,
             tokens: self.request.tokens,
         }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -11,6 +11,8 @@
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
 use crate::ids::VmId;
+use crate::relay::engines::LoadItem;
+use crate::relay::planner::Placement;
 use crate::routing::{BackendView, FleetSnapshot, ServerHandle};
 
 /// Time for which a server gets no work after a failed call; doubles with each further failure.
@@ -25,6 +27,12 @@
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 /// Age up to which a peer's report of its requests counts.
 const PEER_LOAD_LIFE: Duration = Duration::from_secs(3);
+/// Time within which a record may still be older than an order's effect.
+const RECORD_PERIOD: Duration = Duration::from_millis(2_500);
+/// Time for which a load counts although the record does not show it.
+const PLACEMENT_LAG: Duration = Duration::from_millis(3_500);
+/// Time for which a removal counts although the record still shows the item.
+const REMOVAL_LAG: Duration = Duration::from_secs(10);
 /// Time between two tokens of one stream in a batch of usual size, in microseconds.
 const TOKEN_US: u32 = 6_000;
 
@@ -48,8 +56,6 @@
     pub slots: u32,
     pub leaving: bool,
     pub models: Vec<HeldModel>,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
     /// Unix time of its start, in milliseconds; tells a restart under the same id.
     pub born_ms: u64,
     /// Models whose weights are in host memory, and those on its disk.
@@ -70,6 +76,10 @@
 
 struct ServerState {
     entry: ServerEntry,
+    /// What orders have changed since the server wrote its record.
+    placements: Vec<(Placement, Instant)>,
+    /// The models of the record with these changes.
+    models: Vec<HeldModel>,
     handle: Arc<ServerHandle>,
     /// Calls that failed since the last one that succeeded.
     failures: u32,
@@ -110,6 +120,21 @@
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
 
+impl ServerEntry {
+    /// Returns whether the record names an item.
+    pub fn holds(&self, item: &LoadItem) -> bool {
+        holds_item(&self.models, item)
+    }
+}
+
+fn holds_item(models: &[HeldModel], item: &LoadItem) -> bool {
+    let mut held = models.iter().filter(|held| held.name == item.model);
+    held.any(|held| {
+        let adapter = item.adapter.as_ref();
+        adapter.is_none_or(|adapter| held.adapters.contains(adapter))
+    })
+}
+
 impl RelayFleet {
     /// Creates an empty fleet.
     pub fn new() -> Self {
@@ -176,9 +201,81 @@
         self.suspect(id, |_| FULL_TIME);
     }
 
-    /// Notes that a server does not hold the model that its record names.
-    pub fn note_missing(&self, id: &str) {
-        log::debug!("server {id} does not hold what its record says");
+    /// Notes that a server does not hold an item that its record names.
+    pub fn note_missing(&self, id: &str, item: LoadItem) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let Some(server) = state.servers.get_mut(id) else {
+            return;
+        };
+        log::info!("server {id} does not hold {item:?}, which its record names");
+        let placement = Placement {
+            server: id.into(),
+            item,
+            present: false,
+        };
+        server.placements.push((placement, now));
+        server.merge(now);
+        self.publish(&mut state, now);
+    }
+
+    /// Takes in what orders have changed.
+    pub fn note_placements(&self, placements: &[Placement], now: Instant) {
+        let mut state = self.state();
+        let mut changed = false;
+        for placement in placements {
+            let Some(server) = state.servers.get_mut(&placement.server) else {
+                continue;
+            };
+            let known = server
+                .placements
+                .iter()
+                .any(|(other, _)| other == placement);
+            if known {
+                continue;
+            }
+            server
+                .placements
+                .retain(|(other, _)| other.item != placement.item);
+            server.placements.push((placement.clone(), now));
+            server.merge(now);
+            changed = true;
+        }
+        if changed {
+            self.publish(&mut state, now);
+        }
+    }
+
+    /// Returns whether a server of `service` that is not leaving holds an item.
+    pub fn holds(&self, service: &str, item: &LoadItem) -> bool {
+        let state = self.state();
+        state.servers.values().any(|server| {
+            server.entry.service == service
+                && !server.entry.leaving
+                && holds_item(&server.models, item)
+        })
+    }
+
+    /// Returns whether calls to a server failed lately.
+    pub fn is_suspected(&self, id: &str) -> bool {
+        let state = self.state();
+        let server = state.servers.get(id);
+        server.is_some_and(|server| server.handle.is_suspected())
+    }
+
+    /// Returns the requests that run on a server, as far as all daemons have told.
+    pub fn load(&self, id: &str) -> u32 {
+        let mut state = self.state();
+        let own = state
+            .servers
+            .get(id)
+            .map_or(0, |server| server.handle.in_flight());
+        let mark = server_mark(id);
+        own + state
+            .peer_load(Instant::now())
+            .get(&mark)
+            .copied()
+            .unwrap_or(0)
     }
 
     /// Notes that a server answered a call with a failure of its own.
@@ -240,7 +337,7 @@
                 self.reachable(now);
                 let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
                 for entry in entries {
-                    self.put(entry);
+                    self.put(entry, now);
                 }
                 let missing: Vec<SmolStr> = self
                     .servers
@@ -254,7 +351,7 @@
             }
             ServerChange::Put(entry) => {
                 self.reachable(now);
-                self.put(entry);
+                self.put(entry, now);
             }
             ServerChange::Gone(id) => {
                 self.reachable(now);
@@ -270,7 +367,7 @@
         }
     }
 
-    fn put(&mut self, entry: ServerEntry) {
+    fn put(&mut self, entry: ServerEntry, now: Instant) {
         let server = self
             .servers
             .entry(entry.id.clone())
@@ -279,6 +376,7 @@
             log::info!("server {} has restarted at {}", entry.id, entry.address);
             server.suspected_until = None;
             server.failures = 0;
+            server.placements.clear();
             server.handle.set_suspected(false);
         }
         if server.entry.leaving != entry.leaving {
@@ -292,6 +390,7 @@
         server.handle.set_leaving(entry.leaving);
         server.lapses_at = None;
         server.entry = entry;
+        server.merge(now);
     }
 
     /// Removes a server, or marks it if its record may have lapsed in an outage of the store.
@@ -324,6 +423,9 @@
             self.remove(&id);
         }
         for server in self.servers.values_mut() {
+            if !server.placements.is_empty() {
+                server.merge(now);
+            }
             if server.suspected_until.is_some_and(|until| until <= now) {
                 server.suspected_until = None;
                 server.handle.set_suspected(false);
@@ -349,6 +451,8 @@
     fn new(entry: ServerEntry) -> Self {
         log::info!("server {} of {} is listed", entry.id, entry.service);
         Self {
+            models: entry.models.clone(),
+            placements: Vec::new(),
             entry,
             handle: Arc::default(),
             failures: 0,
@@ -357,6 +461,25 @@
         }
     }
 
+    /// Works out the models from the record and the changes that it does not show yet.
+    fn merge(&mut self, now: Instant) {
+        let entry = &self.entry;
+        self.placements.retain(|(placement, since)| {
+            let life = match placement.present {
+                true => PLACEMENT_LAG,
+                // A model that is being removed stays on the record until its requests have ended.
+                false => REMOVAL_LAG,
+            };
+            let shown = entry.holds(&placement.item) == placement.present;
+            let newer = *since + RECORD_PERIOD <= now;
+            !(shown && newer) && *since + life > now
+        });
+        self.models = self.entry.models.clone();
+        for (placement, _) in &self.placements {
+            placement.apply(&mut self.models);
+        }
+    }
+
     fn view(&self, others: u32) -> BackendView {
         let entry = &self.entry;
         let item = |model, adapter: Option<&SmolStr>| ResidentItem {
@@ -365,10 +488,10 @@
             adapter: adapter.cloned(),
         };
         let mut resident = Vec::new();
-        if entry.models.is_empty() {
+        if self.models.is_empty() {
             resident.push((item(None, None), 0));
         }
-        for model in &entry.models {
+        for model in &self.models {
             resident.push((item(Some(&model.name), None), 0));
             let adapters = model.adapters.iter();
             resident.extend(adapters.map(|adapter| (item(Some(&model.name), Some(adapter)), 0)));
--- /dev/null
+++ b/src/relay/layout.rs
@@ -0,0 +1,344 @@
+//! Which models sit on which engines; pure.
+//!
+//! Demand moves between models within seconds, and an engine that held a model before loads it again quickly. So the
+//! layout follows demand at once: a model with more running requests than its replicas bear gets another one, in
+//! place of replicas that no demand needs. The last replica of a model is never removed.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::relay::engines::{LoadItem, ReplicaOrder};
+use crate::relay::plan::ModelPlan;
+
+/// Part of an engine's places that the requests of one model should fill, in percent: its other models need places
+/// too, and demand is not spread evenly.
+const FILL_PERCENT: f64 = 35.0;
+/// Requests per second from which a model gets a second replica where memory is free.
+const SECOND_REPLICA_RATE: f64 = 0.3;
+/// Time for which memory that was made free for a model is kept for it.
+const PENDING_LIFE: Duration = Duration::from_secs(15);
+/// Orders that one round gives at most.
+const MAX_MOVES: usize = 8;
+/// Loads from the weight store that are kept for models without any replica.
+const RESERVED_LOADS: usize = 1;
+/// Seconds that the removal of a replica counts as, when engines are compared by load time.
+const REMOVAL_COST_S: f64 = 0.5;
+/// Seconds that an engine with all places taken counts as.
+const BUSY_COST_S: f64 = 0.5;
+/// Seconds that a second replica in the same zone counts as.
+const SAME_ZONE_COST_S: f64 = 0.3;
+
+/// A model as the layout sees it.
+#[derive(Clone, Debug)]
+pub struct LayoutModel {
+    pub plan: ModelPlan,
+    /// Requests that arrived per second.
+    pub arrivals_per_s: f64,
+    /// Requests that run at once, waiting ones included.
+    pub concurrency: f64,
+    /// Requests that wait for a replica.
+    pub waiting: u32,
+}
+
+/// An engine as the layout sees it.
+#[derive(Clone, Debug)]
+pub struct LayoutEngine {
+    pub id: SmolStr,
+    pub zone: SmolStr,
+    pub memory_mb: f64,
+    /// Memory of all that it holds or may still load.
+    pub used_mb: f64,
+    pub held: Vec<SmolStr>,
+    /// Models that open orders load.
+    pub loading: Vec<SmolStr>,
+    /// Whether it may get an order now.
+    pub available: bool,
+    pub in_host_memory: Vec<SmolStr>,
+    pub on_disk: Vec<SmolStr>,
+    /// Requests that run on it.
+    pub load: u32,
+    pub slots: u32,
+}
+
+/// An order that the layout proposes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LayoutMove {
+    /// Index of the engine.
+    pub engine: usize,
+    pub order: ReplicaOrder,
+    /// Whether the load takes from the budget of the weight store.
+    pub from_store: bool,
+}
+
+/// Follows demand.
+#[derive(Debug, Default)]
+pub struct LayoutPolicy {
+    /// Engines on which memory is being made free, by model.
+    pending: HashMap<SmolStr, (SmolStr, Instant)>,
+}
+
+/// One round: the engines and replicas as they will be after the moves so far.
+struct LayoutRound<'a> {
+    models: &'a [LayoutModel],
+    engines: Vec<LayoutEngine>,
+    /// Replicas by model, those being loaded included.
+    present: Vec<usize>,
+    needed: Vec<usize>,
+    store_loads: usize,
+    moves: Vec<LayoutMove>,
+}
+
+impl LayoutPolicy {
+    /// Proposes orders, the most important first. `store_loads` more loads from the weight store may begin now.
+    pub fn plan(
+        &mut self,
+        engines: &[LayoutEngine],
+        models: &[LayoutModel],
+        store_loads: usize,
+        now: Instant,
+    ) -> Vec<LayoutMove> {
+        self.pending.retain(|model, (engine, since)| {
+            let engine = engines.iter().find(|other| other.id == *engine);
+            let waits = engine.is_some_and(|engine| !engine.loading.contains(model));
+            waits && *since + PENDING_LIFE > now
+        });
+        let mut round = LayoutRound::new(engines, models, store_loads);
+        self.reserve_pending(&mut round);
+        for model in round.wanted() {
+            while round.present[model] < round.needed[model] && round.moves.len() < MAX_MOVES {
+                if !self.add(&mut round, model, true, now) {
+                    break;
+                }
+            }
+        }
+        for model in round.worth_a_second() {
+            if round.moves.len() < MAX_MOVES {
+                self.add(&mut round, model, false, now);
+            }
+        }
+        round.moves
+    }
+
+    /// Counts the memory that is kept for pending models as used by other ones.
+    fn reserve_pending(&self, round: &mut LayoutRound<'_>) {
+        for (model, (engine, _)) in &self.pending {
+            let plan = round.models.iter().find(|other| other.plan.name == *model);
+            let engine = round.engines.iter_mut().find(|other| other.id == *engine);
+            if let (Some(plan), Some(engine)) = (plan, engine) {
+                engine.used_mb += plan.plan.memory_mb;
+            }
+        }
+    }
+
+    /// Orders a replica of `model`, or the removal of another one in its favour. Returns whether there was a way.
+    fn add(
+        &mut self,
+        round: &mut LayoutRound<'_>,
+        model: usize,
+        may_remove: bool,
+        now: Instant,
+    ) -> bool {
+        let plan = &round.models[model].plan;
+        let (name, size) = (plan.name.clone(), plan.memory_mb);
+        if let Some((engine, _)) = self.pending.get(&name) {
+            let engine = engine.clone();
+            let position = round.engines.iter().position(|other| other.id == engine);
+            let Some(position) = position.filter(|position| round.engines[*position].available)
+            else {
+                // The removal is not complete yet; the replica counts as present meanwhile.
+                round.present[model] += 1;
+                return true;
+            };
+            round.engines[position].used_mb -= size;
+            self.pending.remove(&name);
+        }
+        let Some((engine, victim)) = round.best_engine(model, may_remove) else {
+            return false;
+        };
+        match victim {
+            None => round.load(model, engine),
+            Some(victim) => {
+                round.remove(victim, engine);
+                round.present[model] += 1;
+                round.engines[engine].used_mb += size;
+                let id = round.engines[engine].id.clone();
+                self.pending.insert(name, (id, now));
+            }
+        }
+        true
+    }
+}
+
+impl<'a> LayoutRound<'a> {
+    fn new(engines: &[LayoutEngine], models: &'a [LayoutModel], store_loads: usize) -> Self {
+        let count = |name: &SmolStr| {
+            let holds = |engine: &&LayoutEngine| {
+                engine.held.contains(name) || engine.loading.contains(name)
+            };
+            engines.iter().filter(holds).count()
+        };
+        let slots = engines.iter().map(|engine| engine.slots).max().unwrap_or(1);
+        let bears = (f64::from(slots) * FILL_PERCENT / 100.0).max(1.0);
+        Self {
+            present: models.iter().map(|model| count(&model.plan.name)).collect(),
+            needed: models
+                .iter()
+                .map(|model| ((model.concurrency / bears).ceil() as usize).clamp(1, engines.len()))
+                .collect(),
+            engines: engines.to_vec(),
+            models,
+            store_loads,
+            moves: Vec::new(),
+        }
+    }
+
+    /// Returns the models with fewer replicas than needed: those without any first, then by requests per replica.
+    fn wanted(&self) -> Vec<usize> {
+        let mut wanted: Vec<usize> = (0..self.models.len())
+            .filter(|model| self.present[*model] < self.needed[*model])
+            .collect();
+        let pressure = |model: usize| {
+            let model_load = self.models[model].concurrency + f64::from(self.models[model].waiting);
+            model_load / (self.present[model] as f64 + 0.01)
+        };
+        wanted.sort_by(|a, b| pressure(*b).total_cmp(&pressure(*a)));
+        wanted
+    }
+
+    /// Returns the models with one replica and enough requests for a second one, the most wanted first.
+    fn worth_a_second(&self) -> Vec<usize> {
+        let mut models: Vec<usize> = (0..self.models.len())
+            .filter(|model| self.present[*model] == 1)
+            .filter(|model| self.models[*model].arrivals_per_s >= SECOND_REPLICA_RATE)
+            .collect();
+        models.sort_by(|a, b| {
+            let rate = |model: usize| self.models[model].arrivals_per_s;
+            rate(*b).total_cmp(&rate(*a))
+        });
+        models
+    }
+
+    /// Returns the engine on which a replica costs least, and the model that must go from there first.
+    fn best_engine(&self, model: usize, may_remove: bool) -> Option<(usize, Option<usize>)> {
+        let plan = &self.models[model].plan;
+        let mut best: Option<(f64, usize, Option<usize>)> = None;
+        for (position, engine) in self.engines.iter().enumerate() {
+            if !engine.available || engine.has(&plan.name) {
+                continue;
+            }
+            let (seconds, from_store) = load_time(engine, plan);
+            if from_store && !self.may_load_from_store(model) {
+                continue;
+            }
+            let mut cost = seconds;
+            let fits = engine.used_mb + plan.memory_mb <= engine.memory_mb;
+            let victim = match fits {
+                true => None,
+                false if !may_remove => continue,
+                false => match self.victim(engine, plan.memory_mb) {
+                    Some((victim, loss)) => {
+                        cost += REMOVAL_COST_S + loss;
+                        Some(victim)
+                    }
+                    None => continue,
+                },
+            };
+            if engine.load >= engine.slots {
+                cost += BUSY_COST_S;
+            }
+            let zone_holds =
+                |other: &LayoutEngine| other.zone == engine.zone && other.has(&plan.name);
+            if self.engines.iter().any(zone_holds) {
+                cost += SAME_ZONE_COST_S;
+            }
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, position, victim));
+            }
+        }
+        best.map(|(_, engine, victim)| (engine, victim))
+    }
+
+    fn may_load_from_store(&self, model: usize) -> bool {
+        let reserved = match self.present[model] {
+            0 => 0,
+            _ => RESERVED_LOADS,
+        };
+        self.store_loads > reserved
+    }
+
+    /// Returns the model on `engine` that is needed least there, with what its loss costs, if all that may go makes
+    /// enough room.
+    fn victim(&self, engine: &LayoutEngine, size: f64) -> Option<(usize, f64)> {
+        let mut spare: Vec<(usize, f64)> = (0..self.models.len())
+            .filter(|model| engine.held.contains(&self.models[*model].plan.name))
+            .filter(|model| self.present[*model] > self.needed[*model])
+            .map(|model| {
+                let rest = (self.present[model] - 1) as f64;
+                (model, self.models[model].concurrency / rest.max(1.0))
+            })
+            .collect();
+        let room: f64 = spare
+            .iter()
+            .map(|(model, _)| self.models[*model].plan.memory_mb)
+            .sum();
+        if engine.used_mb - room + size > engine.memory_mb {
+            return None;
+        }
+        spare.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+        spare.first().copied()
+    }
+
+    fn load(&mut self, model: usize, engine: usize) {
+        let plan = &self.models[model].plan;
+        let target = &mut self.engines[engine];
+        let (_, from_store) = load_time(target, plan);
+        target.available = false;
+        target.used_mb += plan.memory_mb;
+        target.loading.push(plan.name.clone());
+        self.store_loads -= usize::from(from_store);
+        self.present[model] += 1;
+        self.moves.push(LayoutMove {
+            engine,
+            order: ReplicaOrder::Load(LoadItem {
+                model: plan.name.clone(),
+                adapter: None,
+            }),
+            from_store,
+        });
+    }
+
+    fn remove(&mut self, model: usize, engine: usize) {
+        let plan = &self.models[model].plan;
+        let target = &mut self.engines[engine];
+        target.available = false;
+        target.held.retain(|held| *held != plan.name);
+        self.present[model] -= 1;
+        self.moves.push(LayoutMove {
+            engine,
+            order: ReplicaOrder::Unload(LoadItem {
+                model: plan.name.clone(),
+                adapter: None,
+            }),
+            from_store: false,
+        });
+    }
+}
+
+impl LayoutEngine {
+    fn has(&self, model: &SmolStr) -> bool {
+        self.held.contains(model) || self.loading.contains(model)
+    }
+}
+
+/// Returns how long a load takes in seconds, and whether it takes from the budget of the weight store.
+pub(super) fn load_time(engine: &LayoutEngine, plan: &ModelPlan) -> (f64, bool) {
+    if engine.in_host_memory.contains(&plan.name) {
+        (plan.host_load.as_secs_f64(), false)
+    } else if engine.on_disk.contains(&plan.name) {
+        (plan.disk_load.as_secs_f64(), false)
+    } else {
+        (plan.store_load.as_secs_f64(), true)
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,14 +7,18 @@
 
 mod call;
 mod dispatcher;
+mod engines;
 mod events;
 mod exchange;
 mod fleet;
 mod follower;
 mod keeper;
+mod layout;
 mod plan;
+mod planner;
 mod pulse;
 mod registry;
+mod role;
 mod server;
 mod store;
 mod trace;
@@ -24,6 +28,9 @@
 pub use self::dispatcher::{
     PlanReceiver, RelayAccess, RelayAnswer, RelayBytes, RelayContext, RelayDispatcher, RetryShare,
 };
+pub use self::engines::{
+    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, ReplicaOrder,
+};
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE;
 pub use self::exchange::{RelayExchange, RelayPiece, ResponseHead};
@@ -33,8 +40,10 @@
 pub use self::plan::{
     CallKind, EnginePlan, ModelPlan, RoutePlan, ServicePlan, ServingPlan, TeamPlan,
 };
+pub use self::planner::{PlaceWish, Placement, PlannerParts, ReplicaPlanner};
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
 pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
+pub use self::role::{RoleAnswer, RoleGroup, RoleKeeper, RoleTerm};
 pub use self::server::{RelayServer, bind_ready};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::upstream::{UpstreamAnswer, UpstreamPool};
--- /dev/null
+++ b/src/relay/planner.rs
@@ -0,0 +1,784 @@
+//! Gives orders to engines where this daemon holds the planner's role.
+//!
+//! Each engine has at most one order under way. Its memory counts what it reports, what an open order may load, and
+//! for a while what an order without an answer may still load.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::{Notify, oneshot};
+
+use crate::kernel::TaskGroup;
+use crate::placement::DemandBoard;
+use crate::relay::dispatcher::PlanReceiver;
+use crate::relay::engines::{
+    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, ReplicaOrder,
+};
+use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holding};
+use crate::relay::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
+use crate::relay::plan::{EnginePlan, ServingPlan};
+use crate::relay::role::RoleKeeper;
+use crate::timer::TimerService;
+
+/// Period of planning rounds.
+const ROUND_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two questions for the state of an engine that carries out an order.
+const REPORT_PERIOD: Duration = Duration::from_millis(200);
+/// Time after which an engine's record in the store shows a change: two of its periods and a read.
+const RECORD_LAG: Duration = Duration::from_millis(3_500);
+/// Time after which an order without an answer is sent again.
+const REPEAT_AFTER: Duration = Duration::from_millis(1_200);
+/// Longest time after which an order without an answer may still be carried out.
+const LATE_TIME: Duration = Duration::from_secs(13);
+/// Window of the budget of loads from the weight store.
+const STORE_WINDOW: Duration = Duration::from_secs(5);
+/// Seconds for which a request runs per token that it may generate, in a batch of usual size.
+const TOKEN_SECONDS: f64 = 0.006_5;
+/// Longest wait of a request for an adapter to be placed.
+const PLACE_WAIT: Duration = Duration::from_millis(1_500);
+/// Time that an adapter takes to load from the store, beyond the answer to its order.
+const ADAPTER_LOAD: Duration = Duration::from_millis(12);
+
+/// An item that was loaded or removed, as the planner tells other daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    pub server: SmolStr,
+    pub item: LoadItem,
+    pub present: bool,
+}
+
+impl Placement {
+    /// Changes a list of held models as the order did.
+    pub fn apply(&self, models: &mut Vec<HeldModel>) {
+        let held = models.iter_mut().find(|held| held.name == self.item.model);
+        match (&self.item.adapter, self.present, held) {
+            (None, true, None) => models.push(HeldModel {
+                name: self.item.model.clone(),
+                ..HeldModel::default()
+            }),
+            (None, false, _) => models.retain(|held| held.name != self.item.model),
+            (Some(adapter), present, Some(held)) => {
+                held.adapters.retain(|other| other != adapter);
+                if present {
+                    held.adapters.push(adapter.clone());
+                }
+            }
+            (None, true, Some(_)) | (Some(_), _, None) => {}
+        }
+    }
+}
+
+/// A model and adapter of a service that a request needs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PlaceWish {
+    pub service: SmolStr,
+    pub item: LoadItem,
+}
+
+struct OpenOrder {
+    order: ReplicaOrder,
+    expected: u64,
+    sent_at: Instant,
+    accepted: bool,
+}
+
+/// What the planner knows of one engine.
+struct EngineState {
+    born_ms: u64,
+    /// Orders that the engine has accepted, once it was asked.
+    orders: Option<u64>,
+    models: Vec<HeldModel>,
+    /// When an order was last seen to change the models.
+    changed_at: Option<Instant>,
+    /// When the engine was last asked for its state.
+    asked_at: Option<Instant>,
+    open: Option<OpenOrder>,
+    /// Whether a call to the engine is under way.
+    calling: bool,
+    /// Memory that orders without an answer may still take, until when.
+    late: Vec<(f64, Instant)>,
+}
+
+#[derive(Default)]
+struct PlannerState {
+    engines: HashMap<SmolStr, EngineState>,
+    policies: HashMap<SmolStr, LayoutPolicy>,
+    /// Loads from the weight store that began within the window.
+    store_loads: VecDeque<Instant>,
+    waiters: HashMap<PlaceWish, Vec<oneshot::Sender<Placement>>>,
+    /// Placements that pulses have not told yet, with the number of pulses that still will.
+    news: Vec<(Placement, u32)>,
+}
+
+/// What a [`ReplicaPlanner`] works with.
+pub struct PlannerParts<E> {
+    pub name: SmolStr,
+    pub role: Arc<RoleKeeper>,
+    pub control: Arc<E>,
+    pub fleet: Arc<RelayFleet>,
+    pub demand: Arc<DemandBoard>,
+    pub plans: PlanReceiver,
+    pub group: TaskGroup,
+}
+
+/// The planner of the fleet. Share it in an [`Arc`].
+pub struct ReplicaPlanner<E> {
+    parts: PlannerParts<E>,
+    state: Mutex<PlannerState>,
+    wake: Notify,
+}
+
+/// Pulses that repeat a placement, as datagrams may be lost.
+const NEWS_REPEATS: u32 = 3;
+
+impl<E: EngineControl> ReplicaPlanner<E> {
+    /// Starts rounds in a task of the group in `parts`.
+    pub fn spawn(parts: PlannerParts<E>, timer: &TimerService) -> Arc<Self> {
+        let group = parts.group.clone();
+        let planner = Arc::new(Self {
+            parts,
+            state: Mutex::default(),
+            wake: Notify::new(),
+        });
+        let mut ticks = timer.every(ROUND_PERIOD);
+        let rounds = planner.clone();
+        group.spawn_cancellable(async move {
+            loop {
+                tokio::select! {
+                    tick = ticks.next() => {
+                        if tick.is_none() {
+                            return;
+                        }
+                    }
+                    () = rounds.wake.notified() => {}
+                }
+                rounds.round(Instant::now());
+            }
+        });
+        planner
+    }
+
+    /// Returns the fencing number if this daemon plans now.
+    pub fn fence(&self) -> Option<u64> {
+        self.parts.role.fence()
+    }
+
+    /// Takes the placements that the next pulse tells.
+    pub fn take_news(&self) -> Vec<Placement> {
+        let mut state = self.state();
+        let news = state.news.iter().map(|(placement, _)| placement.clone());
+        let news = news.collect();
+        for (_, repeats) in &mut state.news {
+            *repeats -= 1;
+        }
+        state.news.retain(|(_, repeats)| *repeats > 0);
+        news
+    }
+
+    /// Places an adapter that a request needs. Returns `None` if this daemon does not plan or found no place in time.
+    pub async fn place(&self, wish: PlaceWish) -> Option<Placement> {
+        self.fence()?;
+        let (sender, receiver) = oneshot::channel();
+        let first = {
+            let mut state = self.state();
+            let waiters = state.waiters.entry(wish.clone()).or_default();
+            waiters.push(sender);
+            waiters.len() == 1
+        };
+        if first {
+            self.wake.notify_one();
+        }
+        let placed = tokio::time::timeout(PLACE_WAIT, receiver).await;
+        let mut state = self.state();
+        if let Some(waiters) = state.waiters.get_mut(&wish) {
+            waiters.retain(|waiter| !waiter.is_closed());
+            if waiters.is_empty() {
+                state.waiters.remove(&wish);
+            }
+        }
+        placed.ok()?.ok()
+    }
+
+    fn round(self: &Arc<Self>, now: Instant) {
+        let Some(fence) = self.fence() else {
+            // Whoever plans next starts from what the engines say.
+            let state = &mut *self.state();
+            state.engines.clear();
+            state.policies.clear();
+            return;
+        };
+        let Some(plan) = self.parts.plans.borrow().clone() else {
+            return;
+        };
+        let servers = self.parts.fleet.servers();
+        let mut calls = Vec::new();
+        {
+            let mut state = self.state();
+            state.sync(&servers, now);
+            calls.extend(state.due_calls(now));
+            for service in plan.services() {
+                if let Some(engine) = &service.engine {
+                    let moves = self.plan_service(&mut state, &service.name, engine, &servers, now);
+                    calls.extend(moves);
+                    calls.extend(state.place_adapters(
+                        &service.name,
+                        engine,
+                        &servers,
+                        &self.parts,
+                        now,
+                    ));
+                }
+            }
+        }
+        for call in calls {
+            self.spawn_call(call, fence, &servers, &plan);
+        }
+    }
+
+    fn plan_service(
+        &self,
+        state: &mut PlannerState,
+        service: &SmolStr,
+        engine: &EnginePlan,
+        servers: &[ServerEntry],
+        now: Instant,
+    ) -> Vec<EngineCall> {
+        let of_service = servers.iter().filter(|server| server.service == *service);
+        let layout: Vec<LayoutEngine> = of_service
+            .filter(|server| !server.leaving)
+            .map(|server| state.layout_engine(server, engine, &self.parts.fleet, now))
+            .collect();
+        if layout.is_empty() {
+            return Vec::new();
+        }
+        let models: Vec<LayoutModel> = engine
+            .models
+            .iter()
+            .map(|model| {
+                let name = holding(service, Some(&model.name));
+                let demand = self.parts.demand.model_facts(&name, now);
+                LayoutModel {
+                    plan: model.clone(),
+                    arrivals_per_s: demand.arrivals_per_s,
+                    concurrency: demand.tokens_per_s * TOKEN_SECONDS + f64::from(demand.waiting),
+                    waiting: demand.waiting,
+                }
+            })
+            .collect();
+        let budget = state.store_budget(engine, now);
+        let policy = state.policies.entry(service.clone()).or_default();
+        let moves = policy.plan(&layout, &models, budget, now);
+        moves
+            .into_iter()
+            .filter_map(|step| state.begin(&layout[step.engine].id, step, now))
+            .collect()
+    }
+
+    /// Carries out a call; its end wakes the next round.
+    fn spawn_call(
+        self: &Arc<Self>,
+        call: EngineCall,
+        fence: u64,
+        servers: &[ServerEntry],
+        plan: &Arc<ServingPlan>,
+    ) {
+        let Some(server) = servers.iter().find(|server| server.id == call.server) else {
+            return;
+        };
+        let (planner, address) = (self.clone(), server.address);
+        let engine = plan
+            .service(&server.service)
+            .and_then(|service| service.engine.clone());
+        let service = server.service.clone();
+        self.parts.group.spawn_cancellable(async move {
+            let control = &planner.parts.control;
+            let news = match &call.order {
+                None => {
+                    let report = control.report(&call.server, address).await;
+                    planner.state().reported(&call.server, report)
+                }
+                Some((order, expected)) => {
+                    // The role may have ended since the round.
+                    if planner.fence() != Some(fence) {
+                        planner.state().unsent(&call.server);
+                        return;
+                    }
+                    let ticket = OrderTicket {
+                        holder: planner.parts.name.clone(),
+                        fence,
+                        orders: *expected,
+                    };
+                    log::info!("order to {}: {order:?}, {ticket:?}", call.server);
+                    let answer = control.order(&call.server, address, order, &ticket).await;
+                    if let Ok(OrderAnswer::Accepted) = answer
+                        && is_adapter(order)
+                    {
+                        tokio::time::sleep(ADAPTER_LOAD).await;
+                    }
+                    let size = engine
+                        .as_ref()
+                        .map_or(0.0, |engine| item_mb(engine, item(order)));
+                    planner.state().answered(&call.server, answer, size)
+                }
+            };
+            planner.publish(&service, news);
+            planner.wake.notify_one();
+        });
+    }
+
+    fn publish(&self, service: &SmolStr, news: Vec<Placement>) {
+        if news.is_empty() {
+            return;
+        }
+        self.parts.fleet.note_placements(&news, Instant::now());
+        let mut state = self.state();
+        for placement in news {
+            let wish = PlaceWish {
+                service: service.clone(),
+                item: placement.item.clone(),
+            };
+            if placement.present {
+                for waiter in state.waiters.remove(&wish).unwrap_or_default() {
+                    // The request may have ended meanwhile.
+                    let _ = waiter.send(placement.clone());
+                }
+            }
+            state.news.push((placement, NEWS_REPEATS));
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, PlannerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A call to an engine: an order with the number of orders that it expects, or a question for its state.
+struct EngineCall {
+    server: SmolStr,
+    order: Option<(ReplicaOrder, u64)>,
+}
+
+impl PlannerState {
+    /// Takes in what the engines wrote into the store, where that is newer.
+    fn sync(&mut self, servers: &[ServerEntry], now: Instant) {
+        self.engines
+            .retain(|id, _| servers.iter().any(|server| server.id == *id));
+        for server in servers {
+            let engine = self
+                .engines
+                .entry(server.id.clone())
+                .or_insert_with(|| EngineState::new(server));
+            if engine.born_ms != server.born_ms {
+                let late = std::mem::take(&mut engine.late);
+                *engine = EngineState::new(server);
+                engine.late = late;
+            }
+            engine.late.retain(|(_, until)| *until > now);
+            let settled = engine.changed_at.is_none_or(|at| at + RECORD_LAG <= now);
+            if engine.open.is_none() && !engine.calling && settled {
+                engine.models = server.models.clone();
+            }
+        }
+        while self
+            .store_loads
+            .front()
+            .is_some_and(|at| *at + STORE_WINDOW <= now)
+        {
+            self.store_loads.pop_front();
+        }
+    }
+
+    /// Returns the calls that engines need: a repeat of an open order, or a question for the state.
+    fn due_calls(&mut self, now: Instant) -> Vec<EngineCall> {
+        let mut calls = Vec::new();
+        for (id, engine) in &mut self.engines {
+            if engine.calling {
+                continue;
+            }
+            let rested = engine.asked_at.is_none_or(|at| at + REPORT_PERIOD <= now);
+            let order = match &mut engine.open {
+                Some(open) if !open.accepted && open.sent_at + REPEAT_AFTER <= now => {
+                    // The precondition lets only one of the copies take effect.
+                    open.sent_at = now;
+                    Some((open.order.clone(), open.expected))
+                }
+                Some(open) if rested && open.sent_at + REPORT_PERIOD <= now => None,
+                None if rested && engine.orders.is_none() => None,
+                _ => continue,
+            };
+            engine.calling = true;
+            if order.is_none() {
+                engine.asked_at = Some(now);
+            }
+            calls.push(EngineCall {
+                server: id.clone(),
+                order,
+            });
+        }
+        calls
+    }
+
+    fn layout_engine(
+        &self,
+        server: &ServerEntry,
+        plan: &EnginePlan,
+        fleet: &RelayFleet,
+        now: Instant,
+    ) -> LayoutEngine {
+        let engine = self.engines.get(&server.id);
+        let models = engine.map_or(&server.models[..], |engine| &engine.models);
+        let open = engine.and_then(|engine| engine.open.as_ref());
+        let loading = open.and_then(|open| match &open.order {
+            ReplicaOrder::Load(item) if item.adapter.is_none() => Some(item.model.clone()),
+            _ => None,
+        });
+        let removing = open.and_then(|open| match &open.order {
+            ReplicaOrder::Unload(item) if item.adapter.is_none() => Some(&item.model),
+            _ => None,
+        });
+        LayoutEngine {
+            id: server.id.clone(),
+            zone: server.zone.clone(),
+            memory_mb: plan.memory_mb,
+            used_mb: engine.map_or(plan.memory_mb, |engine| engine.used_mb(plan, now)),
+            held: models
+                .iter()
+                .map(|model| model.name.clone())
+                .filter(|model| Some(model) != removing)
+                .collect(),
+            loading: loading.into_iter().collect(),
+            available: engine.is_some_and(EngineState::is_available)
+                && !fleet.is_suspected(&server.id),
+            in_host_memory: server.in_host_memory.clone(),
+            on_disk: server.on_disk.clone(),
+            load: fleet.load(&server.id),
+            slots: server.slots,
+        }
+    }
+
+    fn store_budget(&self, plan: &EnginePlan, _now: Instant) -> usize {
+        let most = (plan.loads_per_s * STORE_WINDOW.as_secs_f64()) as usize;
+        most.saturating_sub(self.store_loads.len())
+    }
+
+    /// Notes that an order is about to be sent.
+    fn begin(&mut self, id: &SmolStr, step: LayoutMove, now: Instant) -> Option<EngineCall> {
+        if step.from_store {
+            self.store_loads.push_back(now);
+        }
+        self.begin_order(id, step.order, now)
+    }
+
+    fn begin_order(
+        &mut self,
+        id: &SmolStr,
+        order: ReplicaOrder,
+        now: Instant,
+    ) -> Option<EngineCall> {
+        let engine = self.engines.get_mut(id)?;
+        if !engine.is_available() {
+            return None;
+        }
+        let expected = engine.orders?;
+        engine.calling = true;
+        engine.open = Some(OpenOrder {
+            order: order.clone(),
+            expected,
+            sent_at: now,
+            accepted: false,
+        });
+        Some(EngineCall {
+            server: id.clone(),
+            order: Some((order, expected)),
+        })
+    }
+
+    /// Orders the adapters that requests wait for, one per engine and round.
+    fn place_adapters<E>(
+        &mut self,
+        service: &SmolStr,
+        plan: &EnginePlan,
+        servers: &[ServerEntry],
+        parts: &PlannerParts<E>,
+        now: Instant,
+    ) -> Vec<EngineCall> {
+        let wishes = self.waiters.keys();
+        let wishes: Vec<PlaceWish> = wishes
+            .filter(|wish| wish.service == *service)
+            .cloned()
+            .collect();
+        let mut calls = Vec::new();
+        for wish in wishes {
+            let mut holders: Vec<&ServerEntry> = servers
+                .iter()
+                .filter(|server| server.service == *service && !server.leaving)
+                .filter(|server| !parts.fleet.is_suspected(&server.id))
+                .filter(|server| {
+                    self.engines.get(&server.id).is_some_and(|engine| {
+                        engine.is_available() && engine.holds(&wish.item.model)
+                    })
+                })
+                .collect();
+            holders.sort_by_key(|server| parts.fleet.load(&server.id));
+            let order = holders.iter().find_map(|server| {
+                let order = self.engines[&server.id].adapter_order(
+                    &wish.item,
+                    plan,
+                    |item| {
+                        let name = holding(service, Some(&item.model));
+                        parts
+                            .demand
+                            .facts(&name, item.adapter.as_ref(), now)
+                            .arrivals_per_s
+                    },
+                    now,
+                )?;
+                Some((server.id.clone(), order))
+            });
+            if let Some((id, order)) = order {
+                calls.extend(self.begin_order(&id, order, now));
+            }
+        }
+        calls
+    }
+
+    /// Notes that an order was not sent after all.
+    fn unsent(&mut self, id: &SmolStr) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.calling = false;
+            engine.open = None;
+        }
+    }
+
+    /// Takes in the answer to an order; `size` is the memory that it may take, in MB.
+    fn answered(
+        &mut self,
+        id: &SmolStr,
+        answer: crate::Result<OrderAnswer>,
+        size: f64,
+    ) -> Vec<Placement> {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return Vec::new();
+        };
+        engine.calling = false;
+        let Some(open) = engine.open.as_mut() else {
+            return Vec::new();
+        };
+        match answer {
+            Ok(OrderAnswer::Accepted) => {
+                open.accepted = true;
+                let orders = open.expected + 1;
+                if is_adapter(&open.order) {
+                    return engine.complete(id, orders);
+                }
+                // Requests for a model that is being removed are refused from now on.
+                match &open.order {
+                    ReplicaOrder::Unload(item) => vec![Placement {
+                        server: id.clone(),
+                        item: item.clone(),
+                        present: false,
+                    }],
+                    ReplicaOrder::Load(_) => Vec::new(),
+                }
+            }
+            Ok(OrderAnswer::Holds) => {
+                let orders = open.expected;
+                engine.complete(id, orders)
+            }
+            Ok(OrderAnswer::Conflict) => {
+                // The state of the engine tells what happened.
+                log::info!("order to {id} met a conflict: {:?}", open.order);
+                open.sent_at = Instant::now();
+                engine.orders = None;
+                engine.asked_at = None;
+                Vec::new()
+            }
+            Ok(OrderAnswer::Fenced | OrderAnswer::Invalid) => {
+                log::warn!("order to {id} was refused: {answer:?} to {:?}", open.order);
+                engine.open = None;
+                Vec::new()
+            }
+            Err(error) => {
+                log::info!("order to {id} has no answer: {error}");
+                if error.verdict() == crate::RunVerdict::NotRun {
+                    engine.open = None;
+                } else if matches!(open.order, ReplicaOrder::Load(_)) {
+                    engine.late.push((size, Instant::now() + LATE_TIME));
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes in the state of an engine that was asked for.
+    fn reported(&mut self, id: &SmolStr, report: crate::Result<EngineReport>) -> Vec<Placement> {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return Vec::new();
+        };
+        engine.calling = false;
+        let report = match report {
+            Ok(report) => report,
+            Err(error) => {
+                log::debug!("engine {id} does not report: {error}");
+                // An engine that is gone leaves the list; one that is not gets the order again.
+                return Vec::new();
+            }
+        };
+        let carried_out = match &engine.open {
+            // A lower number is that of a restarted engine.
+            Some(open) if report.orders == open.expected && !report.busy => false,
+            _ if report.busy => false,
+            _ => true,
+        };
+        engine.orders = Some(report.orders);
+        if !carried_out {
+            return Vec::new();
+        }
+        engine.models = report.models;
+        engine.changed_at = Some(Instant::now());
+        let Some(open) = engine.open.take() else {
+            return Vec::new();
+        };
+        engine.late.clear();
+        if !engine.shows(&open.order) {
+            log::info!("order to {id} had no effect: {:?}", open.order);
+            return Vec::new();
+        }
+        vec![Placement {
+            server: id.clone(),
+            item: item(&open.order).clone(),
+            present: matches!(open.order, ReplicaOrder::Load(_)),
+        }]
+    }
+}
+
+impl EngineState {
+    fn new(server: &ServerEntry) -> Self {
+        Self {
+            born_ms: server.born_ms,
+            orders: None,
+            models: server.models.clone(),
+            changed_at: None,
+            asked_at: None,
+            open: None,
+            calling: false,
+            late: Vec::new(),
+        }
+    }
+
+    /// Returns whether the engine may get an order.
+    fn is_available(&self) -> bool {
+        self.open.is_none() && !self.calling && self.orders.is_some()
+    }
+
+    fn holds(&self, model: &str) -> bool {
+        self.models.iter().any(|held| held.name == model)
+    }
+
+    /// Returns the memory of all that the engine holds or may still load, in MB.
+    fn used_mb(&self, plan: &EnginePlan, now: Instant) -> f64 {
+        let held: f64 = self.models.iter().map(|held| held_mb(plan, held)).sum();
+        let loading = match self.open.as_ref().map(|open| &open.order) {
+            Some(ReplicaOrder::Load(item)) => item_mb(plan, item),
+            _ => 0.0,
+        };
+        let late = self.late.iter().filter(|(_, until)| *until > now);
+        held + loading + late.map(|(size, _)| size).sum::<f64>()
+    }
+
+    /// Returns the order that brings an adapter closer: its load, or the removal of the least wanted one.
+    fn adapter_order(
+        &self,
+        item: &LoadItem,
+        plan: &EnginePlan,
+        demand: impl Fn(&LoadItem) -> f64,
+        now: Instant,
+    ) -> Option<ReplicaOrder> {
+        let held: Vec<LoadItem> = self
+            .models
+            .iter()
+            .flat_map(|model| {
+                model.adapters.iter().map(|adapter| LoadItem {
+                    model: model.name.clone(),
+                    adapter: Some(adapter.clone()),
+                })
+            })
+            .collect();
+        let has_slot = held.len() < plan.adapter_slots as usize;
+        if has_slot && self.used_mb(plan, now) + item_mb(plan, item) <= plan.memory_mb {
+            return Some(ReplicaOrder::Load(item.clone()));
+        }
+        let least = held
+            .into_iter()
+            .min_by(|a, b| demand(a).total_cmp(&demand(b)))?;
+        Some(ReplicaOrder::Unload(least))
+    }
+
+    /// Returns whether the engine is as an order asks.
+    fn shows(&self, order: &ReplicaOrder) -> bool {
+        match order {
+            ReplicaOrder::Load(item) => self.holds_item(item),
+            ReplicaOrder::Unload(item) => !self.holds_item(item),
+        }
+    }
+
+    fn holds_item(&self, item: &LoadItem) -> bool {
+        self.models.iter().any(|held| {
+            held.name == item.model
+                && item
+                    .adapter
+                    .as_ref()
+                    .is_none_or(|adapter| held.adapters.contains(adapter))
+        })
+    }
+
+    /// Ends the open order as carried out.
+    fn complete(&mut self, id: &SmolStr, orders: u64) -> Vec<Placement> {
+        let Some(open) = self.open.take() else {
+            return Vec::new();
+        };
+        self.orders = Some(orders);
+        self.changed_at = Some(Instant::now());
+        let placement = Placement {
+            server: id.clone(),
+            item: item(&open.order).clone(),
+            present: matches!(open.order, ReplicaOrder::Load(_)),
+        };
+        placement.apply(&mut self.models);
+        vec![placement]
+    }
+}
+
+fn item(order: &ReplicaOrder) -> &LoadItem {
+    let (ReplicaOrder::Load(item) | ReplicaOrder::Unload(item)) = order;
+    item
+}
+
+fn is_adapter(order: &ReplicaOrder) -> bool {
+    item(order).adapter.is_some()
+}
+
+/// Returns the memory of an item in MB. One that is not declared counts as the largest model.
+fn item_mb(plan: &EnginePlan, item: &LoadItem) -> f64 {
+    match (plan.model(&item.model), &item.adapter) {
+        (Some(model), None) => model.memory_mb,
+        (Some(model), Some(_)) => model.adapter_mb,
+        (None, _) => plan
+            .models
+            .iter()
+            .map(|model| model.memory_mb)
+            .fold(0.0, f64::max),
+    }
+}
+
+fn held_mb(plan: &EnginePlan, held: &HeldModel) -> f64 {
+    let weights = LoadItem {
+        model: held.name.clone(),
+        adapter: None,
+    };
+    let adapter_mb = plan.model(&held.name).map_or(0.0, |model| model.adapter_mb);
+    item_mb(plan, &weights) + adapter_mb * held.adapters.len() as f64
+}
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -13,6 +13,7 @@
 use crate::error::{Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
+use crate::relay::planner::Placement;
 use crate::relay::registry::DaemonRegistry;
 use crate::timer::TimerService;
 
@@ -40,8 +41,12 @@
     pub spare: Vec<(SmolStr, u64)>,
     /// Servers that it has seen leaving.
     pub leaving: Vec<SmolStr>,
-    /// Demand since its last pulse to the planner.
+    /// Demand since its last pulse.
     pub demand: Vec<ModelDemand>,
+    /// Fencing number under which it gives orders, if it does.
+    pub fence: Option<u64>,
+    /// What its latest orders have changed.
+    pub placements: Vec<Placement>,
 }
 
 /// Makes and takes pulses.
