Keep the planner's account of an engine free of stale records

The planner took over the models of an engine's record 3.5 s after its last order; while the store is in trouble the record is older than that. An idle adapter's removal, answered 200, also counts as an order and was not counted.

Change: after the first report only orders and reports change the account; after a conflict the planner asks once a report can no longer be older.

Tests of the opaque edge against scripted servers: 18 faults of servers and callers.

--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -27,8 +27,8 @@
 const ROUND_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two questions for the state of an engine that carries out an order.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
-/// Time after which an engine's record in the store shows a change: two of its periods and a read.
-const RECORD_LAG: Duration = Duration::from_millis(3_500);
+/// Age that the state in an engine's report may have.
+const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time after which an order without an answer is sent again.
 const REPEAT_AFTER: Duration = Duration::from_millis(1_200);
 /// Longest time after which an order without an answer may still be carried out.
@@ -91,8 +91,8 @@
     /// Orders that the engine has accepted, once it was asked.
     orders: Option<u64>,
     models: Vec<HeldModel>,
-    /// When an order was last seen to change the models.
-    changed_at: Option<Instant>,
+    /// Time before which a report may still be older than what is known.
+    rest_until: Option<Instant>,
     /// When the engine was last asked for its state.
     asked_at: Option<Instant>,
     open: Option<OpenOrder>,
@@ -362,7 +362,8 @@
 }
 
 impl PlannerState {
-    /// Takes in what the engines wrote into the store, where that is newer.
+    /// Follows the list of engines. What a record says of an engine's models is not taken over: it may be older than
+    /// the effect of orders, by seconds while the store is in trouble.
     fn sync(&mut self, servers: &[ServerEntry], now: Instant) {
         self.engines
             .retain(|id, _| servers.iter().any(|server| server.id == *id));
@@ -377,10 +378,6 @@
                 engine.late = late;
             }
             engine.late.retain(|(_, until)| *until > now);
-            let settled = engine.changed_at.is_none_or(|at| at + RECORD_LAG <= now);
-            if engine.open.is_none() && !engine.calling && settled {
-                engine.models = server.models.clone();
-            }
         }
         while self
             .store_loads
@@ -398,7 +395,8 @@
             if engine.calling {
                 continue;
             }
-            let rested = engine.asked_at.is_none_or(|at| at + REPORT_PERIOD <= now);
+            let rested = engine.asked_at.is_none_or(|at| at + REPORT_PERIOD <= now)
+                && engine.rest_until.is_none_or(|until| until <= now);
             let order = match &mut engine.open {
                 Some(open) if !open.accepted && open.sent_at + REPEAT_AFTER <= now => {
                     // The precondition lets only one of the copies take effect.
@@ -585,7 +583,10 @@
                 }
             }
             Ok(OrderAnswer::Holds) => {
-                let orders = open.expected;
+                // The removal of an idle adapter is complete at once and counts as an order.
+                let counted =
+                    matches!(&open.order, ReplicaOrder::Unload(item) if item.adapter.is_some());
+                let orders = open.expected + u64::from(counted);
                 engine.complete(id, orders)
             }
             Ok(OrderAnswer::Conflict) => {
@@ -593,7 +594,7 @@
                 log::info!("order to {id} met a conflict: {:?}", open.order);
                 open.sent_at = Instant::now();
                 engine.orders = None;
-                engine.asked_at = None;
+                engine.rest_until = Some(Instant::now() + REPORT_LAG);
                 Vec::new()
             }
             Ok(OrderAnswer::Fenced | OrderAnswer::Invalid) => {
@@ -638,7 +639,6 @@
             return Vec::new();
         }
         engine.models = report.models;
-        engine.changed_at = Some(Instant::now());
         let Some(open) = engine.open.take() else {
             return Vec::new();
         };
@@ -661,7 +661,7 @@
             born_ms: server.born_ms,
             orders: None,
             models: server.models.clone(),
-            changed_at: None,
+            rest_until: None,
             asked_at: None,
             open: None,
             calling: false,
@@ -741,7 +741,6 @@
             return Vec::new();
         };
         self.orders = Some(orders);
-        self.changed_at = Some(Instant::now());
         let placement = Placement {
             server: id.clone(),
             item: item(&open.order).clone(),
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,414 @@
+//! The edge for opaque requests against backend servers and callers that misbehave.
+
+mod relay_support;
+
+use std::sync::atomic::Ordering;
+
+use relay_support::{
+    KEY, RelayRig, Script, ScriptedServer, chunk, event, header, request, stream_head, until, whole,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+fn body(answer: &str) -> &str {
+    answer.split_once("\r\n\r\n").map_or("", |(_, body)| body)
+}
+
+/// Undoes the chunks of a body; `None` if it ends before its last chunk.
+fn dechunk(answer: &str) -> Option<String> {
+    let mut rest = body(answer);
+    let mut whole = String::new();
+    loop {
+        let (size, tail) = rest.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some(whole);
+        }
+        whole.push_str(tail.get(..size)?);
+        rest = tail.get(size + 2..)?;
+    }
+}
+
+/// Guards against a key, or a header that only this system may set, that goes from a caller to a server.
+#[tokio::test]
+async fn key_and_system_headers_of_a_caller_reach_no_server() -> eyre::Result<()> {
+    let (rig, servers) =
+        RelayRig::with_servers(vec![vec![Script::Answer(whole("200 OK", "yes"))]]).await?;
+    let extra = "Tenant: north\r\nHold: 7\r\nKv-From: 10.0.0.1:1/x\r\nPin-Ms: 900\r\nKv-Backup: 10.0.0.1:1\r\n\
+                 Expect-Instance: i-9\r\nRequest-Urgency: 0\r\nX-Other: kept\r\n";
+    let answer = rig
+        .send(&request("POST", "/confirm/7?a=b", "r1", extra, "two seats"))
+        .await?;
+    assert_eq!((status(&answer), body(&answer)), ("200", "yes"), "{answer}");
+    assert_eq!(header(&answer, "server-stamp").as_deref(), Some("stamp-1"));
+    let received = &servers[0].requests()[0];
+    assert!(
+        received.starts_with("POST /confirm/7?a=b HTTP/1.1\r\n"),
+        "{received}"
+    );
+    assert!(received.ends_with("\r\n\r\ntwo seats"), "{received}");
+    assert!(!received.contains(KEY), "{received}");
+    for (name, value) in [
+        ("tenant", Some("south")),
+        ("expect-instance", Some("i-0")),
+        ("x-other", Some("kept")),
+        ("hold", None),
+        ("kv-from", None),
+        ("kv-backup", None),
+        ("pin-ms", None),
+    ] {
+        assert_eq!(
+            header(received, name).as_deref(),
+            value,
+            "{name}: {received}"
+        );
+    }
+    let left: u64 = header(received, "deadline-ms")
+        .unwrap_or_default()
+        .parse()?;
+    assert!(left <= 3_000, "{left}");
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against 401 or 404 by a daemon that knows no configuration, and against either being a 503 later.
+#[tokio::test]
+async fn daemon_without_configuration_answers_503() -> eyre::Result<()> {
+    let mut rig = RelayRig::open().await?;
+    let call = request("GET", "/check/1", "r1", "", "");
+    assert_eq!(status(&rig.send(&call).await?), "503");
+    rig.configure(|_| {})?;
+    let server =
+        ScriptedServer::bind(&rig.group, "i-0", [Script::Answer(whole("200 OK", "yes"))]).await?;
+    rig.list(&server, "ready")?;
+    assert_eq!(status(&rig.send(&call).await?), "200");
+    let unknown = request("GET", "/nowhere/1", "r2", "", "");
+    assert_eq!(status(&rig.send(&unknown).await?), "404");
+    rig.configure(|config| config["tenants"][0]["api-keys"] = serde_json::json!(["another"]))?;
+    assert_eq!(status(&rig.send(&call).await?), "401");
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an older configuration that comes after a newer one.
+#[tokio::test]
+async fn older_configuration_does_not_replace_a_newer_one() -> eyre::Result<()> {
+    let mut rig = RelayRig::open().await?;
+    rig.configure(|config| config["version"] = 9.into())?;
+    rig.configure(|config| {
+        config["version"] = 8.into();
+        config["routes"] = serde_json::json!([]);
+    })?;
+    assert_eq!(rig.plans.version(), 9);
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an answer that reaches the caller of another request.
+#[tokio::test]
+async fn answer_with_another_id_reaches_no_caller() -> eyre::Result<()> {
+    let foreign = Script::Answer(whole("200 OK", "for another").replace("{id}", "r-other"));
+    let good = Script::Answer(whole("200 OK", "mine"));
+    let (rig, servers) = RelayRig::with_servers(vec![vec![foreign, good]]).await?;
+    let confirm = rig
+        .send(&request("POST", "/confirm/1", "r1", "", "x"))
+        .await?;
+    assert_eq!(status(&confirm), "502", "{confirm}");
+    assert_eq!(
+        servers[0].requests().len(),
+        1,
+        "a call that runs at most once was sent again"
+    );
+    let check = rig.send(&request("GET", "/check/1", "r2", "", "")).await?;
+    assert_eq!((status(&check), body(&check)), ("200", "mine"));
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an extra answer that is taken for the answer of the next request on the connection.
+#[tokio::test]
+async fn extra_answer_on_a_kept_connection_reaches_no_caller() -> eyre::Result<()> {
+    let twice = format!("{}{}", whole("200 OK", "first"), whole("200 OK", "first"));
+    let good = Script::Answer(whole("200 OK", "second"));
+    let (rig, _servers) = RelayRig::with_servers(vec![vec![Script::Answer(twice), good]]).await?;
+    let first = rig.send(&request("GET", "/check/1", "r1", "", "")).await?;
+    assert_eq!(body(&first), "first");
+    let second = rig.send(&request("GET", "/check/2", "r2", "", "")).await?;
+    assert_eq!(
+        (status(&second), body(&second)),
+        ("200", "second"),
+        "{second}"
+    );
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a torn answer that looks whole, and against a second run of a call that runs at most once.
+#[tokio::test]
+async fn torn_whole_answer_is_a_failure_and_not_repeated() -> eyre::Result<()> {
+    let torn = whole("200 OK", "0123456789").replace("0123456789", "01234");
+    let (rig, servers) = RelayRig::with_servers(vec![
+        vec![Script::Last(torn.clone())],
+        vec![Script::Last(torn)],
+    ])
+    .await?;
+    let answer = rig
+        .send(&request("POST", "/confirm/1", "r1", "", "x"))
+        .await?;
+    assert_eq!(status(&answer), "502", "{answer}");
+    let runs: usize = servers.iter().map(|server| server.requests().len()).sum();
+    assert_eq!(runs, 1);
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an idempotent call that fails although another server is sound.
+#[tokio::test]
+async fn idempotent_call_goes_to_another_server_after_a_failure() -> eyre::Result<()> {
+    for failure in [
+        Script::Reset(String::new()),
+        Script::Answer(whole("500 Internal Server Error", "sorry")),
+        Script::Silent(String::new()),
+        Script::Last("no HTTP at all\r\n\r\n".into()),
+    ] {
+        let good = Script::Answer(whole("200 OK", "yes"));
+        let (rig, servers) = RelayRig::with_servers(vec![vec![failure.clone()]]).await?;
+        let second = ScriptedServer::bind(&rig.group, "i-1", [good]).await?;
+        let call = request("GET", "/check/1", "r1", "", "");
+        let answer = rig.send(&call);
+        let listed = async {
+            until("the first send", || !servers[0].requests().is_empty()).await?;
+            rig.list(&second, "ready")
+        };
+        let (answer, listed) = tokio::join!(answer, listed);
+        listed?;
+        assert_eq!(status(&answer?), "200", "{failure:?}");
+        rig.shutdown().await;
+    }
+    Ok(())
+}
+
+/// Guards against a server's own failure that is replaced when no other server does better.
+#[tokio::test]
+async fn failure_of_the_only_server_is_passed_on_unchanged() -> eyre::Result<()> {
+    let failure = Script::Answer(whole("500 Internal Server Error", "sorry"));
+    let (rig, _servers) = RelayRig::with_servers(vec![vec![failure]]).await?;
+    let answer = rig.send(&request("GET", "/check/1", "r1", "", "")).await?;
+    assert_eq!(
+        (status(&answer), body(&answer)),
+        ("500", "sorry"),
+        "{answer}"
+    );
+    assert_eq!(header(&answer, "server-stamp").as_deref(), Some("stamp-1"));
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a call that is lost because one server is full, also if it may run only once.
+#[tokio::test]
+async fn refused_call_goes_to_another_server() -> eyre::Result<()> {
+    let (rig, servers) = RelayRig::with_servers(vec![
+        vec![Script::Answer(REFUSAL.into())],
+        vec![
+            Script::Answer(REFUSAL.into()),
+            Script::Answer(whole("200 OK", "yes")),
+        ],
+    ])
+    .await?;
+    let answer = rig
+        .send(&request("POST", "/confirm/1", "r1", "", "x"))
+        .await?;
+    let sent: usize = servers.iter().map(|server| server.requests().len()).sum();
+    assert_eq!(status(&answer), "200", "{answer} after {sent} sends");
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a request that runs on another process at a reused address.
+#[tokio::test]
+async fn answer_of_another_instance_counts_as_not_run() -> eyre::Result<()> {
+    let other = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\nContent-Length: 0\r\n\r\n";
+    let (rig, _servers) = RelayRig::with_servers(vec![vec![Script::Answer(other.into())]]).await?;
+    let extra = "";
+    let call = request("POST", "/confirm/1", "r1", extra, "x").replace("3000", "300");
+    let answer = rig.send(&call).await?;
+    assert_eq!(status(&answer), "503", "{answer}");
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a 503 or 429, which promise that a call has not run, after the server may have run it.
+#[tokio::test]
+async fn call_that_may_have_run_gets_no_promise() -> eyre::Result<()> {
+    let (rig, servers) = RelayRig::with_servers(vec![vec![Script::Silent(String::new())]]).await?;
+    let call = request("POST", "/confirm/1", "r1", "", "x").replace("3000", "300");
+    let answer = rig.send(&call).await?;
+    assert_eq!(status(&answer), "504", "{answer}");
+    assert_eq!(servers[0].requests().len(), 1);
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against pieces that are lost, come twice, or come from two runs when a stream goes on elsewhere.
+#[tokio::test]
+async fn torn_stream_resumes_after_its_last_whole_event() -> eyre::Result<()> {
+    let half = &event(3)[..7];
+    let torn = format!(
+        "{}{}{}",
+        stream_head(),
+        chunk(&event(1)),
+        chunk(&format!("{}{half}", event(2)))
+    );
+    let rest = format!(
+        "{}{}{}0\r\n\r\n",
+        stream_head().replace("stamp-1", "stamp-2"),
+        chunk(&event(3)),
+        chunk(&event(4))
+    );
+    let (rig, servers) =
+        RelayRig::with_servers(vec![vec![Script::Reset(torn), Script::Answer(rest)]]).await?;
+    let answer = rig
+        .send(&request("POST", "/draft/1", "r1", "", "x"))
+        .await?;
+    let events: String = (1..=4).map(event).collect();
+    assert_eq!(dechunk(&answer), Some(events), "{answer}");
+    assert_eq!(header(&answer, "server-stamp").as_deref(), Some("stamp-1"));
+    let requests = servers[0].requests();
+    assert_eq!(header(&requests[1], "last-event-id").as_deref(), Some("2"));
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a torn stream that looks complete, and against a second run where none is allowed.
+#[tokio::test]
+async fn torn_stream_that_may_not_resume_breaks_the_connection() -> eyre::Result<()> {
+    let torn = format!("{}{}", stream_head(), chunk(&event(1)));
+    let (rig, servers) = RelayRig::with_servers(vec![vec![Script::Reset(torn)]]).await?;
+    let answer = rig
+        .send(&request("POST", "/batch/1", "r1", "", "x"))
+        .await?;
+    assert!(body(&answer).contains(&event(1)), "{answer}");
+    assert_eq!(dechunk(&answer), None, "{answer}");
+    assert_eq!(servers[0].requests().len(), 1);
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an answer without a length that is taken for torn, or a reset one that is taken for whole.
+#[tokio::test]
+async fn answer_without_length_ends_with_its_connection() -> eyre::Result<()> {
+    let unframed = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\nall of it";
+    let (rig, _servers) = RelayRig::with_servers(vec![vec![
+        Script::Last(unframed.into()),
+        Script::Reset(unframed.into()),
+    ]])
+    .await?;
+    let answer = rig
+        .send(&request("POST", "/confirm/1", "r1", "", "x"))
+        .await?;
+    assert_eq!(
+        (status(&answer), body(&answer)),
+        ("200", "all of it"),
+        "{answer}"
+    );
+    let answer = rig
+        .send(&request("POST", "/confirm/2", "r2", "", "x"))
+        .await?;
+    assert_eq!(status(&answer), "502", "{answer}");
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against other bytes in the place of a long body whose answer came early.
+#[tokio::test]
+async fn early_answer_does_not_cut_a_long_body() -> eyre::Result<()> {
+    let early = Script::Early(whole("200 OK", "seen"));
+    let good = Script::Answer(whole("200 OK", "next"));
+    let (rig, servers) = RelayRig::with_servers(vec![vec![early, good]]).await?;
+    let long = "long body ".repeat(50_000);
+    let answer = rig
+        .send(&request("POST", "/check/1", "r1", "", &long))
+        .await?;
+    assert_eq!((status(&answer), body(&answer)), ("200", "seen"));
+    let answer = rig.send(&request("GET", "/check/2", "r2", "", "")).await?;
+    assert_eq!((status(&answer), body(&answer)), ("200", "next"));
+    // The first connection may end before its body is whole; what is read of it must be the caller's.
+    for received in servers[0].requests() {
+        let is_long = received.starts_with("POST /check/1") && received.ends_with(&long);
+        assert!(
+            is_long || received.starts_with("GET /check/2"),
+            "{:.200}",
+            received
+        );
+    }
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a server that goes on working after the caller has left.
+#[tokio::test]
+async fn server_is_told_when_the_caller_leaves() -> eyre::Result<()> {
+    let started = format!("{}{}", stream_head(), chunk(&event(1)));
+    let (rig, servers) = RelayRig::with_servers(vec![vec![
+        Script::Silent(String::new()),
+        Script::Silent(started),
+    ]])
+    .await?;
+    for (count, path) in [(1, "/confirm/1"), (2, "/batch/1")] {
+        let mut stream = TcpStream::connect(rig.address).await?;
+        stream
+            .write_all(request("POST", path, "r1", "", "x").as_bytes())
+            .await?;
+        until("the send", || servers[0].requests().len() == count).await?;
+        if count == 2 {
+            let mut first = [0; 12];
+            stream.read_exact(&mut first).await?;
+        }
+        drop(stream);
+        let gone = || servers[0].abandoned.load(Ordering::SeqCst) == count;
+        until("the end of the server's connection", gone).await?;
+    }
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against new work for a server that says that it leaves, and against the loss of its running work.
+#[tokio::test]
+async fn leaving_server_gets_no_new_request() -> eyre::Result<()> {
+    let answer = || vec![Script::Answer(whole("200 OK", "yes"))];
+    let (rig, servers) = RelayRig::with_servers(vec![answer(), answer()]).await?;
+    rig.list(&servers[0], "draining")?;
+    for id in 0..10 {
+        let call = request("GET", "/check/1", &format!("r{id}"), "", "");
+        assert_eq!(status(&rig.send(&call).await?), "200");
+    }
+    assert_eq!(
+        (servers[0].requests().len(), servers[1].requests().len()),
+        (0, 10)
+    );
+    rig.shutdown().await;
+    Ok(())
+}
+
+/// Guards against requests on kept connections to a daemon that is about to stop.
+#[tokio::test]
+async fn draining_daemon_asks_callers_to_close() -> eyre::Result<()> {
+    let (rig, _servers) =
+        RelayRig::with_servers(vec![vec![Script::Answer(whole("200 OK", "yes"))]]).await?;
+    rig.draining.store(true, Ordering::Relaxed);
+    let call = request("GET", "/check/1", "r1", "", "").replace("Connection: close\r\n", "");
+    let answer = rig.send(&call).await?;
+    assert_eq!(
+        header(&answer, "connection").as_deref(),
+        Some("close"),
+        "{answer}"
+    );
+    rig.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/tests/relay_support/mod.rs
@@ -0,0 +1,403 @@
+//! A relay on loopback in front of backend servers whose bytes are scripted.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use foxtailhill::daemon::RelayParts;
+use foxtailhill::dispatch::{CoreContext, DemandMeter, RequestCore, WaitRoom};
+use foxtailhill::history::RequestHistory;
+use foxtailhill::ids::VmId;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::limit::LimitService;
+use foxtailhill::member::{PeerBoard, ShareGrant, ShareSink, WHOLE_PPM};
+use foxtailhill::metrics::DaemonMetrics;
+use foxtailhill::peer::PeerClient;
+use foxtailhill::platform::{self, PlatformFormat};
+use foxtailhill::queue::WaitQueue;
+use foxtailhill::relay::{
+    PlanKeeper, RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryShare, ServerChange,
+    UpstreamPool,
+};
+use foxtailhill::retry::RetryBudget;
+use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
+use foxtailhill::settings::LimitSettings;
+use foxtailhill::suspect::SuspectTable;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// Generous bound of every wait for a condition.
+pub const WAIT: Duration = Duration::from_secs(20);
+pub const KEY: &str = "secret-key-of-the-team";
+pub const HOST: &str = "desk.example";
+
+/// What a scripted server does with one request.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Writes bytes; `{id}` stands for the request's id. Keeps the connection.
+    Answer(String),
+    /// Writes bytes and closes the connection.
+    Last(String),
+    /// Writes bytes and resets the connection.
+    Reset(String),
+    /// Writes bytes as soon as the head is read, then reads the rest of the body.
+    Early(String),
+    /// Writes bytes and then says nothing more.
+    Silent(String),
+}
+
+/// A backend server that follows a script.
+pub struct ScriptedServer {
+    pub id: String,
+    pub address: SocketAddr,
+    scripts: Arc<Mutex<VecDeque<Script>>>,
+    /// Requests as received, head and body.
+    requests: Arc<Mutex<Vec<String>>>,
+    /// Connections that the relay has closed while a script was silent.
+    pub abandoned: Arc<AtomicUsize>,
+    pub connections: Arc<AtomicUsize>,
+}
+
+impl ScriptedServer {
+    /// Binds a port and follows `scripts`, the last of them for all further requests.
+    pub async fn bind(
+        group: &TaskGroup,
+        id: &str,
+        scripts: impl IntoIterator<Item = Script>,
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Self {
+            id: id.into(),
+            address: listener.local_addr()?,
+            scripts: Arc::new(Mutex::new(scripts.into_iter().collect())),
+            requests: Arc::default(),
+            abandoned: Arc::default(),
+            connections: Arc::default(),
+        };
+        let (scripts, requests) = (server.scripts.clone(), server.requests.clone());
+        let (abandoned, connections) = (server.abandoned.clone(), server.connections.clone());
+        let parent = group.clone();
+        group.spawn_cancellable(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.fetch_add(1, Ordering::SeqCst);
+                let (scripts, requests) = (scripts.clone(), requests.clone());
+                let abandoned = abandoned.clone();
+                parent.spawn_cancellable(async move {
+                    // A connection that the relay closed ends its script.
+                    let _ = follow(stream, &scripts, &requests, &abandoned).await;
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns the requests received so far.
+    pub fn requests(&self) -> Vec<String> {
+        lock(&self.requests).clone()
+    }
+}
+
+async fn follow(
+    mut stream: TcpStream,
+    scripts: &Mutex<VecDeque<Script>>,
+    requests: &Mutex<Vec<String>>,
+    abandoned: &AtomicUsize,
+) -> std::io::Result<()> {
+    let mut buffer = Vec::new();
+    loop {
+        let head_end = loop {
+            if let Some(end) = find(&buffer, b"\r\n\r\n") {
+                break end + 4;
+            }
+            if stream.read_buf(&mut buffer).await? == 0 {
+                return Ok(());
+            }
+        };
+        let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+        let length: usize =
+            header(&head, "content-length").map_or(0, |text| text.parse().unwrap_or(0));
+        let script = {
+            let mut scripts = lock(scripts);
+            match scripts.len() {
+                1 => scripts.front().cloned(),
+                _ => scripts.pop_front(),
+            }
+        };
+        let Some(script) = script else { return Ok(()) };
+        let id = header(&head, "request-id").unwrap_or_default();
+        let bytes = |text: &str| text.replace("{id}", &id).into_bytes();
+        if let Script::Early(text) = &script {
+            stream.write_all(&bytes(text)).await?;
+        }
+        while buffer.len() < head_end + length {
+            if stream.read_buf(&mut buffer).await? == 0 {
+                return Ok(());
+            }
+        }
+        let request = String::from_utf8_lossy(&buffer[..head_end + length]).into_owned();
+        lock(requests).push(request);
+        buffer.drain(..head_end + length);
+        match script {
+            Script::Answer(text) => stream.write_all(&bytes(&text)).await?,
+            Script::Early(_) => {}
+            Script::Last(text) => {
+                stream.write_all(&bytes(&text)).await?;
+                return stream.shutdown().await;
+            }
+            Script::Reset(text) => {
+                stream.write_all(&bytes(&text)).await?;
+                // The bytes must arrive before the reset discards them.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                return stream.set_zero_linger();
+            }
+            Script::Silent(text) => {
+                stream.write_all(&bytes(&text)).await?;
+                if stream.read_buf(&mut buffer).await.unwrap_or(0) == 0 {
+                    abandoned.fetch_add(1, Ordering::SeqCst);
+                }
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Builds a whole answer with a length.
+pub fn whole(status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {{id}}\r\nServer-Stamp: stamp-1\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Builds the head of a chunked stream.
+pub fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp-1\r\nTransfer-Encoding: chunked\r\n\r\n".into()
+}
+
+/// Builds a chunk.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Builds an event.
+pub fn event(id: u32) -> String {
+    format!("id: {id}\ndata: word{id}\n\n")
+}
+
+/// A relay with the platform's formats.
+pub struct RelayRig {
+    pub address: SocketAddr,
+    pub group: TaskGroup,
+    pub fleet: Arc<RelayFleet>,
+    pub plans: Arc<PlanKeeper>,
+    pub draining: Arc<AtomicBool>,
+    version: u64,
+}
+
+impl RelayRig {
+    /// Starts a relay without a configuration and without servers.
+    pub async fn open() -> eyre::Result<Self> {
+        let group = TaskGroup::new();
+        let fleet = Arc::new(RelayFleet::new());
+        let plans = Arc::new(PlanKeeper::new(
+            platform::CONFIGURATION_KEY,
+            platform::decode_plan,
+        ));
+        let client = Arc::new(PeerClient::open(&group));
+        let board = Arc::new(PeerBoard::new());
+        let limits = LimitService::open(&group, plans.teams(), board, client);
+        let now = Instant::now();
+        let grant = ShareGrant {
+            vm: VmId::random(),
+            ppm: WHOLE_PPM,
+            until: now + Duration::from_secs(3_600),
+        };
+        limits.adopt_share(Some(grant), now);
+        let suspects = Arc::new(Mutex::new(SuspectTable::new(100)));
+        let room = WaitRoom::new(
+            ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), 1),
+            fleet.clone(),
+            suspects.clone(),
+            1_000,
+            WaitQueue::new,
+        );
+        let core = RequestCore::<RelayParts>::open(CoreContext {
+            group: group.clone(),
+            limiter: Arc::new(limits),
+            room,
+            suspects,
+            demand: Arc::new(DemandMeter::new()),
+            retries: RetryBudget::new(),
+            history: Arc::new(RequestHistory::new(1_000)),
+            metrics: Arc::new(DaemonMetrics::new()),
+            admission_limit: 1_000,
+        });
+        let (wishes, _ignored) = mpsc::unbounded_channel();
+        let dispatcher = RelayDispatcher::open(RelayContext {
+            zone: "north".into(),
+            core: core.clone(),
+            plans: plans.subscribe(),
+            fleet: fleet.clone(),
+            pool: UpstreamPool::open(&group),
+            format: Arc::new(PlatformFormat),
+            retries: RetryShare {
+                percent: 20,
+                extra: 20,
+            },
+            wishes,
+        });
+        let draining = Arc::new(AtomicBool::new(false));
+        let limits = LimitSettings::default();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = RelayServer::bind(&group, any, &limits, dispatcher, draining.clone()).await?;
+        let mut changes = fleet.subscribe();
+        group.spawn_cancellable(async move {
+            while changes.changed().await.is_ok() {
+                core.pump();
+            }
+        });
+        let ticking = fleet.clone();
+        group.spawn_cancellable(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                ticking.tick(Instant::now());
+            }
+        });
+        Ok(Self {
+            address: server.address(),
+            group,
+            fleet,
+            plans,
+            draining,
+            version: 0,
+        })
+    }
+
+    /// Starts a relay with the standard configuration and servers of the plain service, one a script list.
+    pub async fn with_servers(
+        scripts: Vec<Vec<Script>>,
+    ) -> eyre::Result<(Self, Vec<ScriptedServer>)> {
+        let mut rig = Self::open().await?;
+        rig.configure(|_| {})?;
+        let mut servers = Vec::new();
+        for (index, scripts) in scripts.into_iter().enumerate() {
+            let id = format!("i-{index}");
+            let server = ScriptedServer::bind(&rig.group, &id, scripts).await?;
+            rig.list(&server, "ready")?;
+            servers.push(server);
+        }
+        Ok((rig, servers))
+    }
+
+    /// Puts a new version of the standard configuration in force, with changes.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<()> {
+        self.version += 3;
+        let route = |name: &str, kind: &str, resumable: bool| {
+            json!({
+                "name": name, "host": HOST, "path-prefix": format!("/{name}/"), "kind": kind,
+                "timeout-ms": 4_000, "target-latency-ms": 400, "priority": 0, "service": "desk",
+                "max-attempts": 2, "public": false, "resumable": resumable, "gap-aim-ms": 250
+            })
+        };
+        let mut config = json!({
+            "version": self.version,
+            "routes": [
+                route("check", "idempotent", false),
+                route("confirm", "non_idempotent", false),
+                route("draft", "streaming", true),
+                route("batch", "streaming", false),
+            ],
+            "services": [{"name": "desk", "health-path": "/health", "max-conns": 100}],
+            "tenants": [{"name": "south", "api-keys": [KEY], "unit": "tokens", "plain-tokens": 1,
+                "rate-per-s": 0, "burst": 0}],
+        });
+        change(&mut config);
+        self.plans
+            .offer(platform::decode_plan(config.to_string().as_bytes())?);
+        Ok(())
+    }
+
+    /// Lists a server in a state.
+    pub fn list(&self, server: &ScriptedServer, state: &str) -> eyre::Result<()> {
+        let record = json!({
+            "service": "desk", "address": server.address.to_string(), "zone": "north",
+            "version": "v1", "slots": 4, "state": state, "cold-left-ms": 0, "seq": 1, "born": 1
+        });
+        let entry = platform::decode_server(&server.id, record.to_string().as_bytes())?;
+        self.fleet
+            .apply(vec![ServerChange::Put(entry)], Instant::now());
+        Ok(())
+    }
+
+    /// Sends a request and returns all bytes of the answer, up to the end of the connection.
+    pub async fn send(&self, request: &str) -> eyre::Result<String> {
+        let mut stream = TcpStream::connect(self.address).await?;
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        // A reset after the answer leaves what has arrived.
+        let read = tokio::time::timeout(WAIT, stream.read_to_end(&mut answer)).await?;
+        if let Err(error) = read {
+            eyre::ensure!(
+                error.kind() == std::io::ErrorKind::ConnectionReset,
+                "{error}"
+            );
+        }
+        Ok(String::from_utf8_lossy(&answer).into_owned())
+    }
+
+    pub async fn shutdown(self) {
+        self.group.shutdown().await;
+    }
+}
+
+/// Builds a request that closes its connection.
+pub fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\
+         Authorization: Bearer {KEY}\r\nConnection: close\r\nContent-Length: {}\r\n{extra}\r\n{body}",
+        body.len()
+    )
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, condition: impl Fn() -> bool) -> eyre::Result<()> {
+    let end = Instant::now() + WAIT;
+    while !condition() {
+        eyre::ensure!(Instant::now() < end, "{what} did not happen");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
+
+/// Runs a test body on a relay and shuts it down.
+pub async fn finish(
+    rig: RelayRig,
+    check: impl Future<Output = eyre::Result<()>>,
+) -> eyre::Result<()> {
+    let result = check.await;
+    rig.shutdown().await;
+    result
+}
+
+pub fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
+    bytes.windows(part.len()).position(|window| window == part)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
