Let one daemon a zone read the store; keep the planner's lease in one record

With the role by group membership it moved whenever a member came, and each move costs the wait for late orders.

Change: one daemon of each zone reads and tells the others by pulses; they fetch copies, and any daemon fetches a newer configuration from whoever has one. Of two readers the one that has read for longer stays. The planner's lease is a record written under a condition; it moves only after it has stood unchanged.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -25,9 +25,10 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    DaemonRecord, DaemonRegistry, FollowPace, PlaceWish, Placement, PlanKeeper, PlannerParts,
-    Pulse, PulseHandler, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
-    ReplicaPlanner, RetryShare, RoleKeeper, ServerKeeper, StoreTable, UpstreamPool, bind_ready,
+    DaemonRecord, DaemonRegistry, FetchMemory, FollowPace, LeaseKeeper, LeaseTerm, PlaceWish,
+    Placement, PlanKeeper, PlannerParts, Pulse, PulseHandler, ReaderElection, RegistrySettings,
+    RelayContext, RelayDispatcher, RelayFleet, RelayServer, ReplicaPlanner, RetryShare,
+    ServerChange, ServerKeeper, StoreHealth, StoreTable, TableCopy, UpstreamPool, bind_ready,
     follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
@@ -81,6 +82,12 @@
 
 /// Time constant of the demand that the layout follows: demand moves between models within seconds.
 const DEMAND_WINDOW: Duration = Duration::from_secs(4);
+/// Time after which sources are looked through again without a pulse.
+const FETCH_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for a copy.
+const FETCH_WAIT: Duration = Duration::from_millis(800);
+/// Pause after a fetch that failed.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the planner's answer to a wish.
 const WISH_WAIT: Duration = Duration::from_millis(1_700);
 /// Times that a wish is repeated while requests may still wait for it.
@@ -103,6 +110,9 @@
     client: Arc<PeerClient>,
     planner: Arc<Planner>,
     leader: Arc<KnownPlanner>,
+    readers: Arc<ReaderElection>,
+    health: Arc<StoreHealth>,
+    lease: Arc<LeaseKeeper>,
 }
 
 /// A running daemon on the platform.
@@ -114,6 +124,8 @@
     /// Tasks of requests, joined before those of services.
     requests: TaskGroup,
     services: TaskGroup,
+    lease: Arc<LeaseKeeper>,
+    store: Arc<StoreClient>,
     /// The timer service stops with its last handle.
     _timer: TimerService,
 }
@@ -146,6 +158,9 @@
         limits: parts.limits.clone(),
         core: parts.core.clone(),
         planner: parts.planner.clone(),
+        plans: parts.plans.clone(),
+        fleet: parts.fleet.clone(),
+        registry: parts.registry.clone(),
     });
     PeerServer::bind(services, settings.listen.peer, handler).await?;
     let pulses = Arc::new(RelayPulses::new(&parts));
@@ -210,6 +225,8 @@
         draining,
         requests: requests.clone(),
         services: services.clone(),
+        lease: parts.lease,
+        store: parts.store,
         _timer: parts.timer,
     })
 }
@@ -261,16 +278,23 @@
         admission_limit: settings.limits.in_flight,
     });
     let demand = Arc::new(DemandBoard::with_window(DEMAND_WINDOW));
-    let role = RoleKeeper::spawn(
+    let health: Arc<StoreHealth> = Arc::default();
+    let readers = Arc::new(ReaderElection::new(
+        settings.vm.clone(),
+        settings.zone.clone(),
+        health.clone(),
+    ));
+    let vm = registry.own().1.vm;
+    let lease = LeaseKeeper::spawn(
         services,
         store.clone(),
-        settings.vm.clone(),
-        settings.timing.lease,
+        LeaseTerm::new(settings.vm.clone(), vm, settings.timing.lease),
+        readers.subscribe(),
     );
     let planner = ReplicaPlanner::spawn(
         PlannerParts {
             name: settings.vm.clone(),
-            role,
+            lease: lease.clone(),
             control: Arc::new(EngineClient::open()),
             fleet: fleet.clone(),
             demand: demand.clone(),
@@ -283,6 +307,9 @@
         client,
         planner,
         leader: Arc::default(),
+        readers,
+        health,
+        lease,
         store,
         timer,
         plans,
@@ -307,18 +334,33 @@
         StoreTable::Configuration,
         PLAN_PACE,
         parts.plans.clone(),
+        parts.readers.subscribe(),
+        parts.health.clone(),
     ));
     group.spawn_cancellable(follow_table(
         store(),
         StoreTable::Servers,
         SERVER_PACE,
         servers,
+        parts.readers.subscribe(),
+        parts.health.clone(),
     ));
     group.spawn_cancellable(follow_table(
         store(),
         StoreTable::Daemons,
         DAEMON_PACE,
         parts.registry.clone(),
+        parts.readers.subscribe(),
+        parts.health.clone(),
+    ));
+    group.spawn_cancellable(fetch_copies(
+        parts.readers.clone(),
+        parts.client.clone(),
+        CopySink {
+            plans: parts.plans.clone(),
+            fleet: parts.fleet.clone(),
+            registry: parts.registry.clone(),
+        },
     ));
     let limits = parts.limits.clone();
     parts.registry.spawn(store(), limits, &parts.timer, group);
@@ -350,6 +392,63 @@
     });
 }
 
+/// Takes over what another daemon has read of the store.
+struct CopySink {
+    plans: Arc<PlanKeeper>,
+    fleet: Arc<RelayFleet>,
+    registry: Arc<DaemonRegistry>,
+}
+
+impl CopySink {
+    /// Takes over a copy; the configuration alone, if this daemon reads the store itself.
+    fn apply(&self, copy: TableCopy, whole: bool) {
+        if let Some(record) = copy.plan {
+            self.plans.offer_record(record.into());
+        }
+        if whole {
+            let now = Instant::now();
+            let servers = ServerChange::Whole(copy.servers);
+            self.fleet.apply(vec![servers], now);
+            self.registry.adopt(copy.daemons, now);
+        }
+    }
+}
+
+/// Fetches what daemons that read the store have read, whenever they have something new. A daemon that reads the
+/// store itself fetches a newer configuration all the same: the store may turn it away without a sign.
+async fn fetch_copies(readers: Arc<ReaderElection>, client: Arc<PeerClient>, sink: CopySink) {
+    let mut memory = FetchMemory::default();
+    loop {
+        // A lost pulse is made up for by the next one.
+        let _ = tokio::time::timeout(FETCH_PERIOD, readers.changed()).await;
+        let now = Instant::now();
+        readers.elect(now);
+        let plan_version = sink.plans.version();
+        let whole = !readers.is_reading(now);
+        let source = readers
+            .source(now)
+            .filter(|source| whole && memory.wants(*source, now));
+        let newer = readers.newer_plan(plan_version, now);
+        let Some(asked) = source.or(newer) else {
+            continue;
+        };
+        let request = PeerRequest::FetchTables { plan_version };
+        match client.call(asked.peer, request, FETCH_WAIT).await {
+            Ok(PeerReply::Tables(copy)) => {
+                sink.apply(copy, source.is_some());
+                if source.is_some() {
+                    memory.fetched(asked, now);
+                }
+            }
+            Ok(_) => log::warn!("{} answered a fetch with something else", asked.peer),
+            Err(error) => {
+                log::info!("nothing could be fetched from {}: {error}", asked.peer);
+                tokio::time::sleep(FETCH_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// The daemon that gives orders, as pulses tell.
 #[derive(Default)]
 struct KnownPlanner(Mutex<Option<(u64, SocketAddr)>>);
@@ -425,6 +524,9 @@
     limits: Arc<LimitService<PeerClient>>,
     core: Arc<Core>,
     planner: Arc<Planner>,
+    plans: Arc<PlanKeeper>,
+    fleet: Arc<RelayFleet>,
+    registry: Arc<DaemonRegistry>,
 }
 
 impl PeerHandler for RelayPeers {
@@ -441,6 +543,11 @@
                 Ok(PeerReply::Done)
             }
             PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
+            PeerRequest::FetchTables { plan_version } => Ok(PeerReply::Tables(TableCopy {
+                plan: self.plans.record_after(plan_version),
+                servers: self.fleet.servers(),
+                daemons: self.registry.copy(Instant::now()),
+            })),
             _ => Err(Error::internal("no service answers this peer call")),
         }
     }
@@ -457,6 +564,7 @@
     core: Arc<Core>,
     planner: Arc<Planner>,
     leader: Arc<KnownPlanner>,
+    readers: Arc<ReaderElection>,
 }
 
 impl RelayPulses {
@@ -471,6 +579,7 @@
             core: parts.core.clone(),
             planner: parts.planner.clone(),
             leader: parts.leader.clone(),
+            readers: parts.readers.clone(),
         }
     }
 }
@@ -485,19 +594,28 @@
         Pulse {
             vm: record.vm,
             name: name.clone(),
+            zone: record.zone.clone(),
             peer: record.peer,
             plan_version: self.plans.version(),
-            reads_store: true,
+            reads_store: self.readers.is_reading(now),
+            reading_for: self.readers.reading_for(now),
+            tables_version: self.fleet.version() + self.plans.version(),
             loads: self.fleet.own_load(),
             spare: self.limits.spare(),
-            leaving: Vec::new(),
             demand,
             fence: self.planner.fence(),
             placements: self.planner.take_news(),
         }
     }
 
+    async fn urgent(&self) {
+        let mut plans = self.plans.subscribe();
+        // The keeper lives as long as the daemon.
+        while plans.changed().await.is_ok() && !self.readers.is_reading(Instant::now()) {}
+    }
+
     fn take(&self, pulse: Pulse, now: Instant) {
+        self.readers.heard(&pulse, now);
         self.fleet.note_peer_load(pulse.vm, pulse.loads, now);
         self.demand.note(pulse.peer, &pulse.demand, now);
         self.fleet.note_placements(&pulse.placements, now);
@@ -512,7 +630,7 @@
             log_reachable: pulse.reads_store,
             no_expire_for: Duration::ZERO,
             spare: pulse.spare,
-            leaving: pulse.leaving,
+            leaving: Vec::new(),
         };
         self.board.note(pulse.peer, status, now);
     }
@@ -575,7 +693,9 @@
             "shutting down; the balancer has {:?} to notice",
             timing.balancer_lag
         );
-        tokio::time::sleep(timing.balancer_lag).await;
+        self.lease.release(&*self.store).await;
+        let noticed = timing.balancer_lag.saturating_sub(started.elapsed());
+        tokio::time::sleep(noticed).await;
         let drained = async {
             self.caller.drain().await;
             self.requests.shutdown().await;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,7 +21,7 @@
 use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
-use crate::relay::{PlaceWish, Placement};
+use crate::relay::{PlaceWish, Placement, TableCopy};
 
 /// What a daemon reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +85,8 @@
     FetchState,
     /// Asks the planner of the users' platform for a place of a model or adapter that a request needs.
     Place(PlaceWish),
+    /// Asks for what the receiver has read of the users' platform's store; the sender has configuration `plan_version`.
+    FetchTables { plan_version: u64 },
 }
 
 /// Answer to a [`PeerRequest`].
@@ -99,6 +101,7 @@
     Done,
     /// Where the item was placed, or `None` if the receiver does not plan or found no place.
     Placed(Option<Placement>),
+    Tables(TableCopy),
 }
 
 /// Serves the calls that a [`PeerServer`] accepts.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,14 +6,15 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Method, Request, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::ids::LogOffset;
-use crate::relay::{KeyedRecord, RecordStore, RoleAnswer, RoleGroup, StoreTable, TableRead};
+use crate::ids::{LogOffset, VmId};
+use crate::relay::{
+    KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
+};
 use crate::wire::{self, HttpCaller, WireAnswer};
 
 const CONNECT_WAIT: Duration = Duration::from_millis(500);
@@ -21,9 +22,9 @@
 const CALL_WAIT: Duration = Duration::from_millis(1_500);
 /// A page of newest records holds at most 1 MB before its encoding; a read returns at most [`MAX_KB`].
 const ANSWER_LIMIT: usize = 4 << 20;
-/// Topic and group of the planner's role; whoever holds the one partition below holds the role.
-const ROLE_TOPIC: &str = "planner";
-const ROLE_PART: u32 = 0;
+/// Topic of the planner's lease, and its only key.
+const LEASE_TOPIC: &str = "keyed.planner";
+const LEASE_KEY: &str = "lease";
 /// KB of records that one read returns at most.
 const MAX_KB: usize = 1_024;
 
@@ -67,10 +68,6 @@
         wait: Duration,
     ) -> Result<WireAnswer> {
         let request = wire::request(self.address, method, path, body)?;
-        self.send(request, wait).await
-    }
-
-    async fn send(&self, request: Request<Full<Bytes>>, wait: Duration) -> Result<WireAnswer> {
         let answer = self
             .caller
             .call(request, CALL_WAIT + wait, ANSWER_LIMIT)
@@ -152,42 +149,56 @@
     }
 }
 
-#[derive(Serialize)]
-#[serde(rename_all = "kebab-case")]
-struct JoinBody<'a> {
-    group: &'a str,
-    member: &'a str,
-    topics: [&'a str; 1],
-    ttl_ms: u64,
-    generation: u64,
+/// The lease as it stands in the store.
+#[derive(Serialize, Deserialize)]
+struct LeaseValue {
+    holder: SmolStr,
+    vm: VmId,
+    fence: u64,
+    released: bool,
 }
 
-#[derive(Deserialize)]
-struct JoinAnswer {
-    generation: u64,
-    /// Topic, partition and committed offset of each partition that the member holds.
-    parts: Vec<(SmolStr, u32, u64)>,
-}
+impl LeaseStore for StoreClient {
+    async fn read_lease(&self) -> Result<LeaseState> {
+        let page = self.newest_page(LEASE_TOPIC, None).await?;
+        let item = page.items.into_iter().find(|item| item.key == LEASE_KEY);
+        let value = item
+            .map(newest_record)
+            .transpose()?
+            .and_then(|record| record.value);
+        let record = value.map(|value| {
+            serde_json::from_slice::<LeaseValue>(&value)
+                .map_err(|error| wire::protocol(format!("the lease cannot be read: {error}")))
+        });
+        Ok(LeaseState {
+            record: record.transpose()?.map(|value| LeaseRecord {
+                holder: value.holder,
+                vm: value.vm,
+                fence: value.fence,
+                released: value.released,
+            }),
+            next: LogOffset(page.end),
+        })
+    }
 
-impl RoleGroup for StoreClient {
-    async fn join(&self, member: &str, generation: u64, life: Duration) -> Result<RoleAnswer> {
-        let body = JoinBody {
-            group: ROLE_TOPIC,
-            member,
-            topics: [ROLE_TOPIC],
-            ttl_ms: u64::try_from(life.as_millis()).unwrap_or(u64::MAX),
-            generation,
+    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<bool> {
+        let value = LeaseValue {
+            holder: record.holder.clone(),
+            vm: record.vm,
+            fence: record.fence,
+            released: record.released,
         };
-        let body = serde_json::to_vec(&body)
-            .map_err(|error| Error::internal(format!("join cannot be encoded: {error}")))?;
-        let request = wire::json_request(self.address, Method::POST, "/api/log-join", body)?;
-        let answer = self.send(request, Duration::ZERO).await?;
-        let answer: JoinAnswer = wire::decode(&answer)?;
-        let mut parts = answer.parts.iter();
-        Ok(RoleAnswer {
-            generation: answer.generation,
-            holds: parts.any(|(topic, part, _)| topic == ROLE_TOPIC && *part == ROLE_PART),
-        })
+        let value = serde_json::to_vec(&value)
+            .map_err(|error| Error::internal(format!("the lease cannot be encoded: {error}")))?;
+        let path = format!("/api/log-append?topic={LEASE_TOPIC}&part=0&at={at}");
+        let body = encode_record(LEASE_KEY, &value)?;
+        let answer = self.call(Method::POST, &path, body, Duration::ZERO).await?;
+        match answer.status {
+            StatusCode::OK => Ok(true),
+            // The partition ends elsewhere: somebody else has written.
+            StatusCode::PRECONDITION_FAILED => Ok(false),
+            status => Err(unexpected(status)),
+        }
     }
 }
 
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -28,7 +28,7 @@
 /// Who gives an order, and the state of the engine that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderTicket {
-    /// Name of the VM that holds the planner's role.
+    /// Name of the VM that holds the planner's lease.
     pub holder: SmolStr,
     /// Grows with each holder.
     pub fence: u64,
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::watch;
 
@@ -37,7 +38,7 @@
 const TOKEN_US: u32 = 6_000;
 
 /// A model in the memory of an engine.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
     pub name: SmolStr,
     pub version: u64,
@@ -45,7 +46,7 @@
 }
 
 /// What a backend server says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Changes with most restarts.
     pub id: SmolStr,
@@ -94,6 +95,8 @@
     /// Requests of each peer by server, as last reported.
     peers: HashMap<VmId, (Instant, HashMap<u32, u32>)>,
     unreachable: bool,
+    /// Grows with each change of the records.
+    version: u64,
     /// When the list could be read again after an outage.
     back_at: Option<Instant>,
 }
@@ -153,6 +156,11 @@
         servers.map(|server| server.entry.clone()).collect()
     }
 
+    /// Returns a number that grows with each change of the list.
+    pub fn version(&self) -> u64 {
+        self.state().version
+    }
+
     /// Returns whether any server of `service` is listed that is not leaving.
     pub fn has_service(&self, service: &str) -> bool {
         let state = self.state();
@@ -368,6 +376,9 @@
     }
 
     fn put(&mut self, entry: ServerEntry, now: Instant) {
+        if !self.servers.contains_key(&entry.id) {
+            self.version += 1;
+        }
         let server = self
             .servers
             .entry(entry.id.clone())
@@ -389,6 +400,9 @@
         }
         server.handle.set_leaving(entry.leaving);
         server.lapses_at = None;
+        if server.entry != entry {
+            self.version += 1;
+        }
         server.entry = entry;
         server.merge(now);
     }
@@ -408,6 +422,7 @@
 
     fn remove(&mut self, id: &SmolStr) {
         if let Some(server) = self.servers.remove(id) {
+            self.version += 1;
             log::info!("server {id} of {} is gone", server.entry.service);
         }
     }
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -1,9 +1,12 @@
 //! Follows a table of the store.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
 
 use crate::ids::LogOffset;
+use crate::relay::readers::StoreHealth;
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable};
 
 /// Pause after a failed read.
@@ -39,17 +42,27 @@
     pub pause: Duration,
 }
 
-/// Follows `table` for ever.
+/// Follows `table` for ever, while `reading` says so.
 pub async fn follow_table<R: RecordStore, S: TableSink>(
     store: Arc<R>,
     table: StoreTable,
     pace: FollowPace,
     sink: Arc<S>,
+    mut reading: watch::Receiver<bool>,
+    health: Arc<StoreHealth>,
 ) {
     let mut reachable = true;
     let mut next: Option<LogOffset> = None;
     loop {
+        if !*reading.borrow_and_update() {
+            next = None;
+            if reading.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
         let result = step(&*store, table, next, pace).await;
+        health.note(result.is_ok(), Instant::now());
         match result {
             Ok((from, change)) => {
                 if !reachable {
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -1,8 +1,9 @@
 //! Keeps the configuration and the list of backend servers as read from the store.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
+use bytes::Bytes;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -23,6 +24,8 @@
     key: SmolStr,
     decode: PlanDecoder,
     plans: watch::Sender<Option<Arc<ServingPlan>>>,
+    /// The record of the configuration in force.
+    record: Mutex<Bytes>,
     teams: watch::Sender<Vec<TeamSpec>>,
 }
 
@@ -33,6 +36,7 @@
             key: key.into(),
             decode,
             plans: watch::Sender::new(None),
+            record: Mutex::default(),
             teams: watch::Sender::new(Vec::new()),
         }
     }
@@ -52,6 +56,24 @@
         self.plans.borrow().as_ref().map_or(0, |plan| plan.version)
     }
 
+    /// Returns the record of the configuration in force if it is newer than `version`.
+    pub fn record_after(&self, version: u64) -> Option<Vec<u8>> {
+        let record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
+        (self.version() > version).then(|| record.to_vec())
+    }
+
+    /// Takes over the configuration in `record` unless a version as new is in force.
+    pub fn offer_record(&self, record: Bytes) {
+        match (self.decode)(&record) {
+            Ok(plan) if plan.version > self.version() => {
+                *self.record.lock().unwrap_or_else(PoisonError::into_inner) = record;
+                self.offer(plan);
+            }
+            Ok(_) => {}
+            Err(error) => log::error!("a configuration is skipped: {error}"),
+        }
+    }
+
     /// Takes over a configuration unless a version as new is in force.
     pub fn offer(&self, plan: ServingPlan) {
         let known = self.version();
@@ -77,10 +99,7 @@
         };
         let own = records.into_iter().filter(|record| record.key == self.key);
         for value in own.filter_map(|record| record.value) {
-            match (self.decode)(&value) {
-                Ok(plan) => self.offer(plan),
-                Err(error) => log::error!("a configuration is skipped: {error}"),
-            }
+            self.offer_record(value);
         }
     }
 }
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -1,4 +1,4 @@
-//! Gives orders to engines where this daemon holds the planner's role.
+//! Gives orders to engines where this daemon holds the planner's lease.
 //!
 //! Each engine has at most one order under way. Its memory counts what it reports, what an open order may load, and
 //! for a while what an order without an answer may still load.
@@ -19,8 +19,8 @@
 };
 use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holding};
 use crate::relay::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
+use crate::relay::lease::LeaseKeeper;
 use crate::relay::plan::{EnginePlan, ServingPlan};
-use crate::relay::role::RoleKeeper;
 use crate::timer::TimerService;
 
 /// Period of planning rounds.
@@ -116,7 +116,7 @@
 /// What a [`ReplicaPlanner`] works with.
 pub struct PlannerParts<E> {
     pub name: SmolStr,
-    pub role: Arc<RoleKeeper>,
+    pub lease: Arc<LeaseKeeper>,
     pub control: Arc<E>,
     pub fleet: Arc<RelayFleet>,
     pub demand: Arc<DemandBoard>,
@@ -163,7 +163,7 @@
 
     /// Returns the fencing number if this daemon plans now.
     pub fn fence(&self) -> Option<u64> {
-        self.parts.role.fence()
+        self.parts.lease.fence()
     }
 
     /// Takes the placements that the next pulse tells.
@@ -301,7 +301,7 @@
                     planner.state().reported(&call.server, report)
                 }
                 Some((order, expected)) => {
-                    // The role may have ended since the round.
+                    // The lease may have ended since the round.
                     if planner.fence() != Some(fence) {
                         planner.state().unsent(&call.server);
                         return;
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -1,6 +1,7 @@
 //! Datagrams by which daemons tell each other what changes all the time. Losing one costs accuracy only.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,7 +21,7 @@
 /// Period of pulses in a small fleet: well below the time in which the load of a server changes.
 const PULSE_PERIOD: Duration = Duration::from_millis(200);
 /// Pulses that one daemon sends a second at most; a larger fleet is told in turn.
-const MAX_PULSES_PER_S: u32 = 64;
+const MAX_PULSES_PER_S: usize = 160;
 /// Longest datagram, in bytes; a longer pulse is not sent.
 const MAX_BYTES: usize = 8 << 10;
 
@@ -29,18 +30,21 @@
 pub struct Pulse {
     pub vm: VmId,
     pub name: SmolStr,
+    pub zone: SmolStr,
     /// Address of its peer server.
     pub peer: SocketAddr,
     /// Version of the configuration that it has; 0 for none.
     pub plan_version: u64,
-    /// Whether it has read the store within the last second.
+    /// Whether it reads the store, with success.
     pub reads_store: bool,
+    /// How long it has done so.
+    pub reading_for: Duration,
+    /// Grows with each change of what it has read.
+    pub tables_version: u64,
     /// Its requests by server.
     pub loads: HashMap<u32, u32>,
     /// Spare tokens by team.
     pub spare: Vec<(SmolStr, u64)>,
-    /// Servers that it has seen leaving.
-    pub leaving: Vec<SmolStr>,
     /// Demand since its last pulse.
     pub demand: Vec<ModelDemand>,
     /// Fencing number under which it gives orders, if it does.
@@ -54,6 +58,9 @@
     /// Returns this daemon's pulse, with what changed in the time since the last call.
     fn make(&self, now: Instant) -> Pulse;
 
+    /// Resolves when all peers shall get a pulse at once.
+    fn urgent(&self) -> impl Future<Output = ()> + Send;
+
     /// Takes in the pulse of a peer.
     fn take(&self, pulse: Pulse, now: Instant);
 }
@@ -78,22 +85,38 @@
     let mut ticks = timer.every(PULSE_PERIOD);
     group.spawn_cancellable(async move {
         let mut turn = 0;
-        while let Some(now) = ticks.next().await {
-            send(&socket, &registry, &*handler, &mut turn, now).await;
+        loop {
+            let urgent = tokio::select! {
+                tick = ticks.next() => match tick {
+                    Some(_) => false,
+                    None => return,
+                },
+                () = handler.urgent() => true,
+            };
+            send(&socket, &registry, &*handler, &mut turn, urgent).await;
         }
     });
     Ok(())
 }
 
+/// Returns the time between two pulses to the same one of `peers` peers.
+pub(super) fn pulse_interval(peers: usize) -> Duration {
+    PULSE_PERIOD * peers.div_ceil(pulses_per_tick()).max(1) as u32
+}
+
+fn pulses_per_tick() -> usize {
+    MAX_PULSES_PER_S * PULSE_PERIOD.as_millis() as usize / 1_000
+}
+
 async fn send<H: PulseHandler>(
     socket: &UdpSocket,
     registry: &DaemonRegistry,
     handler: &H,
     turn: &mut usize,
-    now: Instant,
+    urgent: bool,
 ) {
     let peers = registry.peers();
-    let pulse = handler.make(now);
+    let pulse = handler.make(Instant::now());
     let data = match bincode::serde::encode_to_vec(&pulse, bincode::config::standard()) {
         Ok(data) if data.len() <= MAX_BYTES => data,
         Ok(data) => {
@@ -105,7 +128,10 @@
             return;
         }
     };
-    let most = (MAX_PULSES_PER_S * PULSE_PERIOD.as_millis() as u32 / 1_000) as usize;
+    let most = match urgent {
+        true => peers.len(),
+        false => pulses_per_tick(),
+    };
     for step in 0..peers.len().min(most) {
         let (name, record) = &peers[(*turn + step) % peers.len()];
         if let Err(error) = socket.send_to(&data, record.pulse).await {
--- /dev/null
+++ b/src/relay/readers.rs
@@ -0,0 +1,241 @@
+//! Which daemons read the store, and how the others learn what it says.
+//!
+//! One daemon of each zone reads the tables of the store and tells the others in its pulses when something has changed;
+//! they fetch a copy from it. Calls to the store so grow with the zones and not with the daemons. Election is by rank
+//! among the daemons that were heard of lately, so that a wrong view costs calls only.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::VmId;
+use crate::relay::fleet::ServerEntry;
+use crate::relay::pulse::{Pulse, pulse_interval};
+use crate::relay::registry::DaemonRecord;
+
+/// Intervals between pulses after which a daemon that is not heard of counts as gone.
+const MISSED_PULSES: u32 = 3;
+/// Added to them: the reader may be slow for a moment.
+const MISSED_SLACK: Duration = Duration::from_millis(300);
+/// Time after the last successful read in which a daemon still counts as reading: longer than any read waits.
+const READ_LIFE: Duration = Duration::from_millis(3_500);
+/// Difference between the times of two readers below which they count as having begun together.
+const SAME_AGE: Duration = Duration::from_millis(1_000);
+/// Longest time between two fetches: the ages of registrations are part of a copy.
+const REFETCH: Duration = Duration::from_secs(5);
+
+/// What a daemon that reads the store passes on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableCopy {
+    /// The record of the configuration, if it is newer than the one that the asker has.
+    pub plan: Option<Vec<u8>>,
+    pub servers: Vec<ServerEntry>,
+    /// Name, record and age of each registration.
+    pub daemons: Vec<(SmolStr, DaemonRecord, Duration)>,
+}
+
+/// Whether this daemon's own reads succeed.
+#[derive(Debug, Default)]
+pub struct StoreHealth {
+    /// Time of the last successful read, unless a later one failed.
+    read_at: Mutex<Option<Instant>>,
+}
+
+impl StoreHealth {
+    /// Notes a read.
+    pub fn note(&self, succeeded: bool, now: Instant) {
+        *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = succeeded.then_some(now);
+    }
+
+    /// Returns whether the store can be read.
+    pub fn is_reading(&self, now: Instant) -> bool {
+        let read_at = self.read_at.lock().unwrap_or_else(PoisonError::into_inner);
+        read_at.is_some_and(|at| at + READ_LIFE > now)
+    }
+}
+
+/// What is known of a peer.
+#[derive(Clone, Debug)]
+struct PeerReading {
+    vm: VmId,
+    zone: SmolStr,
+    peer: SocketAddr,
+    heard_at: Instant,
+    reads: bool,
+    /// How long it has read the store, as of `heard_at`.
+    reading_for: Duration,
+    version: u64,
+    plan_version: u64,
+}
+
+/// A daemon from which to fetch, and what it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopySource {
+    pub vm: VmId,
+    pub peer: SocketAddr,
+    pub version: u64,
+}
+
+/// Decides whether this daemon reads the store. Share it in an [`Arc`].
+pub struct ReaderElection {
+    name: SmolStr,
+    zone: SmolStr,
+    peers: Mutex<HashMap<SmolStr, PeerReading>>,
+    reading: watch::Sender<bool>,
+    /// Start of the present time as a reader.
+    reading_since: Mutex<Instant>,
+    health: Arc<StoreHealth>,
+    /// Wakes whoever fetches copies.
+    news: Notify,
+}
+
+impl ReaderElection {
+    /// Creates an election in which this daemon reads until it hears of a better one.
+    pub fn new(name: SmolStr, zone: SmolStr, health: Arc<StoreHealth>) -> Self {
+        Self {
+            name,
+            zone,
+            peers: Mutex::default(),
+            reading: watch::Sender::new(true),
+            reading_since: Mutex::new(Instant::now()),
+            health,
+            news: Notify::new(),
+        }
+    }
+
+    /// Subscribes to whether this daemon reads the store.
+    pub fn subscribe(&self) -> watch::Receiver<bool> {
+        self.reading.subscribe()
+    }
+
+    /// Returns whether this daemon reads the store, with success.
+    pub fn is_reading(&self, now: Instant) -> bool {
+        *self.reading.borrow() && self.health.is_reading(now)
+    }
+
+    /// Returns how long this daemon has read the store.
+    pub fn reading_for(&self, now: Instant) -> Duration {
+        let since = self
+            .reading_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        now.saturating_duration_since(*since)
+    }
+
+    /// Resolves after a pulse that may bring news.
+    pub async fn changed(&self) {
+        self.news.notified().await;
+    }
+
+    /// Takes in a pulse.
+    pub fn heard(&self, pulse: &Pulse, now: Instant) {
+        let reading = PeerReading {
+            vm: pulse.vm,
+            zone: pulse.zone.clone(),
+            peer: pulse.peer,
+            heard_at: now,
+            reads: pulse.reads_store,
+            reading_for: pulse.reading_for,
+            version: pulse.tables_version,
+            plan_version: pulse.plan_version,
+        };
+        self.peers().insert(pulse.name.clone(), reading);
+        self.elect(now);
+        self.news.notify_one();
+    }
+
+    /// Works out again whether this daemon reads the store. Of two readers in a zone the one that has read for longer
+    /// stays: another choice would move the planner's lease for nothing.
+    pub fn elect(&self, now: Instant) {
+        let reading = *self.reading.borrow();
+        let own_time = self.reading_for(now);
+        let better = self.fresh(now).into_iter().any(|(name, peer)| {
+            let candidate = peer.zone == self.zone && peer.reads;
+            let difference = peer.reading_for.abs_diff(own_time);
+            candidate
+                && match (reading, difference > SAME_AGE) {
+                    (false, _) => true,
+                    (true, true) => peer.reading_for > own_time,
+                    (true, false) => rank(&name) > rank(&self.name),
+                }
+        });
+        if reading != better {
+            return;
+        }
+        *self
+            .reading_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = now;
+        self.reading.send_replace(!better);
+        log::info!("this daemon reads the store: {}", !better);
+    }
+
+    /// Returns a daemon that reads the store, of the own zone if there is one.
+    pub fn source(&self, now: Instant) -> Option<CopySource> {
+        let fresh = self.fresh(now).into_iter();
+        let readers = fresh.filter(|(_, peer)| peer.reads);
+        let best = readers.max_by_key(|(name, peer)| (peer.zone == self.zone, rank(name)));
+        best.map(|(_, peer)| peer.as_source())
+    }
+
+    /// Returns a daemon that has a newer configuration than `version`.
+    pub fn newer_plan(&self, version: u64, now: Instant) -> Option<CopySource> {
+        let fresh = self.fresh(now).into_iter();
+        let newest = fresh.max_by_key(|(_, peer)| peer.plan_version)?.1;
+        (newest.plan_version > version).then(|| newest.as_source())
+    }
+
+    /// Returns the peers that were heard of lately.
+    fn fresh(&self, now: Instant) -> Vec<(SmolStr, PeerReading)> {
+        let peers = self.peers();
+        let life = pulse_interval(peers.len()) * MISSED_PULSES + MISSED_SLACK;
+        let fresh = peers.iter().filter(|(_, peer)| peer.heard_at + life > now);
+        fresh
+            .map(|(name, peer)| (name.clone(), peer.clone()))
+            .collect()
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<SmolStr, PeerReading>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PeerReading {
+    fn as_source(&self) -> CopySource {
+        CopySource {
+            vm: self.vm,
+            peer: self.peer,
+            version: self.version,
+        }
+    }
+}
+
+fn rank(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Remembers what was fetched, to fetch only what is new.
+#[derive(Debug, Default)]
+pub struct FetchMemory {
+    last: Option<(VmId, u64, Instant)>,
+}
+
+impl FetchMemory {
+    /// Returns whether `source` has something that was not fetched yet, or the last copy has become old.
+    pub fn wants(&self, source: CopySource, now: Instant) -> bool {
+        !self.last.is_some_and(|(vm, version, at)| {
+            (vm, version) == (source.vm, source.version) && at + REFETCH > now
+        })
+    }
+
+    /// Notes a fetch from `source`.
+    pub fn fetched(&mut self, source: CopySource, now: Instant) {
+        self.last = Some((source.vm, source.version, now));
+    }
+}
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -21,8 +21,8 @@
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable};
 use crate::timer::TimerService;
 
-/// Time between two renewals; a sixth of the usual term, so that several may be lost.
-const RENEW_PERIOD: Duration = Duration::from_secs(5);
+/// Time between two renewals; a third of the usual term, so that two may be lost.
+const RENEW_PERIOD: Duration = Duration::from_secs(10);
 /// Pause after a renewal that failed.
 const RENEW_RETRY: Duration = Duration::from_millis(500);
 /// Period in which the share is worked out anew.
@@ -136,6 +136,30 @@
             .collect()
     }
 
+    /// Returns the other daemons with the age of what is known of them, and this daemon itself.
+    pub fn copy(&self, now: Instant) -> Vec<(SmolStr, DaemonRecord, Duration)> {
+        let state = self.state();
+        let members = state.members.iter();
+        let copies = members.map(|(name, member)| {
+            let age = now.saturating_duration_since(member.seen_at);
+            (name.clone(), member.record.clone(), age)
+        });
+        copies.collect()
+    }
+
+    /// Takes over what another daemon has read.
+    pub fn adopt(&self, daemons: Vec<(SmolStr, DaemonRecord, Duration)>, now: Instant) {
+        let mut state = self.state();
+        state
+            .members
+            .retain(|name, _| daemons.iter().any(|(other, _, _)| other == name));
+        for (name, record, age) in daemons {
+            let seen_at = now.checked_sub(age).unwrap_or(now);
+            state.members.insert(name, Member { record, seen_at });
+        }
+        state.readable_since.get_or_insert(now);
+    }
+
     /// Returns this daemon's name and record.
     pub fn own(&self) -> (&SmolStr, &DaemonRecord) {
         (&self.settings.name, &self.settings.record)
