Order nothing on a state that another order is still changing; keep tokens at homes

A planner that takes over asked an engine that was still carrying out its predecessor's load and took the models of that report for the whole; after a conflict the order was repeated without a look. An adapter in use, whose removal is accepted and not complete, counted as gone.

Change: a conflict ends the order and the state is asked for; a busy engine's state is not taken over; a removal is complete when a report shows it. A team's tokens are kept by a few homes, at least one a zone where there are three, and borrowed from them.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -1,12 +1,13 @@
 //! One running daemon on the users' platform: the opaque edge wired to the shared request path.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
@@ -57,8 +58,8 @@
     wait: Duration::from_secs(2),
     pause: Duration::from_millis(500),
 };
-/// Time in which all others have read a new daemon's record: the pace of reading it, and a margin.
-const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which all others know a new daemon's record: the pace of reading it, a pulse, a fetch, and a margin.
+const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 /// Period in which the view of the fleet is brought up to date.
 const FLEET_PERIOD: Duration = Duration::from_millis(100);
 /// Period in which idle connections are looked through.
@@ -363,7 +364,10 @@
         },
     ));
     let limits = parts.limits.clone();
-    parts.registry.spawn(store(), limits, &parts.timer, group);
+    let teams = parts.plans.teams();
+    parts
+        .registry
+        .spawn(store(), limits, teams, &parts.timer, group);
     spawn_fleet(parts, group);
     let mut ticks = parts.timer.every(POOL_PERIOD);
     let pool = parts.pool.clone();
@@ -584,6 +588,19 @@
     }
 }
 
+impl RelayPulses {
+    /// Returns the spare tokens of the teams of which this daemon is a home, with its share.
+    fn spare(&self) -> Vec<(SmolStr, u64, u32)> {
+        let shares: HashMap<SmolStr, u32> = self.limits.shares().into_iter().collect();
+        let spare = self.limits.spare().into_iter();
+        let spare = spare.filter_map(|(team, tokens)| {
+            let share = *shares.get(&team)?;
+            Some((team, tokens, share))
+        });
+        spare.collect()
+    }
+}
+
 impl PulseHandler for RelayPulses {
     fn make(&self, now: Instant) -> Pulse {
         let (name, record) = self.registry.own();
@@ -599,9 +616,9 @@
             plan_version: self.plans.version(),
             reads_store: self.readers.is_reading(now),
             reading_for: self.readers.reading_for(now),
-            tables_version: self.fleet.version() + self.plans.version(),
+            tables_version: self.fleet.version() + self.plans.version() + self.registry.version(),
             loads: self.fleet.own_load(),
-            spare: self.limits.spare(),
+            spare: self.spare(),
             demand,
             fence: self.planner.fence(),
             placements: self.planner.take_news(),
@@ -622,6 +639,9 @@
         if let Some(fence) = pulse.fence {
             self.leader.note(fence, pulse.peer);
         }
+        let spare = pulse.spare;
+        let shares = spare.iter().map(|(team, _, share)| (team.clone(), *share));
+        let shares: HashMap<SmolStr, u32> = shares.collect();
         let status = PeerStatus {
             vm: pulse.vm,
             name: pulse.name,
@@ -629,10 +649,16 @@
             members_next: crate::ids::LogOffset(0),
             log_reachable: pulse.reads_store,
             no_expire_for: Duration::ZERO,
-            spare: pulse.spare,
+            spare: spare
+                .iter()
+                .map(|(team, tokens, _)| (team.clone(), *tokens))
+                .collect(),
             leaving: Vec::new(),
         };
-        self.board.note(pulse.peer, status, now);
+        self.board
+            .note_with_shares(pulse.peer, status, Some(shares), now);
+        let peers = self.readers.live_peers(now);
+        self.board.retain(|address| peers.contains(&address));
     }
 }
 
@@ -676,7 +702,7 @@
             "plan_version": self.plans.version(),
             "servers": servers.collect::<Vec<_>>(),
             "peers": self.registry.peers(),
-            "share_ppm": self.registry.share(now).map(|share| share.ppm),
+            "share_ppm": self.registry.share(now).ppm,
             "limits": self.limits.dump(),
         })
     }
--- a/src/limit/budget.rs
+++ b/src/limit/budget.rs
@@ -79,6 +79,8 @@
 #[derive(Debug, Default)]
 pub struct BudgetTable {
     grant: Option<ShareGrant>,
+    /// Own share of each team in parts per million, where shares differ between teams.
+    team_shares: Option<HashMap<SmolStr, u32>>,
     teams: HashMap<SmolStr, TeamBudget>,
     next_epoch: u64,
     next_loan: u64,
@@ -133,6 +135,24 @@
         settled
     }
 
+    /// Takes over a share for each team, in parts per million; others have none. The term stays that of the grant.
+    pub fn set_team_shares(&mut self, shares: HashMap<SmolStr, u32>, now: Instant) {
+        if self.team_shares.as_ref() == Some(&shares) {
+            return;
+        }
+        self.team_shares = Some(shares);
+        self.set_grant(self.grant, now);
+    }
+
+    fn share_of(&self, team: &str) -> u32 {
+        let grant = self.grant.map_or(0, |grant| grant.ppm);
+        match &self.team_shares {
+            // Without a share of its own a daemon holds none of any team's.
+            Some(shares) if grant > 0 => shares.get(team).copied().unwrap_or(0),
+            _ => grant,
+        }
+    }
+
     /// Empties all budgets for another incarnation; returns when the loans of the former one have lapsed.
     fn restart(&mut self, grant: Option<ShareGrant>, now: Instant) -> Instant {
         self.grant = grant;
@@ -150,7 +170,7 @@
         BucketLimit {
             rate: spec.rate,
             burst: spec.burst,
-            ppm: self.grant.map_or(0, |grant| grant.ppm),
+            ppm: self.share_of(&spec.name),
             until: self.grant.map(|grant| grant.until),
         }
     }
@@ -245,6 +265,13 @@
         }
     }
 
+    /// Returns the own share of each team that has one, in parts per million.
+    pub fn shares(&self) -> Vec<(SmolStr, u32)> {
+        let teams = self.teams.keys();
+        let shares = teams.map(|team| (team.clone(), self.share_of(team)));
+        shares.filter(|(_, share)| *share > 0).collect()
+    }
+
     /// Returns the spare tokens of each team.
     pub fn spare(&mut self, now: Instant) -> Vec<(SmolStr, u64)> {
         if !self.in_term(now) {
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -1,5 +1,6 @@
 //! Charges teams, borrowing from peers before it refuses.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -92,6 +93,16 @@
         EvenSplitLimiter::over(self.budgets.clone())
     }
 
+    /// Takes over a share for each team, in parts per million; see [`BudgetTable::set_team_shares`].
+    pub fn set_team_shares(&self, shares: HashMap<SmolStr, u32>) {
+        lock(&self.budgets).set_team_shares(shares, Instant::now());
+    }
+
+    /// Returns the own share of each team that has one, in parts per million.
+    pub fn shares(&self) -> Vec<(SmolStr, u32)> {
+        lock(&self.budgets).shares()
+    }
+
     /// Returns the spare tokens of each team, for the status.
     pub fn spare(&self) -> Vec<(SmolStr, u64)> {
         lock(&self.budgets).spare(Instant::now())
--- a/src/member/board.rs
+++ b/src/member/board.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::ids::VmId;
+use crate::member::table::WHOLE_PPM;
 use crate::peer::PeerStatus;
 
 /// Age above which a status no longer makes its sender a lender.
@@ -20,6 +21,8 @@
     pub status: PeerStatus,
     /// Time before the question whose answer this is.
     pub asked_at: Instant,
+    /// Share of each team in parts per million, where shares differ between teams.
+    shares: Option<HashMap<SmolStr, u32>>,
     /// Spare tokens where a loan has changed them since the status, and when.
     corrected: HashMap<SmolStr, (u64, Instant)>,
 }
@@ -60,6 +63,17 @@
 
     /// Records the answer of the peer at `address` to a question asked at `asked_at`; older answers are dropped.
     pub fn note(&self, address: SocketAddr, status: PeerStatus, asked_at: Instant) {
+        self.note_with_shares(address, status, None, asked_at);
+    }
+
+    /// Like [`PeerBoard::note`] for a peer whose shares differ between teams.
+    pub fn note_with_shares(
+        &self,
+        address: SocketAddr,
+        status: PeerStatus,
+        shares: Option<HashMap<SmolStr, u32>>,
+        asked_at: Instant,
+    ) {
         let mut entries = self.lock();
         if entries
             .get(&address)
@@ -71,6 +85,7 @@
             address,
             status,
             asked_at,
+            shares,
             corrected: HashMap::new(),
         };
         entries.insert(address, entry);
@@ -125,9 +140,14 @@
         };
         let known = self.corrected.get(team).copied();
         let (spare, at) = known.unwrap_or((*reported, self.asked_at));
+        let share = match &self.shares {
+            Some(shares) => shares.get(team).copied().unwrap_or(0).into(),
+            None => u64::from(WHOLE_PPM) / members,
+        };
+        let part = |amount: u64| amount.saturating_mul(share) / u64::from(WHOLE_PPM);
         let millis = u64::try_from(now.saturating_duration_since(at).as_millis());
-        let refilled = refill.rate.saturating_mul(millis.unwrap_or(u64::MAX)) / (1_000 * members);
-        let capacity = (refill.burst / members).max(spare);
+        let refilled = part(refill.rate).saturating_mul(millis.unwrap_or(u64::MAX)) / 1_000;
+        let capacity = part(refill.burst).max(spare);
         spare.saturating_add(refilled).min(capacity)
     }
 }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -130,7 +130,8 @@
     }
 }
 
-fn holds_item(models: &[HeldModel], item: &LoadItem) -> bool {
+/// Returns whether a list of held models names an item.
+pub(super) fn holds_item(models: &[HeldModel], item: &LoadItem) -> bool {
     let mut held = models.iter().filter(|held| held.name == item.model);
     held.any(|held| {
         let adapter = item.adapter.as_ref();
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -17,7 +17,7 @@
 use crate::relay::engines::{
     EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, ReplicaOrder,
 };
-use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holding};
+use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holding, holds_item};
 use crate::relay::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 use crate::relay::lease::LeaseKeeper;
 use crate::relay::plan::{EnginePlan, ServingPlan};
@@ -569,7 +569,8 @@
             Ok(OrderAnswer::Accepted) => {
                 open.accepted = true;
                 let orders = open.expected + 1;
-                if is_adapter(&open.order) {
+                let loads = matches!(open.order, ReplicaOrder::Load(_));
+                if loads && is_adapter(&open.order) {
                     return engine.complete(id, orders);
                 }
                 // Requests for a model that is being removed are refused from now on.
@@ -592,7 +593,7 @@
             Ok(OrderAnswer::Conflict) => {
                 // The state of the engine tells what happened.
                 log::info!("order to {id} met a conflict: {:?}", open.order);
-                open.sent_at = Instant::now();
+                engine.open = None;
                 engine.orders = None;
                 engine.rest_until = Some(Instant::now() + REPORT_LAG);
                 Vec::new()
@@ -629,15 +630,21 @@
             }
         };
         let carried_out = match &engine.open {
-            // A lower number is that of a restarted engine.
-            Some(open) if report.orders == open.expected && !report.busy => false,
+            // What an order of a former planner is doing shows in the models only once it is complete.
             _ if report.busy => false,
+            // A lower number is that of a restarted engine.
+            Some(open) if report.orders == open.expected => false,
+            // An adapter goes once no request uses it any more, and the engine is not busy meanwhile.
+            Some(open) if open.accepted && is_adapter(&open.order) => {
+                let held = holds_item(&report.models, item(&open.order));
+                held == matches!(open.order, ReplicaOrder::Load(_))
+            }
             _ => true,
         };
-        engine.orders = Some(report.orders);
         if !carried_out {
             return Vec::new();
         }
+        engine.orders = Some(report.orders);
         engine.models = report.models;
         let Some(open) = engine.open.take() else {
             return Vec::new();
@@ -720,21 +727,11 @@
     /// Returns whether the engine is as an order asks.
     fn shows(&self, order: &ReplicaOrder) -> bool {
         match order {
-            ReplicaOrder::Load(item) => self.holds_item(item),
-            ReplicaOrder::Unload(item) => !self.holds_item(item),
+            ReplicaOrder::Load(item) => holds_item(&self.models, item),
+            ReplicaOrder::Unload(item) => !holds_item(&self.models, item),
         }
     }
 
-    fn holds_item(&self, item: &LoadItem) -> bool {
-        self.models.iter().any(|held| {
-            held.name == item.model
-                && item
-                    .adapter
-                    .as_ref()
-                    .is_none_or(|adapter| held.adapters.contains(adapter))
-        })
-    }
-
     /// Ends the open order as carried out.
     fn complete(&mut self, id: &SmolStr, orders: u64) -> Vec<Placement> {
         let Some(open) = self.open.take() else {
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -43,8 +43,8 @@
     pub tables_version: u64,
     /// Its requests by server.
     pub loads: HashMap<u32, u32>,
-    /// Spare tokens by team.
-    pub spare: Vec<(SmolStr, u64)>,
+    /// Spare tokens of the teams of which it is a home, and its share in parts per million.
+    pub spare: Vec<(SmolStr, u64, u32)>,
     /// Demand since its last pulse.
     pub demand: Vec<ModelDemand>,
     /// Fencing number under which it gives orders, if it does.
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -4,7 +4,7 @@
 //! they fetch a copy from it. Calls to the store so grow with the zones and not with the daemons. Election is by rank
 //! among the daemons that were heard of lately, so that a wrong view costs calls only.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -191,6 +191,12 @@
         (newest.plan_version > version).then(|| newest.as_source())
     }
 
+    /// Returns the peer addresses of the daemons that were heard of lately.
+    pub fn live_peers(&self, now: Instant) -> HashSet<SocketAddr> {
+        let fresh = self.fresh(now).into_iter();
+        fresh.map(|(_, peer)| peer.peer).collect()
+    }
+
     /// Returns the peers that were heard of lately.
     fn fresh(&self, now: Instant) -> Vec<(SmolStr, PeerReading)> {
         let peers = self.peers();
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -1,10 +1,11 @@
 //! The daemons of the fleet, as they register themselves in the store, and the share of each.
 //!
-//! Every registered daemon holds one equal share of each team's rate and burst for a term after it last renewed its
-//! record. A daemon whose record is not renewed for longer than the term, while the records can be read all along, is
+//! Each team's rate and burst is kept by a few daemons, its *homes*, in equal shares, for a term after each of them last
+//! renewed its record. The others borrow from them. A team that was split over the whole of a large fleet would leave
+//! every daemon less than one request takes. A daemon whose record is not renewed for longer than the term, while the records can be read all along, is
 //! no longer counted. A new daemon waits until all others have read its record before it uses its share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,11 +13,16 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::catalog::TeamSpec;
 use crate::error::{Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
+use crate::limit::LimitService;
 use crate::member::{ShareGrant, ShareSink, WHOLE_PPM};
+use crate::peer::PeerCaller;
 use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable};
 use crate::timer::TimerService;
@@ -27,6 +33,10 @@
 const RENEW_RETRY: Duration = Duration::from_millis(500);
 /// Period in which the share is worked out anew.
 const SHARE_PERIOD: Duration = Duration::from_millis(200);
+/// Tokens of burst per home: several of the largest requests.
+const HOME_BURST: u64 = 10_000;
+/// Homes of a team at least, so that the loss of one leaves most of its rate.
+const LEAST_HOMES: usize = 3;
 /// Longest wait for a renewal's answer.
 const RENEW_WAIT: Duration = Duration::from_secs(2);
 /// Added to the term before a silent daemon is no longer counted: clocks of VMs run at slightly different speed.
@@ -73,6 +83,8 @@
     joined_at: Option<Instant>,
     /// Time before the newest acknowledged renewal was sent.
     renewed_at: Option<Instant>,
+    /// Grows with each change of the registered daemons.
+    version: u64,
 }
 
 /// The registered daemons. Share it in an [`Arc`].
@@ -90,11 +102,12 @@
         }
     }
 
-    /// Renews this daemon's record and hands its share to `sink`, in tasks of `group`.
-    pub fn spawn<R: RecordStore, S: ShareSink>(
+    /// Renews this daemon's record and hands its shares to `limits`, in tasks of `group`.
+    pub fn spawn<R: RecordStore, C: PeerCaller>(
         self: &Arc<Self>,
         store: Arc<R>,
-        sink: Arc<S>,
+        limits: Arc<LimitService<C>>,
+        teams: watch::Receiver<Vec<TeamSpec>>,
         timer: &TimerService,
         group: &TaskGroup,
     ) {
@@ -104,26 +117,52 @@
         group.spawn_cancellable(async move {
             while let Some(now) = ticks.next().await {
                 registry.expire(now);
-                sink.adopt_share(registry.share(now), now);
+                limits.set_team_shares(registry.team_shares(&teams.borrow()));
+                limits.adopt_share(Some(registry.share(now)), now);
             }
         });
     }
 
-    /// Returns the share of this daemon, if it may use one.
-    pub fn share(&self, now: Instant) -> Option<ShareGrant> {
+    /// Returns the share of this daemon. Without a valid registration it has none, and may only spend what it borrows.
+    pub fn share(&self, now: Instant) -> ShareGrant {
         let state = self.state();
-        let until = state.renewed_at? + self.settings.term;
-        let settled = match state.counted_before? {
-            true => true,
-            false => now >= state.joined_at? + self.settings.settle,
-        };
         let others = state.members.keys();
         let others = others.filter(|name| **name != self.settings.name).count();
-        (settled && now < until).then(|| ShareGrant {
-            vm: self.settings.record.vm,
-            ppm: WHOLE_PPM / (others as u32 + 1),
-            until,
-        })
+        match state.term_end(&self.settings, now) {
+            Some(until) => ShareGrant {
+                vm: self.settings.record.vm,
+                ppm: WHOLE_PPM / (others as u32 + 1),
+                until,
+            },
+            None => ShareGrant {
+                vm: self.settings.record.vm,
+                ppm: 0,
+                until: now + self.settings.term,
+            },
+        }
+    }
+
+    /// Returns this daemon's share of each team of which it is a home, in parts per million.
+    pub fn team_shares(&self, teams: &[TeamSpec]) -> HashMap<SmolStr, u32> {
+        let state = self.state();
+        let mut members: Vec<(&SmolStr, &SmolStr)> = state
+            .members
+            .iter()
+            .map(|(name, member)| (name, &member.record.zone))
+            .filter(|(name, _)| **name != self.settings.name)
+            .collect();
+        members.push((&self.settings.name, &self.settings.record.zone));
+        let shares = teams.iter().filter_map(|team| {
+            let homes = homes(team, &members);
+            let own = homes.contains(&&self.settings.name);
+            own.then(|| (team.name.clone(), WHOLE_PPM / homes.len() as u32))
+        });
+        shares.collect()
+    }
+
+    /// Returns a number that grows with each change of the registered daemons.
+    pub fn version(&self) -> u64 {
+        self.state().version
     }
 
     /// Returns the other daemons.
@@ -150,12 +189,10 @@
     /// Takes over what another daemon has read.
     pub fn adopt(&self, daemons: Vec<(SmolStr, DaemonRecord, Duration)>, now: Instant) {
         let mut state = self.state();
-        state
-            .members
-            .retain(|name, _| daemons.iter().any(|(other, _, _)| other == name));
+        state.retain(|name, _| daemons.iter().any(|(other, _, _)| other == name));
         for (name, record, age) in daemons {
             let seen_at = now.checked_sub(age).unwrap_or(now);
-            state.members.insert(name, Member { record, seen_at });
+            state.insert(name, record, seen_at);
         }
         state.readable_since.get_or_insert(now);
     }
@@ -183,7 +220,7 @@
             return;
         }
         let own = &self.settings.name;
-        state.members.retain(|name, member| {
+        state.retain(|name, member| {
             let keep = name == own || member.seen_at + life > now;
             if !keep {
                 log::info!("daemon {name} is no longer counted: its term is over");
@@ -212,7 +249,7 @@
                     .any(|record| record.key == self.settings.name && record.value.is_some());
                 state.counted_before.get_or_insert(own);
                 let listed = |name: &SmolStr| records.iter().any(|record| record.key == *name);
-                state.members.retain(|name, _| listed(name));
+                state.retain(|name, _| listed(name));
                 state.apply(records, now);
             }
             TableChange::Records(records) => state.apply(records, now),
@@ -221,18 +258,51 @@
     }
 }
 
+/// Returns the daemons that keep the tokens of a team: one of each zone first, then by rank.
+fn homes<'a>(team: &TeamSpec, members: &[(&'a SmolStr, &'a SmolStr)]) -> Vec<&'a SmolStr> {
+    let wanted = (team.burst / HOME_BURST) as usize;
+    let wanted = wanted.max(LEAST_HOMES).min(members.len());
+    let mut ranked = members.to_vec();
+    ranked.sort_by_key(|(name, _)| xxh3_64(format!("{}\0{name}", team.name).as_bytes()));
+    let mut zones = HashSet::new();
+    let (first, rest): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .partition(|(_, zone)| zones.insert(*zone));
+    let order = first.into_iter().chain(rest);
+    order.take(wanted).map(|(name, _)| name).collect()
+}
+
 impl RegistryState {
+    /// Returns the end of the term in which this daemon may use its shares.
+    fn term_end(&self, settings: &RegistrySettings, now: Instant) -> Option<Instant> {
+        let until = self.renewed_at? + settings.term;
+        let settled = match self.counted_before? {
+            true => true,
+            false => now >= self.joined_at? + settings.settle,
+        };
+        (settled && now < until).then_some(until)
+    }
+
+    fn insert(&mut self, name: SmolStr, record: DaemonRecord, seen_at: Instant) {
+        let known = self.members.get(&name).map(|member| &member.record);
+        self.version += u64::from(known != Some(&record));
+        self.members.insert(name, Member { record, seen_at });
+    }
+
+    fn retain(&mut self, keep: impl Fn(&SmolStr, &Member) -> bool) {
+        let before = self.members.len();
+        self.members.retain(|name, member| keep(name, member));
+        self.version += (before - self.members.len()) as u64;
+    }
+
     fn apply(&mut self, records: Vec<KeyedRecord>, now: Instant) {
         for KeyedRecord { key, value } in records {
             let Some(value) = value else {
-                self.members.remove(&key);
+                self.retain(|name, _| *name != key);
                 continue;
             };
             match decode(&value) {
-                Ok(record) => {
-                    let seen_at = now;
-                    self.members.insert(key, Member { record, seen_at });
-                }
+                Ok(record) => self.insert(key, record, now),
                 Err(error) => log::warn!("record of daemon {key} is skipped: {error}"),
             }
         }
