Use memory made free for a model, keep replicas and adapters for a while

A model for which memory was made free looked for the cheapest engine again and removed another replica there; models moved in circles while requests waited. Adapters were removed to load others and loaded again: one hot model had more adapters in demand than its replicas have places.

Change: the freed memory is used; a replica stays 4 s and an adapter 0.6 s after its load; a model gets replicas for its adapters in demand; an absent engine rests for 1 s. A daemon may borrow tokens from its start.

--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -93,6 +93,16 @@
         })
     }
 
+    /// Returns the number of adapters of a model with at least `rate` requests per second.
+    pub fn adapters_above(&self, model: &SmolStr, rate: f64, now: Instant) -> usize {
+        let mut entries = self.entries();
+        let adapters = entries
+            .iter_mut()
+            .filter(|((name, adapter), _)| name == model && adapter.is_some());
+        let rates = adapters.map(|(_, entry)| entry.facts(self.window, now).arrivals_per_s);
+        rates.filter(|arrivals| *arrivals >= rate).count()
+    }
+
     fn entries(&self) -> MutexGuard<'_, HashMap<DemandKey, DemandEntry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/relay/layout.rs
+++ b/src/relay/layout.rs
@@ -4,7 +4,7 @@
 //! layout follows demand at once: a model with more running requests than its replicas bear gets another one, in
 //! place of replicas that no demand needs. The last replica of a model is never removed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
@@ -19,6 +19,8 @@
 const SECOND_REPLICA_RATE: f64 = 0.3;
 /// Time for which memory that was made free for a model is kept for it.
 const PENDING_LIFE: Duration = Duration::from_secs(15);
+/// Time for which a replica stays after its load: it would not have been loaded for less.
+const LEAST_STAY: Duration = Duration::from_secs(4);
 /// Orders that one round gives at most.
 const MAX_MOVES: usize = 8;
 /// Loads from the weight store that are kept for models without any replica.
@@ -40,6 +42,8 @@
     pub concurrency: f64,
     /// Requests that wait for a replica.
     pub waiting: u32,
+    /// Adapters that are in demand.
+    pub adapters: usize,
 }
 
 /// An engine as the layout sees it.
@@ -60,6 +64,7 @@
     /// Requests that run on it.
     pub load: u32,
     pub slots: u32,
+    pub adapter_slots: u32,
 }
 
 /// An order that the layout proposes.
@@ -77,6 +82,8 @@
 pub struct LayoutPolicy {
     /// Engines on which memory is being made free, by model.
     pending: HashMap<SmolStr, (SmolStr, Instant)>,
+    /// When a model was loaded, by engine and model.
+    loaded: HashMap<(SmolStr, SmolStr), Instant>,
 }
 
 /// One round: the engines and replicas as they will be after the moves so far.
@@ -87,6 +94,8 @@
     present: Vec<usize>,
     needed: Vec<usize>,
     store_loads: usize,
+    /// Engine and model of replicas that were loaded lately.
+    fresh: HashSet<(SmolStr, SmolStr)>,
     moves: Vec<LayoutMove>,
 }
 
@@ -104,7 +113,9 @@
             let waits = engine.is_some_and(|engine| !engine.loading.contains(model));
             waits && *since + PENDING_LIFE > now
         });
+        self.loaded.retain(|_, at| *at + LEAST_STAY > now);
         let mut round = LayoutRound::new(engines, models, store_loads);
+        round.fresh = self.loaded.keys().cloned().collect();
         self.reserve_pending(&mut round);
         for model in round.wanted() {
             while round.present[model] < round.needed[model] && round.moves.len() < MAX_MOVES {
@@ -151,14 +162,24 @@
                 round.present[model] += 1;
                 return true;
             };
-            round.engines[position].used_mb -= size;
             self.pending.remove(&name);
+            round.engines[position].used_mb -= size;
+            // Another engine may look better by now, but each change of mind costs a replica.
+            if round.fits(model, position) && round.may_load(model, position) {
+                self.loaded.insert((engine, name), now);
+                round.load(model, position);
+                return true;
+            }
         }
         let Some((engine, victim)) = round.best_engine(model, may_remove) else {
             return false;
         };
         match victim {
-            None => round.load(model, engine),
+            None => {
+                let id = round.engines[engine].id.clone();
+                self.loaded.insert((id, name), now);
+                round.load(model, engine);
+            }
             Some(victim) => {
                 round.remove(victim, engine);
                 round.present[model] += 1;
@@ -180,16 +201,27 @@
             engines.iter().filter(holds).count()
         };
         let slots = engines.iter().map(|engine| engine.slots).max().unwrap_or(1);
+        let adapter_slots = engines
+            .iter()
+            .map(|engine| engine.adapter_slots as usize)
+            .max();
+        let adapter_slots = adapter_slots.unwrap_or(1).max(1);
         let bears = (f64::from(slots) * FILL_PERCENT / 100.0).max(1.0);
         Self {
             present: models.iter().map(|model| count(&model.plan.name)).collect(),
             needed: models
                 .iter()
-                .map(|model| ((model.concurrency / bears).ceil() as usize).clamp(1, engines.len()))
+                .map(|model| {
+                    let by_load = (model.concurrency / bears).ceil() as usize;
+                    // An engine holds few adapters; too few replicas would load and remove them by turns.
+                    let by_adapters = model.adapters.div_ceil(adapter_slots);
+                    by_load.max(by_adapters).clamp(1, engines.len())
+                })
                 .collect(),
             engines: engines.to_vec(),
             models,
             store_loads,
+            fresh: HashSet::new(),
             moves: Vec::new(),
         }
     }
@@ -228,13 +260,11 @@
             if !engine.available || engine.has(&plan.name) {
                 continue;
             }
-            let (seconds, from_store) = load_time(engine, plan);
-            if from_store && !self.may_load_from_store(model) {
+            if !self.may_load(model, position) {
                 continue;
             }
-            let mut cost = seconds;
-            let fits = engine.used_mb + plan.memory_mb <= engine.memory_mb;
-            let victim = match fits {
+            let (mut cost, _) = load_time(engine, plan);
+            let victim = match self.fits(model, position) {
                 true => None,
                 false if !may_remove => continue,
                 false => match self.victim(engine, plan.memory_mb) {
@@ -260,6 +290,16 @@
         best.map(|(_, engine, victim)| (engine, victim))
     }
 
+    fn fits(&self, model: usize, engine: usize) -> bool {
+        let engine = &self.engines[engine];
+        engine.used_mb + self.models[model].plan.memory_mb <= engine.memory_mb
+    }
+
+    fn may_load(&self, model: usize, engine: usize) -> bool {
+        let (_, from_store) = load_time(&self.engines[engine], &self.models[model].plan);
+        !from_store || self.may_load_from_store(model)
+    }
+
     fn may_load_from_store(&self, model: usize) -> bool {
         let reserved = match self.present[model] {
             0 => 0,
@@ -274,6 +314,10 @@
         let mut spare: Vec<(usize, f64)> = (0..self.models.len())
             .filter(|model| engine.held.contains(&self.models[*model].plan.name))
             .filter(|model| self.present[*model] > self.needed[*model])
+            .filter(|model| {
+                let replica = (engine.id.clone(), self.models[*model].plan.name.clone());
+                !self.fresh.contains(&replica)
+            })
             .map(|model| {
                 let rest = (self.present[model] - 1) as f64;
                 (model, self.models[model].concurrency / rest.max(1.0))
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -27,6 +27,12 @@
 const ROUND_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two questions for the state of an engine that carries out an order.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
+/// Pause after an order that could not be sent.
+const ABSENT_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time for which an adapter stays after its load, so that the requests that wait for it find it.
+const ADAPTER_STAY: Duration = Duration::from_millis(600);
+/// Requests per second from which an adapter counts as in demand.
+const ADAPTER_RATE: f64 = 0.1;
 /// Age that the state in an engine's report may have.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time after which an order without an answer is sent again.
@@ -98,6 +104,8 @@
     open: Option<OpenOrder>,
     /// Whether a call to the engine is under way.
     calling: bool,
+    /// When adapters were loaded, lately.
+    fresh_adapters: Vec<(LoadItem, Instant)>,
     /// Memory that orders without an answer may still take, until when.
     late: Vec<(f64, Instant)>,
 }
@@ -265,6 +273,7 @@
                     arrivals_per_s: demand.arrivals_per_s,
                     concurrency: demand.tokens_per_s * TOKEN_SECONDS + f64::from(demand.waiting),
                     waiting: demand.waiting,
+                    adapters: self.parts.demand.adapters_above(&name, ADAPTER_RATE, now),
                 }
             })
             .collect();
@@ -454,6 +463,7 @@
             on_disk: server.on_disk.clone(),
             load: fleet.load(&server.id),
             slots: server.slots,
+            adapter_slots: plan.adapter_slots,
         }
     }
 
@@ -606,7 +616,10 @@
             Err(error) => {
                 log::info!("order to {id} has no answer: {error}");
                 if error.verdict() == crate::RunVerdict::NotRun {
+                    // The engine may be gone, which its record shows within seconds.
                     engine.open = None;
+                    engine.orders = None;
+                    engine.rest_until = Some(Instant::now() + ABSENT_PAUSE);
                 } else if matches!(open.order, ReplicaOrder::Load(_)) {
                     engine.late.push((size, Instant::now() + LATE_TIME));
                 }
@@ -672,6 +685,7 @@
             asked_at: None,
             open: None,
             calling: false,
+            fresh_adapters: Vec::new(),
             late: Vec::new(),
         }
     }
@@ -718,8 +732,13 @@
         if has_slot && self.used_mb(plan, now) + item_mb(plan, item) <= plan.memory_mb {
             return Some(ReplicaOrder::Load(item.clone()));
         }
+        let fresh = |item: &LoadItem| {
+            let mut loads = self.fresh_adapters.iter();
+            loads.any(|(other, at)| other == item && *at + ADAPTER_STAY > now)
+        };
         let least = held
             .into_iter()
+            .filter(|item| !fresh(item))
             .min_by(|a, b| demand(a).total_cmp(&demand(b)))?;
         Some(ReplicaOrder::Unload(least))
     }
@@ -744,6 +763,12 @@
             present: matches!(open.order, ReplicaOrder::Load(_)),
         };
         placement.apply(&mut self.models);
+        let now = Instant::now();
+        self.fresh_adapters
+            .retain(|(_, at)| *at + ADAPTER_STAY > now);
+        if placement.present {
+            self.fresh_adapters.push((placement.item.clone(), now));
+        }
         vec![placement]
     }
 }
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -114,6 +114,9 @@
         group.spawn_cancellable(renew(self.clone(), store));
         let mut ticks = timer.every(SHARE_PERIOD);
         let registry = self.clone();
+        // Until it is registered this daemon may spend what it borrows.
+        let now = Instant::now();
+        limits.adopt_share(Some(self.share(now)), now);
         group.spawn_cancellable(async move {
             while let Some(now) = ticks.next().await {
                 registry.expire(now);
