--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,6 +38,7 @@
 pub use self::fleet::{HeldModel, RelayFleet, ServerChange, ServerEntry, holding};
 pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
 pub use self::keeper::{PlanDecoder, PlanKeeper, ServerDecoder, ServerKeeper};
+pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{LeaseKeeper, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseTerm};
 pub use self::plan::{
     CallKind, EnginePlan, ModelPlan, RoutePlan, ServicePlan, ServingPlan, TeamPlan,
--- /dev/null
+++ b/tests/relay_planner.rs
@@ -0,0 +1,381 @@
+//! The planner of the users' platform against engines that lose answers and carry orders out late.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use foxtailhill::dispatch::ModelDemand;
+use foxtailhill::error::{Category, Error, Result, RunVerdict};
+use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::placement::DemandBoard;
+use foxtailhill::relay::{
+    EngineControl, EnginePlan, EngineReport, HeldModel, LeaseKeeper, LeaseRecord, LeaseState,
+    LeaseStore, LeaseTerm, LoadItem, ModelPlan, OrderAnswer, OrderTicket, PlaceWish, PlannerParts,
+    RelayFleet, ReplicaOrder, ReplicaPlanner, ServerChange, ServerEntry, ServicePlan, ServingPlan,
+};
+use foxtailhill::timer::TimerService;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+const MEMORY_MB: f64 = 200_000.0;
+const MODEL_MB: f64 = 60_000.0;
+const ADAPTER_SLOTS: usize = 2;
+const ENGINES: usize = 4;
+const MODELS: usize = 7;
+
+/// A lease that is always free.
+#[derive(Default)]
+struct FreeLease(Mutex<LeaseState>);
+
+impl LeaseStore for FreeLease {
+    async fn read_lease(&self) -> Result<LeaseState> {
+        Ok(lock(&self.0).clone())
+    }
+
+    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<bool> {
+        *lock(&self.0) = LeaseState {
+            record: Some(record.clone()),
+            next: at.next(),
+        };
+        Ok(true)
+    }
+}
+
+#[derive(Default)]
+struct EngineModel {
+    orders: u64,
+    models: Vec<HeldModel>,
+    /// End of the order that is being carried out, and its effect.
+    busy: Option<(Instant, ReplicaOrder)>,
+}
+
+impl EngineModel {
+    fn settle(&mut self, now: Instant) {
+        if let Some((_, order)) = self.busy.take_if(|(end, _)| *end <= now) {
+            self.take_effect(&order);
+        }
+    }
+
+    fn take_effect(&mut self, order: &ReplicaOrder) {
+        match order {
+            ReplicaOrder::Load(item) => match &item.adapter {
+                None => self.models.push(HeldModel {
+                    name: item.model.clone(),
+                    ..HeldModel::default()
+                }),
+                Some(adapter) => {
+                    let held = self.models.iter_mut().find(|held| held.name == item.model);
+                    held.into_iter()
+                        .for_each(|held| held.adapters.push(adapter.clone()));
+                }
+            },
+            ReplicaOrder::Unload(item) => match &item.adapter {
+                None => self.models.retain(|held| held.name != item.model),
+                Some(adapter) => {
+                    let held = self.models.iter_mut().find(|held| held.name == item.model);
+                    held.into_iter()
+                        .for_each(|held| held.adapters.retain(|other| other != adapter));
+                }
+            },
+        }
+    }
+
+    fn accept(
+        &mut self,
+        order: &ReplicaOrder,
+        orders: u64,
+        violations: &mut Vec<String>,
+    ) -> OrderAnswer {
+        let now = Instant::now();
+        self.settle(now);
+        if self.orders != orders || self.busy.is_some() {
+            return OrderAnswer::Conflict;
+        }
+        let item = match order {
+            ReplicaOrder::Load(item) | ReplicaOrder::Unload(item) => item,
+        };
+        let held = self.models.iter().any(|held| {
+            held.name == item.model
+                && item
+                    .adapter
+                    .as_ref()
+                    .is_none_or(|one| held.adapters.contains(one))
+        });
+        if held == matches!(order, ReplicaOrder::Load(_)) {
+            return OrderAnswer::Holds;
+        }
+        self.orders += 1;
+        let adapters: usize = self.models.iter().map(|held| held.adapters.len()).sum();
+        if matches!(order, ReplicaOrder::Load(_)) {
+            match &item.adapter {
+                None if (self.models.len() + 1) as f64 * MODEL_MB > MEMORY_MB => {
+                    violations.push(format!("load of {item:?} beside {:?}", self.models));
+                }
+                Some(_) if adapters >= ADAPTER_SLOTS => {
+                    violations.push(format!("adapter {item:?} beside {:?}", self.models));
+                }
+                _ => {}
+            }
+        }
+        if item.adapter.is_some() {
+            self.take_effect(order);
+            return match order {
+                ReplicaOrder::Load(_) => OrderAnswer::Accepted,
+                ReplicaOrder::Unload(_) => OrderAnswer::Holds,
+            };
+        }
+        self.busy = Some((now + Duration::from_millis(60), order.clone()));
+        OrderAnswer::Accepted
+    }
+}
+
+/// Engines whose answers get lost and whose orders are carried out late.
+struct FaultyEngines {
+    group: TaskGroup,
+    engines: Arc<Mutex<HashMap<SmolStr, EngineModel>>>,
+    violations: Arc<Mutex<Vec<String>>>,
+    random: Mutex<StdRng>,
+    /// Part of the orders that get no answer.
+    lost: f64,
+}
+
+impl EngineControl for FaultyEngines {
+    async fn order(
+        &self,
+        server: &str,
+        _address: SocketAddr,
+        order: &ReplicaOrder,
+        ticket: &OrderTicket,
+    ) -> Result<OrderAnswer> {
+        let (lost, late) = {
+            let mut random = lock(&self.random);
+            let lost = random.random_bool(self.lost);
+            (lost, Duration::from_millis(random.random_range(0..2_500)))
+        };
+        if !lost {
+            let mut engines = lock(&self.engines);
+            let engine = engines.entry(server.into()).or_default();
+            return Ok(engine.accept(order, ticket.orders, &mut lock(&self.violations)));
+        }
+        let (engines, violations) = (self.engines.clone(), self.violations.clone());
+        let (server, order, orders) = (SmolStr::from(server), order.clone(), ticket.orders);
+        self.group.spawn_cancellable(async move {
+            tokio::time::sleep(late).await;
+            let mut engines = lock(&engines);
+            let engine = engines.entry(server).or_default();
+            engine.accept(&order, orders, &mut lock(&violations));
+        });
+        Err(Error::new(Category::Timeout, "no answer").with_verdict(RunVerdict::MayHaveRun))
+    }
+
+    async fn report(&self, server: &str, _address: SocketAddr) -> Result<EngineReport> {
+        let mut engines = lock(&self.engines);
+        let engine = engines.entry(server.into()).or_default();
+        engine.settle(Instant::now());
+        Ok(EngineReport {
+            born_ms: 1,
+            orders: engine.orders,
+            busy: engine.busy.is_some(),
+            models: engine.models.clone(),
+        })
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn plan() -> ServingPlan {
+    let model = |index: usize| ModelPlan {
+        name: format!("m{index}").into(),
+        memory_mb: MODEL_MB,
+        store_load: Duration::from_secs(5),
+        disk_load: Duration::from_secs(1),
+        host_load: Duration::from_millis(400),
+        adapters: 9,
+        adapter_mb: 10.0,
+    };
+    let engine = EnginePlan {
+        models: (0..MODELS).map(model).collect(),
+        slots: 64,
+        cache_tokens: 100_000,
+        memory_mb: MEMORY_MB,
+        adapter_slots: ADAPTER_SLOTS as u32,
+        loads_per_s: 100.0,
+    };
+    let service = ServicePlan {
+        name: "drafter".into(),
+        engine: Some(engine),
+    };
+    ServingPlan::new(1, Vec::new(), vec![service], Vec::new())
+}
+
+/// Returns the record of an engine that says that it holds nothing, however old it becomes.
+fn stale_record(index: usize) -> ServerEntry {
+    ServerEntry {
+        id: format!("e{index}").into(),
+        service: "drafter".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: format!("z{index}").into(),
+        slots: 64,
+        leaving: false,
+        models: Vec::new(),
+        born_ms: 1,
+        in_host_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+struct PlannerRig {
+    group: TaskGroup,
+    control: Arc<FaultyEngines>,
+    demand: Arc<DemandBoard>,
+    planner: Arc<ReplicaPlanner<FaultyEngines>>,
+    _timer: TimerService,
+    _plans: watch::Sender<Option<Arc<ServingPlan>>>,
+}
+
+fn open(seed: u64, lost: f64) -> PlannerRig {
+    let group = TaskGroup::new();
+    let timer = TimerService::spawn(&group);
+    let fleet = Arc::new(RelayFleet::new());
+    let records = (0..ENGINES).map(stale_record).collect();
+    fleet.apply(vec![ServerChange::Whole(records)], Instant::now());
+    let (plans, receiver) = watch::channel(Some(Arc::new(plan())));
+    let control = Arc::new(FaultyEngines {
+        group: group.clone(),
+        engines: Arc::default(),
+        violations: Arc::default(),
+        random: Mutex::new(StdRng::seed_from_u64(seed)),
+        lost,
+    });
+    let (_candidate, candidate) = watch::channel(true);
+    let term = LeaseTerm::new("entry-1".into(), VmId::random(), Duration::ZERO);
+    let lease = LeaseKeeper::spawn(&group, Arc::new(FreeLease::default()), term, candidate);
+    let demand = Arc::new(DemandBoard::with_window(Duration::from_secs(1)));
+    let planner = ReplicaPlanner::spawn(
+        PlannerParts {
+            name: "entry-1".into(),
+            lease,
+            control: control.clone(),
+            fleet,
+            demand: demand.clone(),
+            plans: receiver,
+            group: group.clone(),
+        },
+        &timer,
+    );
+    PlannerRig {
+        group,
+        control,
+        demand,
+        planner,
+        _timer: timer,
+        _plans: plans,
+    }
+}
+
+impl PlannerRig {
+    fn ask_for(&self, model: usize, arrivals: u32) {
+        let demand = ModelDemand {
+            model: format!("drafter/m{model}").into(),
+            arrivals,
+            tokens: u64::from(arrivals) * 1_000,
+            ..ModelDemand::default()
+        };
+        let reporter = SocketAddr::from(([127, 0, 0, 1], 1));
+        self.demand.note(reporter, &[demand], Instant::now());
+    }
+
+    fn held(&self, model: usize) -> usize {
+        let name = format!("m{model}");
+        let engines = lock(&self.control.engines);
+        let holds = |engine: &&EngineModel| engine.models.iter().any(|held| held.name == name);
+        engines.values().filter(holds).count()
+    }
+}
+
+/// Guards against a load beyond an engine's memory or places for adapters: by an account that an old record replaced,
+/// by an order that is carried out late, or by one whose answer was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_are_never_told_to_hold_too_much() {
+    for seed in [1, 2, 3] {
+        let rig = open(seed, 0.3);
+        for step in 0..50 {
+            rig.ask_for(step / 8 % MODELS, 40);
+            let wish = PlaceWish {
+                service: "drafter".into(),
+                item: LoadItem {
+                    model: format!("m{}", step / 8 % MODELS).into(),
+                    adapter: Some(format!("a{}", step % 5).into()),
+                },
+            };
+            let planner = rig.planner.clone();
+            rig.group.spawn_cancellable(async move {
+                planner.place(wish).await;
+            });
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let violations = lock(&rig.control.violations).clone();
+        let orders: u64 = lock(&rig.control.engines)
+            .values()
+            .map(|engine| engine.orders)
+            .sum();
+        rig.group.shutdown().await;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert!(
+            orders > 10,
+            "seed {seed}: only {orders} orders were accepted"
+        );
+    }
+}
+
+/// Guards against a model that stays without a replica, or demand that is not followed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_model_gets_a_replica_and_demand_more() {
+    let rig = open(7, 0.0);
+    let end = Instant::now() + Duration::from_secs(30);
+    let done = || (0..MODELS).all(|model| rig.held(model) >= 1) && rig.held(2) >= 3;
+    while !done() {
+        rig.ask_for(2, 40);
+        assert!(
+            Instant::now() < end,
+            "{:?}",
+            (0..MODELS).map(|model| rig.held(model)).collect::<Vec<_>>()
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    rig.group.shutdown().await;
+}
+
+/// Guards against a request that waits for an adapter which nobody loads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adapter_is_placed_where_its_model_is() {
+    let rig = open(9, 0.0);
+    let wish = PlaceWish {
+        service: "drafter".into(),
+        item: LoadItem {
+            model: "m1".into(),
+            adapter: Some("a4".into()),
+        },
+    };
+    let end = Instant::now() + Duration::from_secs(30);
+    let placed = loop {
+        if let Some(placed) = rig.planner.place(wish.clone()).await {
+            break placed;
+        }
+        assert!(Instant::now() < end, "the adapter was not placed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert!(placed.present && placed.item == wish.item);
+    let holds = lock(&rig.control.engines)[&placed.server]
+        .models
+        .iter()
+        .any(|held| held.name == "m1" && held.adapters.contains(&"a4".into()));
+    assert!(holds);
+    rig.group.shutdown().await;
+}
