Wait for a place as long as the caller of a begun stream does; log without waiting

Logs went to standard error and a reader that stalls would have stopped requests.

Change: the patience of a begun stream counts from its last event. Log lines go to standard output by a thread of their own, at most 500 a second, and dropped ones are counted. The regression test fails without the change.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -3,7 +3,8 @@
 use std::fmt::Arguments;
 use std::future::Future;
 use std::io::Write;
-use std::time::SystemTime;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant, SystemTime};
 
 use log::{LevelFilter, Record};
 use serde::Serialize;
@@ -26,15 +27,133 @@
     request_id: Option<SmolStr>,
 }
 
-/// Starts logging to standard error. A process calls this once.
+/// Lines that wait for standard output at most.
+const MAX_WAITING_LINES: usize = 1_024;
+/// Lines per second at most: several for each request of a daemon at its design load.
+const MAX_LINES_PER_S: u32 = 500;
+/// Longest wait for the last lines at the end of a process.
+const LAST_LINES_WAIT: Duration = Duration::from_secs(1);
+
+enum LogMessage {
+    Line(Vec<u8>),
+    /// Asks for an answer once all earlier lines are written.
+    Flush(SyncSender<()>),
+}
+
+/// Writes the last lines when it is dropped.
+pub struct LogGuard(SyncSender<LogMessage>);
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let (done, written) = sync_channel(1);
+        // A reader that has stopped reading must not keep the process from ending.
+        if self.0.try_send(LogMessage::Flush(done)).is_ok() {
+            let _ = written.recv_timeout(LAST_LINES_WAIT);
+        }
+    }
+}
+
+/// Gathers the parts of a line and hands it on without ever waiting. Lines that are too many are counted and dropped.
+struct LineWriter {
+    line: Vec<u8>,
+    messages: SyncSender<LogMessage>,
+    second: Instant,
+    lines: u32,
+    dropped: u64,
+}
+
+impl LineWriter {
+    fn hand_on(&mut self, line: Vec<u8>) {
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            (self.second, self.lines) = (Instant::now(), 0);
+        }
+        self.lines += 1;
+        let sent =
+            self.lines <= MAX_LINES_PER_S && self.messages.try_send(LogMessage::Line(line)).is_ok();
+        self.dropped += u64::from(!sent);
+    }
+
+    /// Tells how many lines were dropped, once there is room again.
+    fn tell_dropped(&mut self) {
+        if self.dropped == 0 || self.lines >= MAX_LINES_PER_S {
+            return;
+        }
+        let message = format!("{} log lines were dropped", self.dropped);
+        let line = LogLine {
+            time: now(),
+            level: "WARN",
+            module: module_path!(),
+            message,
+            request_id: None,
+        };
+        let mut line = serde_json::to_vec(&line).unwrap_or_default();
+        line.push(b'\n');
+        if self.messages.try_send(LogMessage::Line(line)).is_ok() {
+            self.dropped = 0;
+        }
+    }
+}
+
+impl Write for LineWriter {
+    fn write(&mut self, data: &[u8]) -> std::io::Result<usize> {
+        self.line.extend_from_slice(data);
+        Ok(data.len())
+    }
+
+    /// Ends a line; the log pipeline calls it after each one.
+    fn flush(&mut self) -> std::io::Result<()> {
+        if !self.line.is_empty() {
+            self.tell_dropped();
+            let line = std::mem::take(&mut self.line);
+            self.hand_on(line);
+        }
+        Ok(())
+    }
+}
+
+/// Starts logging to standard output, by a thread of its own. A process calls this once.
 ///
 /// # Errors
 ///
-/// `Internal` if logging was started before.
-pub fn init(settings: &LogSettings) -> Result<()> {
-    dispatch(settings, Box::new(std::io::stderr()))
+/// `Internal` if logging was started before or the thread cannot be started.
+pub fn init(settings: &LogSettings) -> Result<LogGuard> {
+    let failed =
+        |error: &dyn std::fmt::Display| Error::internal(format!("cannot start logging: {error}"));
+    let (sender, messages) = sync_channel(MAX_WAITING_LINES);
+    std::thread::Builder::new()
+        .name("log".into())
+        .stack_size(LOG_STACK)
+        .spawn(move || write_lines(&messages))
+        .map_err(|error| failed(&error))?;
+    let writer = LineWriter {
+        line: Vec::new(),
+        messages: sender.clone(),
+        second: Instant::now(),
+        lines: 0,
+        dropped: 0,
+    };
+    dispatch(settings, Box::new(writer))
         .apply()
-        .map_err(|error| Error::internal(format!("cannot start logging: {error}")))
+        .map_err(|error| failed(&error))?;
+    Ok(LogGuard(sender))
+}
+
+/// Stack of the thread that writes lines, in bytes.
+const LOG_STACK: usize = 64 << 10;
+
+fn write_lines(messages: &Receiver<LogMessage>) {
+    let mut output = std::io::stdout();
+    for message in messages {
+        // Without a reader there is nobody to tell.
+        match message {
+            LogMessage::Line(line) => {
+                let _ = output.write_all(&line).and_then(|()| output.flush());
+            }
+            LogMessage::Flush(done) => {
+                let _ = done.send(());
+            }
+        }
+    }
 }
 
 /// Builds the log pipeline that writes to `output`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -96,11 +96,11 @@
             // The settings are read before any thread or port exists.
             if RelaySettings::is_kind(&read(&args.settings)?) {
                 let settings = RelaySettings::read(&args.settings)?;
-                logging::init(&settings.log)?;
+                let _log = logging::init(&settings.log)?;
                 relay_runtime()?.block_on(serve_relay(settings))?;
             } else {
                 let settings = DaemonSettings::read(&args.settings)?;
-                logging::init(&settings.log)?;
+                let _log = logging::init(&settings.log)?;
                 runtime()?.block_on(serve(settings))?;
             }
             Ok(ExitCode::SUCCESS)
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -136,15 +136,19 @@
         }
     }
 
-    /// Returns until when the request may wait for a place. A caller that has got nothing leaves once its patience is
-    /// over, so it is refused before that.
+    /// Returns until when the request may wait for a place. A caller of a stream leaves once it has got nothing for as
+    /// long as its patience lasts, so it is told before that.
     fn wait_deadline(&self) -> Instant {
         let route = &self.request.route;
         let patience = match route.kind {
             CallKind::Streaming => route.patience() * WAIT_PERCENT / 100,
             _ => return self.request.deadline,
         };
-        self.request.deadline.min(self.request.arrived + patience)
+        let silent_since = match self.head_sent {
+            true => Instant::now(),
+            false => self.request.arrived,
+        };
+        self.request.deadline.min(silent_since + patience)
     }
 
     /// Returns until when to wait for the next part of an answer.
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -62,7 +62,7 @@
 }
 
 async fn run(args: &DemoArgs) -> eyre::Result<Vec<String>> {
-    foxtailhill::logging::init(&LogSettings {
+    let _log = foxtailhill::logging::init(&LogSettings {
         level: LevelFilter::Error,
         ..LogSettings::default()
     })?;
--- a/standins/src/bin/foxtailhill-rates.rs
+++ b/standins/src/bin/foxtailhill-rates.rs
@@ -149,7 +149,7 @@
 
 async fn serve(arguments: &ServeArguments) -> eyre::Result<()> {
     let settings = DaemonSettings::read(&arguments.settings)?;
-    logging::init(&settings.log)?;
+    let _log = logging::init(&settings.log)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let daemon = daemon::open_with::<EvenSplitParts>(settings).await?;
     terminate.recv().await;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,6 +3,7 @@
 mod relay_support;
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use relay_support::{
     KEY, RelayRig, Script, ScriptedServer, chunk, event, header, request, stream_head, until, whole,
@@ -285,6 +286,29 @@
     Ok(())
 }
 
+/// Guards against a stream that is given up because its first server broke off after the caller's first patience.
+#[tokio::test]
+async fn stream_that_lost_its_server_late_is_resumed() -> eyre::Result<()> {
+    // Both pauses together are longer than a request that got nothing waits.
+    let pause = Duration::from_millis(1_700);
+    let first = format!("{}{}", stream_head(), chunk(&event(1)));
+    let torn = vec![(first, pause), (chunk(&event(2)), pause)];
+    let rest = format!("{}{}0\r\n\r\n", stream_head(), chunk(&event(3)));
+    let (rig, servers) =
+        RelayRig::with_servers(vec![vec![Script::Paced(torn), Script::Answer(rest)]]).await?;
+    // The pause that the route allows makes the caller wait for 8 times as long.
+    let call = request("POST", "/patient/1", "r1", "", "x").replace("3000", "9000");
+    let answer = rig.send(&call).await?;
+    assert_eq!(
+        dechunk(&answer),
+        Some((1..=3).map(event).collect()),
+        "{answer}"
+    );
+    assert_eq!(servers[0].requests().len(), 2);
+    rig.shutdown().await;
+    Ok(())
+}
+
 /// Guards against a torn stream that looks complete, and against a second run where none is allowed.
 #[tokio::test]
 async fn torn_stream_that_may_not_resume_breaks_the_connection() -> eyre::Result<()> {
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -51,6 +51,8 @@
     models: Vec<HeldModel>,
     /// End of the order that is being carried out, and its effect.
     busy: Option<(Instant, ReplicaOrder)>,
+    /// Whether the order is complete as soon as the engine has reported that it is not.
+    ends_after_report: bool,
 }
 
 impl EngineModel {
@@ -176,12 +178,18 @@
         let mut engines = lock(&self.engines);
         let engine = engines.entry(server.into()).or_default();
         engine.settle(Instant::now());
-        Ok(EngineReport {
+        let report = EngineReport {
             born_ms: 1,
             orders: engine.orders,
             busy: engine.busy.is_some(),
             models: engine.models.clone(),
-        })
+        };
+        if engine.ends_after_report
+            && let Some((_, order)) = engine.busy.take()
+        {
+            engine.take_effect(&order);
+        }
+        Ok(report)
     }
 }
 
@@ -334,6 +342,37 @@
     }
 }
 
+/// Guards against an order on the state of an engine that still carries out an order of the former planner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planner_that_takes_over_waits_for_a_load_under_way() {
+    let rig = open(5, 0.0);
+    for index in 0..ENGINES {
+        let held = |model: usize| HeldModel {
+            name: format!("m{model}").into(),
+            ..HeldModel::default()
+        };
+        let load = ReplicaOrder::Load(LoadItem {
+            model: "m2".into(),
+            adapter: None,
+        });
+        let engine = EngineModel {
+            orders: 5,
+            models: vec![held(0), held(1)],
+            busy: Some((Instant::now() + Duration::from_secs(3_600), load)),
+            ends_after_report: true,
+        };
+        lock(&rig.control.engines).insert(format!("e{index}").into(), engine);
+    }
+    let end = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < end {
+        rig.ask_for(3, 40);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let violations = lock(&rig.control.violations).clone();
+    rig.group.shutdown().await;
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 /// Guards against a model that stays without a replica, or demand that is not followed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_model_gets_a_replica_and_demand_more() {
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -47,6 +47,8 @@
     Last(String),
     /// Writes bytes and resets the connection.
     Reset(String),
+    /// Writes bytes with a pause after each part, and resets the connection.
+    Paced(Vec<(String, Duration)>),
     /// Writes bytes as soon as the head is read, then reads the rest of the body.
     Early(String),
     /// Writes bytes and then says nothing more.
@@ -157,6 +159,13 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 return stream.set_zero_linger();
             }
+            Script::Paced(parts) => {
+                for (text, pause) in parts {
+                    stream.write_all(&bytes(&text)).await?;
+                    tokio::time::sleep(pause).await;
+                }
+                return stream.set_zero_linger();
+            }
             Script::Silent(text) => {
                 stream.write_all(&bytes(&text)).await?;
                 if stream.read_buf(&mut buffer).await.unwrap_or(0) == 0 {
@@ -306,6 +315,10 @@
                 "max-attempts": 2, "public": false, "resumable": resumable, "gap-aim-ms": 250
             })
         };
+        let mut patient = route("patient", "streaming", true);
+        patient["gap-aim-ms"] = 500.into();
+        patient["timeout-ms"] = 9_000.into();
+        patient["target-latency-ms"] = 100.into();
         let mut config = json!({
             "version": self.version,
             "routes": [
@@ -313,6 +326,7 @@
                 route("confirm", "non_idempotent", false),
                 route("draft", "streaming", true),
                 route("batch", "streaming", false),
+                patient,
             ],
             "services": [{"name": "desk", "health-path": "/health", "max-conns": 100}],
             "tenants": [{"name": "south", "api-keys": [KEY], "unit": "tokens", "plain-tokens": 1,
