Count late loads against the weight store's budget; split the planner and the daemon's peers

Orders without an answer were counted when they were sent and began their loads seconds later, beside new ones.

Change: a load without an answer takes from the budget until it is surely void.

The new test of the ceiling passes without the change as well: it covers the class and does not reproduce the fault.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod parts;
 mod peers;
 mod relay;
+mod relay_peers;
 mod tasks;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/daemon/relay_peers.rs
@@ -0,0 +1,307 @@
+//! What a daemon on the users' platform tells other daemons, and what it asks them.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+
+use crate::daemon::relay::{Core, Planner, RelayServices};
+use crate::error::{Error, Result};
+use crate::kernel::TaskGroup;
+use crate::limit::LimitService;
+use crate::member::PeerBoard;
+use crate::peer::{PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus};
+use crate::placement::DemandBoard;
+use crate::relay::{
+    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, Pulse, PulseHandler,
+    ReaderElection, RelayFleet, ServerChange, TableCopy,
+};
+
+/// Time after which sources are looked through again without a pulse.
+const FETCH_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for a copy.
+const FETCH_WAIT: Duration = Duration::from_millis(800);
+/// Pause after a fetch that failed.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the planner's answer to a wish.
+const WISH_WAIT: Duration = Duration::from_millis(1_700);
+/// Times that a wish is repeated while requests may still wait for it.
+const WISH_TRIES: usize = 3;
+/// Pause between two tries of a wish.
+const WISH_PAUSE: Duration = Duration::from_millis(150);
+
+/// Takes over what another daemon has read of the store.
+pub(super) struct CopySink {
+    pub(super) plans: Arc<PlanKeeper>,
+    pub(super) fleet: Arc<RelayFleet>,
+    pub(super) registry: Arc<DaemonRegistry>,
+}
+
+impl CopySink {
+    /// Takes over a copy; the configuration alone, if this daemon reads the store itself.
+    fn apply(&self, copy: TableCopy, whole: bool) {
+        if let Some(record) = copy.plan {
+            self.plans.offer_record(record.into());
+        }
+        if whole {
+            let now = Instant::now();
+            let servers = ServerChange::Whole(copy.servers);
+            self.fleet.apply(vec![servers], now);
+            self.registry.adopt(copy.daemons, now);
+        }
+    }
+}
+
+/// Fetches what daemons that read the store have read, whenever they have something new. A daemon that reads the
+/// store itself fetches a newer configuration all the same: the store may turn it away without a sign.
+pub(super) async fn fetch_copies(
+    readers: Arc<ReaderElection>,
+    client: Arc<PeerClient>,
+    sink: CopySink,
+) {
+    let mut memory = FetchMemory::default();
+    loop {
+        // A lost pulse is made up for by the next one.
+        let _ = tokio::time::timeout(FETCH_PERIOD, readers.changed()).await;
+        let now = Instant::now();
+        readers.elect(now);
+        let plan_version = sink.plans.version();
+        let whole = !readers.is_reading(now);
+        let source = readers
+            .source(now)
+            .filter(|source| whole && memory.wants(*source, now));
+        let newer = readers.newer_plan(plan_version, now);
+        let Some(asked) = source.or(newer) else {
+            continue;
+        };
+        let request = PeerRequest::FetchTables { plan_version };
+        match client.call(asked.peer, request, FETCH_WAIT).await {
+            Ok(PeerReply::Tables(copy)) => {
+                sink.apply(copy, source.is_some());
+                if source.is_some() {
+                    memory.fetched(asked, now);
+                }
+            }
+            Ok(_) => log::warn!("{} answered a fetch with something else", asked.peer),
+            Err(error) => {
+                log::info!("nothing could be fetched from {}: {error}", asked.peer);
+                tokio::time::sleep(FETCH_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The daemon that gives orders, as pulses tell.
+#[derive(Default)]
+pub(super) struct KnownPlanner(Mutex<Option<(u64, SocketAddr)>>);
+
+impl KnownPlanner {
+    fn note(&self, fence: u64, peer: SocketAddr) {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.is_none_or(|(newest, _)| newest <= fence) {
+            *known = Some((fence, peer));
+        }
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        known.map(|(_, peer)| peer)
+    }
+}
+
+/// Hands the wishes of requests to the planner, each item once at a time.
+pub(super) fn spawn_wishes(
+    parts: &RelayServices,
+    group: &TaskGroup,
+) -> mpsc::UnboundedSender<PlaceWish> {
+    let (sender, mut wishes) = mpsc::unbounded_channel();
+    let open: Arc<Mutex<HashSet<PlaceWish>>> = Arc::default();
+    let (planner, leader) = (parts.planner.clone(), parts.leader.clone());
+    let (client, fleet) = (parts.client.clone(), parts.fleet.clone());
+    let parent = group.clone();
+    group.spawn_cancellable(async move {
+        while let Some(wish) = wishes.recv().await {
+            let mut known = open.lock().unwrap_or_else(PoisonError::into_inner);
+            if !known.insert(PlaceWish::clone(&wish)) {
+                continue;
+            }
+            let (planner, leader) = (planner.clone(), leader.clone());
+            let (client, fleet, open) = (client.clone(), fleet.clone(), open.clone());
+            parent.spawn_cancellable(async move {
+                for _ in 0..WISH_TRIES {
+                    if let Some(placement) = ask(&planner, &leader, &client, &wish).await {
+                        fleet.note_placements(&[placement], Instant::now());
+                        break;
+                    }
+                    tokio::time::sleep(WISH_PAUSE).await;
+                }
+                open.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .remove(&wish);
+            });
+        }
+    });
+    sender
+}
+
+async fn ask(
+    planner: &Planner,
+    leader: &KnownPlanner,
+    client: &PeerClient,
+    wish: &PlaceWish,
+) -> Option<Placement> {
+    if planner.fence().is_some() {
+        return planner.place(wish.clone()).await;
+    }
+    let request = PeerRequest::Place(wish.clone());
+    match client.call(leader.address()?, request, WISH_WAIT).await {
+        Ok(PeerReply::Placed(placement)) => placement,
+        Ok(_) => None,
+        Err(error) => {
+            log::info!("the planner did not place {wish:?}: {error}");
+            None
+        }
+    }
+}
+
+/// Answers the calls of other daemons.
+pub(super) struct RelayPeers {
+    pub(super) limits: Arc<LimitService<PeerClient>>,
+    pub(super) core: Arc<Core>,
+    pub(super) planner: Arc<Planner>,
+    pub(super) plans: Arc<PlanKeeper>,
+    pub(super) fleet: Arc<RelayFleet>,
+    pub(super) registry: Arc<DaemonRegistry>,
+}
+
+impl PeerHandler for RelayPeers {
+    async fn handle(&self, request: PeerRequest) -> Result<PeerReply> {
+        match request {
+            PeerRequest::Borrow {
+                borrower,
+                team,
+                tokens,
+            } => Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens))),
+            PeerRequest::Suspects(notices) => {
+                let quarantine = crate::relay::QUARANTINE;
+                self.core.apply_notices(&notices, quarantine);
+                Ok(PeerReply::Done)
+            }
+            PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
+            PeerRequest::FetchTables { plan_version } => Ok(PeerReply::Tables(TableCopy {
+                plan: self.plans.record_after(plan_version),
+                servers: self.fleet.servers(),
+                daemons: self.registry.copy(Instant::now()),
+            })),
+            _ => Err(Error::internal("no service answers this peer call")),
+        }
+    }
+}
+
+/// Makes and takes pulses.
+pub(super) struct RelayPulses {
+    pub(super) plans: Arc<PlanKeeper>,
+    pub(super) fleet: Arc<RelayFleet>,
+    pub(super) registry: Arc<DaemonRegistry>,
+    pub(super) limits: Arc<LimitService<PeerClient>>,
+    pub(super) board: Arc<PeerBoard>,
+    pub(super) demand: Arc<DemandBoard>,
+    pub(super) core: Arc<Core>,
+    pub(super) planner: Arc<Planner>,
+    pub(super) leader: Arc<KnownPlanner>,
+    pub(super) readers: Arc<ReaderElection>,
+}
+
+impl RelayPulses {
+    pub(super) fn new(parts: &RelayServices) -> Self {
+        Self {
+            plans: parts.plans.clone(),
+            fleet: parts.fleet.clone(),
+            registry: parts.registry.clone(),
+            limits: parts.limits.clone(),
+            board: parts.board.clone(),
+            demand: parts.demand.clone(),
+            core: parts.core.clone(),
+            planner: parts.planner.clone(),
+            leader: parts.leader.clone(),
+            readers: parts.readers.clone(),
+        }
+    }
+}
+
+impl RelayPulses {
+    /// Returns the spare tokens of the teams of which this daemon is a home, with its share.
+    fn spare(&self) -> Vec<(SmolStr, u64, u32)> {
+        let shares: HashMap<SmolStr, u32> = self.limits.shares().into_iter().collect();
+        let spare = self.limits.spare().into_iter();
+        let spare = spare.filter_map(|(team, tokens)| {
+            let share = *shares.get(&team)?;
+            Some((team, tokens, share))
+        });
+        spare.collect()
+    }
+}
+
+impl PulseHandler for RelayPulses {
+    fn make(&self, now: Instant) -> Pulse {
+        let (name, record) = self.registry.own();
+        let waiting = self.core.waiting().into_iter();
+        let waiting = waiting.map(|(model, count)| (model, count.interactive as u32));
+        let demand = self.core.demand().take(&waiting.collect::<Vec<_>>());
+        self.demand.note(record.peer, &demand, now);
+        Pulse {
+            vm: record.vm,
+            name: name.clone(),
+            zone: record.zone.clone(),
+            peer: record.peer,
+            plan_version: self.plans.version(),
+            reads_store: self.readers.is_reading(now),
+            reading_for: self.readers.reading_for(now),
+            tables_version: self.fleet.version() + self.plans.version() + self.registry.version(),
+            loads: self.fleet.own_load(),
+            spare: self.spare(),
+            demand,
+            fence: self.planner.fence(),
+            placements: self.planner.take_news(),
+        }
+    }
+
+    async fn urgent(&self) {
+        let mut plans = self.plans.subscribe();
+        // The keeper lives as long as the daemon.
+        while plans.changed().await.is_ok() && !self.readers.is_reading(Instant::now()) {}
+    }
+
+    fn take(&self, pulse: Pulse, now: Instant) {
+        self.readers.heard(&pulse, now);
+        self.fleet.note_peer_load(pulse.vm, pulse.loads, now);
+        self.demand.note(pulse.peer, &pulse.demand, now);
+        self.fleet.note_placements(&pulse.placements, now);
+        if let Some(fence) = pulse.fence {
+            self.leader.note(fence, pulse.peer);
+        }
+        let spare = pulse.spare;
+        let shares = spare.iter().map(|(team, _, share)| (team.clone(), *share));
+        let shares: HashMap<SmolStr, u32> = shares.collect();
+        let status = PeerStatus {
+            vm: pulse.vm,
+            name: pulse.name,
+            config_next: crate::ids::LogOffset(pulse.plan_version),
+            members_next: crate::ids::LogOffset(0),
+            log_reachable: pulse.reads_store,
+            no_expire_for: Duration::ZERO,
+            spare: spare
+                .iter()
+                .map(|(team, tokens, _)| (team.clone(), *tokens))
+                .collect(),
+            leaving: Vec::new(),
+        };
+        self.board
+            .note_with_shares(pulse.peer, status, Some(shares), now);
+        let peers = self.readers.live_peers(now);
+        self.board.retain(|address| peers.contains(&address));
+    }
+}
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -13,10 +13,10 @@
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::call::{CallFacts, RelayFormat};
 use crate::relay::engines::LoadItem;
+use crate::relay::engines::PlaceWish;
 use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::fleet::{RelayFleet, holding};
 use crate::relay::plan::{RoutePlan, ServicePlan, ServingPlan, TeamPlan};
-use crate::relay::planner::PlaceWish;
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::routing::RouteNeed;
--- /dev/null
+++ b/src/relay/engine_state.rs
@@ -0,0 +1,203 @@
+//! What the planner knows of one engine: its models, its open order and its memory at the worst case.
+
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::relay::engines::{LoadItem, Placement, ReplicaOrder};
+use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holds_item};
+use crate::relay::layout::LayoutEngine;
+use crate::relay::plan::EnginePlan;
+
+/// Time for which an adapter stays after its load, so that the requests that wait for it find it.
+const ADAPTER_STAY: Duration = Duration::from_millis(600);
+
+pub(super) struct OpenOrder {
+    pub(super) order: ReplicaOrder,
+    pub(super) expected: u64,
+    pub(super) sent_at: Instant,
+    pub(super) accepted: bool,
+}
+
+/// What the planner knows of one engine.
+pub(super) struct EngineState {
+    pub(super) born_ms: u64,
+    /// Orders that the engine has accepted, once it was asked.
+    pub(super) orders: Option<u64>,
+    pub(super) models: Vec<HeldModel>,
+    /// Time before which a report may still be older than what is known.
+    pub(super) rest_until: Option<Instant>,
+    /// When the engine was last asked for its state.
+    pub(super) asked_at: Option<Instant>,
+    pub(super) open: Option<OpenOrder>,
+    /// Whether a call to the engine is under way.
+    pub(super) calling: bool,
+    /// When adapters were loaded, lately.
+    pub(super) fresh_adapters: Vec<(LoadItem, Instant)>,
+    /// Memory that orders without an answer may still take, until when.
+    pub(super) late: Vec<(f64, Instant)>,
+}
+
+impl EngineState {
+    pub(super) fn new(server: &ServerEntry) -> Self {
+        Self {
+            born_ms: server.born_ms,
+            orders: None,
+            models: server.models.clone(),
+            rest_until: None,
+            asked_at: None,
+            open: None,
+            calling: false,
+            fresh_adapters: Vec::new(),
+            late: Vec::new(),
+        }
+    }
+
+    /// Returns the engine as the layout sees it.
+    pub(super) fn as_layout(
+        &self,
+        server: &ServerEntry,
+        plan: &EnginePlan,
+        fleet: &RelayFleet,
+        now: Instant,
+    ) -> LayoutEngine {
+        let weights = |order: &ReplicaOrder| {
+            let weights = item(order).adapter.is_none();
+            weights.then(|| item(order).model.clone())
+        };
+        let open = self.open.as_ref().map(|open| &open.order);
+        let loading = open.filter(|order| matches!(order, ReplicaOrder::Load(_)));
+        let removing = open.filter(|order| matches!(order, ReplicaOrder::Unload(_)));
+        let removed = removing.and_then(weights);
+        let held = self.models.iter().map(|model| model.name.clone());
+        LayoutEngine {
+            id: server.id.clone(),
+            zone: server.zone.clone(),
+            memory_mb: plan.memory_mb,
+            used_mb: self.used_mb(plan, now),
+            held: held
+                .filter(|model| Some(model) != removed.as_ref())
+                .collect(),
+            loading: loading.and_then(weights).into_iter().collect(),
+            available: self.is_available() && !fleet.is_suspected(&server.id),
+            in_host_memory: server.in_host_memory.clone(),
+            on_disk: server.on_disk.clone(),
+            load: fleet.load(&server.id),
+            slots: server.slots,
+            adapter_slots: plan.adapter_slots,
+        }
+    }
+
+    /// Returns whether the engine may get an order.
+    pub(super) fn is_available(&self) -> bool {
+        self.open.is_none() && !self.calling && self.orders.is_some()
+    }
+
+    pub(super) fn holds(&self, model: &str) -> bool {
+        self.models.iter().any(|held| held.name == model)
+    }
+
+    /// Returns the memory of all that the engine holds or may still load, in MB.
+    pub(super) fn used_mb(&self, plan: &EnginePlan, now: Instant) -> f64 {
+        let held: f64 = self.models.iter().map(|held| held_mb(plan, held)).sum();
+        let loading = match self.open.as_ref().map(|open| &open.order) {
+            Some(ReplicaOrder::Load(item)) => item_mb(plan, item),
+            _ => 0.0,
+        };
+        let late = self.late.iter().filter(|(_, until)| *until > now);
+        held + loading + late.map(|(size, _)| size).sum::<f64>()
+    }
+
+    /// Returns the order that brings an adapter closer: its load, or the removal of the least wanted one.
+    pub(super) fn adapter_order(
+        &self,
+        item: &LoadItem,
+        plan: &EnginePlan,
+        demand: impl Fn(&LoadItem) -> f64,
+        now: Instant,
+    ) -> Option<ReplicaOrder> {
+        let held: Vec<LoadItem> = self
+            .models
+            .iter()
+            .flat_map(|model| {
+                model.adapters.iter().map(|adapter| LoadItem {
+                    model: model.name.clone(),
+                    adapter: Some(adapter.clone()),
+                })
+            })
+            .collect();
+        let has_slot = held.len() < plan.adapter_slots as usize;
+        if has_slot && self.used_mb(plan, now) + item_mb(plan, item) <= plan.memory_mb {
+            return Some(ReplicaOrder::Load(item.clone()));
+        }
+        let fresh = |item: &LoadItem| {
+            let mut loads = self.fresh_adapters.iter();
+            loads.any(|(other, at)| other == item && *at + ADAPTER_STAY > now)
+        };
+        let least = held
+            .into_iter()
+            .filter(|item| !fresh(item))
+            .min_by(|a, b| demand(a).total_cmp(&demand(b)))?;
+        Some(ReplicaOrder::Unload(least))
+    }
+
+    /// Returns whether the engine is as an order asks.
+    pub(super) fn shows(&self, order: &ReplicaOrder) -> bool {
+        match order {
+            ReplicaOrder::Load(item) => holds_item(&self.models, item),
+            ReplicaOrder::Unload(item) => !holds_item(&self.models, item),
+        }
+    }
+
+    /// Ends the open order as carried out.
+    pub(super) fn complete(&mut self, id: &SmolStr, orders: u64) -> Vec<Placement> {
+        let Some(open) = self.open.take() else {
+            return Vec::new();
+        };
+        self.orders = Some(orders);
+        let placement = Placement {
+            server: id.clone(),
+            item: item(&open.order).clone(),
+            present: matches!(open.order, ReplicaOrder::Load(_)),
+        };
+        placement.apply(&mut self.models);
+        let now = Instant::now();
+        self.fresh_adapters
+            .retain(|(_, at)| *at + ADAPTER_STAY > now);
+        if placement.present {
+            self.fresh_adapters.push((placement.item.clone(), now));
+        }
+        vec![placement]
+    }
+}
+
+pub(super) fn item(order: &ReplicaOrder) -> &LoadItem {
+    let (ReplicaOrder::Load(item) | ReplicaOrder::Unload(item)) = order;
+    item
+}
+
+pub(super) fn is_adapter(order: &ReplicaOrder) -> bool {
+    item(order).adapter.is_some()
+}
+
+/// Returns the memory of an item in MB. One that is not declared counts as the largest model.
+pub(super) fn item_mb(plan: &EnginePlan, item: &LoadItem) -> f64 {
+    match (plan.model(&item.model), &item.adapter) {
+        (Some(model), None) => model.memory_mb,
+        (Some(model), Some(_)) => model.adapter_mb,
+        (None, _) => plan
+            .models
+            .iter()
+            .map(|model| model.memory_mb)
+            .fold(0.0, f64::max),
+    }
+}
+
+fn held_mb(plan: &EnginePlan, held: &HeldModel) -> f64 {
+    let weights = LoadItem {
+        model: held.name.clone(),
+        adapter: None,
+    };
+    let adapter_mb = plan.model(&held.name).map_or(0.0, |model| model.adapter_mb);
+    item_mb(plan, &weights) + adapter_mb * held.adapters.len() as f64
+}
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -25,6 +25,42 @@
     Unload(LoadItem),
 }
 
+/// An item that was loaded or removed, as the planner tells other daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    pub server: SmolStr,
+    pub item: LoadItem,
+    pub present: bool,
+}
+
+impl Placement {
+    /// Changes a list of held models as the order did.
+    pub fn apply(&self, models: &mut Vec<HeldModel>) {
+        let held = models.iter_mut().find(|held| held.name == self.item.model);
+        match (&self.item.adapter, self.present, held) {
+            (None, true, None) => models.push(HeldModel {
+                name: self.item.model.clone(),
+                ..HeldModel::default()
+            }),
+            (None, false, _) => models.retain(|held| held.name != self.item.model),
+            (Some(adapter), present, Some(held)) => {
+                held.adapters.retain(|other| other != adapter);
+                if present {
+                    held.adapters.push(adapter.clone());
+                }
+            }
+            (None, true, Some(_)) | (Some(_), _, None) => {}
+        }
+    }
+}
+
+/// A model and adapter of a service that a request needs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PlaceWish {
+    pub service: SmolStr,
+    pub item: LoadItem,
+}
+
 /// Who gives an order, and the state of the engine that it is meant for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderTicket {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -13,7 +13,7 @@
 use crate::engine::{LoadReport, ResidentItem};
 use crate::ids::VmId;
 use crate::relay::engines::LoadItem;
-use crate::relay::planner::Placement;
+use crate::relay::engines::Placement;
 use crate::routing::{BackendView, FleetSnapshot, ServerHandle};
 
 /// Time for which a server gets no work after a failed call; doubles with each further failure.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod call;
 mod dispatcher;
+mod engine_state;
 mod engines;
 mod events;
 mod exchange;
@@ -30,7 +31,8 @@
     PlanReceiver, RelayAccess, RelayAnswer, RelayBytes, RelayContext, RelayDispatcher, RetryShare,
 };
 pub use self::engines::{
-    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, ReplicaOrder,
+    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, PlaceWish, Placement,
+    ReplicaOrder,
 };
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE;
@@ -43,7 +45,7 @@
 pub use self::plan::{
     CallKind, EnginePlan, ModelPlan, RoutePlan, ServicePlan, ServingPlan, TeamPlan,
 };
-pub use self::planner::{PlaceWish, Placement, PlannerParts, ReplicaPlanner};
+pub use self::planner::{PlannerParts, ReplicaPlanner};
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
 pub use self::readers::{CopySource, FetchMemory, ReaderElection, StoreHealth, TableCopy};
 pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -7,17 +7,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 
 use crate::kernel::TaskGroup;
 use crate::placement::DemandBoard;
 use crate::relay::dispatcher::PlanReceiver;
+use crate::relay::engine_state::{EngineState, OpenOrder, is_adapter, item, item_mb};
 use crate::relay::engines::{
-    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderTicket, ReplicaOrder,
+    EngineControl, EngineReport, OrderAnswer, OrderTicket, PlaceWish, Placement, ReplicaOrder,
 };
-use crate::relay::fleet::{HeldModel, RelayFleet, ServerEntry, holding, holds_item};
+use crate::relay::fleet::{RelayFleet, ServerEntry, holding, holds_item};
 use crate::relay::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 use crate::relay::lease::LeaseKeeper;
 use crate::relay::plan::{EnginePlan, ServingPlan};
@@ -29,8 +29,6 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
 /// Pause after an order that could not be sent.
 const ABSENT_PAUSE: Duration = Duration::from_millis(1_000);
-/// Time for which an adapter stays after its load, so that the requests that wait for it find it.
-const ADAPTER_STAY: Duration = Duration::from_millis(600);
 /// Requests per second from which an adapter counts as in demand.
 const ADAPTER_RATE: f64 = 0.1;
 /// Age that the state in an engine's report may have.
@@ -48,68 +46,6 @@
 /// Time that an adapter takes to load from the store, beyond the answer to its order.
 const ADAPTER_LOAD: Duration = Duration::from_millis(12);
 
-/// An item that was loaded or removed, as the planner tells other daemons.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Placement {
-    pub server: SmolStr,
-    pub item: LoadItem,
-    pub present: bool,
-}
-
-impl Placement {
-    /// Changes a list of held models as the order did.
-    pub fn apply(&self, models: &mut Vec<HeldModel>) {
-        let held = models.iter_mut().find(|held| held.name == self.item.model);
-        match (&self.item.adapter, self.present, held) {
-            (None, true, None) => models.push(HeldModel {
-                name: self.item.model.clone(),
-                ..HeldModel::default()
-            }),
-            (None, false, _) => models.retain(|held| held.name != self.item.model),
-            (Some(adapter), present, Some(held)) => {
-                held.adapters.retain(|other| other != adapter);
-                if present {
-                    held.adapters.push(adapter.clone());
-                }
-            }
-            (None, true, Some(_)) | (Some(_), _, None) => {}
-        }
-    }
-}
-
-/// A model and adapter of a service that a request needs.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct PlaceWish {
-    pub service: SmolStr,
-    pub item: LoadItem,
-}
-
-struct OpenOrder {
-    order: ReplicaOrder,
-    expected: u64,
-    sent_at: Instant,
-    accepted: bool,
-}
-
-/// What the planner knows of one engine.
-struct EngineState {
-    born_ms: u64,
-    /// Orders that the engine has accepted, once it was asked.
-    orders: Option<u64>,
-    models: Vec<HeldModel>,
-    /// Time before which a report may still be older than what is known.
-    rest_until: Option<Instant>,
-    /// When the engine was last asked for its state.
-    asked_at: Option<Instant>,
-    open: Option<OpenOrder>,
-    /// Whether a call to the engine is under way.
-    calling: bool,
-    /// When adapters were loaded, lately.
-    fresh_adapters: Vec<(LoadItem, Instant)>,
-    /// Memory that orders without an answer may still take, until when.
-    late: Vec<(f64, Instant)>,
-}
-
 #[derive(Default)]
 struct PlannerState {
     engines: HashMap<SmolStr, EngineState>,
@@ -257,7 +193,10 @@
         let of_service = servers.iter().filter(|server| server.service == *service);
         let layout: Vec<LayoutEngine> = of_service
             .filter(|server| !server.leaving)
-            .map(|server| state.layout_engine(server, engine, &self.parts.fleet, now))
+            .filter_map(|server| {
+                let known = state.engines.get(&server.id)?;
+                Some(known.as_layout(server, engine, &self.parts.fleet, now))
+            })
             .collect();
         if layout.is_empty() {
             return Vec::new();
@@ -428,48 +367,13 @@
         calls
     }
 
-    fn layout_engine(
-        &self,
-        server: &ServerEntry,
-        plan: &EnginePlan,
-        fleet: &RelayFleet,
-        now: Instant,
-    ) -> LayoutEngine {
-        let engine = self.engines.get(&server.id);
-        let models = engine.map_or(&server.models[..], |engine| &engine.models);
-        let open = engine.and_then(|engine| engine.open.as_ref());
-        let loading = open.and_then(|open| match &open.order {
-            ReplicaOrder::Load(item) if item.adapter.is_none() => Some(item.model.clone()),
-            _ => None,
-        });
-        let removing = open.and_then(|open| match &open.order {
-            ReplicaOrder::Unload(item) if item.adapter.is_none() => Some(&item.model),
-            _ => None,
-        });
-        LayoutEngine {
-            id: server.id.clone(),
-            zone: server.zone.clone(),
-            memory_mb: plan.memory_mb,
-            used_mb: engine.map_or(plan.memory_mb, |engine| engine.used_mb(plan, now)),
-            held: models
-                .iter()
-                .map(|model| model.name.clone())
-                .filter(|model| Some(model) != removing)
-                .collect(),
-            loading: loading.into_iter().collect(),
-            available: engine.is_some_and(EngineState::is_available)
-                && !fleet.is_suspected(&server.id),
-            in_host_memory: server.in_host_memory.clone(),
-            on_disk: server.on_disk.clone(),
-            load: fleet.load(&server.id),
-            slots: server.slots,
-            adapter_slots: plan.adapter_slots,
-        }
-    }
-
-    fn store_budget(&self, plan: &EnginePlan, _now: Instant) -> usize {
+    /// Returns the loads from the weight store that may be ordered now. An order without an answer may begin its load
+    /// at any time, so it counts until it is surely void.
+    fn store_budget(&self, plan: &EnginePlan, now: Instant) -> usize {
         let most = (plan.loads_per_s * STORE_WINDOW.as_secs_f64()) as usize;
-        most.saturating_sub(self.store_loads.len())
+        let late = self.engines.values().flat_map(|engine| &engine.late);
+        let late = late.filter(|(_, until)| *until > now).count();
+        most.saturating_sub(self.store_loads.len() + late)
     }
 
     /// Notes that an order is about to be sent.
@@ -674,132 +578,3 @@
         }]
     }
 }
-
-impl EngineState {
-    fn new(server: &ServerEntry) -> Self {
-        Self {
-            born_ms: server.born_ms,
-            orders: None,
-            models: server.models.clone(),
-            rest_until: None,
-            asked_at: None,
-            open: None,
-            calling: false,
-            fresh_adapters: Vec::new(),
-            late: Vec::new(),
-        }
-    }
-
-    /// Returns whether the engine may get an order.
-    fn is_available(&self) -> bool {
-        self.open.is_none() && !self.calling && self.orders.is_some()
-    }
-
-    fn holds(&self, model: &str) -> bool {
-        self.models.iter().any(|held| held.name == model)
-    }
-
-    /// Returns the memory of all that the engine holds or may still load, in MB.
-    fn used_mb(&self, plan: &EnginePlan, now: Instant) -> f64 {
-        let held: f64 = self.models.iter().map(|held| held_mb(plan, held)).sum();
-        let loading = match self.open.as_ref().map(|open| &open.order) {
-            Some(ReplicaOrder::Load(item)) => item_mb(plan, item),
-            _ => 0.0,
-        };
-        let late = self.late.iter().filter(|(_, until)| *until > now);
-        held + loading + late.map(|(size, _)| size).sum::<f64>()
-    }
-
-    /// Returns the order that brings an adapter closer: its load, or the removal of the least wanted one.
-    fn adapter_order(
-        &self,
-        item: &LoadItem,
-        plan: &EnginePlan,
-        demand: impl Fn(&LoadItem) -> f64,
-        now: Instant,
-    ) -> Option<ReplicaOrder> {
-        let held: Vec<LoadItem> = self
-            .models
-            .iter()
-            .flat_map(|model| {
-                model.adapters.iter().map(|adapter| LoadItem {
-                    model: model.name.clone(),
-                    adapter: Some(adapter.clone()),
-                })
-            })
-            .collect();
-        let has_slot = held.len() < plan.adapter_slots as usize;
-        if has_slot && self.used_mb(plan, now) + item_mb(plan, item) <= plan.memory_mb {
-            return Some(ReplicaOrder::Load(item.clone()));
-        }
-        let fresh = |item: &LoadItem| {
-            let mut loads = self.fresh_adapters.iter();
-            loads.any(|(other, at)| other == item && *at + ADAPTER_STAY > now)
-        };
-        let least = held
-            .into_iter()
-            .filter(|item| !fresh(item))
-            .min_by(|a, b| demand(a).total_cmp(&demand(b)))?;
-        Some(ReplicaOrder::Unload(least))
-    }
-
-    /// Returns whether the engine is as an order asks.
-    fn shows(&self, order: &ReplicaOrder) -> bool {
-        match order {
-            ReplicaOrder::Load(item) => holds_item(&self.models, item),
-            ReplicaOrder::Unload(item) => !holds_item(&self.models, item),
-        }
-    }
-
-    /// Ends the open order as carried out.
-    fn complete(&mut self, id: &SmolStr, orders: u64) -> Vec<Placement> {
-        let Some(open) = self.open.take() else {
-            return Vec::new();
-        };
-        self.orders = Some(orders);
-        let placement = Placement {
-            server: id.clone(),
-            item: item(&open.order).clone(),
-            present: matches!(open.order, ReplicaOrder::Load(_)),
-        };
-        placement.apply(&mut self.models);
-        let now = Instant::now();
-        self.fresh_adapters
-            .retain(|(_, at)| *at + ADAPTER_STAY > now);
-        if placement.present {
-            self.fresh_adapters.push((placement.item.clone(), now));
-        }
-        vec![placement]
-    }
-}
-
-fn item(order: &ReplicaOrder) -> &LoadItem {
-    let (ReplicaOrder::Load(item) | ReplicaOrder::Unload(item)) = order;
-    item
-}
-
-fn is_adapter(order: &ReplicaOrder) -> bool {
-    item(order).adapter.is_some()
-}
-
-/// Returns the memory of an item in MB. One that is not declared counts as the largest model.
-fn item_mb(plan: &EnginePlan, item: &LoadItem) -> f64 {
-    match (plan.model(&item.model), &item.adapter) {
-        (Some(model), None) => model.memory_mb,
-        (Some(model), Some(_)) => model.adapter_mb,
-        (None, _) => plan
-            .models
-            .iter()
-            .map(|model| model.memory_mb)
-            .fold(0.0, f64::max),
-    }
-}
-
-fn held_mb(plan: &EnginePlan, held: &HeldModel) -> f64 {
-    let weights = LoadItem {
-        model: held.name.clone(),
-        adapter: None,
-    };
-    let adapter_mb = plan.model(&held.name).map_or(0.0, |model| model.adapter_mb);
-    item_mb(plan, &weights) + adapter_mb * held.adapters.len() as f64
-}
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -14,7 +14,7 @@
 use crate::error::{Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
-use crate::relay::planner::Placement;
+use crate::relay::engines::Placement;
 use crate::relay::registry::DaemonRegistry;
 use crate::timer::TimerService;
 
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -140,6 +140,8 @@
     group: TaskGroup,
     engines: Arc<Mutex<HashMap<SmolStr, EngineModel>>>,
     violations: Arc<Mutex<Vec<String>>>,
+    /// When loads of weights were accepted.
+    loads: Arc<Mutex<Vec<Instant>>>,
     random: Mutex<StdRng>,
     /// Part of the orders that get no answer.
     lost: f64,
@@ -161,15 +163,19 @@
         if !lost {
             let mut engines = lock(&self.engines);
             let engine = engines.entry(server.into()).or_default();
-            return Ok(engine.accept(order, ticket.orders, &mut lock(&self.violations)));
+            let answer = engine.accept(order, ticket.orders, &mut lock(&self.violations));
+            note_load(&self.loads, order, answer);
+            return Ok(answer);
         }
         let (engines, violations) = (self.engines.clone(), self.violations.clone());
+        let loads = self.loads.clone();
         let (server, order, orders) = (SmolStr::from(server), order.clone(), ticket.orders);
         self.group.spawn_cancellable(async move {
             tokio::time::sleep(late).await;
             let mut engines = lock(&engines);
             let engine = engines.entry(server).or_default();
-            engine.accept(&order, orders, &mut lock(&violations));
+            let answer = engine.accept(&order, orders, &mut lock(&violations));
+            note_load(&loads, &order, answer);
         });
         Err(Error::new(Category::Timeout, "no answer").with_verdict(RunVerdict::MayHaveRun))
     }
@@ -193,11 +199,18 @@
     }
 }
 
+fn note_load(loads: &Mutex<Vec<Instant>>, order: &ReplicaOrder, answer: OrderAnswer) {
+    let is_load = matches!(order, ReplicaOrder::Load(item) if item.adapter.is_none());
+    if is_load && answer == OrderAnswer::Accepted {
+        lock(loads).push(Instant::now());
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn plan() -> ServingPlan {
+fn plan(loads_per_s: f64) -> ServingPlan {
     let model = |index: usize| ModelPlan {
         name: format!("m{index}").into(),
         memory_mb: MODEL_MB,
@@ -213,7 +226,7 @@
         cache_tokens: 100_000,
         memory_mb: MEMORY_MB,
         adapter_slots: ADAPTER_SLOTS as u32,
-        loads_per_s: 100.0,
+        loads_per_s,
     };
     let service = ServicePlan {
         name: "drafter".into(),
@@ -248,16 +261,21 @@
 }
 
 fn open(seed: u64, lost: f64) -> PlannerRig {
+    open_with(seed, lost, 100.0)
+}
+
+fn open_with(seed: u64, lost: f64, loads_per_s: f64) -> PlannerRig {
     let group = TaskGroup::new();
     let timer = TimerService::spawn(&group);
     let fleet = Arc::new(RelayFleet::new());
     let records = (0..ENGINES).map(stale_record).collect();
     fleet.apply(vec![ServerChange::Whole(records)], Instant::now());
-    let (plans, receiver) = watch::channel(Some(Arc::new(plan())));
+    let (plans, receiver) = watch::channel(Some(Arc::new(plan(loads_per_s))));
     let control = Arc::new(FaultyEngines {
         group: group.clone(),
         engines: Arc::default(),
         violations: Arc::default(),
+        loads: Arc::default(),
         random: Mutex::new(StdRng::seed_from_u64(seed)),
         lost,
     });
@@ -342,6 +360,36 @@
     }
 }
 
+/// Guards against more loads from the weight store than it allows in 5 s, of which late orders begin some.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn loads_keep_to_the_ceiling_under_late_orders() {
+    // The platform's bound: the rate in a window of 5 s, a tenth more, and three.
+    const MOST: usize = (1.0 * 5.0 * 1.1) as usize + 3;
+    for seed in [1, 2] {
+        let rig = open_with(seed, 0.5, 1.0);
+        for step in 0..120 {
+            rig.ask_for(step / 10 % MODELS, 60);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let loads = lock(&rig.control.loads).clone();
+        rig.group.shutdown().await;
+        let window = |from: &Instant| {
+            let end = *from + Duration::from_secs(5);
+            loads
+                .iter()
+                .filter(|at| **at >= *from && **at < end)
+                .count()
+        };
+        let most = loads.iter().map(window).max().unwrap_or(0);
+        assert!(most <= MOST, "seed {seed}: {most} loads in 5 s");
+        assert!(
+            loads.len() >= MODELS / 2,
+            "seed {seed}: only {} loads",
+            loads.len()
+        );
+    }
+}
+
 /// Guards against an order on the state of an engine that still carries out an order of the former planner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn planner_that_takes_over_waits_for_a_load_under_way() {
