Reset connections whose request was given up

An order is given up after 1 s, but its connection was closed with a FIN, so the bytes that a cut link held back arrived once the link was back, after the next planner's orders. The same holds for requests whose caller has left.

Change: connections to servers, engines and the store are reset when they are closed, which drops what was not delivered.

Tests: order_that_is_given_up_is_reset and the new check in server_is_told_when_the_caller_leaves fail without the change.

--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -19,6 +19,7 @@
 
 use crate::error::{Error, Result, RunVerdict};
 use crate::kernel::TaskGroup;
+use crate::wire;
 
 /// Longest wait for a connection: a few round trips within a region. A server that is cut off does not answer at all.
 const CONNECT_WAIT: Duration = Duration::from_millis(250);
@@ -143,6 +144,7 @@
             .map_err(|error| failed(&error))?;
         // Requests are small writes; a socket without the option still works.
         let _ = stream.set_nodelay(true);
+        wire::reset_on_close(&stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(&error))?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,9 +9,11 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tower::util::MapResponse;
 
 use crate::error::{Category, Error, Result, RunVerdict};
 
@@ -21,9 +23,13 @@
 /// Client for HTTP/1.1 calls to addresses given by number. It sends each request at most once.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpCaller {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<ResettingConnector, Full<Bytes>>,
 }
 
+/// Opens connections that are reset when they are closed.
+type ResettingConnector = MapResponse<HttpConnector, fn(TcpIo) -> TcpIo>;
+type TcpIo = TokioIo<TcpStream>;
+
 /// A whole answer.
 #[derive(Debug)]
 pub(crate) struct WireAnswer {
@@ -63,7 +69,10 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_CONNECTION)
-            .build(connector);
+            .build(MapResponse::new(
+                connector,
+                with_reset as fn(TcpIo) -> TcpIo,
+            ));
         Self { client }
     }
 
@@ -112,6 +121,19 @@
     }
 }
 
+fn with_reset(io: TcpIo) -> TcpIo {
+    reset_on_close(io.inner());
+    io
+}
+
+/// Makes `stream` drop what it has not delivered yet when it is closed. Without that, a request that was given up
+/// while a link was cut would still arrive once the link is back.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::warn!("a connection will not be reset when it is closed: {error}");
+    }
+}
+
 /// Builds a request for `server`; `path` starts with `/` and may contain a query.
 pub(crate) fn request(
     server: SocketAddr,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,6 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::platform::EngineClient;
+use foxtailhill::relay::{EngineControl, LoadItem, OrderTicket, ReplicaOrder};
 use relay_support::{
     KEY, RelayRig, Script, ScriptedServer, chunk, event, header, request, stream_head, until, whole,
 };
@@ -397,11 +400,36 @@
         drop(stream);
         let gone = || servers[0].abandoned.load(Ordering::SeqCst) == count;
         until("the end of the server's connection", gone).await?;
+        // Bytes that a cut link holds back are lost with a reset only.
+        assert_eq!(servers[0].resets.load(Ordering::SeqCst), count);
     }
     rig.shutdown().await;
     Ok(())
 }
 
+/// Guards against an order that a cut link holds back and that reaches the engine after another planner's orders.
+#[tokio::test]
+async fn order_that_is_given_up_is_reset() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let engine = ScriptedServer::bind(&group, "i-0", [Script::Silent(String::new())]).await?;
+    let order = ReplicaOrder::Load(LoadItem {
+        model: "drafter".into(),
+        adapter: None,
+    });
+    let ticket = OrderTicket {
+        holder: "entry-1".into(),
+        fence: 1,
+        orders: 0,
+    };
+    let answer = EngineClient::open()
+        .order("i-0", engine.address, &order, &ticket)
+        .await;
+    assert!(answer.is_err(), "{answer:?}");
+    until("the reset", || engine.resets.load(Ordering::SeqCst) == 1).await?;
+    group.shutdown().await;
+    Ok(())
+}
+
 /// Guards against new work for a server that says that it leaves, and against the loss of its running work.
 #[tokio::test]
 async fn leaving_server_gets_no_new_request() -> eyre::Result<()> {
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -64,6 +64,8 @@
     requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the relay has closed while a script was silent.
     pub abandoned: Arc<AtomicUsize>,
+    /// Those of them that were reset.
+    pub resets: Arc<AtomicUsize>,
     pub connections: Arc<AtomicUsize>,
 }
 
@@ -81,19 +83,21 @@
             scripts: Arc::new(Mutex::new(scripts.into_iter().collect())),
             requests: Arc::default(),
             abandoned: Arc::default(),
+            resets: Arc::default(),
             connections: Arc::default(),
         };
         let (scripts, requests) = (server.scripts.clone(), server.requests.clone());
         let (abandoned, connections) = (server.abandoned.clone(), server.connections.clone());
+        let resets = server.resets.clone();
         let parent = group.clone();
         group.spawn_cancellable(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (scripts, requests) = (scripts.clone(), requests.clone());
-                let abandoned = abandoned.clone();
+                let (abandoned, resets) = (abandoned.clone(), resets.clone());
                 parent.spawn_cancellable(async move {
                     // A connection that the relay closed ends its script.
-                    let _ = follow(stream, &scripts, &requests, &abandoned).await;
+                    let _ = follow(stream, &scripts, &requests, &abandoned, &resets).await;
                 });
             }
         });
@@ -111,6 +115,7 @@
     scripts: &Mutex<VecDeque<Script>>,
     requests: &Mutex<Vec<String>>,
     abandoned: &AtomicUsize,
+    resets: &AtomicUsize,
 ) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     loop {
@@ -168,7 +173,10 @@
             }
             Script::Silent(text) => {
                 stream.write_all(&bytes(&text)).await?;
-                if stream.read_buf(&mut buffer).await.unwrap_or(0) == 0 {
+                let read = stream.read_buf(&mut buffer).await;
+                if !matches!(read, Ok(1..)) {
+                    let reset = read.is_err() || is_reset(&stream).await;
+                    resets.fetch_add(usize::from(reset), Ordering::SeqCst);
                     abandoned.fetch_add(1, Ordering::SeqCst);
                 }
                 return Ok(());
@@ -177,6 +185,17 @@
     }
 }
 
+/// Returns whether the other side resets a connection whose end was read already.
+async fn is_reset(stream: &TcpStream) -> bool {
+    for _ in 0..100 {
+        if matches!(stream.take_error(), Ok(Some(_))) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    false
+}
+
 /// Builds a whole answer with a length.
 pub fn whole(status: &str, body: &str) -> String {
     format!(
