Ask only engines for their state; keep the sum of peers' loads

Cause: the planner asked each server of a plain service for its state every 200 ms. RelayFleet::load summed the reports of all peers at each call.

Change: the planner looks at servers of services with engines. The sum of the peers' loads is kept from the last publication.

Test: plain_services_are_not_asked_for_a_state fails without the change.

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -94,6 +94,8 @@
     servers: BTreeMap<SmolStr, ServerState>,
     /// Requests of each peer by server, as last reported.
     peers: HashMap<VmId, (Instant, HashMap<u32, u32>)>,
+    /// Sum of `peers` by server, as last published.
+    peer_sum: HashMap<u32, u32>,
     unreachable: bool,
     /// Grows with each change of the records.
     version: u64,
@@ -272,19 +274,12 @@
         server.is_some_and(|server| server.handle.is_suspected())
     }
 
-    /// Returns the requests that run on a server, as far as all daemons have told.
+    /// Returns the requests that run on a server, as far as all daemons had told at the last publication.
     pub fn load(&self, id: &str) -> u32 {
-        let mut state = self.state();
-        let own = state
-            .servers
-            .get(id)
-            .map_or(0, |server| server.handle.in_flight());
-        let mark = server_mark(id);
-        own + state
-            .peer_load(Instant::now())
-            .get(&mark)
-            .copied()
-            .unwrap_or(0)
+        let state = self.state();
+        let server = state.servers.get(id);
+        let own = server.map_or(0, |server| server.handle.in_flight());
+        own + state.peer_sum.get(&server_mark(id)).copied().unwrap_or(0)
     }
 
     /// Notes that a server answered a call with a failure of its own.
@@ -303,10 +298,10 @@
     }
 
     fn publish(&self, state: &mut FleetState, now: Instant) {
-        let running = state.peer_load(now);
+        state.sum_peers(now);
         let servers = state.servers.values().map(|server| {
             let mark = server_mark(&server.entry.id);
-            let others = running.get(&mark).copied().unwrap_or(0);
+            let others = state.peer_sum.get(&mark).copied().unwrap_or(0);
             (server.view(others), server.handle.clone(), None)
         });
         let snapshot = Arc::new(FleetSnapshot::new(servers));
@@ -450,16 +445,15 @@
     }
 
     /// Sums the requests of all peers by server.
-    fn peer_load(&mut self, now: Instant) -> HashMap<u32, u32> {
+    fn sum_peers(&mut self, now: Instant) {
         self.peers
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < PEER_LOAD_LIFE);
-        let mut sum = HashMap::new();
+        self.peer_sum.clear();
         for (_, loads) in self.peers.values() {
             for (mark, count) in loads {
-                *sum.entry(*mark).or_insert(0) += count;
+                *self.peer_sum.entry(*mark).or_insert(0) += count;
             }
         }
-        sum
     }
 }
 
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -157,7 +157,12 @@
         let Some(plan) = self.parts.plans.borrow().clone() else {
             return;
         };
-        let servers = self.parts.fleet.servers();
+        let mut servers = self.parts.fleet.servers();
+        // Only engines take orders. A plain service would answer a question for its state with a refusal.
+        servers.retain(|server| {
+            let service = plan.service(&server.service);
+            service.is_some_and(|service| service.engine.is_some())
+        });
         let mut calls = Vec::new();
         {
             let mut state = self.state();
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -1,6 +1,6 @@
 //! The planner of the users' platform against engines that lose answers and carry orders out late.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -145,6 +145,8 @@
     random: Mutex<StdRng>,
     /// Part of the orders that get no answer.
     lost: f64,
+    /// Servers that were asked for their state.
+    asked: Mutex<HashSet<SmolStr>>,
 }
 
 impl EngineControl for FaultyEngines {
@@ -181,6 +183,7 @@
     }
 
     async fn report(&self, server: &str, _address: SocketAddr) -> Result<EngineReport> {
+        lock(&self.asked).insert(server.into());
         let mut engines = lock(&self.engines);
         let engine = engines.entry(server.into()).or_default();
         engine.settle(Instant::now());
@@ -232,7 +235,11 @@
         name: "drafter".into(),
         engine: Some(engine),
     };
-    ServingPlan::new(1, Vec::new(), vec![service], Vec::new())
+    let desk = ServicePlan {
+        name: "desk".into(),
+        engine: None,
+    };
+    ServingPlan::new(1, Vec::new(), vec![service, desk], Vec::new())
 }
 
 /// Returns the record of an engine that says that it holds nothing, however old it becomes.
@@ -268,7 +275,12 @@
     let group = TaskGroup::new();
     let timer = TimerService::spawn(&group);
     let fleet = Arc::new(RelayFleet::new());
-    let records = (0..ENGINES).map(stale_record).collect();
+    let desk = ServerEntry {
+        id: "desk-1".into(),
+        service: "desk".into(),
+        ..stale_record(ENGINES)
+    };
+    let records = (0..ENGINES).map(stale_record).chain([desk]).collect();
     fleet.apply(vec![ServerChange::Whole(records)], Instant::now());
     let (plans, receiver) = watch::channel(Some(Arc::new(plan(loads_per_s))));
     let control = Arc::new(FaultyEngines {
@@ -278,6 +290,7 @@
         loads: Arc::default(),
         random: Mutex::new(StdRng::seed_from_u64(seed)),
         lost,
+        asked: Mutex::default(),
     });
     let (_candidate, candidate) = watch::channel(true);
     let term = LeaseTerm::new("entry-1".into(), VmId::random(), Duration::ZERO);
@@ -466,3 +479,17 @@
     assert!(holds);
     rig.group.shutdown().await;
 }
+
+/// Guards against questions for the state of servers that take no orders: they refuse them, and each takes a place.
+#[tokio::test]
+async fn plain_services_are_not_asked_for_a_state() {
+    let rig = open(1, 0.0);
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while lock(&rig.control.asked).len() < ENGINES && Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let asked = lock(&rig.control.asked).clone();
+    assert_eq!(asked.len(), ENGINES, "{asked:?}");
+    assert!(!asked.contains("desk-1"), "{asked:?}");
+    rig.group.shutdown().await;
+}
