Lend tokens only where the loan covers its request

Daemons without a share borrowed what a home had left, less than the request needed; the request was refused and the loan lapsed unused.

Change: a borrower that asks one lender states the least that helps it, and the lender gives that or nothing.

--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -113,7 +113,10 @@
                 borrower,
                 team,
                 tokens,
-            } => Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens))),
+                least,
+            } => Ok(PeerReply::Loan(
+                self.limits.lend(borrower, &team, tokens, least),
+            )),
             PeerRequest::Suspects(notices) => {
                 self.dispatcher.apply_notices(&notices);
                 Ok(PeerReply::Done)
--- a/src/limit/budget.rs
+++ b/src/limit/budget.rs
@@ -235,12 +235,16 @@
         budget.bucket.settle(charge.mark, own, now);
     }
 
-    /// Debits a loan of up to `tokens`.
-    pub fn lend(&mut self, team: &str, tokens: u64, now: Instant) -> Option<TokenLoan> {
+    /// Debits a loan of up to `tokens`, or none if there are fewer than `least`: a loan that does not cover its request
+    /// lapses unused.
+    pub fn lend(&mut self, team: &str, tokens: u64, least: u64, now: Instant) -> Option<TokenLoan> {
         if !self.in_term(now) {
             return None;
         }
         let budget = self.teams.get_mut(team)?;
+        if budget.bucket.balance(now) < least {
+            return None;
+        }
         let lifetime = loan_lifetime(&budget.spec);
         let (tokens, lifetime) = budget.bucket.lend(tokens, lifetime, now)?;
         self.next_loan += 1;
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -81,9 +81,10 @@
         }
     }
 
-    /// Lends up to `tokens` of `team` to `borrower`. The tokens are debited before this returns.
-    pub fn lend(&self, borrower: VmId, team: &str, tokens: u64) -> Option<TokenLoan> {
-        let loan = lock(&self.budgets).lend(team, tokens, Instant::now())?;
+    /// Lends up to `tokens` of `team` to `borrower`, or nothing if there are fewer than `least`. The tokens are debited
+    /// before this returns.
+    pub fn lend(&self, borrower: VmId, team: &str, tokens: u64, least: u64) -> Option<TokenLoan> {
+        let loan = lock(&self.budgets).lend(team, tokens, least, Instant::now())?;
         log::trace!("lent {} tokens of team {team} to {borrower}", loan.tokens);
         Some(loan)
     }
@@ -139,14 +140,24 @@
         if wait.is_zero() || total(&lenders) < missing {
             return false;
         }
-        let calls = choose_lenders(lenders, missing)
-            .into_iter()
-            .map(|(lender, tokens)| self.borrow_from(lender, team, tokens, wait));
+        let chosen = choose_lenders(lenders, missing);
+        let alone = chosen.len() == 1;
+        let calls = chosen.into_iter().map(|(lender, tokens)| {
+            let least = if alone { tokens } else { 0 };
+            self.borrow_from(lender, team, (tokens, least), wait)
+        });
         join_all(calls).await;
         true
     }
 
-    async fn borrow_from(&self, lender: Lender, team: &SmolStr, tokens: u64, wait: Duration) {
+    /// Asks one peer for a loan of `tokens`, at least `least`.
+    async fn borrow_from(
+        &self,
+        lender: Lender,
+        team: &SmolStr,
+        (tokens, least): (u64, u64),
+        wait: Duration,
+    ) {
         let Some(borrower) = *self.own.lock().unwrap_or_else(PoisonError::into_inner) else {
             return;
         };
@@ -158,6 +169,7 @@
             borrower,
             team: team.clone(),
             tokens,
+            least,
         };
         let reply = self.caller.call(lender.address, request, wait).await;
         let lent = match reply {
--- a/tests/fleet_sim/node.rs
+++ b/tests/fleet_sim/node.rs
@@ -173,7 +173,7 @@
                 self.board.note(address(from), status, asked_at);
             }
             Message::Borrow { tokens, asked_at } => {
-                if let Some(loan) = self.budgets.lend(TEAM, tokens, now) {
+                if let Some(loan) = self.budgets.lend(TEAM, tokens, 0, now) {
                     world.send(self.index, from, Message::Loan { loan, asked_at });
                 }
             }
--- a/tests/limit_service.rs
+++ b/tests/limit_service.rs
@@ -184,20 +184,20 @@
 #[tokio::test]
 async fn a_lender_debits_before_it_answers() {
     let bench = bench(1, 100);
-    assert_eq!(bench.limiter.lend(VmId(2), "riders", 10), None);
+    assert_eq!(bench.limiter.lend(VmId(2), "riders", 10, 0), None);
     let now = Instant::now();
     bench.limiter.adopt_share(grant(1, 1_000_000), now);
     bench.teams.send_replace(vec![team(1_000_000, 100)]);
     eventually("a full bucket", || bench.limiter.spare() == [(RIDERS, 100)]).await;
     let loan = bench
         .limiter
-        .lend(VmId(2), "riders", 60)
+        .lend(VmId(2), "riders", 60, 0)
         .expect("spare tokens");
     assert_eq!(loan.tokens, 60);
     assert!(bench.limiter.spare()[0].1 <= 40);
     assert_eq!(bench.limiter.dump().teams[0].lent, 60);
     bench.limiter.adopt_share(None, Instant::now());
-    assert_eq!(bench.limiter.lend(VmId(2), "riders", 10), None);
+    assert_eq!(bench.limiter.lend(VmId(2), "riders", 10, 0), None);
     bench.group.shutdown().await;
 }
 
--- a/tests/member_support/mod.rs
+++ b/tests/member_support/mod.rs
@@ -195,7 +195,10 @@
                 borrower,
                 team,
                 tokens,
-            } => Some(PeerReply::Loan(limiter.lend(borrower, &team, tokens))),
+                least,
+            } => Some(PeerReply::Loan(
+                limiter.lend(borrower, &team, tokens, least),
+            )),
             _ => None,
         });
         self.net.nodes.lock().unwrap().insert(address, answer);
