Let large VMs read the store; split connections and second sends by daemons

The fixed part of the budget of second sends was split among 8 daemons whatever their number.

Change: of daemons that begin together the largest VM reads and may plan, by its processor share and link; a newer configuration is copied from any daemon of the zone that has it. Idle connections are bounded by half of what a server accepts, split among the daemons, and so is the fixed part of second sends.

Tests: of_two_new_readers_the_larger_vm_stays and configuration_is_copied_from_several_daemons_of_the_zone.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -60,8 +60,6 @@
 const FLEET_PERIOD: Duration = Duration::from_millis(100);
 /// Period in which idle connections are looked through.
 const POOL_PERIOD: Duration = Duration::from_secs(1);
-/// Daemons among which the fixed part of the budget of second sends is split, until more are known.
-const LEAST_DAEMONS: u32 = 8;
 
 /// The policies of a daemon on the platform.
 #[derive(Clone, Copy, Debug)]
@@ -167,8 +165,9 @@
         format: Arc::new(PlatformFormat),
         retries: RetryShare {
             percent: settings.retries.percent,
-            extra: settings.retries.extra / LEAST_DAEMONS,
+            extra: settings.retries.extra,
         },
+        daemons: parts.registry.count(),
         wishes: spawn_wishes(&parts, services),
     });
     let listen = &settings.listen;
@@ -267,6 +266,7 @@
     let readers = Arc::new(ReaderElection::new(
         settings.vm.clone(),
         settings.zone.clone(),
+        settings.capacity.weight(),
         health.clone(),
     ));
     let vm = registry.own().1.vm;
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -195,7 +195,10 @@
                 borrower,
                 team,
                 tokens,
-            } => Ok(PeerReply::Loan(self.limits.lend(borrower, &team, tokens))),
+                least,
+            } => Ok(PeerReply::Loan(
+                self.limits.lend(borrower, &team, tokens, least),
+            )),
             PeerRequest::Suspects(notices) => {
                 let quarantine = crate::relay::QUARANTINE;
                 self.core.apply_notices(&notices, quarantine);
@@ -271,6 +274,7 @@
             plan_version: self.plans.version(),
             reads_store: self.readers.is_reading(now),
             reading_for: self.readers.reading_for(now),
+            weight: self.readers.weight(),
             tables_version: self.fleet.version() + self.plans.version() + self.registry.version(),
             loads: self.fleet.own_load(),
             spare: self.spare(),
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -65,8 +65,12 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
 struct ServiceRecord {
     name: SmolStr,
+    /// Connections that one server accepts from all callers together.
+    #[serde(default)]
+    max_conns: u32,
     engine: Option<EngineRecord>,
 }
 
@@ -178,6 +182,7 @@
     fn from(record: ServiceRecord) -> Self {
         Self {
             name: record.name,
+            max_connections: record.max_conns,
             engine: record.engine.map(EnginePlan::from),
         }
     }
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -41,21 +41,30 @@
     pub fleet: Arc<RelayFleet>,
     pub pool: UpstreamPool,
     pub format: Arc<F>,
-    /// Second sends that this daemon may make to one service.
+    /// Second sends that all daemons may make to one service.
     pub retries: RetryShare,
+    /// Number of daemons that share second sends and connections.
+    pub daemons: watch::Receiver<u32>,
     /// Takes the items that requests need and no server holds.
     pub wishes: mpsc::UnboundedSender<PlaceWish>,
 }
 
-/// Part of the fleet's budget of second sends that one daemon uses, per service.
+/// The fleet's budget of second sends per service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryShare {
     /// Second sends per 100 requests.
     pub percent: u32,
-    /// Second sends beyond that in any window.
+    /// Second sends beyond that in any window; each daemon takes an equal part.
     pub extra: u32,
 }
 
+impl RetryShare {
+    /// Returns the part of `extra` of one of `daemons`; at least one, so that a lost server can be made up for.
+    fn extra_of(self, daemons: u32) -> u32 {
+        (self.extra / daemons.max(1)).max(1)
+    }
+}
+
 /// The request path of opaque requests.
 pub struct RelayDispatcher<P: CoreParts, F> {
     context: RelayContext<P, F>,
@@ -135,7 +144,8 @@
         let service = self.service(&plan, &route)?;
         let model_need = self.need(service, &facts, suspect)?;
         self.wish(service, &facts);
-        let budget = self.budget(&service.name);
+        let daemons = *self.context.daemons.borrow();
+        let budget = self.budget(&service.name, daemons);
         budget.request();
         self.context.core.demand().arrived(
             &model_need.route.model,
@@ -174,6 +184,7 @@
                     deadline,
                     tokens,
                     urgency: URGENCY,
+                    idle_share: service.idle_share(daemons),
                     facts,
                     route,
                 },
@@ -207,12 +218,14 @@
         let _ = self.context.wishes.send(wish);
     }
 
-    fn budget(&self, service: &SmolStr) -> Arc<RetryBudget> {
+    fn budget(&self, service: &SmolStr, daemons: u32) -> Arc<RetryBudget> {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let share = self.context.retries;
+        let extra = share.extra_of(daemons);
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(RetryBudget::bounded(share.percent, share.extra)));
+            .or_insert_with(|| Arc::new(RetryBudget::bounded(share.percent, extra)));
+        budget.set_extra(extra);
         budget.clone()
     }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -79,6 +79,8 @@
     /// Tokens charged.
     pub(super) tokens: u64,
     pub(super) urgency: u8,
+    /// Idle connections that are kept to one server.
+    pub(super) idle_share: usize,
 }
 
 /// The state of a request between two offers.
@@ -230,7 +232,7 @@
             }
             refused => {
                 (self.verdict, self.runs) = before;
-                discard(answer).await;
+                discard(answer, self.request.idle_share).await;
                 self.refused(slot, refused)
             }
         }
@@ -305,7 +307,7 @@
             Err(_) => return self.failed(slot, silent()),
         };
         let head = response_head(&answer);
-        answer.release();
+        answer.release(self.request.idle_share);
         let status = head.status;
         let piece = RelayPiece::Whole { head, body };
         if status.is_server_error() && self.is_repeatable() {
@@ -363,7 +365,7 @@
         {
             return Attempt::Abandoned;
         }
-        answer.release();
+        answer.release(self.request.idle_share);
         self.verdict = RunVerdict::Ran;
         self.fleet.call_succeeded(&slot.name);
         Attempt::Finished
@@ -454,10 +456,10 @@
 }
 
 /// Reads the rest of a refusal, so that its connection can be used again.
-async fn discard(mut answer: UpstreamAnswer) {
+async fn discard(mut answer: UpstreamAnswer, idle_share: usize) {
     let body = Limited::new(&mut answer.body, ANSWER_LIMIT).collect();
     if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_WAIT, body).await {
-        answer.release();
+        answer.release(idle_share);
     }
 }
 
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -24,6 +24,9 @@
 const CLOCK_MARGIN: Duration = Duration::from_millis(200);
 /// Longest wait for the store.
 const CALL_WAIT: Duration = Duration::from_millis(800);
+/// Time after the start in which daemons settle who reads the store; until then the lease is not taken, so that it goes
+/// to one of those, the largest VMs.
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// Difference between the clocks by which a suspended VM is recognised.
 const SUSPEND_SLACK: Duration = Duration::from_millis(300);
 
@@ -267,6 +270,7 @@
     store: Arc<L>,
     mut candidate: watch::Receiver<bool>,
 ) {
+    let started = Instant::now();
     let mut held = None;
     let mut known = false;
     loop {
@@ -276,7 +280,8 @@
             }
             continue;
         }
-        known |= round(&keeper, &*store).await;
+        let may_take = started.elapsed() >= SETTLE_TIME;
+        known |= round(&keeper, &*store, may_take).await;
         let fence = keeper.with(|term| term.fence(Instant::now()));
         if fence != held {
             log::info!("planner's lease: {fence:?} after {held:?}");
@@ -286,8 +291,9 @@
     }
 }
 
-/// Reads the lease, unless it is this daemon's, and writes it if it may. Returns whether the lease is known.
-async fn round<L: LeaseStore>(keeper: &LeaseKeeper, store: &L) -> bool {
+/// Reads the lease, unless it is this daemon's, and writes it if it may; `may_take` tells whether it may be taken from
+/// another VM. Returns whether the lease is known.
+async fn round<L: LeaseStore>(keeper: &LeaseKeeper, store: &L, may_take: bool) -> bool {
     let asked_at = Instant::now();
     if keeper.with(|term| term.must_read(asked_at)) {
         match tokio::time::timeout(CALL_WAIT, store.read_lease()).await {
@@ -300,9 +306,13 @@
         }
     }
     let sent_at = Instant::now();
-    let LeaseStep::Write { at, record } = keeper.with(|term| term.step(sent_at)) else {
+    let (own, step) = keeper.with(|term| (term.is_own(), term.step(sent_at)));
+    let LeaseStep::Write { at, record } = step else {
         return true;
     };
+    if !own && !may_take {
+        return true;
+    }
     match tokio::time::timeout(CALL_WAIT, store.write_lease(at, &record)).await {
         Ok(Ok(true)) => keeper.with(|term| term.wrote(at, record, sent_at)),
         // Somebody else has written, or an earlier write of this daemon took effect late.
--- a/src/relay/plan.rs
+++ b/src/relay/plan.rs
@@ -129,10 +129,23 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServicePlan {
     pub name: SmolStr,
+    /// Connections that one backend server accepts from all daemons together; 0 if it is not stated.
+    pub max_connections: u32,
     /// `None` for a plain service.
     pub engine: Option<EnginePlan>,
 }
 
+impl ServicePlan {
+    /// Returns how many idle connections to one backend server each of `daemons` may keep. Half of what the server
+    /// accepts is left for requests: beyond its limit it resets connections, also those with a request on them.
+    pub fn idle_share(&self, daemons: u32) -> usize {
+        match self.max_connections {
+            0 => usize::MAX,
+            most => (most / 2 / daemons.max(1)) as usize,
+        }
+    }
+}
+
 /// A team with its limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TeamPlan {
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -39,6 +39,8 @@
     pub reads_store: bool,
     /// How long it has done so.
     pub reading_for: Duration,
+    /// Size of its VM; the larger one of two reads the store.
+    pub weight: u32,
     /// Grows with each change of what it has read.
     pub tables_version: u64,
     /// Its requests by server.
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -85,6 +85,7 @@
     reads: bool,
     /// How long it has read the store, as of `heard_at`.
     reading_for: Duration,
+    weight: u32,
     version: u64,
     plan_version: u64,
 }
@@ -101,6 +102,7 @@
 pub struct ReaderElection {
     name: SmolStr,
     zone: SmolStr,
+    weight: u32,
     peers: Mutex<HashMap<SmolStr, PeerReading>>,
     reading: watch::Sender<bool>,
     /// Start of the present time as a reader.
@@ -112,10 +114,12 @@
 
 impl ReaderElection {
     /// Creates an election in which this daemon reads until it hears of a better one.
-    pub fn new(name: SmolStr, zone: SmolStr, health: Arc<StoreHealth>) -> Self {
+    /// `weight` is the size of this VM.
+    pub fn new(name: SmolStr, zone: SmolStr, weight: u32, health: Arc<StoreHealth>) -> Self {
         Self {
             name,
             zone,
+            weight,
             peers: Mutex::default(),
             reading: watch::Sender::new(true),
             reading_since: Mutex::new(Instant::now()),
@@ -129,6 +133,11 @@
         self.reading.subscribe()
     }
 
+    /// Returns the size of this VM.
+    pub fn weight(&self) -> u32 {
+        self.weight
+    }
+
     /// Returns whether this daemon reads the store, with success.
     pub fn is_reading(&self, now: Instant) -> bool {
         *self.reading.borrow() && self.health.is_reading(now)
@@ -157,6 +166,7 @@
             heard_at: now,
             reads: pulse.reads_store,
             reading_for: pulse.reading_for,
+            weight: pulse.weight,
             version: pulse.tables_version,
             plan_version: pulse.plan_version,
         };
@@ -177,7 +187,7 @@
                 && match (reading, difference > SAME_AGE) {
                     (false, _) => true,
                     (true, true) => peer.reading_for > own_time,
-                    (true, false) => rank(&name) > rank(&self.name),
+                    (true, false) => (peer.weight, rank(&name)) > (self.weight, rank(&self.name)),
                 }
         });
         if reading != better {
@@ -202,7 +212,8 @@
         best.map(|(_, peer)| peer.as_source())
     }
 
-    /// Returns a daemon that has a newer configuration than `version`, `failed` only if it is the only one.
+    /// Returns a daemon that has a newer configuration than `version`: any of the own zone if there is one, so that the
+    /// copies do not all come from one VM. `failed` is the last choice.
     pub fn newer_plan(
         &self,
         version: u64,
@@ -211,7 +222,10 @@
     ) -> Option<CopySource> {
         let fresh = self.fresh(now).into_iter();
         let newer = fresh.filter(|(_, peer)| peer.plan_version > version);
-        let best = newer.max_by_key(|(_, peer)| (Some(peer.vm) != failed, peer.plan_version));
+        let best = newer.max_by_key(|(_, peer)| {
+            let answers = Some(peer.vm) != failed;
+            (answers, peer.zone == self.zone, rand::random::<u32>())
+        });
         best.map(|(_, peer)| peer.as_source())
     }
 
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -33,6 +33,8 @@
 const RENEW_RETRY: Duration = Duration::from_millis(500);
 /// Period in which the share is worked out anew.
 const SHARE_PERIOD: Duration = Duration::from_millis(200);
+/// Daemons among which budgets are split while fewer are known.
+const LEAST_DAEMONS: u32 = 8;
 /// Tokens of burst per home: several of the largest requests.
 const HOME_BURST: u64 = 10_000;
 /// Homes of a team at least, so that the loss of one leaves most of its rate.
@@ -91,6 +93,7 @@
 pub struct DaemonRegistry {
     settings: RegistrySettings,
     state: Mutex<RegistryState>,
+    count: watch::Sender<u32>,
 }
 
 impl DaemonRegistry {
@@ -99,9 +102,15 @@
         Self {
             settings,
             state: Mutex::default(),
+            count: watch::Sender::new(LEAST_DAEMONS),
         }
     }
 
+    /// Subscribes to the number of daemons among which the fleet's budgets are split.
+    pub fn count(&self) -> watch::Receiver<u32> {
+        self.count.subscribe()
+    }
+
     /// Renews this daemon's record and hands its shares to `limits`, in tasks of `group`.
     pub fn spawn<R: RecordStore, C: PeerCaller>(
         self: &Arc<Self>,
@@ -216,6 +225,8 @@
     fn expire(&self, now: Instant) {
         let life = self.settings.term + TERM_MARGIN;
         let mut state = self.state();
+        let known = u32::try_from(state.members.len()).unwrap_or(u32::MAX);
+        self.count.send_replace(known.max(LEAST_DAEMONS));
         let Some(readable) = state.readable_since else {
             return;
         };
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -175,15 +175,16 @@
 }
 
 impl UpstreamAnswer {
-    /// Keeps the connection for other requests. Call it once the body was read to its end.
-    pub fn release(self) {
+    /// Keeps the connection for other requests, unless `most` idle ones are kept already. Call it once the body was
+    /// read to its end.
+    pub fn release(self, most: usize) {
         let Self { lease, .. } = self;
         if lease.keep.is_zero() || lease.connection.sender.is_closed() {
             return;
         }
         let mut idle = lease.pool.idle();
         let connections = idle.entry(lease.server).or_default();
-        if connections.len() < MAX_IDLE {
+        if connections.len() < most.min(MAX_IDLE) {
             connections.push(IdleConnection {
                 connection: lease.connection,
                 until: Instant::now() + lease.keep,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -16,7 +16,7 @@
     /// Tenths of a retry that a request earns.
     earned: i64,
     /// Tenths of a retry that are saved up at most.
-    ceiling: i64,
+    ceiling: AtomicI64,
 }
 
 impl Default for RetryBudget {
@@ -31,7 +31,7 @@
         Self {
             tenths: AtomicI64::new(FLOOR * RETRY_COST),
             earned: 1,
-            ceiling: CEILING * RETRY_COST,
+            ceiling: AtomicI64::new(CEILING * RETRY_COST),
         }
     }
 
@@ -42,15 +42,22 @@
         Self {
             tenths: AtomicI64::new(ceiling),
             earned: i64::from(percent) / RETRY_COST,
-            ceiling,
+            ceiling: AtomicI64::new(ceiling),
+        }
+    }
+
+    /// Changes the retries that the budget holds at most. What it holds beyond them is lost.
+    pub fn set_extra(&self, extra: u32) {
+        let ceiling = i64::from(extra) * RETRY_COST;
+        if self.ceiling.swap(ceiling, Ordering::Relaxed) > ceiling {
+            self.tenths.fetch_min(ceiling, Ordering::Relaxed);
         }
     }
 
     /// Counts a request that is sent for the first time.
     pub fn request(&self) {
-        let earn = |tenths: i64| {
-            (tenths < self.ceiling).then_some((tenths + self.earned).min(self.ceiling))
-        };
+        let ceiling = self.ceiling.load(Ordering::Relaxed);
+        let earn = |tenths: i64| (tenths < ceiling).then_some((tenths + self.earned).min(ceiling));
         let _ = self
             .tenths
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, earn);
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -11,7 +11,7 @@
 use crate::settings::{LimitSettings, LogSettings, parse, parse_text, read_text};
 
 /// All settings of one daemon that finds its configuration and backend servers in the platform's store.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelaySettings {
     /// Name of this VM, unique in the fleet.
@@ -23,6 +23,8 @@
     pub listen: RelayListen,
     pub store: StoreSettings,
     #[serde(default)]
+    pub capacity: VmCapacity,
+    #[serde(default)]
     pub retries: RetrySettings,
     #[serde(default)]
     pub log: LogSettings,
@@ -32,6 +34,37 @@
     pub timing: RelayTiming,
 }
 
+/// What this VM has; larger VMs are preferred for work that a zone or the fleet needs once.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct VmCapacity {
+    /// Cores, or the part of one core; default 1.
+    pub cores: f64,
+    /// Bandwidth of the VM's link in Mbit/s; default 1000.
+    pub link_mbps: f64,
+}
+
+impl Default for VmCapacity {
+    fn default() -> Self {
+        Self {
+            cores: 1.0,
+            link_mbps: 1_000.0,
+        }
+    }
+}
+
+/// Mbit/s that are worth as much as one core to a daemon that serves others copies.
+const LINK_PER_CORE: f64 = 400.0;
+
+impl VmCapacity {
+    /// Returns the size of the VM by its scarcer resource, in thousandths of a core.
+    pub fn weight(&self) -> u32 {
+        let cores = self.cores.min(self.link_mbps / LINK_PER_CORE);
+        // A weight of no positive size is the smallest one.
+        (cores * 1_000.0).clamp(0.0, f64::from(u32::MAX)) as u32
+    }
+}
+
 /// Addresses that the daemon binds.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -1,5 +1,6 @@
 //! Which daemons read the store, and what the others take over from them.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +22,7 @@
         plan_version: 5,
         reads_store: reads,
         reading_for,
+        weight: 250,
         tables_version: 3,
         loads: Default::default(),
         spare: Vec::new(),
@@ -31,7 +33,7 @@
 }
 
 fn open(health: &Arc<StoreHealth>) -> ReaderElection {
-    ReaderElection::new("entry-0".into(), "north".into(), health.clone())
+    ReaderElection::new("entry-0".into(), "north".into(), 250, health.clone())
 }
 
 /// Guards against a fleet in which every daemon reads the store, and against one in which none does.
@@ -80,7 +82,7 @@
     let now = Instant::now();
     let stays = |own: usize| {
         let health = Arc::new(StoreHealth::default());
-        let election = ReaderElection::new(names[own].into(), "north".into(), health.clone());
+        let election = ReaderElection::new(names[own].into(), "north".into(), 250, health.clone());
         health.note(true, now);
         election.heard(&pulse(1 - own as u16, "north", true, Duration::ZERO), now);
         election.is_reading(now)
@@ -88,6 +90,36 @@
     assert_ne!(stays(0), stays(1));
 }
 
+/// Guards against a VM with a small link or little processor time that feeds its whole zone.
+#[test]
+fn of_two_new_readers_the_larger_vm_stays() {
+    let now = Instant::now();
+    for (own, stays) in [(500, true), (120, false)] {
+        let health = Arc::new(StoreHealth::default());
+        let election = ReaderElection::new("entry-0".into(), "north".into(), own, health.clone());
+        health.note(true, now);
+        for index in 1..9 {
+            election.heard(&pulse(index, "north", true, Duration::ZERO), now);
+        }
+        assert_eq!(election.is_reading(now), stays, "weight {own}");
+    }
+}
+
+/// Guards against a configuration that a whole fleet copies from the one daemon that had it first.
+#[test]
+fn configuration_is_copied_from_several_daemons_of_the_zone() {
+    let election = open(&Arc::default());
+    let now = Instant::now();
+    election.heard(&pulse(9, "south", true, Duration::ZERO), now);
+    for index in 1..9 {
+        election.heard(&pulse(index, "north", false, Duration::ZERO), now);
+    }
+    let sources = (0..200).filter_map(|_| election.newer_plan(4, None, now));
+    let sources: HashSet<u64> = sources.map(|source| source.vm.0).collect();
+    assert!(sources.len() > 4, "{sources:?}");
+    assert!(!sources.contains(&9), "{sources:?}");
+}
+
 /// Guards against a daemon that the store turns away and that keeps an old configuration, with withdrawn keys.
 #[test]
 fn newer_configuration_is_found_at_any_peer() {
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -233,10 +233,12 @@
     };
     let service = ServicePlan {
         name: "drafter".into(),
+        max_connections: 0,
         engine: Some(engine),
     };
     let desk = ServicePlan {
         name: "desk".into(),
+        max_connections: 0,
         engine: None,
     };
     ServingPlan::new(1, Vec::new(), vec![service, desk], Vec::new())
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -196,6 +196,8 @@
         ("port-range.0", "7600"),
         ("port-range.1", "7601"),
         ("platform.address|json", "\"10.0.0.9:8225\""),
+        ("limits.cpu-share|json", "0.25"),
+        ("limits.link-mbps|json", "10.0"),
         ("bounds.budget-extra", "54"),
         ("bounds.lease-ms", "3000"),
     ];
@@ -206,6 +208,7 @@
         });
     let settings = RelaySettings::parse("settings", &rendered)?;
     assert_eq!(settings.retries.extra, 54);
+    assert_eq!(settings.capacity.weight(), 25);
     assert_eq!(settings.timing.lease, Duration::from_secs(3));
     let broken = rendered.replace("\"10.0.0.9:8225\"", "\"store:8225\"");
     let error = RelaySettings::parse("settings", &broken).unwrap_err();
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -31,7 +31,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Generous bound of every wait for a condition.
 pub const WAIT: Duration = Duration::from_secs(20);
@@ -279,6 +279,7 @@
                 percent: 20,
                 extra: 20,
             },
+            daemons: watch::channel(1).1,
             wishes,
         });
         let draining = Arc::new(AtomicBool::new(false));
