Refuse requests under which two servers have died

Cause: the opaque edge marked no request as suspect, so a request that crashes its servers was bounded by its route's attempts only, and its caller sends it again.

Suspects are not kept apart: a server that crashes makes suspects of all that ran on it. Errors of a wait say what was lacking: the model, the adapter, or a place.

Ruled out: counting a broken connection as a death, since resets and faulty answers break connections of requests that share path and body.

Test: request_that_crashes_its_servers_is_refused, with servers that restart and that do not.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -23,10 +23,10 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    DaemonRecord, DaemonRegistry, FollowPace, LeaseKeeper, LeaseTerm, PlanKeeper, PlannerParts,
-    ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
-    ReplicaPlanner, RetryShare, ServerKeeper, StoreHealth, StoreTable, UpstreamPool, bind_ready,
-    follow_table, spawn_pulses,
+    CrashWatch, DaemonRecord, DaemonRegistry, FollowPace, LeaseKeeper, LeaseTerm, PlanKeeper,
+    PlannerParts, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
+    RelayServer, ReplicaPlanner, RetryShare, ServerKeeper, StoreHealth, StoreTable, UpstreamPool,
+    bind_ready, follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -84,6 +84,7 @@
     pub(super) timer: TimerService,
     pub(super) plans: Arc<PlanKeeper>,
     pub(super) fleet: Arc<RelayFleet>,
+    pub(super) crashes: Arc<CrashWatch>,
     pub(super) registry: Arc<DaemonRegistry>,
     pub(super) limits: Arc<LimitService<PeerClient>>,
     pub(super) board: Arc<PeerBoard>,
@@ -161,6 +162,7 @@
         core: parts.core.clone(),
         plans: parts.plans.subscribe(),
         fleet: parts.fleet.clone(),
+        crashes: parts.crashes.clone(),
         pool: parts.pool.clone(),
         format: Arc::new(PlatformFormat),
         retries: RetryShare {
@@ -299,6 +301,7 @@
         timer,
         plans,
         fleet,
+        crashes: Arc::default(),
         registry,
         limits,
         board,
@@ -365,10 +368,12 @@
 /// Brings the view of the fleet up to date and tries waiting requests again whenever it has changed.
 fn spawn_fleet(parts: &RelayServices, group: &TaskGroup) {
     let mut ticks = parts.timer.every(FLEET_PERIOD);
-    let fleet = parts.fleet.clone();
+    let (fleet, crashes) = (parts.fleet.clone(), parts.crashes.clone());
+    let core = parts.core.clone();
     group.spawn_cancellable(async move {
         while let Some(now) = ticks.next().await {
             fleet.tick(now);
+            crashes.report(&fleet, &core, now);
         }
     });
     let mut changes = parts.fleet.subscribe();
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -13,10 +13,12 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerBoard;
-use crate::peer::{PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus};
+use crate::peer::{
+    PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus, SuspectNotice,
+};
 use crate::placement::DemandBoard;
 use crate::relay::{
-    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, Pulse, PulseHandler,
+    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, Pulse, PulseHandler, QUARANTINE,
     ReaderElection, RelayFleet, TableCopy,
 };
 
@@ -34,6 +36,11 @@
 /// Pause between two tries of a wish.
 const WISH_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for which pulses tell a notice about a suspect: long enough for every peer's turn, with one pulse lost.
+const NOTICE_LIFE: Duration = Duration::from_secs(2);
+/// Notices in one pulse, which must fit into a datagram.
+const MAX_NOTICES: usize = 64;
+
 /// Takes over what another daemon has read of the store.
 pub(super) struct CopySink {
     pub(super) plans: Arc<PlanKeeper>,
@@ -200,8 +207,7 @@
                 self.limits.lend(borrower, &team, tokens, least),
             )),
             PeerRequest::Suspects(notices) => {
-                let quarantine = crate::relay::QUARANTINE;
-                self.core.apply_notices(&notices, quarantine);
+                self.core.apply_notices(&notices, QUARANTINE);
                 Ok(PeerReply::Done)
             }
             PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
@@ -215,6 +221,21 @@
     }
 }
 
+/// Notices about suspects that pulses still tell.
+#[derive(Default)]
+struct SuspectNews(Mutex<Vec<(SuspectNotice, Instant)>>);
+
+impl SuspectNews {
+    /// Adds notices and returns those that belong in the next pulse, the newest if there are too many.
+    fn tell(&self, notices: Vec<SuspectNotice>, now: Instant) -> Vec<SuspectNotice> {
+        let mut news = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        news.retain(|(_, since)| *since + NOTICE_LIFE > now);
+        news.extend(notices.into_iter().map(|notice| (notice, now)));
+        let newest = news.iter().rev().take(MAX_NOTICES);
+        newest.map(|(notice, _)| *notice).collect()
+    }
+}
+
 /// Makes and takes pulses.
 pub(super) struct RelayPulses {
     pub(super) plans: Arc<PlanKeeper>,
@@ -227,6 +248,7 @@
     pub(super) planner: Arc<Planner>,
     pub(super) leader: Arc<KnownPlanner>,
     pub(super) readers: Arc<ReaderElection>,
+    suspects: SuspectNews,
 }
 
 impl RelayPulses {
@@ -242,11 +264,10 @@
             planner: parts.planner.clone(),
             leader: parts.leader.clone(),
             readers: parts.readers.clone(),
+            suspects: SuspectNews::default(),
         }
     }
-}
 
-impl RelayPulses {
     /// Returns the spare tokens of the teams of which this daemon is a home, with its share.
     fn spare(&self) -> Vec<(SmolStr, u64, u32)> {
         let shares: HashMap<SmolStr, u32> = self.limits.shares().into_iter().collect();
@@ -281,6 +302,7 @@
             demand,
             fence: self.planner.fence(),
             placements: self.planner.take_news(),
+            suspects: self.suspects.tell(self.core.take_notices(), now),
         }
     }
 
@@ -305,6 +327,7 @@
         self.fleet.note_peer_load(pulse.vm, pulse.loads, now);
         self.demand.note(pulse.peer, &pulse.demand, now);
         self.fleet.note_placements(&pulse.placements, now);
+        self.core.apply_notices(&pulse.suspects, QUARANTINE);
         if let Some(fence) = pulse.fence {
             self.leader.note(fence, pulse.peer);
         }
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -201,7 +201,7 @@
     }
 
     /// Marks the request as one under which a backend server died.
-    pub(super) fn record_death(&self, fingerprint: KeyDigest, quarantine: Duration) {
+    pub fn record_death(&self, fingerprint: KeyDigest, quarantine: Duration) {
         let notice = self
             .suspects()
             .died(fingerprint, quarantine, Instant::now());
--- a/src/error.rs
+++ b/src/error.rs
@@ -134,6 +134,12 @@
         self
     }
 
+    /// Adds the circumstances to the message.
+    pub fn with_context(mut self, context: impl fmt::Display) -> Self {
+        self.message = format!("{}: {context}", self.message);
+        self
+    }
+
     /// Sets how long the caller should wait before it tries again.
     pub fn with_retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::{CoreParts, ModelNeed, RequestCore, RequestJob, fingerprint};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::call::{CallFacts, RelayFormat};
+use crate::relay::crash::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::engines::PlaceWish;
 use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
@@ -39,6 +40,7 @@
     pub core: Arc<RequestCore<P>>,
     pub plans: PlanReceiver,
     pub fleet: Arc<RelayFleet>,
+    pub crashes: Arc<CrashWatch>,
     pub pool: UpstreamPool,
     pub format: Arc<F>,
     /// Second sends that all daemons may make to one service.
@@ -140,9 +142,9 @@
         let admission = self.context.core.admit()?;
         let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = fingerprint(access.team.as_ref(), target, &body);
-        let suspect = self.context.core.check_suspect(&fingerprint)?;
+        self.context.core.check_suspect(&fingerprint)?;
         let service = self.service(&plan, &route)?;
-        let model_need = self.need(service, &facts, suspect)?;
+        let model_need = self.need(service, &facts)?;
         self.wish(service, &facts);
         let daemons = *self.context.daemons.borrow();
         let budget = self.budget(&service.name, daemons);
@@ -179,6 +181,7 @@
                     target: head.uri,
                     headers: self.context.format.forwarded(&head.headers),
                     body,
+                    fingerprint,
                     arrived,
                     caller_deadline,
                     deadline,
@@ -191,6 +194,7 @@
                 self.context.format.clone(),
                 self.context.pool.clone(),
                 self.context.fleet.clone(),
+                self.context.crashes.clone(),
                 budget,
             ),
             _admission: admission,
@@ -244,12 +248,9 @@
         Ok(service)
     }
 
-    fn need(
-        &self,
-        service: &ServicePlan,
-        facts: &CallFacts,
-        suspect: Option<crate::ids::KeyDigest>,
-    ) -> Result<ModelNeed> {
+    /// Returns what the request needs. A suspect is not kept apart from others: a server that crashes makes suspects of
+    /// all requests that ran on it, too many for a server each.
+    fn need(&self, service: &ServicePlan, facts: &CallFacts) -> Result<ModelNeed> {
         let model = match (&service.engine, &facts.model) {
             (None, _) => None,
             (Some(_), None) => return Err(Error::invalid("the request names no model")),
@@ -274,7 +275,7 @@
         Ok(ModelNeed {
             route,
             fallbacks: Vec::new(),
-            suspect,
+            suspect: None,
         })
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,8 +12,10 @@
 use crate::catalog::RequestClass;
 use crate::dispatch::{Attempt, Exchange, FleetSource, ServerSlot};
 use crate::error::{Category, Error, Result, RunVerdict};
+use crate::ids::KeyDigest;
 use crate::queue::WaitEntry;
 use crate::relay::call::{AnswerHead, CallFacts, OfferFacts, RelayFormat};
+use crate::relay::crash::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::events::EventSplitter;
 use crate::relay::fleet::RelayFleet;
@@ -71,6 +73,8 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// By which a request is recognised that crashes its servers.
+    pub(super) fingerprint: KeyDigest,
     pub(super) arrived: Instant,
     /// End of the caller's wait.
     pub(super) caller_deadline: Instant,
@@ -89,6 +93,7 @@
     format: Arc<F>,
     pool: UpstreamPool,
     fleet: Arc<RelayFleet>,
+    crashes: Arc<CrashWatch>,
     /// Second sends to the request's service.
     budget: Arc<RetryBudget>,
     verdict: RunVerdict,
@@ -108,6 +113,7 @@
         format: Arc<F>,
         pool: UpstreamPool,
         fleet: Arc<RelayFleet>,
+        crashes: Arc<CrashWatch>,
         budget: Arc<RetryBudget>,
     ) -> Self {
         Self {
@@ -116,6 +122,7 @@
             format,
             pool,
             fleet,
+            crashes,
             budget,
             verdict: RunVerdict::NotRun,
             offers: 0,
@@ -264,9 +271,14 @@
     /// Ends an attempt after a failure.
     fn failed(&self, slot: &ServerSlot, error: Error) -> Attempt {
         let connection = matches!(error.category(), Category::Unavailable | Category::Timeout);
-        if connection && Instant::now() < self.request.deadline {
+        let now = Instant::now();
+        if connection && now < self.request.deadline {
             self.fleet.call_failed(&slot.name);
         }
+        if connection && error.verdict() != RunVerdict::NotRun {
+            self.crashes
+                .broke_off(&slot.name, self.request.fingerprint, now);
+        }
         if error.verdict() != RunVerdict::NotRun && !self.is_repeatable() {
             return Attempt::Stopped(error);
         }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -69,6 +69,8 @@
     forgotten: u64,
     /// Servers that began to leave or were removed.
     departures: u64,
+    /// Servers that have restarted or gone without notice since this was last taken.
+    ended: Vec<SmolStr>,
     /// When the list could be read again after an outage.
     back_at: Option<Instant>,
 }
@@ -178,6 +180,11 @@
         self.publish(&mut state, now);
     }
 
+    /// Takes the servers that have restarted or gone without notice since the last call.
+    pub fn take_ended(&self) -> Vec<SmolStr> {
+        std::mem::take(&mut self.state().ended)
+    }
+
     /// Notes that a server answered a call to its end.
     pub fn call_succeeded(&self, id: &str) {
         if let Some(server) = self.state().servers.get_mut(id) {
@@ -370,6 +377,7 @@
             server.failures = 0;
             server.placements.clear();
             server.handle.set_suspected(false);
+            self.ended.push(entry.id.clone());
         }
         if server.entry.leaving != entry.leaving {
             log::info!(
@@ -412,6 +420,9 @@
             {
                 self.forgotten = version;
             }
+            if !server.entry.leaving {
+                self.ended.push(id.clone());
+            }
             log::info!("server {id} of {} is gone", server.entry.service);
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! and the formats of the platform's store are behind the traits [`RelayFormat`] and [`RecordStore`].
 
 mod call;
+mod crash;
 mod dispatcher;
 mod engine_state;
 mod engines;
@@ -28,6 +29,7 @@
 mod upstream;
 
 pub use self::call::{AnswerHead, CallFacts, OfferFacts, PromptPart, RelayFormat};
+pub use self::crash::CrashWatch;
 pub use self::dispatcher::{
     PlanReceiver, RelayAccess, RelayAnswer, RelayBytes, RelayContext, RelayDispatcher, RetryShare,
 };
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, Result};
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
+use crate::peer::SuspectNotice;
 use crate::relay::engines::Placement;
 use crate::relay::registry::DaemonRegistry;
 use crate::timer::TimerService;
@@ -53,6 +54,8 @@
     pub fence: Option<u64>,
     /// What its latest orders have changed.
     pub placements: Vec<Placement>,
+    /// Requests under which servers died lately.
+    pub suspects: Vec<SuspectNotice>,
 }
 
 /// Makes and takes pulses.
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -7,8 +7,8 @@
 
 use smol_str::SmolStr;
 
-use crate::routing::BackendView;
 use crate::routing::prefix::{ServerHash, server_hash};
+use crate::routing::{BackendView, RouteNeed};
 
 /// Age up to which a report answered by an engine lacks requests: engines report with a lag of 0.1 s and take a
 /// report every 0.1 s.
@@ -118,6 +118,27 @@
     pub(super) adapters: HashMap<SmolStr, Vec<u32>>,
 }
 
+/// What a request waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerLack {
+    /// No usable server holds the model.
+    Model,
+    /// No usable server holds the adapter beside its model.
+    Adapter,
+    /// All servers that could take it are full.
+    Place,
+}
+
+impl std::fmt::Display for ServerLack {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Model => "no backend server holds the model",
+            Self::Adapter => "no backend server holds the adapter",
+            Self::Place => "all backend servers with the model are full",
+        })
+    }
+}
+
 /// What changes only when servers are declared or load and unload items.
 #[derive(Debug, Default)]
 struct FleetIndex {
@@ -217,6 +238,22 @@
             .any(|position| self.is_usable(*position as usize))
     }
 
+    /// Returns what a request lacks that has no place on any server now.
+    pub fn lack(&self, need: &RouteNeed) -> ServerLack {
+        let usable = |servers: &[u32]| servers.iter().any(|at| self.is_usable(*at as usize));
+        let model = self.model(&need.model, &need.version);
+        let Some(model) = model.filter(|model| usable(&model.servers)) else {
+            return ServerLack::Model;
+        };
+        let adapter = need.adapter.as_ref();
+        let with_adapter =
+            adapter.is_none_or(|name| model.adapters.get(name).is_some_and(|at| usable(at)));
+        match with_adapter {
+            true => ServerLack::Place,
+            false => ServerLack::Adapter,
+        }
+    }
+
     pub(super) fn hash(&self, position: usize) -> ServerHash {
         self.index.hashes[position]
     }
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -29,6 +29,7 @@
         demand: Vec::new(),
         fence: None,
         placements: Vec::new(),
+        suspects: Vec::new(),
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,11 +3,11 @@
 mod relay_support;
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::platform::EngineClient;
-use foxtailhill::relay::{EngineControl, LoadItem, OrderTicket, ReplicaOrder};
+use foxtailhill::relay::{EngineControl, LoadItem, OrderTicket, ReplicaOrder, ServerChange};
 use relay_support::{
     KEY, RelayRig, Script, ScriptedServer, chunk, event, header, request, stream_head, until, whole,
 };
@@ -464,3 +464,34 @@
     rig.shutdown().await;
     Ok(())
 }
+
+/// Guards against a request that crashes one server after the other, and against a refusal of requests whose connections
+/// broke while their servers lived on.
+#[tokio::test]
+async fn request_that_crashes_its_servers_is_refused() -> eyre::Result<()> {
+    for crashes in [false, true] {
+        let reset = || vec![Script::Reset(String::new())];
+        let (rig, servers) = RelayRig::with_servers(vec![reset(), reset()]).await?;
+        let sends = || servers[0].requests().len() + servers[1].requests().len();
+        let call = request("GET", "/check/1", "r1", "", "");
+        assert_eq!(status(&rig.send(&call).await?), "502");
+        assert_eq!(sends(), 2);
+        if crashes {
+            let restarted = rig.fleet.servers().into_iter().map(|mut server| {
+                server.born_ms += 5_000;
+                ServerChange::Put(server)
+            });
+            rig.fleet.apply(restarted.collect(), Instant::now());
+            // A round of the view's upkeep tells the core.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let again = request("GET", "/check/1", "r2", "", "");
+        let expected = if crashes { "503" } else { "502" };
+        assert_eq!(status(&rig.send(&again).await?), expected);
+        assert_eq!(sends() == 2, crashes, "{} sends", sends());
+        let other = request("GET", "/check/2", "r3", "", "");
+        assert_eq!(status(&rig.send(&other).await?), "502");
+        rig.shutdown().await;
+    }
+    Ok(())
+}
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -21,8 +21,8 @@
 use foxtailhill::platform::{self, PlatformFormat};
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
-    PlanKeeper, RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryShare, ServerChange,
-    UpstreamPool,
+    CrashWatch, PlanKeeper, RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryShare,
+    ServerChange, UpstreamPool,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -267,12 +267,14 @@
             metrics: Arc::new(DaemonMetrics::new()),
             admission_limit: 1_000,
         });
+        let crashes = Arc::new(CrashWatch::new());
         let (wishes, _ignored) = mpsc::unbounded_channel();
         let dispatcher = RelayDispatcher::open(RelayContext {
             zone: "north".into(),
             core: core.clone(),
             plans: plans.subscribe(),
             fleet: fleet.clone(),
+            crashes: crashes.clone(),
             pool: UpstreamPool::open(&group),
             format: Arc::new(PlatformFormat),
             retries: RetryShare {
@@ -287,16 +289,19 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = RelayServer::bind(&group, any, &limits, dispatcher, draining.clone()).await?;
         let mut changes = fleet.subscribe();
+        let pumped = core.clone();
         group.spawn_cancellable(async move {
             while changes.changed().await.is_ok() {
-                core.pump();
+                pumped.pump();
             }
         });
         let ticking = fleet.clone();
         group.spawn_cancellable(async move {
             loop {
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                ticking.tick(Instant::now());
+                let now = Instant::now();
+                ticking.tick(now);
+                crashes.report(&ticking, &core, now);
             }
         });
         Ok(Self {
