Read registrations less often

In a fleet of 85 some daemon renews its record every 0.1 s, so each reader read the registrations twice a second; each starting daemon read on before it could hear who reads for its zone.

Change: registrations are read every 2.5 s and renewed every 14 s; a daemon pauses for 0.5 s after its first read. A new daemon's share settles for 5.5 s instead of 4 s accordingly.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -49,13 +49,14 @@
     wait: Duration::from_millis(500),
     pause: Duration::from_millis(800),
 };
-/// Daemons renew their records every few seconds.
+/// In a large fleet some daemon always renews its record, so the pause and not the wait bounds the reads.
 const DAEMON_PACE: FollowPace = FollowPace {
     wait: Duration::from_secs(2),
-    pause: Duration::from_millis(500),
+    pause: Duration::from_millis(2_500),
 };
-/// Time in which all others know a new daemon's record: the pace of reading it, a pulse, a fetch, and a margin.
-const SETTLE_TIME: Duration = Duration::from_millis(4_000);
+/// Time in which all others know a new daemon's record: the pace of reading it, a pulse, the pace of copies, a fetch, and
+/// a margin.
+const SETTLE_TIME: Duration = Duration::from_millis(5_500);
 /// Period in which the view of the fleet is brought up to date.
 const FLEET_PERIOD: Duration = Duration::from_millis(100);
 /// Period in which idle connections are looked through.
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -11,6 +11,8 @@
 
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after the first read, in which a daemon that starts hears who reads the store for its zone.
+const ELECTION_PAUSE: Duration = Duration::from_millis(500);
 /// Added to the wait of a read before the read is given up: the connection may have gone silent.
 const READ_SLACK: Duration = Duration::from_millis(600);
 /// Longest time of reading a whole table.
@@ -70,11 +72,17 @@
                 }
                 reachable = true;
                 next = from;
+                let first = matches!(change, Some(TableChange::Whole(_)));
                 if let Some(change) = change {
                     sink.apply(change);
                 }
                 if next.is_some() {
-                    tokio::time::sleep(pace.pause).await;
+                    let pause = pace.pause.max(if first {
+                        ELECTION_PAUSE
+                    } else {
+                        Duration::ZERO
+                    });
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(error) => {
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -27,8 +27,8 @@
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable};
 use crate::timer::TimerService;
 
-/// Time between two renewals; a third of the usual term, so that two may be lost.
-const RENEW_PERIOD: Duration = Duration::from_secs(10);
+/// Time between two renewals; less than half of the usual term, so that one may be lost.
+const RENEW_PERIOD: Duration = Duration::from_secs(14);
 /// Pause after a renewal that failed.
 const RENEW_RETRY: Duration = Duration::from_millis(500);
 /// Period in which the share is worked out anew.
