Tell callers when a model that is being loaded will be there

Change: where no server holds the model and its fastest load, from host memory, disk or store, ends after the caller's patience, the request is refused at once with Retry-After. The time counts from the first request for the model; an overdue load is waited for.

--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -9,8 +9,9 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
-use crate::dispatch::{CoreParts, ModelNeed, RequestCore, RequestJob, fingerprint};
+use crate::dispatch::{CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, fingerprint};
 use crate::error::{Category, Error, Result, RunVerdict};
+use crate::relay::absent::AbsentModels;
 use crate::relay::call::{CallFacts, RelayFormat};
 use crate::relay::crash::CrashWatch;
 use crate::relay::engines::LoadItem;
@@ -72,6 +73,7 @@
     context: RelayContext<P, F>,
     /// Budgets of second sends by service.
     budgets: Mutex<HashMap<SmolStr, Arc<RetryBudget>>>,
+    absent: Mutex<AbsentModels>,
 }
 
 /// A started answer.
@@ -102,6 +104,7 @@
         Arc::new(Self {
             context,
             budgets: Mutex::default(),
+            absent: Mutex::default(),
         })
     }
 
@@ -154,6 +157,7 @@
             model_need.route.adapter.as_ref(),
             facts.tokens.map_or(0, |(_, output)| output),
         );
+        self.refuse_absent(service, &route, &facts, &model_need)?;
         let tokens = charged_tokens(team.as_deref(), &facts);
         let charge = match &team {
             Some(team) if team.spec.rate > 0 => Some(
@@ -202,6 +206,35 @@
         first_piece(self.context.core.start(job)).await
     }
 
+    /// Refuses a request for a model that no server holds and that is not loaded before the caller's patience ends.
+    fn refuse_absent(
+        &self,
+        service: &ServicePlan,
+        route: &RoutePlan,
+        facts: &CallFacts,
+        need: &ModelNeed,
+    ) -> Result<()> {
+        let engine = service.engine.as_ref();
+        let model = engine.zip(facts.model.as_ref());
+        let Some(model) = model.and_then(|(engine, name)| engine.model(name)) else {
+            return Ok(());
+        };
+        let name = &need.route.model;
+        let snapshot = FleetSource::snapshot(&self.context.fleet);
+        let mut absent = self.absent.lock().unwrap_or_else(PoisonError::into_inner);
+        if !snapshot.holders(name, &need.route.version).is_empty() {
+            absent.note_present(name);
+            return Ok(());
+        }
+        let load = self.context.fleet.fastest_load(&service.name, model);
+        let wait = absent.expected_wait(name, load, Instant::now());
+        if wait <= route.wait_limit() {
+            return Ok(());
+        }
+        let message = format!("model `{}` is being loaded", model.name);
+        Err(Error::unavailable(message).with_retry_after(wait))
+    }
+
     /// Asks for the adapter of a request if no server holds it. Models follow from demand alone.
     fn wish(&self, service: &ServicePlan, facts: &CallFacts) {
         let (Some(model), Some(adapter)) = (&facts.model, &facts.adapter) else {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -30,8 +30,6 @@
 const LEAST_TIME: Duration = Duration::from_millis(10);
 /// Taken off the time that a backend server is told, for the way of the answer.
 const ANSWER_WAY: Duration = Duration::from_millis(5);
-/// Part of the caller's patience for which a request waits for a place, in percent.
-const WAIT_PERCENT: u32 = 80;
 /// Part of the caller's patience after which a silent stream is resumed elsewhere, in percent.
 const STALL_PERCENT: u32 = 60;
 /// Multiple of the target latency after which an idempotent call is sent to another server.
@@ -145,19 +143,14 @@
         }
     }
 
-    /// Returns until when the request may wait for a place. A caller of a stream leaves once it has got nothing for as
-    /// long as its patience lasts, so it is told before that.
+    /// Returns until when the request may wait for a place.
     fn wait_deadline(&self) -> Instant {
-        let route = &self.request.route;
-        let patience = match route.kind {
-            CallKind::Streaming => route.patience() * WAIT_PERCENT / 100,
-            _ => return self.request.deadline,
-        };
         let silent_since = match self.head_sent {
             true => Instant::now(),
             false => self.request.arrived,
         };
-        self.request.deadline.min(silent_since + patience)
+        let limit = silent_since + self.request.route.wait_limit();
+        self.request.deadline.min(limit)
     }
 
     /// Returns until when to wait for the next part of an answer.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -12,6 +12,7 @@
 use crate::ids::VmId;
 use crate::relay::engines::{LoadItem, Placement};
 use crate::relay::listing::{HeldModel, ServerChange, ServerDelta, ServerEntry, holds_item};
+use crate::relay::plan::ModelPlan;
 use crate::routing::{BackendView, FleetSnapshot, ServerHandle};
 
 /// Time for which a server gets no work after a failed call; doubles with each further failure.
@@ -252,6 +253,15 @@
         })
     }
 
+    /// Returns the shortest time in which a server of `service` can load `model`.
+    pub fn fastest_load(&self, service: &str, model: &ModelPlan) -> Duration {
+        let state = self.state();
+        let servers = state.servers.values().map(|server| &server.entry);
+        let servers = servers.filter(|entry| entry.service == service && !entry.leaving);
+        let loads = servers.map(|entry| model.load_time(&entry.in_host_memory, &entry.on_disk).0);
+        loads.min().unwrap_or(model.store_load)
+    }
+
     /// Returns whether calls to a server failed lately.
     pub fn is_suspected(&self, id: &str) -> bool {
         let state = self.state();
--- a/src/relay/layout.rs
+++ b/src/relay/layout.rs
@@ -393,12 +393,7 @@
 }
 
 /// Returns how long a load takes in seconds, and whether it takes from the budget of the weight store.
-pub(super) fn load_time(engine: &LayoutEngine, plan: &ModelPlan) -> (f64, bool) {
-    if engine.in_host_memory.contains(&plan.name) {
-        (plan.host_load.as_secs_f64(), false)
-    } else if engine.on_disk.contains(&plan.name) {
-        (plan.disk_load.as_secs_f64(), false)
-    } else {
-        (plan.store_load.as_secs_f64(), true)
-    }
+fn load_time(engine: &LayoutEngine, plan: &ModelPlan) -> (f64, bool) {
+    let (time, from_store) = plan.load_time(&engine.in_host_memory, &engine.on_disk);
+    (time.as_secs_f64(), from_store)
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! [`RequestCore`](crate::dispatch::RequestCore) carries from one backend server to the next. The names on the wire
 //! and the formats of the platform's store are behind the traits [`RelayFormat`] and [`RecordStore`].
 
+mod absent;
 mod call;
 mod crash;
 mod dispatcher;
@@ -28,6 +29,7 @@
 mod trace;
 mod upstream;
 
+pub use self::absent::AbsentModels;
 pub use self::call::{AnswerHead, CallFacts, OfferFacts, PromptPart, RelayFormat};
 pub use self::crash::CrashWatch;
 pub use self::dispatcher::{
--- a/src/relay/plan.rs
+++ b/src/relay/plan.rs
@@ -16,6 +16,9 @@
 /// Multiple of the allowed pause after which callers leave a silent stream, if that is longer.
 const PAUSE_PATIENCE: u32 = 8;
 
+/// Part of a caller's patience for which a request waits for a place, in percent.
+const WAIT_PERCENT: u32 = 80;
+
 /// What may be repeated of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -70,6 +73,15 @@
             .max(self.max_pause * PAUSE_PATIENCE)
     }
 
+    /// Returns how long a request may wait for a place. A caller of a stream leaves once it has got nothing for as long
+    /// as its patience lasts, so it is told before that.
+    pub fn wait_limit(&self) -> Duration {
+        match self.kind {
+            CallKind::Streaming => self.patience() * WAIT_PERCENT / 100,
+            CallKind::Idempotent | CallKind::NonIdempotent => self.timeout,
+        }
+    }
+
     /// Picks a service; `draw` is uniform in `0..1`.
     pub fn pick_service(&self, draw: f64) -> Option<&SmolStr> {
         let total: u32 = self.services.iter().map(|(_, weight)| *weight).sum();
@@ -102,6 +114,20 @@
     pub adapter_mb: f64,
 }
 
+impl ModelPlan {
+    /// Returns how long a load takes on an engine with these copies, and whether it takes from the budget of the weight
+    /// store.
+    pub fn load_time(&self, in_host_memory: &[SmolStr], on_disk: &[SmolStr]) -> (Duration, bool) {
+        if in_host_memory.contains(&self.name) {
+            (self.host_load, false)
+        } else if on_disk.contains(&self.name) {
+            (self.disk_load, false)
+        } else {
+            (self.store_load, true)
+        }
+    }
+}
+
 /// What the engines of a service have in common.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EnginePlan {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,10 +7,13 @@
 
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::platform::EngineClient;
-use foxtailhill::relay::{EngineControl, LoadItem, OrderTicket, ReplicaOrder, ServerChange};
+use foxtailhill::relay::{
+    EngineControl, HeldModel, LoadItem, OrderTicket, Placement, ReplicaOrder, ServerChange,
+};
 use relay_support::{
     KEY, RelayRig, Script, ScriptedServer, chunk, event, header, request, stream_head, until, whole,
 };
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -495,3 +498,52 @@
     }
     Ok(())
 }
+
+/// Guards against a caller that is kept waiting for a model whose load takes longer than it waits, and against a refusal
+/// where the load is short.
+#[tokio::test]
+async fn request_for_an_absent_model_is_told_when_to_come_back() -> eyre::Result<()> {
+    for (in_host_memory, expected) in [(false, "503"), (true, "200")] {
+        let answer = vec![Script::Answer(whole("200 OK", "id: 1\n\n"))];
+        let (mut rig, servers) = RelayRig::with_servers(vec![answer]).await?;
+        rig.configure(|config| {
+            config["services"][0]["engine"] = json!({
+                "slots": 4, "kv-capacity": 1_000, "weights-mb": 100.0, "adapter-slots": 1, "loads-per-s": 1.0,
+                "models": [{"name": "m1", "weights-mb": 10.0, "load-time-s": 5.0, "warm-s": 0.1}]
+            });
+        })?;
+        let mut engine = rig.fleet.servers().remove(0);
+        engine.models = vec![HeldModel {
+            name: "m0".into(),
+            ..HeldModel::default()
+        }];
+        if in_host_memory {
+            engine.in_host_memory.push("m1".into());
+        }
+        rig.fleet
+            .apply(vec![ServerChange::Put(engine)], Instant::now());
+        let placement = Placement {
+            server: servers[0].id.as_str().into(),
+            item: LoadItem {
+                model: "m1".into(),
+                adapter: None,
+            },
+            present: true,
+        };
+        let fleet = rig.fleet.clone();
+        rig.group.spawn_cancellable(async move {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            fleet.note_placements(&[placement], Instant::now());
+        });
+        let call = request("POST", "/draft/1", "r1", "Model: m1\r\n", "x");
+        let answer = rig.send(&call).await?;
+        assert_eq!(status(&answer), expected, "{answer}");
+        if !in_host_memory {
+            let wait: f64 = header(&answer, "retry-after").unwrap_or_default().parse()?;
+            assert!((5.0..6.0).contains(&wait), "{wait}");
+            assert!(servers[0].requests().is_empty());
+        }
+        rig.shutdown().await;
+    }
+    Ok(())
+}
