Check a VM's capacity; end the process although a peer's call is open

Requests may run until 7.5 s of 8, and then the peer server waited for calls of daemons behind a cut. A capacity of 0 or less in the settings was taken for a small VM. Notices about suspects could have made up a quarter of a datagram.

Change: the wait for other daemons' calls is bounded by 300 ms and says so; capacity is above 0; at most 32 notices in a pulse.

Test: settings_template_renders_valid_settings refuses a capacity of 0.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -62,6 +62,10 @@
 /// Period in which idle connections are looked through.
 const POOL_PERIOD: Duration = Duration::from_secs(1);
 
+/// Longest wait for calls of other daemons at shutdown. A peer behind a cut never ends its call, and the platform kills
+/// the process soon after the requests have had their time.
+const CLOSE_TIME: Duration = Duration::from_millis(300);
+
 /// The policies of a daemon on the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayParts;
@@ -454,8 +458,13 @@
             log::error!("requests were still running after {:?}", timing.drain);
         }
         self.services.cancel();
-        self.admin.drain().await;
-        self.services.shutdown().await;
+        let closed = async {
+            self.admin.drain().await;
+            self.services.shutdown().await;
+        };
+        if tokio::time::timeout(CLOSE_TIME, closed).await.is_err() {
+            log::warn!("calls of other daemons were still open after {CLOSE_TIME:?}");
+        }
         log::info!("shut down after {:?}", started.elapsed());
     }
 }
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -39,7 +39,7 @@
 /// Time for which pulses tell a notice about a suspect: long enough for every peer's turn, with one pulse lost.
 const NOTICE_LIFE: Duration = Duration::from_secs(2);
 /// Notices in one pulse, which must fit into a datagram.
-const MAX_NOTICES: usize = 64;
+const MAX_NOTICES: usize = 32;
 
 /// Takes over what another daemon has read of the store.
 pub(super) struct CopySink {
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::KeyDigest;
 
+const MAX_AMOUNT: f64 = 1_000_000.0;
 const MAX_WAIT: Duration = Duration::from_secs(600);
 const MAX_TERM: Duration = Duration::from_secs(7 * 24 * 3600);
 const MAX_NAME: usize = 64;
@@ -105,6 +106,17 @@
     duration(d, Duration::from_secs(1), MAX_TERM)
 }
 
+/// A number above 0 and up to 1,000,000.
+pub(super) fn amount<'de, D: Deserializer<'de>>(d: D) -> std::result::Result<f64, D::Error> {
+    let amount = f64::deserialize(d)?;
+    match amount > 0.0 && amount <= MAX_AMOUNT {
+        true => Ok(amount),
+        false => Err(D::Error::custom(format!(
+            "{amount} is not above 0 and up to {MAX_AMOUNT}"
+        ))),
+    }
+}
+
 fn size<'de, D: Deserializer<'de>>(
     deserializer: D,
     min: usize,
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -38,9 +38,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct VmCapacity {
-    /// Cores, or the part of one core; default 1.
+    /// Cores, or the part of one core; default 1, above 0.
+    #[serde(deserialize_with = "parse::amount")]
     pub cores: f64,
-    /// Bandwidth of the VM's link in Mbit/s; default 1000.
+    /// Bandwidth of the VM's link in Mbit/s; default 1000, above 0.
+    #[serde(deserialize_with = "parse::amount")]
     pub link_mbps: f64,
 }
 
@@ -60,8 +62,7 @@
     /// Returns the size of the VM by its scarcer resource, in thousandths of a core.
     pub fn weight(&self) -> u32 {
         let cores = self.cores.min(self.link_mbps / LINK_PER_CORE);
-        // A weight of no positive size is the smallest one.
-        (cores * 1_000.0).clamp(0.0, f64::from(u32::MAX)) as u32
+        (cores * 1_000.0) as u32
     }
 }
 
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -213,5 +213,8 @@
     let broken = rendered.replace("\"10.0.0.9:8225\"", "\"store:8225\"");
     let error = RelaySettings::parse("settings", &broken).unwrap_err();
     assert!(error.message().starts_with("settings:"), "{error}");
+    let broken = rendered.replace("\"cores\": 0.25", "\"cores\": 0");
+    let error = RelaySettings::parse("settings", &broken).unwrap_err();
+    assert!(error.message().contains("not above 0"), "{error}");
     Ok(())
 }
