--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -226,12 +226,12 @@
 struct SuspectNews(Mutex<Vec<(SuspectNotice, Instant)>>);
 
 impl SuspectNews {
-    /// Adds notices and returns those that belong in the next pulse, the newest if there are too many.
+    /// Adds notices and returns those that belong in the next pulse in their order, the newest if there are too many.
     fn tell(&self, notices: Vec<SuspectNotice>, now: Instant) -> Vec<SuspectNotice> {
         let mut news = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         news.retain(|(_, since)| *since + NOTICE_LIFE > now);
         news.extend(notices.into_iter().map(|notice| (notice, now)));
-        let newest = news.iter().rev().take(MAX_NOTICES);
+        let newest = news.iter().skip(news.len().saturating_sub(MAX_NOTICES));
         newest.map(|(notice, _)| *notice).collect()
     }
 }
