--- /dev/null
+++ b/tests/fleet_shares.rs
@@ -0,0 +1,41 @@
+//! Parts of the fleet's bounds that one daemon uses.
+
+use foxtailhill::relay::ServicePlan;
+use foxtailhill::retry::RetryBudget;
+
+/// Guards against idle connections of many daemons that together fill what a server accepts: it then resets new ones
+/// with the requests on them.
+#[test]
+fn idle_connections_leave_half_of_a_server_free() {
+    let service = ServicePlan {
+        name: "desk".into(),
+        max_connections: 430,
+        engine: None,
+    };
+    for daemons in [1, 7, 62, 320] {
+        let idle = service.idle_share(daemons) * daemons as usize;
+        assert!(idle <= 215, "{idle} idle connections of {daemons} daemons");
+    }
+    assert_eq!(service.idle_share(62), 3);
+}
+
+/// Guards against second sends of a grown fleet beyond its bound, and against a budget that keeps what it saved up while
+/// the fleet was smaller.
+#[test]
+fn budget_follows_the_number_of_daemons() {
+    let budget = RetryBudget::bounded(20, 20);
+    budget.set_extra(2);
+    let granted = (0..50).filter(|_| budget.try_retry()).count();
+    assert_eq!(granted, 2);
+    for _ in 0..1_000 {
+        budget.request();
+    }
+    let granted = (0..50).filter(|_| budget.try_retry()).count();
+    assert_eq!(granted, 2, "earned retries are kept up to the share");
+    budget.set_extra(4);
+    for _ in 0..1_000 {
+        budget.request();
+    }
+    let granted = (0..50).filter(|_| budget.try_retry()).count();
+    assert_eq!(granted, 4);
+}
