Go on at SIGHUP and say what became of the settings

SIGHUP, which tells that the settings file has changed, was not handled and ended the process with its requests.

Change: at SIGHUP the daemon reads and checks its settings file and logs whether it has changed and whether it can be used; a change takes effect at the next start.

Test: daemon_goes_on_when_its_settings_change, with a real process; it fails without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -97,11 +97,11 @@
             if RelaySettings::is_kind(&read(&args.settings)?) {
                 let settings = RelaySettings::read(&args.settings)?;
                 let _log = logging::init(&settings.log)?;
-                relay_runtime()?.block_on(serve_relay(settings))?;
+                relay_runtime()?.block_on(serve_relay(settings, &args.settings))?;
             } else {
                 let settings = DaemonSettings::read(&args.settings)?;
                 let _log = logging::init(&settings.log)?;
-                runtime()?.block_on(serve(settings))?;
+                runtime()?.block_on(serve(settings, &args.settings))?;
             }
             Ok(ExitCode::SUCCESS)
         }
@@ -133,26 +133,38 @@
         .wrap_err("cannot start the runtime")
 }
 
-async fn serve(settings: DaemonSettings) -> eyre::Result<()> {
+async fn serve(settings: DaemonSettings, file: &Path) -> eyre::Result<()> {
     let stop = StopSignals::listen()?;
-    let daemon = daemon::open(settings).await?;
-    stop.wait().await;
+    let daemon = daemon::open(settings.clone()).await?;
+    stop.wait(|| note_settings(&settings, DaemonSettings::read(file)))
+        .await;
     daemon.shutdown().await;
     Ok(())
 }
 
-async fn serve_relay(settings: RelaySettings) -> eyre::Result<()> {
+async fn serve_relay(settings: RelaySettings, file: &Path) -> eyre::Result<()> {
     let stop = StopSignals::listen()?;
-    let daemon = daemon::open_relay(settings).await?;
-    stop.wait().await;
+    let daemon = daemon::open_relay(settings.clone()).await?;
+    stop.wait(|| note_settings(&settings, RelaySettings::read(file)))
+        .await;
     daemon.shutdown().await;
     Ok(())
 }
 
-/// Signals that ask the daemon to shut down.
+/// Says what becomes of a settings file that may have changed. A broken one is found now and not at the next start.
+fn note_settings<T: PartialEq>(current: &T, read: foxtailhill::Result<T>) {
+    match read {
+        Ok(settings) if settings == *current => log::info!("the settings have not changed"),
+        Ok(_) => log::info!("the settings have changed and take effect at the next start"),
+        Err(error) => log::error!("the settings cannot be used at the next start: {error}"),
+    }
+}
+
+/// Signals that ask the daemon to shut down, and the one that tells of changed settings.
 struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl StopSignals {
@@ -160,13 +172,18 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
-    async fn wait(mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+    /// Waits until the daemon shall shut down; calls `changed` whenever the settings may have changed.
+    async fn wait(mut self, changed: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => changed(),
+            }
         }
     }
 }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -4,6 +4,7 @@
 mod process_support;
 
 mod demand_board_deadlock;
+mod hangup;
 mod key_in_debug_form;
 mod stale_load_report;
 mod suspect_reservation;
