Do not bring back servers that went while the store turned a daemon away

A reader that the store had turned away for 9 s read on from where it had stopped, met an old record of a server and then its removal, and kept the server for the 2 s that lapsed records get after an outage. Copies spread it to 41 daemons that had dropped it 3 s before, and one sent a request.

Change: only a server that was listed before the outage ended is kept for those 2 s.

Test: old_records_do_not_bring_back_a_server_that_has_gone.

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -42,6 +42,8 @@
     entry: ServerEntry,
     /// Version of the list in which the entry changed last.
     changed: u64,
+    /// Since when it is on the list.
+    listed_at: Instant,
     /// What orders have changed since the server wrote its record.
     placements: Vec<(Placement, Instant)>,
     /// The models of the record with these changes.
@@ -380,7 +382,7 @@
         let server = self
             .servers
             .entry(entry.id.clone())
-            .or_insert_with(|| ServerState::new(entry.clone(), version));
+            .or_insert_with(|| ServerState::new(entry.clone(), version, now));
         if server.entry.born_ms != entry.born_ms || server.entry.address != entry.address {
             log::info!("server {} has restarted at {}", entry.id, entry.address);
             server.suspected_until = None;
@@ -407,16 +409,16 @@
         server.merge(now);
     }
 
-    /// Removes a server, or marks it if its record may have lapsed in an outage of the store.
+    /// Removes a server, or marks it if its record may have lapsed in an outage of the store. One that was not listed
+    /// before the end of the outage came from an old record and went while this daemon could not read.
     fn gone(&mut self, id: &SmolStr, now: Instant) {
-        let grace = self.back_at.map(|back| back + LAPSE_GRACE);
-        match grace.filter(|end| *end > now) {
-            Some(end) => {
-                if let Some(server) = self.servers.get_mut(id) {
-                    server.lapses_at = Some(end);
-                }
+        let back_at = self.back_at.filter(|back| *back + LAPSE_GRACE > now);
+        let server = self.servers.get_mut(id);
+        match (back_at, server) {
+            (Some(back), Some(server)) if server.listed_at < back => {
+                server.lapses_at = Some(back + LAPSE_GRACE);
             }
-            None => self.remove(id),
+            _ => self.remove(id),
         }
     }
 
@@ -472,12 +474,13 @@
 }
 
 impl ServerState {
-    fn new(entry: ServerEntry, version: u64) -> Self {
+    fn new(entry: ServerEntry, version: u64, now: Instant) -> Self {
         log::info!("server {} of {} is listed", entry.id, entry.service);
         Self {
             models: entry.models.clone(),
             placements: Vec::new(),
             changed: version,
+            listed_at: now,
             entry,
             handle: Arc::default(),
             failures: 0,
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -265,3 +265,41 @@
     assert!(!told(ServerChange::Put(server(1, 1, true))));
     assert!(told(ServerChange::Gone("i-2".into())));
 }
+
+/// Guards against a server that went while the store turned this daemon away, and that old records bring back: copies
+/// spread it to the whole fleet, which had already dropped it.
+#[test]
+fn old_records_do_not_bring_back_a_server_that_has_gone() {
+    let fleet = RelayFleet::new();
+    let start = Instant::now();
+    let put = || ServerChange::Put(server(1, 1, false));
+    fleet.apply(vec![put(), ServerChange::Put(server(2, 1, false))], start);
+    fleet.apply(vec![ServerChange::Unreachable], start);
+    // Another daemon's copy says that the first server has gone.
+    fleet.apply(vec![ServerChange::Whole(vec![server(2, 1, false)])], start);
+    fleet.tick(start + Duration::from_secs(3));
+    assert_eq!(fleet.servers().len(), 1);
+    fleet.apply(
+        vec![ServerChange::Unreachable],
+        start + Duration::from_secs(4),
+    );
+    let back = start + Duration::from_secs(9);
+    let records = vec![
+        put(),
+        ServerChange::Gone("i-1".into()),
+        ServerChange::Gone("i-2".into()),
+    ];
+    fleet.apply(records, back);
+    let listed: Vec<_> = fleet
+        .servers()
+        .into_iter()
+        .map(|server| server.id)
+        .collect();
+    assert_eq!(
+        listed,
+        ["i-2"],
+        "a record that lapsed is waited for, an old one is not"
+    );
+    fleet.tick(back + Duration::from_secs(3));
+    assert!(fleet.servers().is_empty());
+}
