Log which configuration refused a request and how far copies of it came

The logs could not tell whether a daemon had an old configuration because copies of a new one were cut off midway, because their sources did not answer, or whether the newest one was in force. The line of a refused request now names the configuration that decided; a daemon logs a newer version that a peer is known to have, the origin, size and number of routes of each configuration, and the bytes that a copy had brought when it was given up. The metrics plan_version and copies show the same. No decision changes.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -353,6 +353,7 @@
             plans: parts.plans.clone(),
             fleet: parts.fleet.clone(),
             registry: parts.registry.clone(),
+            metrics: parts.core.metrics().clone(),
         },
     ));
     let limits = parts.limits.clone();
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -13,13 +13,14 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerBoard;
+use crate::metrics::DaemonMetrics;
 use crate::peer::{
     PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus, SuspectNotice,
 };
 use crate::placement::DemandBoard;
 use crate::relay::{
-    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, Pulse, PulseHandler, QUARANTINE,
-    ReaderElection, RelayFleet, TableCopy,
+    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, PlanOrigin, Pulse, PulseHandler,
+    QUARANTINE, ReaderElection, RelayFleet, TableCopy,
 };
 
 /// Time after which sources are looked through again without a pulse.
@@ -46,13 +47,15 @@
     pub(super) plans: Arc<PlanKeeper>,
     pub(super) fleet: Arc<RelayFleet>,
     pub(super) registry: Arc<DaemonRegistry>,
+    pub(super) metrics: Arc<DaemonMetrics>,
 }
 
 impl CopySink {
-    /// Takes over a copy; the configuration alone, if this daemon reads the store itself.
-    fn apply(&self, copy: TableCopy, whole: bool) {
+    /// Takes over a copy from `peer`; the configuration alone, if this daemon reads the store itself.
+    fn apply(&self, copy: TableCopy, peer: SocketAddr, whole: bool) {
         if let Some(record) = copy.plan {
-            self.plans.offer_record(record.into());
+            self.plans
+                .offer_record(record.into(), PlanOrigin::Peer(peer));
         }
         if !whole {
             return;
@@ -68,6 +71,19 @@
     }
 }
 
+impl CopySink {
+    /// Tells once of each version that a peer has and this daemon has not.
+    fn note_versions(&self, in_force: u64, known: &mut u64, newest: u64) {
+        if newest > in_force.max(*known) {
+            log::info!("configuration {newest} is known to a peer; this daemon has {in_force}");
+        }
+        *known = newest.max(*known);
+        let (metrics, versions) = (&self.metrics, &self.metrics.plan_versions);
+        metrics.set(versions, "in_force", in_force as i64);
+        metrics.set(versions, "known", newest.max(in_force) as i64);
+    }
+}
+
 /// Fetches what daemons that read the store have read, whenever they have something new. A daemon that reads the
 /// store itself fetches a newer configuration all the same: the store may turn it away without a sign.
 pub(super) async fn fetch_copies(
@@ -76,12 +92,14 @@
     sink: CopySink,
 ) {
     let mut memory = FetchMemory::default();
+    let mut known_plan = 0;
     loop {
         // A lost pulse is made up for by the next one.
         let _ = tokio::time::timeout(FETCH_PERIOD, readers.changed()).await;
         let now = Instant::now();
         readers.elect(now);
         let plan_version = sink.plans.version();
+        sink.note_versions(plan_version, &mut known_plan, readers.newest_plan(now));
         let whole = !readers.is_reading(now);
         if !whole {
             memory.clear();
@@ -100,11 +118,13 @@
                 if source.is_some() {
                     memory.fetched(asked, &copy, now);
                 }
-                sink.apply(copy, source.is_some());
+                sink.metrics.count(&sink.metrics.copies, "whole");
+                sink.apply(copy, asked.peer, source.is_some());
             }
             Ok(_) => log::warn!("{} answered a fetch with something else", asked.peer),
             Err(error) => {
                 log::info!("nothing could be fetched from {}: {error}", asked.peer);
+                sink.metrics.count(&sink.metrics.copies, "failed");
                 memory.note_failure(asked, Instant::now());
                 tokio::time::sleep(FETCH_PAUSE).await;
             }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -105,6 +105,10 @@
     pub isolated: Gauge,
     /// Next offset of the `config` stream that is not applied yet.
     pub config_next: Gauge,
+    /// Versions of the configuration by kind (`in_force`, `known` for the newest that a peer has).
+    pub plan_versions: Family<KindLabels, Gauge>,
+    /// Copies of another daemon's tables by kind (`whole`, `failed`).
+    pub copies: Family<KindLabels, Counter>,
     /// Requests in quarantine and suspects by kind (`suspect`, `quarantined`).
     pub suspects: Family<KindLabels, Gauge>,
     /// Backend servers by kind (`usable`, `leaving`, `down`).
@@ -138,6 +142,8 @@
             currency_age: RatioGauge::default(),
             isolated: Gauge::default(),
             config_next: Gauge::default(),
+            plan_versions: Family::default(),
+            copies: Family::default(),
             suspects: Family::default(),
             backends: Family::default(),
         };
@@ -201,6 +207,12 @@
             "Next config offset to apply",
             self.config_next.clone(),
         );
+        registry.register(
+            "plan_version",
+            "Versions of the configuration",
+            self.plan_versions.clone(),
+        );
+        registry.register("copies", "Copies of tables", self.copies.clone());
         registry.register("backends", "Backend servers", self.backends.clone());
     }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -151,16 +151,17 @@
         let slot = self.slot(peer);
         let connection = tokio::time::timeout_at(deadline, self.connection(peer, &slot))
             .await
-            .map_err(|_| late(peer, wait))??;
+            .map_err(|_| late(peer, wait, 0))??;
         let replies = connection.replies.load(Ordering::Relaxed);
         let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-        match timeout(left, exchange(connection.clone(), peer, body)).await {
+        let received = AtomicUsize::new(0);
+        match timeout(left, exchange(connection.clone(), peer, body, &received)).await {
             Ok(result) => result,
             Err(_) => {
                 if connection.replies.load(Ordering::Relaxed) == replies {
                     slot.discard(&connection);
                 }
-                Err(late(peer, wait))
+                Err(late(peer, wait, received.load(Ordering::Relaxed)))
             }
         }
     }
@@ -170,6 +171,7 @@
     mut connection: KeptConnection,
     peer: SocketAddr,
     body: Bytes,
+    received: &AtomicUsize,
 ) -> Result<PeerReply> {
     let head = Request::builder()
         .method(Method::POST)
@@ -184,14 +186,14 @@
         .send_data(body, true)
         .map_err(|error| codec::transport(&error))?;
     let response = response.await.map_err(|error| codec::transport(&error))?;
-    let body = codec::read_body(&mut response.into_body(), MAX_REPLY_BYTES).await?;
+    let body = codec::read_body(&mut response.into_body(), MAX_REPLY_BYTES, received).await?;
     connection.replies.fetch_add(1, Ordering::Relaxed);
     codec::decode::<Result<PeerReply>>(&body)?
 }
 
-fn late(peer: SocketAddr, wait: Duration) -> Error {
+fn late(peer: SocketAddr, wait: Duration, received: usize) -> Error {
     Error::new(
         Category::Timeout,
-        format!("peer {peer} did not answer within {wait:?}"),
+        format!("peer {peer} did not answer within {wait:?}; {received} bytes have come"),
     )
 }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -1,5 +1,7 @@
 //! Encoding of bodies and their size limits.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
 use serde::Serialize;
@@ -33,8 +35,12 @@
     Ok(message)
 }
 
-/// Reads a body of at most `limit` bytes.
-pub(super) async fn read_body(body: &mut RecvStream, limit: usize) -> Result<Bytes> {
+/// Reads a body of at most `limit` bytes; `received` tells how many have come.
+pub(super) async fn read_body(
+    body: &mut RecvStream,
+    limit: usize,
+    received: &AtomicUsize,
+) -> Result<Bytes> {
     let mut buffer = BytesMut::new();
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|error| transport(&error))?;
@@ -46,6 +52,7 @@
         // A closed stream needs no more window, so a failure here is harmless.
         let _ = body.flow_control().release_capacity(chunk.len());
         buffer.extend_from_slice(&chunk);
+        received.store(buffer.len(), Ordering::Relaxed);
     }
     Ok(buffer.freeze())
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -165,7 +166,9 @@
         return Err(codec::protocol("peer calls use POST"));
     }
     let mut body = request.into_body();
-    let body = timeout(READ_TIMEOUT, codec::read_body(&mut body, MAX_REQUEST_BYTES))
+    let received = AtomicUsize::new(0);
+    let body = codec::read_body(&mut body, MAX_REQUEST_BYTES, &received);
+    let body = timeout(READ_TIMEOUT, body)
         .await
         .map_err(|_| Error::new(Category::Timeout, "the body of a peer call was late"))??;
     codec::decode(&body)
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -94,6 +94,8 @@
 /// Who may run a request, and what it is charged to.
 #[derive(Clone, Debug, Default)]
 pub struct RelayAccess {
+    /// Version of the configuration that decided; 0 for none.
+    pub plan_version: u64,
     pub route: Option<SmolStr>,
     pub team: Option<SmolStr>,
 }
@@ -138,6 +140,7 @@
     ) -> Result<RelayAnswer> {
         let plan = self.context.plans.borrow().clone();
         let plan = plan.ok_or_else(|| Error::unavailable("the configuration is not loaded yet"))?;
+        access.plan_version = plan.version;
         let route = find_route(&plan, &head)?.clone();
         access.route = Some(route.name.clone());
         let team = authenticate(&plan, &route, &facts)?.cloned();
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -1,5 +1,7 @@
 //! Keeps the configuration and the list of backend servers as read from the store.
 
+use std::fmt;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -20,6 +22,23 @@
 /// Decodes the record of a backend server; the first argument is its key.
 pub type ServerDecoder = fn(&str, &[u8]) -> Result<ServerEntry>;
 
+/// Where a configuration comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanOrigin {
+    Store,
+    /// A daemon, by its peer address.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for PlanOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("the store"),
+            Self::Peer(address) => address.fmt(f),
+        }
+    }
+}
+
 /// The newest configuration. A version that was in force is never replaced by an older one.
 pub struct PlanKeeper {
     key: SmolStr,
@@ -64,9 +83,15 @@
     }
 
     /// Takes over the configuration in `record` unless a version as new is in force.
-    pub fn offer_record(&self, record: Bytes) {
+    pub fn offer_record(&self, record: Bytes, origin: PlanOrigin) {
         match (self.decode)(&record) {
             Ok(plan) if plan.version > self.version() => {
+                log::info!(
+                    "configuration {} with {} routes comes from {origin}: {} bytes",
+                    plan.version,
+                    plan.routes().count(),
+                    record.len()
+                );
                 *self.record.lock().unwrap_or_else(PoisonError::into_inner) = record;
                 self.offer(plan);
             }
@@ -100,7 +125,7 @@
         };
         let own = records.into_iter().filter(|record| record.key == self.key);
         for value in own.filter_map(|record| record.value) {
-            self.offer_record(value);
+            self.offer_record(value, PlanOrigin::Store);
         }
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -44,7 +44,7 @@
 pub use self::exchange::{RelayExchange, RelayPiece, ResponseHead};
 pub use self::fleet::{RelayFleet, holding};
 pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
-pub use self::keeper::{PlanDecoder, PlanKeeper, ServerDecoder, ServerKeeper};
+pub use self::keeper::{PlanDecoder, PlanKeeper, PlanOrigin, ServerDecoder, ServerKeeper};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{LeaseKeeper, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseTerm};
 pub use self::listing::{HeldModel, ServerChange, ServerDelta, ServerEntry};
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -229,6 +229,13 @@
         best.map(|(_, peer)| peer.as_source())
     }
 
+    /// Returns the newest version of the configuration that a peer is known to have; 0 for none.
+    pub fn newest_plan(&self, now: Instant) -> u64 {
+        let fresh = self.fresh(now).into_iter();
+        let versions = fresh.map(|(_, peer)| peer.plan_version);
+        versions.max().unwrap_or(0)
+    }
+
     /// Returns the peer addresses of the daemons that were heard of lately.
     pub fn live_peers(&self, now: Instant) -> HashSet<SocketAddr> {
         let fresh = self.fresh(now).into_iter();
--- a/src/relay/trace.rs
+++ b/src/relay/trace.rs
@@ -87,8 +87,9 @@
         let empty = SmolStr::default();
         log::log!(
             level,
-            "request {}: {outcome}; route {} team {} servers {:?} status {} first {} ms end {} ms",
+            "request {}: {outcome}; configuration {} route {} team {} servers {:?} status {} first {} ms end {} ms",
             self.id,
+            self.access.plan_version,
             self.access.route.as_ref().unwrap_or(&empty),
             self.access.team.as_ref().unwrap_or(&empty),
             record.servers,
