Charge teams by the configuration that is in force, not by one before

Cause: the configuration was published for the request path, and a task copied its teams to the limiter afterwards. Requests that ran before that task found their route and team and then no budget; the limiter called that not_found, which callers see as 404 and do not repeat. In the product's own assembly two tasks lay between. Class: parts of one state that come into force one after the other, and an internal gap that is told as the caller's mistake.

Change: budgets take over the newest declared teams at each access, and both publishers publish teams before the configuration, so no request can see the one without the other; the following tasks are gone.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -278,8 +278,7 @@
         options,
     );
     let replica = kernel.register(service_name::REPLICA, Arc::new(replica))?;
-    let teams = tasks::follow_teams(group, &replica);
-    let limits = Limits::open(group, teams, board.clone(), client.clone());
+    let limits = Limits::open(replica.teams(), board.clone(), client.clone());
     let limits = kernel.register(service_name::LIMITS, Arc::new(limits))?;
     let prefixes = Arc::new(PrefixIndex::new());
     let (sink, reports) = tasks::report_channel();
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -247,7 +247,7 @@
     }));
     let client = Arc::new(PeerClient::open(services));
     let board = Arc::new(PeerBoard::new());
-    let limits = LimitService::open(services, plans.teams(), board.clone(), client.clone());
+    let limits = LimitService::open(plans.teams(), board.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
     let room = WaitRoom::new(
         ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), rand::random()),
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -9,11 +9,11 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
-use crate::catalog::{BackendSpec, FleetCatalog, TeamSpec};
+use crate::catalog::{BackendSpec, FleetCatalog};
 use crate::currency::{ViewCurrency, ViewState};
 use crate::daemon::CoreServices;
 use crate::daemon::gauges;
-use crate::daemon::parts::{Members, Orders, PolicyParts, Replica};
+use crate::daemon::parts::{Members, Orders, PolicyParts};
 use crate::dispatch::{DemandMeter, RequestDispatcher};
 use crate::engine::LoadReport;
 use crate::ids::LogOffset;
@@ -52,27 +52,6 @@
     (sink, inbox)
 }
 
-/// Publishes the declared teams for the limiter.
-pub(super) fn follow_teams(
-    group: &TaskGroup,
-    replica: &Arc<Replica>,
-) -> watch::Receiver<Vec<TeamSpec>> {
-    let mut catalogs = replica.subscribe();
-    let teams = |catalog: &FleetCatalog| catalog.teams().cloned().collect::<Vec<_>>();
-    let (sender, receiver) = watch::channel(teams(&catalogs.borrow()));
-    group.spawn_cancellable(async move {
-        while catalogs.changed().await.is_ok() {
-            let latest = teams(&catalogs.borrow_and_update());
-            sender.send_if_modified(|known| {
-                let changed = *known != latest;
-                *known = latest;
-                changed
-            });
-        }
-    });
-    receiver
-}
-
 /// What the background tasks work with besides the core services.
 pub(super) struct TaskContext<P: PolicyParts> {
     pub(super) peer: SocketAddr,
--- a/src/limit/even.rs
+++ b/src/limit/even.rs
@@ -1,6 +1,6 @@
 //! Baseline without loans: every member holds the same fixed share.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Instant;
 
 use smol_str::SmolStr;
@@ -8,13 +8,14 @@
 use crate::catalog::TeamSpec;
 use crate::error::{Category, Error, Result};
 use crate::ids::VmId;
+use crate::limit::shared::SharedBudgets;
 use crate::limit::{BudgetTable, LimitCharge, Shortage, TokenLimiter};
 use crate::member::{ShareGrant, WHOLE_PPM};
 
 /// Limiter with the share `1/members` that never borrows. Kept to measure what loans gain.
 #[derive(Clone)]
 pub struct EvenSplitLimiter {
-    budgets: Arc<Mutex<BudgetTable>>,
+    budgets: Arc<SharedBudgets>,
 }
 
 impl EvenSplitLimiter {
@@ -30,12 +31,12 @@
         };
         budgets.set_grant(Some(grant), now);
         Self {
-            budgets: Arc::new(Mutex::new(budgets)),
+            budgets: Arc::new(SharedBudgets::fixed(budgets)),
         }
     }
 
     /// Uses budgets that another limiter keeps up to date with the declared teams and the share of this daemon.
-    pub(super) fn over(budgets: Arc<Mutex<BudgetTable>>) -> Self {
+    pub(super) fn over(budgets: Arc<SharedBudgets>) -> Self {
         Self { budgets }
     }
 }
@@ -49,9 +50,9 @@
         tokens: u64,
         _deadline: Instant,
     ) -> Result<Self::Charge> {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let charge = budgets
-            .charge(team, tokens, Instant::now())
+        let charge = self
+            .budgets
+            .access(|table, now| table.charge(team, tokens, now))
             .map_err(|shortage| refuse(team, shortage))?;
         Ok(LimitCharge::new(self.budgets.clone(), team.clone(), charge))
     }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -10,6 +10,7 @@
 mod even;
 mod loan;
 mod service;
+mod shared;
 
 use std::future::Future;
 use std::time::Instant;
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -1,7 +1,7 @@
 //! Charges teams, borrowing from peers before it refuses.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -11,7 +11,7 @@
 use crate::catalog::TeamSpec;
 use crate::error::{Category, Error, Result};
 use crate::ids::VmId;
-use crate::kernel::TaskGroup;
+use crate::limit::shared::SharedBudgets;
 use crate::limit::{
     BudgetCharge, BudgetTable, EvenSplitLimiter, LimitDump, Shortage, TokenCharge, TokenLimiter,
 };
@@ -32,11 +32,9 @@
 /// Shortest `Retry-After`, below which callers would only add load.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-type SharedBudgets = Arc<Mutex<BudgetTable>>;
-
 /// Fleet-wide limits of all teams on this daemon. Clones share the budgets.
 pub struct LimitService<C> {
-    budgets: SharedBudgets,
+    budgets: Arc<SharedBudgets>,
     board: Arc<PeerBoard>,
     caller: Arc<C>,
     own: Arc<Mutex<Option<VmId>>>,
@@ -55,26 +53,22 @@
 
 /// A charge of a [`LimitService`] or of the baseline.
 pub struct LimitCharge {
-    budgets: SharedBudgets,
+    budgets: Arc<SharedBudgets>,
     team: SmolStr,
     /// `None` once settled.
     charge: Option<BudgetCharge>,
 }
 
 impl<C: PeerCaller> LimitService<C> {
-    /// Starts with the teams in `teams` and follows changes in a task of `group`. All buckets are empty until a
+    /// Limits the teams in `teams`, which must not lag behind what authenticates requests. All buckets are empty until a
     /// share is adopted.
     pub fn open(
-        group: &TaskGroup,
         teams: watch::Receiver<Vec<TeamSpec>>,
         board: Arc<PeerBoard>,
         caller: Arc<C>,
     ) -> Self {
-        let budgets: SharedBudgets = Arc::default();
-        lock(&budgets).set_teams(&teams.borrow(), Instant::now());
-        group.spawn_cancellable(follow_teams(teams, budgets.clone()));
         Self {
-            budgets,
+            budgets: Arc::new(SharedBudgets::follow(teams)),
             board,
             caller,
             own: Arc::default(),
@@ -84,7 +78,8 @@
     /// Lends up to `tokens` of `team` to `borrower`, or nothing if there are fewer than `least`. The tokens are debited
     /// before this returns.
     pub fn lend(&self, borrower: VmId, team: &str, tokens: u64, least: u64) -> Option<TokenLoan> {
-        let loan = lock(&self.budgets).lend(team, tokens, least, Instant::now())?;
+        let budgets = &self.budgets;
+        let loan = budgets.access(|table, now| table.lend(team, tokens, least, now))?;
         log::trace!("lent {} tokens of team {team} to {borrower}", loan.tokens);
         Some(loan)
     }
@@ -96,22 +91,23 @@
 
     /// Takes over a share for each team, in parts per million; see [`BudgetTable::set_team_shares`].
     pub fn set_team_shares(&self, shares: HashMap<SmolStr, u32>) {
-        lock(&self.budgets).set_team_shares(shares, Instant::now());
+        self.budgets
+            .access(|table, now| table.set_team_shares(shares, now));
     }
 
     /// Returns the own share of each team that has one, in parts per million.
     pub fn shares(&self) -> Vec<(SmolStr, u32)> {
-        lock(&self.budgets).shares()
+        self.budgets.access(|table, _| table.shares())
     }
 
     /// Returns the spare tokens of each team, for the status.
     pub fn spare(&self) -> Vec<(SmolStr, u64)> {
-        lock(&self.budgets).spare(Instant::now())
+        self.budgets.access(BudgetTable::spare)
     }
 
     /// Returns the state for the dump.
     pub fn dump(&self) -> LimitDump {
-        lock(&self.budgets).dump(Instant::now())
+        self.budgets.access(BudgetTable::dump)
     }
 
     fn try_charge(
@@ -119,7 +115,8 @@
         team: &SmolStr,
         tokens: u64,
     ) -> std::result::Result<LimitCharge, Shortage> {
-        let charge = lock(&self.budgets).charge(team, tokens, Instant::now())?;
+        let budgets = &self.budgets;
+        let charge = budgets.access(|table, now| table.charge(team, tokens, now))?;
         Ok(LimitCharge::new(self.budgets.clone(), team.clone(), charge))
     }
 
@@ -174,8 +171,9 @@
         let reply = self.caller.call(lender.address, request, wait).await;
         let lent = match reply {
             Ok(PeerReply::Loan(Some(loan))) => {
-                let now = Instant::now();
-                lock(&self.budgets).add_loan(team, lender.address, loan, asked_at, now);
+                self.budgets.access(|table, now| {
+                    table.add_loan(team, lender.address, loan, asked_at, now);
+                });
                 loan.tokens
             }
             Ok(_) => 0,
@@ -246,7 +244,7 @@
 impl<C: PeerCaller> ShareSink for LimitService<C> {
     fn adopt_share(&self, grant: Option<ShareGrant>, now: Instant) -> Instant {
         *self.own.lock().unwrap_or_else(PoisonError::into_inner) = grant.map(|grant| grant.vm);
-        lock(&self.budgets).set_grant(grant, now)
+        self.budgets.access(|table, _| table.set_grant(grant, now))
     }
 }
 
@@ -257,7 +255,7 @@
 }
 
 impl LimitCharge {
-    pub(super) fn new(budgets: SharedBudgets, team: SmolStr, charge: BudgetCharge) -> Self {
+    pub(super) fn new(budgets: Arc<SharedBudgets>, team: SmolStr, charge: BudgetCharge) -> Self {
         Self {
             budgets,
             team,
@@ -267,7 +265,8 @@
 
     fn end(&mut self, used: u64) {
         if let Some(charge) = self.charge.take() {
-            lock(&self.budgets).settle(&self.team, charge, used, Instant::now());
+            self.budgets
+                .access(|table, now| table.settle(&self.team, charge, used, now));
         }
     }
 }
@@ -281,9 +280,9 @@
 
 fn refuse_at_once(team: &str, tokens: u64, shortage: Shortage) -> Error {
     match shortage {
-        Shortage::UnknownTeam => {
-            Error::new(Category::NotFound, format!("team `{team}` has no budget"))
-        }
+        // The team was withdrawn after its key was checked; the next request learns so.
+        Shortage::UnknownTeam => Error::unavailable(format!("team `{team}` has no budget"))
+            .with_retry_after(MIN_RETRY_AFTER),
         Shortage::AboveBurst { burst } => Error::new(
             Category::RateLimited,
             format!("request of {tokens} tokens is larger than the burst of {burst}"),
@@ -314,14 +313,3 @@
     }
     chosen
 }
-
-async fn follow_teams(mut teams: watch::Receiver<Vec<TeamSpec>>, budgets: SharedBudgets) {
-    while teams.changed().await.is_ok() {
-        let specs = teams.borrow_and_update().clone();
-        lock(&budgets).set_teams(&specs, Instant::now());
-    }
-}
-
-fn lock(budgets: &Mutex<BudgetTable>) -> MutexGuard<'_, BudgetTable> {
-    budgets.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -66,7 +66,7 @@
         self.plans.subscribe()
     }
 
-    /// Subscribes to the teams that have a rate.
+    /// Subscribes to the teams that have a rate. They never lag behind the configuration in force.
     pub fn teams(&self) -> watch::Receiver<Vec<TeamSpec>> {
         self.teams.subscribe()
     }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use crate::catalog::{ApplyVerdict, ChangeCommand, FleetCatalog};
+use crate::catalog::{ApplyVerdict, ChangeCommand, FleetCatalog, TeamSpec};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::ids::LogOffset;
 use crate::journal::{FollowerStatus, JournalClient, StreamFollower, StreamGap, StreamName};
@@ -142,6 +142,11 @@
         self.state.subscribe()
     }
 
+    /// Subscribes to the declared teams. They never lag behind [`current`](Self::current).
+    pub fn teams(&self) -> watch::Receiver<Vec<TeamSpec>> {
+        self.state.teams()
+    }
+
     /// Returns the next `config` offset that is not applied yet.
     pub fn next_offset(&self) -> LogOffset {
         self.current().next_offset()
--- a/src/replica/state.rs
+++ b/src/replica/state.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{oneshot, watch};
 
-use crate::catalog::{AppliedCommand, ChangeCommand, FleetCatalog};
+use crate::catalog::{AppliedCommand, ChangeCommand, FleetCatalog, TeamSpec};
 use crate::error::Category;
 use crate::ids::{LogOffset, RecordId};
 use crate::replica::{ChangeReport, ConfigRecords};
@@ -42,6 +42,8 @@
 pub(super) struct ReplicaState {
     inner: Mutex<StateInner>,
     current: watch::Sender<Arc<FleetCatalog>>,
+    /// The teams of `current`, or of the next one.
+    teams: watch::Sender<Vec<TeamSpec>>,
 }
 
 #[derive(Default)]
@@ -58,6 +60,7 @@
         Self {
             inner: Mutex::default(),
             current,
+            teams: watch::Sender::default(),
         }
     }
 
@@ -69,6 +72,21 @@
         self.current.subscribe()
     }
 
+    pub(super) fn teams(&self) -> watch::Receiver<Vec<TeamSpec>> {
+        self.teams.subscribe()
+    }
+
+    /// Publishes a catalog, its teams first: a request that finds its team in the catalog finds the team's budget too.
+    fn publish(&self, catalog: &Arc<FleetCatalog>) {
+        let teams: Vec<TeamSpec> = catalog.teams().cloned().collect();
+        self.teams.send_if_modified(|known| {
+            let changed = *known != teams;
+            *known = teams;
+            changed
+        });
+        self.current.send_replace(catalog.clone());
+    }
+
     /// Applies records, the first at offset `first`. Those already applied are passed over; nothing is applied
     /// beyond a gap. Returns the next offset.
     pub(super) fn apply<'a>(
@@ -89,7 +107,7 @@
         }
         let next = inner.catalog.next_offset();
         if next > before {
-            self.current.send_replace(inner.catalog.clone());
+            self.publish(&inner.catalog);
         }
         next
     }
@@ -101,7 +119,7 @@
             inner.catalog = Arc::new(catalog);
             inner.recent.clear();
             inner.answer_known();
-            self.current.send_replace(inner.catalog.clone());
+            self.publish(&inner.catalog);
         }
         inner.catalog.next_offset()
     }
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -449,3 +449,24 @@
         first
     );
 }
+
+/// Guards against a team that a catalog declares and the limiter does not know yet: its requests would be refused.
+#[tokio::test]
+async fn teams_never_lag_behind_the_catalog() {
+    let journal = Arc::new(FakeLog::default());
+    let replica = start_ready(&journal).await;
+    let mut catalogs = replica.catalog.subscribe();
+    let teams = replica.catalog.teams();
+    put_changes(&journal, 20);
+    let mut declared = 0;
+    while declared < 20 {
+        timeout(PATIENCE, catalogs.changed())
+            .await
+            .expect("a change in time")
+            .expect("replica runs");
+        declared = catalogs.borrow_and_update().teams().count();
+        let known = teams.borrow().len();
+        assert!(known >= declared, "{known} of {declared} teams are known");
+    }
+    replica.group.shutdown().await;
+}
