--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -7,9 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
-use crate::daemon::relay_peers::{
-    CopySink, KnownPlanner, RelayPeers, RelayPulses, fetch_copies, spawn_wishes,
-};
+use crate::daemon::relay_peers::{KnownPlanner, RelayPeers, RelayPulses, spawn_wishes};
 use crate::dispatch::{CoreContext, CoreParts, DemandMeter, RequestCore, WaitRoom, Waiter};
 use crate::error::{Error, Result};
 use crate::history::RequestHistory;
@@ -23,10 +21,10 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    CrashWatch, DaemonRecord, DaemonRegistry, FollowPace, LeaseKeeper, LeaseTerm, PlanKeeper,
-    PlannerParts, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
-    RelayServer, ReplicaPlanner, RetryShare, ServerKeeper, StoreHealth, StoreTable, UpstreamPool,
-    bind_ready, follow_table, spawn_pulses,
+    CopyTables, CrashWatch, DaemonRecord, DaemonRegistry, FollowPace, LeaseKeeper, LeaseTerm,
+    PlanKeeper, PlannerParts, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher,
+    RelayFleet, RelayServer, ReplicaPlanner, RetryShare, ServerKeeper, StoreHealth, StoreTable,
+    UpstreamPool, bind_ready, follow_copies, follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -104,6 +102,16 @@
     pub(super) lease: Arc<LeaseKeeper>,
 }
 
+impl RelayServices {
+    fn tables(&self) -> CopyTables {
+        CopyTables {
+            plans: self.plans.clone(),
+            fleet: self.fleet.clone(),
+            registry: self.registry.clone(),
+        }
+    }
+}
+
 /// A running daemon on the platform.
 pub struct RelayDaemon {
     settings: RelaySettings,
@@ -147,9 +155,7 @@
         limits: parts.limits.clone(),
         core: parts.core.clone(),
         planner: parts.planner.clone(),
-        plans: parts.plans.clone(),
-        fleet: parts.fleet.clone(),
-        registry: parts.registry.clone(),
+        tables: parts.tables(),
     });
     PeerServer::bind(services, settings.listen.peer, handler).await?;
     let pulses = Arc::new(RelayPulses::new(&parts));
@@ -346,15 +352,11 @@
         parts.readers.subscribe(),
         parts.health.clone(),
     ));
-    group.spawn_cancellable(fetch_copies(
+    group.spawn_cancellable(follow_copies(
         parts.readers.clone(),
         parts.client.clone(),
-        CopySink {
-            plans: parts.plans.clone(),
-            fleet: parts.fleet.clone(),
-            registry: parts.registry.clone(),
-            metrics: parts.core.metrics().clone(),
-        },
+        parts.tables(),
+        parts.core.metrics().clone(),
     ));
     let limits = parts.limits.clone();
     let teams = parts.plans.teams();
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -13,23 +13,15 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerBoard;
-use crate::metrics::DaemonMetrics;
 use crate::peer::{
     PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus, SuspectNotice,
 };
 use crate::placement::DemandBoard;
 use crate::relay::{
-    DaemonRegistry, FetchMemory, PlaceWish, Placement, PlanKeeper, PlanOrigin, Pulse, PulseHandler,
-    QUARANTINE, ReaderElection, RelayFleet, TableCopy,
+    CopyTables, DaemonRegistry, PlaceWish, Placement, PlanKeeper, Pulse, PulseHandler, QUARANTINE,
+    ReaderElection, RelayFleet,
 };
 
-/// Time after which sources are looked through again without a pulse.
-const FETCH_PERIOD: Duration = Duration::from_millis(500);
-/// Longest wait for a copy. A source that is cut off must leave time to ask another one before a change has to be in
-/// force.
-const FETCH_WAIT: Duration = Duration::from_millis(500);
-/// Pause after a fetch that failed.
-const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the planner's answer to a wish.
 const WISH_WAIT: Duration = Duration::from_millis(1_700);
 /// Times that a wish is repeated while requests may still wait for it.
@@ -42,96 +34,6 @@
 /// Notices in one pulse, which must fit into a datagram.
 const MAX_NOTICES: usize = 32;
 
-/// Takes over what another daemon has read of the store.
-pub(super) struct CopySink {
-    pub(super) plans: Arc<PlanKeeper>,
-    pub(super) fleet: Arc<RelayFleet>,
-    pub(super) registry: Arc<DaemonRegistry>,
-    pub(super) metrics: Arc<DaemonMetrics>,
-}
-
-impl CopySink {
-    /// Takes over a copy from `peer`; the configuration alone, if this daemon reads the store itself.
-    fn apply(&self, copy: TableCopy, peer: SocketAddr, whole: bool) {
-        if let Some(record) = copy.plan {
-            self.plans
-                .offer_record(record.into(), PlanOrigin::Peer(peer));
-        }
-        if !whole {
-            return;
-        }
-        let now = Instant::now();
-        let changes = copy.servers.into_changes();
-        if !changes.is_empty() {
-            self.fleet.apply(changes, now);
-        }
-        if let Some(daemons) = copy.daemons {
-            self.registry.adopt(daemons, now);
-        }
-    }
-}
-
-impl CopySink {
-    /// Tells once of each version that a peer has and this daemon has not.
-    fn note_versions(&self, in_force: u64, known: &mut u64, newest: u64) {
-        if newest > in_force.max(*known) {
-            log::info!("configuration {newest} is known to a peer; this daemon has {in_force}");
-        }
-        *known = newest.max(*known);
-        let (metrics, versions) = (&self.metrics, &self.metrics.plan_versions);
-        metrics.set(versions, "in_force", in_force as i64);
-        metrics.set(versions, "known", newest.max(in_force) as i64);
-    }
-}
-
-/// Fetches what daemons that read the store have read, whenever they have something new. A daemon that reads the
-/// store itself fetches a newer configuration all the same: the store may turn it away without a sign.
-pub(super) async fn fetch_copies(
-    readers: Arc<ReaderElection>,
-    client: Arc<PeerClient>,
-    sink: CopySink,
-) {
-    let mut memory = FetchMemory::default();
-    let mut known_plan = 0;
-    loop {
-        // A lost pulse is made up for by the next one.
-        let _ = tokio::time::timeout(FETCH_PERIOD, readers.changed()).await;
-        let now = Instant::now();
-        readers.elect(now);
-        let plan_version = sink.plans.version();
-        sink.note_versions(plan_version, &mut known_plan, readers.newest_plan(now));
-        let whole = !readers.is_reading(now);
-        if !whole {
-            memory.clear();
-        }
-        let failed = memory.failed(now);
-        let source = readers
-            .source(failed, now)
-            .filter(|source| whole && memory.wants(*source, now));
-        let newer = readers.newer_plan(plan_version, failed, now);
-        let Some(asked) = source.or(newer) else {
-            continue;
-        };
-        let request = PeerRequest::FetchTables(memory.request(asked, plan_version, now));
-        match client.call(asked.peer, request, FETCH_WAIT).await {
-            Ok(PeerReply::Tables(copy)) => {
-                if source.is_some() {
-                    memory.fetched(asked, &copy, now);
-                }
-                sink.metrics.count(&sink.metrics.copies, "whole");
-                sink.apply(copy, asked.peer, source.is_some());
-            }
-            Ok(_) => log::warn!("{} answered a fetch with something else", asked.peer),
-            Err(error) => {
-                log::info!("nothing could be fetched from {}: {error}", asked.peer);
-                sink.metrics.count(&sink.metrics.copies, "failed");
-                memory.note_failure(asked, Instant::now());
-                tokio::time::sleep(FETCH_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// The daemon that gives orders, as pulses tell.
 #[derive(Default)]
 pub(super) struct KnownPlanner(Mutex<Option<(u64, SocketAddr)>>);
@@ -210,9 +112,7 @@
     pub(super) limits: Arc<LimitService<PeerClient>>,
     pub(super) core: Arc<Core>,
     pub(super) planner: Arc<Planner>,
-    pub(super) plans: Arc<PlanKeeper>,
-    pub(super) fleet: Arc<RelayFleet>,
-    pub(super) registry: Arc<DaemonRegistry>,
+    pub(super) tables: CopyTables,
 }
 
 impl PeerHandler for RelayPeers {
@@ -231,11 +131,7 @@
                 Ok(PeerReply::Done)
             }
             PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
-            PeerRequest::FetchTables(asked) => Ok(PeerReply::Tables(TableCopy {
-                plan: self.plans.record_after(asked.plan_version),
-                servers: self.fleet.changes_since(asked.servers_version),
-                daemons: asked.daemons.then(|| self.registry.copy(Instant::now())),
-            })),
+            PeerRequest::FetchTables(asked) => Ok(PeerReply::Tables(self.tables.copy(asked))),
             _ => Err(Error::internal("no service answers this peer call")),
         }
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod absent;
 mod call;
+mod copies;
 mod crash;
 mod dispatcher;
 mod engine_state;
@@ -31,6 +32,7 @@
 
 pub use self::absent::AbsentModels;
 pub use self::call::{AnswerHead, CallFacts, OfferFacts, PromptPart, RelayFormat};
+pub use self::copies::{CopyTables, follow_copies};
 pub use self::crash::CrashWatch;
 pub use self::dispatcher::{
     PlanReceiver, RelayAccess, RelayAnswer, RelayBytes, RelayContext, RelayDispatcher, RetryShare,
