Add failing tests of a grown configuration copied over a slow link

Both tests copy such a configuration over a simulated link, of 5 Mbit/s and of 0.4 Mbit/s, and find none in force after 3 s.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::daemon::relay::{Core, Planner, RelayServices};
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerBoard;
@@ -131,8 +131,7 @@
                 Ok(PeerReply::Done)
             }
             PeerRequest::Place(wish) => Ok(PeerReply::Placed(self.planner.place(wish).await)),
-            PeerRequest::FetchTables(asked) => Ok(PeerReply::Tables(self.tables.copy(asked))),
-            _ => Err(Error::internal("no service answers this peer call")),
+            request => self.tables.answer(request),
         }
     }
 }
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::error::{Error, Result};
 use crate::metrics::DaemonMetrics;
 use crate::peer::{PeerCaller, PeerReply, PeerRequest};
 use crate::relay::fleet::RelayFleet;
@@ -28,8 +29,19 @@
 }
 
 impl CopyTables {
-    /// Returns what another daemon asks for.
-    pub fn copy(&self, asked: CopyRequest) -> TableCopy {
+    /// Answers another daemon that copies.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the call does not ask for a copy.
+    pub fn answer(&self, request: PeerRequest) -> Result<PeerReply> {
+        match request {
+            PeerRequest::FetchTables(asked) => Ok(PeerReply::Tables(self.copy(asked))),
+            _ => Err(Error::internal("no service answers this peer call")),
+        }
+    }
+
+    fn copy(&self, asked: CopyRequest) -> TableCopy {
         TableCopy {
             plan: self.plans.record_after(asked.plan_version),
             servers: self.fleet.changes_since(asked.servers_version),
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -6,6 +6,7 @@
 mod demand_board_deadlock;
 mod hangup;
 mod key_in_debug_form;
+mod plan_copy_over_slow_link;
 mod stale_load_report;
 mod suspect_reservation;
 mod team_without_budget;
--- /dev/null
+++ b/tests/regression/plan_copy_over_slow_link.rs
@@ -0,0 +1,167 @@
+//! Daemons on small VMs kept an old configuration: each copy of a grown one took longer than a copy may take, was given up
+//! and started over.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxtailhill::Result;
+use foxtailhill::error::{Category, Error};
+use foxtailhill::ids::VmId;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::metrics::DaemonMetrics;
+use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
+use foxtailhill::platform;
+use foxtailhill::relay::{
+    CopyTables, DaemonRecord, DaemonRegistry, PlanKeeper, PlanOrigin, Pulse, ReaderElection,
+    RegistrySettings, RelayFleet, StoreHealth, follow_copies,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+/// Simulated time in which a configuration must be in force.
+const BOUND: Duration = Duration::from_secs(3);
+const ROUTES: usize = 1_800;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn tables(name: &str) -> CopyTables {
+    let record = DaemonRecord {
+        vm: VmId::random(),
+        zone: "north".into(),
+        peer: address(1),
+        pulse: address(1),
+    };
+    CopyTables {
+        plans: Arc::new(PlanKeeper::new(
+            platform::CONFIGURATION_KEY,
+            platform::decode_plan,
+        )),
+        fleet: Arc::new(RelayFleet::new()),
+        registry: Arc::new(DaemonRegistry::new(RegistrySettings {
+            name: name.into(),
+            record,
+            term: Duration::from_secs(30),
+            settle: Duration::ZERO,
+        })),
+    }
+}
+
+/// A configuration with names as random as those of a real one.
+fn grown_configuration(version: u64) -> Value {
+    let mut random = StdRng::seed_from_u64(14);
+    let mut word = |length| -> String {
+        let letters = std::iter::repeat_with(|| random.random_range('a'..='z'));
+        letters.take(length).collect()
+    };
+    let routes = (0..ROUTES).map(|_| {
+        json!({
+            "name": format!("r-{}", word(7)), "host": format!("{}.example", word(6)),
+            "path-prefix": format!("/{}/", word(8)), "kind": "idempotent", "timeout-ms": 1_500,
+            "target-latency-ms": 150, "priority": 1, "service": "desk", "max-attempts": 2,
+            "public": false, "sticky": false, "resumable": false, "gap-aim-ms": 0
+        })
+    });
+    let routes: Vec<Value> = routes.collect();
+    json!({"version": version, "routes": routes, "services": [{"name": "desk", "max-conns": 100}]})
+}
+
+/// The way to one daemon that has the tables, over a link of a fixed rate.
+struct SlowLink {
+    source: CopyTables,
+    bytes_per_s: usize,
+}
+
+impl PeerCaller for SlowLink {
+    async fn call(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        wait: Duration,
+    ) -> Result<PeerReply> {
+        let reply = self.source.answer(request)?;
+        let encoded = bincode::serde::encode_to_vec(&reply, bincode::config::standard())
+            .map_err(|error| Error::internal(error.to_string()))?;
+        let time = Duration::from_millis((encoded.len() * 1_000 / self.bytes_per_s) as u64);
+        tokio::time::sleep(time.min(wait)).await;
+        match time <= wait {
+            true => Ok(reply),
+            false => Err(Error::new(Category::Timeout, format!("{peer} is late"))),
+        }
+    }
+}
+
+fn reader_pulse(plan_version: u64) -> Pulse {
+    Pulse {
+        vm: VmId(1),
+        name: "entry-1".into(),
+        zone: "north".into(),
+        peer: address(2),
+        plan_version,
+        reads_store: true,
+        reading_for: Duration::from_secs(9),
+        weight: 500,
+        tables_version: plan_version,
+        loads: Default::default(),
+        spare: Vec::new(),
+        demand: Vec::new(),
+        fence: None,
+        placements: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Copies a grown configuration over a link of `bytes_per_s` and returns the version in force at the bound.
+async fn version_after_bound(bytes_per_s: usize) -> eyre::Result<u64> {
+    let group = TaskGroup::new();
+    let (source, copier) = (tables("entry-1"), tables("entry-0"));
+    let record = grown_configuration(8).to_string();
+    eyre::ensure!(record.len() > 350_000, "{} bytes", record.len());
+    source
+        .plans
+        .offer_record(record.into_bytes().into(), PlanOrigin::Store);
+    let health = Arc::new(StoreHealth::default());
+    let election = Arc::new(ReaderElection::new(
+        "entry-0".into(),
+        "north".into(),
+        120,
+        health,
+    ));
+    let link = Arc::new(SlowLink {
+        source,
+        bytes_per_s,
+    });
+    let metrics = Arc::new(DaemonMetrics::new());
+    group.spawn_cancellable(follow_copies(
+        election.clone(),
+        link,
+        copier.clone(),
+        metrics,
+    ));
+    let end = tokio::time::Instant::now() + BOUND;
+    while tokio::time::Instant::now() < end && copier.plans.version() == 0 {
+        election.heard(&reader_pulse(8), Instant::now());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    group.shutdown().await;
+    Ok(copier.plans.version())
+}
+
+/// Guards against a copy of a configuration that is given up and started over for ever: half of a 10 Mbit/s link is enough.
+#[tokio::test(start_paused = true)]
+async fn grown_configuration_is_in_force_in_time_behind_a_busy_link() -> eyre::Result<()> {
+    let version = version_after_bound(625_000).await?;
+    eyre::ensure!(version == 8, "configuration {version} is in force");
+    Ok(())
+}
+
+/// Guards against a bound on the whole copy: on a link that is nearly full only what has come already counts.
+#[tokio::test(start_paused = true)]
+async fn grown_configuration_is_in_force_in_time_behind_a_full_link() -> eyre::Result<()> {
+    let version = version_after_bound(50_000).await?;
+    eyre::ensure!(version == 8, "configuration {version} is in force");
+    Ok(())
+}
