Release the list of teams before budgets read it

Daemons stood still for ever, at the latest after some configurations: nothing was charged, no configuration came into force.

Cause: the task that works out shares passed team_shares(&teams.borrow()) to the limiter in one expression, so the read lock of the teams lasted until the limiter returned. Since budgets read the teams at each access, that is a second read by the same thread; with a configuration waiting to publish its teams in between, the second read waits for the writer and the writer for the first read, with the budgets locked. Class: a guard that lives to the end of its statement while a callee takes the same lock.

Evidence: configurations_come_into_force_while_shares_are_worked_out failed before (no configuration within its bound of 60 s).

Change: the shares are worked out in a statement of their own.

Measured: the test passes, with the two of team_without_budget.

--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -129,7 +129,9 @@
         group.spawn_cancellable(async move {
             while let Some(now) = ticks.next().await {
                 registry.expire(now);
-                limits.set_team_shares(registry.team_shares(&teams.borrow()));
+                // The limiter reads the teams as well, so they must be free again before it is called.
+                let shares = registry.team_shares(&teams.borrow());
+                limits.set_team_shares(shares);
                 limits.adopt_share(Some(registry.share(now)), now);
             }
         });
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -8,6 +8,7 @@
 mod key_in_debug_form;
 mod stale_load_report;
 mod suspect_reservation;
+mod team_share_deadlock;
 mod team_without_budget;
 mod usage_exit_code;
 mod wait_in_engine;
--- /dev/null
+++ b/tests/regression/team_share_deadlock.rs
@@ -0,0 +1,96 @@
+//! A daemon stood still for ever: while it worked out its shares it held the list of teams that its budgets read again, and
+//! a new configuration waited in between.
+
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+
+use foxtailhill::ids::VmId;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::limit::LimitService;
+use foxtailhill::member::PeerBoard;
+use foxtailhill::peer::PeerClient;
+use foxtailhill::platform::{self, StoreClient};
+use foxtailhill::relay::{DaemonRecord, DaemonRegistry, PlanKeeper, RegistrySettings};
+use foxtailhill::timer::TimerService;
+use serde_json::json;
+
+/// Enough for shares to take a good part of the period in which they are worked out.
+const TEAMS: usize = 200;
+const DAEMONS: u16 = 80;
+/// Configurations, spread over several of these periods.
+const VERSIONS: u64 = 100;
+const VERSION_PAUSE: Duration = Duration::from_millis(10);
+/// Generous bound; the configurations take seconds.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn record(number: u16) -> DaemonRecord {
+    DaemonRecord {
+        vm: VmId(number.into()),
+        zone: "north".into(),
+        peer: ([127, 0, 0, 1], number).into(),
+        pulse: ([127, 0, 0, 1], number).into(),
+    }
+}
+
+fn offer(plans: &PlanKeeper, version: u64) -> eyre::Result<()> {
+    let teams = (0..TEAMS).map(|team| {
+        json!({"name": format!("team-{team}"), "rate-per-s": 100 + version, "burst": 60_000})
+    });
+    let config = json!({"version": version, "tenants": teams.collect::<Vec<_>>()});
+    plans.offer(platform::decode_plan(config.to_string().as_bytes())?);
+    Ok(())
+}
+
+/// Guards against a deadlock between a daemon that works out its shares and a configuration that comes into force.
+#[test]
+fn configurations_come_into_force_while_shares_are_worked_out() -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let plans = Arc::new(PlanKeeper::new(
+        platform::CONFIGURATION_KEY,
+        platform::decode_plan,
+    ));
+    let group = TaskGroup::new();
+    let timer = runtime.block_on(async {
+        let board = Arc::new(PeerBoard::new());
+        let client = Arc::new(PeerClient::open(&group));
+        let limits = Arc::new(LimitService::open(plans.teams(), board, client));
+        let registry = Arc::new(DaemonRegistry::new(RegistrySettings {
+            name: "vm-0".into(),
+            record: record(0),
+            term: PATIENCE,
+            settle: Duration::ZERO,
+        }));
+        let daemons = (0..DAEMONS).map(|number| {
+            let name = format!("vm-{number}").into();
+            (name, record(number), Duration::ZERO)
+        });
+        registry.adopt(daemons.collect(), Instant::now());
+        // The store is not asked: the daemon has not read the list of daemons from it.
+        let store = Arc::new(StoreClient::open(([127, 0, 0, 1], 9).into()));
+        let timer = TimerService::spawn(&group);
+        registry.spawn(store, limits, plans.teams(), &timer, &group);
+        timer
+    });
+    let (done, offered) = mpsc::channel();
+    std::thread::spawn(move || {
+        for version in 1..=VERSIONS {
+            // The receiver is gone if the test has failed.
+            let _ = done.send(offer(&plans, version));
+            std::thread::sleep(VERSION_PAUSE);
+        }
+    });
+    for version in 1..=VERSIONS {
+        let Ok(result) = offered.recv_timeout(PATIENCE) else {
+            // Its threads would be waited for.
+            runtime.shutdown_background();
+            eyre::bail!("configuration {version} does not come into force");
+        };
+        result?;
+    }
+    runtime.block_on(group.shutdown());
+    drop(timer);
+    Ok(())
+}
