--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,6 +9,7 @@
 mod plan_copy_over_slow_link;
 mod stale_load_report;
 mod suspect_reservation;
+mod team_share_deadlock;
 mod team_without_budget;
 mod usage_exit_code;
 mod wait_in_engine;
