Copy configurations compressed and in parts that stay

Cause: a copy of the configuration travelled whole and with the list of servers, had to arrive within 500 ms, and was dropped at that bound and started over, mostly from the same reader, as the one source that is preferred for lists. A configuration of 410 KB takes a third of a second on an idle link of 10 Mbit/s; with callers' traffic it never arrived, and the dropped copies filled the links further. Class: a bound on a whole transfer whose progress is thrown away.

Both tests of plan_copy_over_slow_link failed before.

Change: configurations are fetched by a task of their own, apart from the lists, from any daemon of the zone that has the newest. They are compressed once, sent in parts with a bound each, and what has come stays: the copy goes on at the next source, with shorter parts after a late one. One lock lets one configuration come into force at a time, whoever offers it.

Measured: both tests pass; those of plan_copies (sources that change, versions that follow each other, parts that do not fit), readers, relay, relay_records and platform_names pass.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -24,7 +24,7 @@
     CopyTables, CrashWatch, DaemonRecord, DaemonRegistry, FollowPace, LeaseKeeper, LeaseTerm,
     PlanKeeper, PlannerParts, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher,
     RelayFleet, RelayServer, ReplicaPlanner, RetryShare, ServerKeeper, StoreHealth, StoreTable,
-    UpstreamPool, bind_ready, follow_copies, follow_table, spawn_pulses,
+    UpstreamPool, bind_ready, follow_copies, follow_plans, follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -358,6 +358,12 @@
         parts.tables(),
         parts.core.metrics().clone(),
     ));
+    group.spawn_cancellable(follow_plans(
+        parts.readers.clone(),
+        parts.client.clone(),
+        parts.plans.clone(),
+        parts.core.metrics().clone(),
+    ));
     let limits = parts.limits.clone();
     let teams = parts.plans.teams();
     parts
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -211,7 +211,7 @@
             reads_store: self.readers.is_reading(now),
             reading_for: self.readers.reading_for(now),
             weight: self.readers.weight(),
-            tables_version: self.fleet.version() + self.plans.version() + self.registry.version(),
+            tables_version: self.fleet.version() + self.registry.version(),
             loads: self.fleet.own_load(),
             spare: self.spare(),
             demand,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,7 +21,7 @@
 use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
-use crate::relay::{CopyRequest, PlaceWish, Placement, TableCopy};
+use crate::relay::{CopyRequest, PlaceWish, Placement, PlanChunk, PlanRequest, TableCopy};
 
 /// What a daemon reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,8 +86,10 @@
     FetchState,
     /// Asks the planner of the users' platform for a place of a model or adapter that a request needs.
     Place(PlaceWish),
-    /// Asks for what the receiver has read of the users' platform's store; the sender has configuration `plan_version`.
+    /// Asks for what the receiver has read of the users' platform's store.
     FetchTables(CopyRequest),
+    /// Asks for a part of a newer configuration of the users' platform.
+    FetchPlan(PlanRequest),
 }
 
 /// Answer to a [`PeerRequest`].
@@ -103,6 +105,8 @@
     /// Where the item was placed, or `None` if the receiver does not plan or found no place.
     Placed(Option<Placement>),
     Tables(TableCopy),
+    /// `None` if the receiver has no newer configuration.
+    Plan(Option<PlanChunk>),
 }
 
 /// Serves the calls that a [`PeerServer`] accepts.
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -1,6 +1,5 @@
 //! Copies of what other daemons have read of the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,14 +7,18 @@
 use crate::metrics::DaemonMetrics;
 use crate::peer::{PeerCaller, PeerReply, PeerRequest};
 use crate::relay::fleet::RelayFleet;
-use crate::relay::keeper::{PlanKeeper, PlanOrigin};
-use crate::relay::readers::{CopyRequest, FetchMemory, ReaderElection, TableCopy};
+use crate::relay::keeper::PlanKeeper;
+use crate::relay::plan_copy::PlanAssembly;
+use crate::relay::readers::{
+    CopyRequest, CopySource, FetchMemory, ReaderElection, SourceFailures, TableCopy,
+};
 use crate::relay::registry::DaemonRegistry;
+use crate::wire;
 
 /// Time after which sources are looked through again without a pulse.
 const FETCH_PERIOD: Duration = Duration::from_millis(500);
-/// Longest wait for a copy. A source that is cut off must leave time to ask another one before a change has to be in
-/// force.
+/// Longest wait for a list or a part of a configuration. A source that is cut off must leave time to ask another one
+/// before a change has to be in force.
 const FETCH_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a fetch that failed.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
@@ -37,27 +40,19 @@
     pub fn answer(&self, request: PeerRequest) -> Result<PeerReply> {
         match request {
             PeerRequest::FetchTables(asked) => Ok(PeerReply::Tables(self.copy(asked))),
+            PeerRequest::FetchPlan(asked) => Ok(PeerReply::Plan(self.plans.chunk(&asked))),
             _ => Err(Error::internal("no service answers this peer call")),
         }
     }
 
     fn copy(&self, asked: CopyRequest) -> TableCopy {
         TableCopy {
-            plan: self.plans.record_after(asked.plan_version),
             servers: self.fleet.changes_since(asked.servers_version),
             daemons: asked.daemons.then(|| self.registry.copy(Instant::now())),
         }
     }
 
-    /// Takes over a copy from `peer`; the configuration alone, if this daemon reads the store itself.
-    fn apply(&self, copy: TableCopy, peer: SocketAddr, whole: bool) {
-        if let Some(record) = copy.plan {
-            self.plans
-                .offer_record(record.into(), PlanOrigin::Peer(peer));
-        }
-        if !whole {
-            return;
-        }
+    fn apply(&self, copy: TableCopy) {
         let now = Instant::now();
         let changes = copy.servers.into_changes();
         if !changes.is_empty() {
@@ -69,60 +64,108 @@
     }
 }
 
-/// Fetches what daemons that read the store have read, whenever they have something new. A daemon that reads the
-/// store itself fetches a newer configuration all the same: the store may turn it away without a sign.
+/// Fetches the lists that daemons that read the store have read, whenever they have something new and this daemon does not
+/// read by itself.
 pub async fn follow_copies<C: PeerCaller>(
     readers: Arc<ReaderElection>,
     client: Arc<C>,
     tables: CopyTables,
     metrics: Arc<DaemonMetrics>,
 ) {
+    let mut news = readers.news();
     let mut memory = FetchMemory::default();
-    let mut known_plan = 0;
     loop {
         // A lost pulse is made up for by the next one.
-        let _ = tokio::time::timeout(FETCH_PERIOD, readers.changed()).await;
+        let _ = tokio::time::timeout(FETCH_PERIOD, news.changed()).await;
         let now = Instant::now();
         readers.elect(now);
-        let plan_version = tables.plans.version();
-        note_versions(
-            &metrics,
-            plan_version,
-            &mut known_plan,
-            readers.newest_plan(now),
-        );
-        let whole = !readers.is_reading(now);
-        if !whole {
+        if readers.is_reading(now) {
             memory.clear();
+            continue;
         }
-        let failed = memory.failed(now);
-        let source = readers
-            .source(failed, now)
-            .filter(|source| whole && memory.wants(*source, now));
-        let newer = readers.newer_plan(plan_version, failed, now);
-        let Some(asked) = source.or(newer) else {
+        let source = readers.source(memory.failed(now), now);
+        let Some(source) = source.filter(|source| memory.wants(*source, now)) else {
             continue;
         };
-        let request = PeerRequest::FetchTables(memory.request(asked, plan_version, now));
-        match client.call(asked.peer, request, FETCH_WAIT).await {
+        let request = PeerRequest::FetchTables(memory.request(source, now));
+        match client.call(source.peer, request, FETCH_WAIT).await {
             Ok(PeerReply::Tables(copy)) => {
-                if source.is_some() {
-                    memory.fetched(asked, &copy, now);
-                }
+                memory.fetched(source, &copy, now);
                 metrics.count(&metrics.copies, "whole");
-                tables.apply(copy, asked.peer, source.is_some());
+                tables.apply(copy);
             }
-            Ok(_) => log::warn!("{} answered a fetch with something else", asked.peer),
+            Ok(_) => log::warn!("{} answered a fetch with something else", source.peer),
             Err(error) => {
-                log::info!("nothing could be fetched from {}: {error}", asked.peer);
+                log::info!("no list could be fetched from {}: {error}", source.peer);
+                metrics.count(&metrics.copies, "failed");
+                memory.note_failure(source, Instant::now());
+                tokio::time::sleep(FETCH_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Fetches a newer configuration from any daemon that has it, whether or not this daemon reads the store: the store may
+/// turn it away without a sign.
+pub async fn follow_plans<C: PeerCaller>(
+    readers: Arc<ReaderElection>,
+    client: Arc<C>,
+    plans: Arc<PlanKeeper>,
+    metrics: Arc<DaemonMetrics>,
+) {
+    let mut news = readers.news();
+    let mut assembly = PlanAssembly::default();
+    let mut failures = SourceFailures::default();
+    let mut known = 0;
+    loop {
+        let _ = tokio::time::timeout(FETCH_PERIOD, news.changed()).await;
+        let now = Instant::now();
+        note_versions(
+            &metrics,
+            plans.version(),
+            &mut known,
+            readers.newest_plan(now),
+        );
+        while let Some(source) = {
+            let now = Instant::now();
+            readers.newer_plan(plans.version(), failures.latest(now), now)
+        } {
+            let step = fetch_chunk(&*client, source, &mut assembly, &plans).await;
+            if let Err(error) = step {
+                log::info!(
+                    "no configuration could be fetched from {}: {error}",
+                    source.peer
+                );
                 metrics.count(&metrics.copies, "failed");
-                memory.note_failure(asked, Instant::now());
+                failures.note(source, Instant::now());
                 tokio::time::sleep(FETCH_PAUSE).await;
             }
         }
     }
 }
 
+/// Fetches one part of a newer configuration, which comes into force with its last part.
+async fn fetch_chunk<C: PeerCaller>(
+    client: &C,
+    source: CopySource,
+    assembly: &mut PlanAssembly,
+    plans: &PlanKeeper,
+) -> Result<()> {
+    let request = PeerRequest::FetchPlan(assembly.request(plans.version()));
+    let chunk = match client.call(source.peer, request, FETCH_WAIT).await {
+        Ok(PeerReply::Plan(Some(chunk))) => chunk,
+        Ok(_) => return Err(wire::protocol("the daemon has no newer one")),
+        Err(error) => {
+            assembly.note_late();
+            return Err(error);
+        }
+    };
+    match assembly.add(chunk)? {
+        Some(packed) => plans.offer_packed(packed, source.peer),
+        None => Ok(()),
+    }
+}
+
 /// Tells once of each version that a peer has and this daemon has not.
 fn note_versions(metrics: &DaemonMetrics, in_force: u64, known: &mut u64, newest: u64) {
     if newest > in_force.max(*known) {
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -10,11 +10,12 @@
 use tokio::sync::watch;
 
 use crate::catalog::TeamSpec;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::relay::fleet::RelayFleet;
 use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::listing::{ServerChange, ServerEntry};
 use crate::relay::plan::ServingPlan;
+use crate::relay::plan_copy::{PackedPlan, PlanChunk, PlanRequest};
 use crate::relay::store::KeyedRecord;
 
 /// Decodes the record of the configuration.
@@ -22,19 +23,29 @@
 /// Decodes the record of a backend server; the first argument is its key.
 pub type ServerDecoder = fn(&str, &[u8]) -> Result<ServerEntry>;
 
-/// Where a configuration comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlanOrigin {
-    Store,
-    /// A daemon, by its peer address.
-    Peer(SocketAddr),
+/// Where a configuration comes from, for the log; lengths are in bytes.
+enum PlanOrigin {
+    Memory,
+    Store {
+        length: usize,
+    },
+    Peer {
+        peer: SocketAddr,
+        length: usize,
+        packed: usize,
+    },
 }
 
 impl fmt::Display for PlanOrigin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Store => f.write_str("the store"),
-            Self::Peer(address) => address.fmt(f),
+            Self::Memory => f.write_str("memory"),
+            Self::Store { length } => write!(f, "the store: {length} bytes"),
+            Self::Peer {
+                peer,
+                length,
+                packed,
+            } => write!(f, "{peer}: {length} bytes in a copy of {packed}"),
         }
     }
 }
@@ -44,9 +55,19 @@
     key: SmolStr,
     decode: PlanDecoder,
     plans: watch::Sender<Option<Arc<ServingPlan>>>,
-    /// The record of the configuration in force.
-    record: Mutex<Bytes>,
     teams: watch::Sender<Vec<TeamSpec>>,
+    /// The record of the configuration in force. Its lock lets one configuration come into force at a time.
+    held: Mutex<HeldRecord>,
+}
+
+/// The record of a configuration, for copies.
+#[derive(Default)]
+enum HeldRecord {
+    #[default]
+    None,
+    /// As the store gave it.
+    Plain(Bytes),
+    Packed(PackedPlan),
 }
 
 impl PlanKeeper {
@@ -56,8 +77,8 @@
             key: key.into(),
             decode,
             plans: watch::Sender::new(None),
-            record: Mutex::default(),
             teams: watch::Sender::new(Vec::new()),
+            held: Mutex::default(),
         }
     }
 
@@ -76,39 +97,83 @@
         self.plans.borrow().as_ref().map_or(0, |plan| plan.version)
     }
 
-    /// Returns the record of the configuration in force if it is newer than `version`.
-    pub fn record_after(&self, version: u64) -> Option<Vec<u8>> {
-        let record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
-        (self.version() > version).then(|| record.to_vec())
+    /// Returns the part of the configuration in force that another daemon lacks next.
+    pub fn chunk(&self, asked: &PlanRequest) -> Option<PlanChunk> {
+        let mut held = self.held();
+        let version = self.version();
+        if version <= asked.version {
+            return None;
+        }
+        if let HeldRecord::Plain(record) = &*held {
+            match PackedPlan::pack(version, record) {
+                Ok(packed) => *held = HeldRecord::Packed(packed),
+                Err(error) => log::error!("no copy is given: {error}"),
+            }
+        }
+        match &*held {
+            HeldRecord::Packed(packed) => packed.chunk(asked),
+            HeldRecord::None | HeldRecord::Plain(_) => None,
+        }
     }
 
-    /// Takes over the configuration in `record` unless a version as new is in force.
-    pub fn offer_record(&self, record: Bytes, origin: PlanOrigin) {
+    /// Takes over the configuration in a record of the store unless a version as new is in force.
+    pub fn offer_record(&self, record: Bytes) {
         match (self.decode)(&record) {
-            Ok(plan) if plan.version > self.version() => {
-                log::info!(
-                    "configuration {} with {} routes comes from {origin}: {} bytes",
-                    plan.version,
-                    plan.routes().count(),
-                    record.len()
+            Ok(plan) => {
+                let length = record.len();
+                self.adopt(
+                    plan,
+                    HeldRecord::Plain(record),
+                    &PlanOrigin::Store { length },
                 );
-                *self.record.lock().unwrap_or_else(PoisonError::into_inner) = record;
-                self.offer(plan);
             }
-            Ok(_) => {}
             Err(error) => log::error!("a configuration is skipped: {error}"),
         }
     }
 
-    /// Takes over a configuration unless a version as new is in force.
+    /// Takes over the configuration that `peer` has sent unless a version as new is in force.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` if it cannot be read or is of another version than it says.
+    pub fn offer_packed(&self, packed: PackedPlan, peer: SocketAddr) -> Result<()> {
+        let record = packed.unpack()?;
+        let plan = (self.decode)(&record)?;
+        if plan.version != packed.version() {
+            let (named, version) = (packed.version(), plan.version);
+            return Err(Error::invalid(format!(
+                "the copy of configuration {named} holds configuration {version}"
+            )));
+        }
+        let origin = PlanOrigin::Peer {
+            peer,
+            length: record.len(),
+            packed: packed.length(),
+        };
+        self.adopt(plan, HeldRecord::Packed(packed), &origin);
+        Ok(())
+    }
+
+    /// Takes over a configuration that no copies are made of unless a version as new is in force.
     pub fn offer(&self, plan: ServingPlan) {
+        self.adopt(plan, HeldRecord::None, &PlanOrigin::Memory);
+    }
+
+    fn adopt(&self, plan: ServingPlan, record: HeldRecord, origin: &PlanOrigin) {
+        let mut held = self.held();
         let known = self.version();
         if plan.version <= known {
             return;
         }
-        log::info!("configuration {} is in force after {known}", plan.version);
+        log::info!(
+            "configuration {} is in force after {known}; {} routes, from {origin}",
+            plan.version,
+            plan.routes().count(),
+        );
+        *held = record;
         let limited = plan.teams().iter().filter(|team| team.spec.rate > 0);
         let teams: Vec<TeamSpec> = limited.map(|team| team.spec.clone()).collect();
+        // Before the configuration, so that every team that it declares has a budget.
         self.teams.send_if_modified(|current| {
             let changed = *current != teams;
             *current = teams;
@@ -116,6 +181,10 @@
         });
         self.plans.send_replace(Some(Arc::new(plan)));
     }
+
+    fn held(&self) -> MutexGuard<'_, HeldRecord> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl TableSink for PlanKeeper {
@@ -125,7 +194,7 @@
         };
         let own = records.into_iter().filter(|record| record.key == self.key);
         for value in own.filter_map(|record| record.value) {
-            self.offer_record(value, PlanOrigin::Store);
+            self.offer_record(value);
         }
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod listing;
 mod plan;
+mod plan_copy;
 mod planner;
 mod pulse;
 mod readers;
@@ -32,7 +33,7 @@
 
 pub use self::absent::AbsentModels;
 pub use self::call::{AnswerHead, CallFacts, OfferFacts, PromptPart, RelayFormat};
-pub use self::copies::{CopyTables, follow_copies};
+pub use self::copies::{CopyTables, follow_copies, follow_plans};
 pub use self::crash::CrashWatch;
 pub use self::dispatcher::{
     PlanReceiver, RelayAccess, RelayAnswer, RelayBytes, RelayContext, RelayDispatcher, RetryShare,
@@ -46,17 +47,18 @@
 pub use self::exchange::{RelayExchange, RelayPiece, ResponseHead};
 pub use self::fleet::{RelayFleet, holding};
 pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
-pub use self::keeper::{PlanDecoder, PlanKeeper, PlanOrigin, ServerDecoder, ServerKeeper};
+pub use self::keeper::{PlanDecoder, PlanKeeper, ServerDecoder, ServerKeeper};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{LeaseKeeper, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseTerm};
 pub use self::listing::{HeldModel, ServerChange, ServerDelta, ServerEntry};
 pub use self::plan::{
     CallKind, EnginePlan, ModelPlan, RoutePlan, ServicePlan, ServingPlan, TeamPlan,
 };
+pub use self::plan_copy::{PackedPlan, PlanAssembly, PlanChunk, PlanMark, PlanRequest};
 pub use self::planner::{PlannerParts, ReplicaPlanner};
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
 pub use self::readers::{
-    CopyRequest, CopySource, FetchMemory, ReaderElection, StoreHealth, TableCopy,
+    CopyRequest, CopySource, FetchMemory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
 pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
 pub use self::server::{RelayServer, bind_ready};
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::VmId;
@@ -37,8 +37,6 @@
 /// What a daemon asks of one that reads the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyRequest {
-    /// Version of the configuration that the asker has.
-    pub plan_version: u64,
     /// Version of the list of backend servers that the asker has copied from this daemon.
     pub servers_version: Option<u64>,
     /// Whether to send the registrations of daemons.
@@ -48,8 +46,6 @@
 /// What a daemon that reads the store passes on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableCopy {
-    /// The record of the configuration, if it is newer than the one that the asker has.
-    pub plan: Option<Vec<u8>>,
     pub servers: ServerDelta,
     /// Name, record and age of each registration, if they were asked for.
     pub daemons: Option<Vec<(SmolStr, DaemonRecord, Duration)>>,
@@ -108,8 +104,8 @@
     /// Start of the present time as a reader.
     reading_since: Mutex<Instant>,
     health: Arc<StoreHealth>,
-    /// Wakes whoever fetches copies.
-    news: Notify,
+    /// Grows with each pulse; wakes whoever fetches copies.
+    news: watch::Sender<u64>,
 }
 
 impl ReaderElection {
@@ -124,7 +120,7 @@
             reading: watch::Sender::new(true),
             reading_since: Mutex::new(Instant::now()),
             health,
-            news: Notify::new(),
+            news: watch::Sender::new(0),
         }
     }
 
@@ -152,9 +148,9 @@
         now.saturating_duration_since(*since)
     }
 
-    /// Resolves after a pulse that may bring news.
-    pub async fn changed(&self) {
-        self.news.notified().await;
+    /// Subscribes to pulses, which may bring news.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
     }
 
     /// Takes in a pulse.
@@ -172,7 +168,7 @@
         };
         self.peers().insert(pulse.name.clone(), reading);
         self.elect(now);
-        self.news.notify_one();
+        self.news.send_modify(|count| *count += 1);
     }
 
     /// Works out again whether this daemon reads the store. Of two readers in a zone the one that has read for longer
@@ -212,8 +208,8 @@
         best.map(|(_, peer)| peer.as_source())
     }
 
-    /// Returns a daemon that has a newer configuration than `version`: any of the own zone if there is one, so that the
-    /// copies do not all come from one VM. `failed` is the last choice.
+    /// Returns a daemon that has a newer configuration than `version`: any of those of the own zone that have the newest, if
+    /// there are some, so that the copies do not all come from one VM. `failed` is the last choice.
     pub fn newer_plan(
         &self,
         version: u64,
@@ -224,7 +220,8 @@
         let newer = fresh.filter(|(_, peer)| peer.plan_version > version);
         let best = newer.max_by_key(|(_, peer)| {
             let answers = Some(peer.vm) != failed;
-            (answers, peer.zone == self.zone, rand::random::<u32>())
+            let near = peer.zone == self.zone;
+            (answers, near, peer.plan_version, rand::random::<u32>())
         });
         best.map(|(_, peer)| peer.as_source())
     }
@@ -291,8 +288,24 @@
     last: Option<LastCopy>,
     /// When the registrations of daemons were copied last.
     daemons_at: Option<Instant>,
-    /// A source that did not answer, and when.
-    failed: Option<(VmId, Instant)>,
+    failures: SourceFailures,
+}
+
+/// Remembers the source that did not answer last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SourceFailures(Option<(VmId, Instant)>);
+
+impl SourceFailures {
+    /// Notes that `source` did not answer.
+    pub fn note(&mut self, source: CopySource, now: Instant) {
+        self.0 = Some((source.vm, now));
+    }
+
+    /// Returns the source that did not answer a moment ago.
+    pub fn latest(&self, now: Instant) -> Option<VmId> {
+        let failed = self.0.filter(|(_, at)| *at + FAILED_LIFE > now);
+        failed.map(|(vm, _)| vm)
+    }
 }
 
 impl FetchMemory {
@@ -304,10 +317,9 @@
     }
 
     /// Returns what to ask of `source`, so that nothing is sent again that was copied before.
-    pub fn request(&self, source: CopySource, plan_version: u64, now: Instant) -> CopyRequest {
+    pub fn request(&self, source: CopySource, now: Instant) -> CopyRequest {
         let last = self.last.filter(|last| last.vm == source.vm);
         CopyRequest {
-            plan_version,
             servers_version: last.map(|last| last.servers_version),
             daemons: last.is_none() || self.daemons_at.is_none_or(|at| at + DAEMONS_LIFE <= now),
         }
@@ -333,12 +345,11 @@
 
     /// Notes that `source` did not answer.
     pub fn note_failure(&mut self, source: CopySource, now: Instant) {
-        self.failed = Some((source.vm, now));
+        self.failures.note(source, now);
     }
 
     /// Returns the source that did not answer a moment ago.
     pub fn failed(&self, now: Instant) -> Option<VmId> {
-        let failed = self.failed.filter(|(_, at)| *at + FAILED_LIFE > now);
-        failed.map(|(vm, _)| vm)
+        self.failures.latest(now)
     }
 }
--- /dev/null
+++ b/tests/plan_copies.rs
@@ -0,0 +1,135 @@
+//! Copies of the configuration in chunks.
+
+use foxtailhill::platform;
+use foxtailhill::relay::{PackedPlan, PlanAssembly, PlanChunk, PlanKeeper};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+/// A record that hardly becomes shorter by compression.
+fn record(seed: u64, length: usize) -> Vec<u8> {
+    let mut random = StdRng::seed_from_u64(seed);
+    (0..length).map(|_| random.random()).collect()
+}
+
+fn pack(version: u64, seed: u64) -> eyre::Result<PackedPlan> {
+    Ok(PackedPlan::pack(version, &record(seed, 500_000))?)
+}
+
+/// Asks `source` once; returns the configuration if it is whole now.
+fn step(
+    assembly: &mut PlanAssembly,
+    source: &PackedPlan,
+    in_force: u64,
+) -> eyre::Result<Option<PackedPlan>> {
+    let asked = assembly.request(in_force);
+    let chunk = source
+        .chunk(&asked)
+        .ok_or_else(|| eyre::eyre!("nothing newer than {in_force}"))?;
+    Ok(assembly.add(chunk)?)
+}
+
+/// Guards against a copy that starts over when its source goes, or when chunks are late.
+#[test]
+fn copy_goes_on_at_another_source_after_failures() -> eyre::Result<()> {
+    for seed in 0..50 {
+        let mut random = StdRng::seed_from_u64(seed);
+        // Two daemons that have compressed the same record.
+        let sources = [pack(8, seed)?, pack(8, seed)?];
+        let mut assembly = PlanAssembly::default();
+        let mut asked = 0;
+        let whole = loop {
+            asked += 1;
+            eyre::ensure!(asked < 1_000, "seed {seed}: no copy after {asked} calls");
+            if random.random_bool(0.4) {
+                assembly.note_late();
+                continue;
+            }
+            let source = &sources[random.random_range(0..sources.len())];
+            if let Some(packed) = step(&mut assembly, source, 6)? {
+                break packed;
+            }
+        };
+        eyre::ensure!(whole.version() == 8, "seed {seed}");
+        eyre::ensure!(whole.unpack()? == record(seed, 500_000), "seed {seed}");
+    }
+    Ok(())
+}
+
+/// Guards against two configurations whose parts are mixed, and against one that never becomes whole because a newer one
+/// was begun.
+#[test]
+fn configurations_that_follow_each_other_are_copied_apart() -> eyre::Result<()> {
+    let (older, newer) = (pack(8, 1)?, pack(10, 2)?);
+    let mut assembly = PlanAssembly::default();
+    let mut done = Vec::new();
+    for turn in 0..1_000 {
+        let source = if turn % 2 == 0 { &newer } else { &older };
+        if done.contains(&source.version()) {
+            continue;
+        }
+        if let Some(packed) = step(&mut assembly, source, 6)? {
+            let seed = if packed.version() == 8 { 1 } else { 2 };
+            eyre::ensure!(packed.unpack()? == record(seed, 500_000));
+            done.push(packed.version());
+        }
+    }
+    done.sort_unstable();
+    eyre::ensure!(done == [8, 10], "{done:?}");
+    eyre::ensure!(older.chunk(&assembly.request(8)).is_none(), "8 is in force");
+    Ok(())
+}
+
+/// Guards against a chunk that is put in the wrong place, too long, or of bytes that changed on the way.
+#[test]
+fn chunks_that_do_not_fit_are_refused() -> eyre::Result<()> {
+    let packed = pack(8, 3)?;
+    let first = |assembly: &mut PlanAssembly| packed.chunk(&assembly.request(6));
+    let changes: [fn(&mut PlanChunk); 4] = [
+        |chunk| chunk.from += 1,
+        |chunk| chunk.length = 10,
+        |chunk| chunk.bytes = chunk.bytes.slice(1..),
+        |chunk| chunk.mark.digest ^= 1,
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let mut assembly = PlanAssembly::default();
+        let mut refused = false;
+        for _ in 0..1_000 {
+            let mut chunk = first(&mut assembly).ok_or_else(|| eyre::eyre!("nothing newer"))?;
+            change(&mut chunk);
+            match assembly.add(chunk) {
+                Err(_) => {
+                    refused = true;
+                    break;
+                }
+                Ok(whole) => eyre::ensure!(whole.is_none(), "change {index} went unnoticed"),
+            }
+        }
+        // Chunks of a changed digest never belong to the same copy twice, so that copy does not become whole.
+        eyre::ensure!(refused || index == 3, "change {index} went unnoticed");
+    }
+    Ok(())
+}
+
+/// Guards against a copy that comes into force though it is of another version than its name says, or no configuration.
+#[test]
+fn copy_that_is_not_what_it_says_does_not_come_into_force() -> eyre::Result<()> {
+    let plans = PlanKeeper::new(platform::CONFIGURATION_KEY, platform::decode_plan);
+    let peer = ([127, 0, 0, 1], 1).into();
+    let config = json!({"version": 7, "routes": []}).to_string();
+    let misnamed = PackedPlan::pack(9, config.as_bytes())?;
+    eyre::ensure!(plans.offer_packed(misnamed, peer).is_err());
+    let garbage = PackedPlan::pack(9, b"no configuration")?;
+    eyre::ensure!(plans.offer_packed(garbage, peer).is_err());
+    eyre::ensure!(plans.version() == 0);
+    let packed = PackedPlan::pack(7, config.as_bytes())?;
+    plans.offer_packed(packed.clone(), peer)?;
+    eyre::ensure!(plans.version() == 7);
+    let mut assembly = PlanAssembly::default();
+    let passed_on = plans.chunk(&assembly.request(6));
+    eyre::ensure!(
+        passed_on == packed.chunk(&assembly.request(6)),
+        "the copy is not passed on"
+    );
+    Ok(())
+}
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -180,7 +180,7 @@
     };
     let now = Instant::now();
     let mut memory = FetchMemory::default();
-    let first = memory.request(source, 4, now);
+    let first = memory.request(source, now);
     assert_eq!((first.servers_version, first.daemons), (None, true));
     let mut copy = TableCopy {
         daemons: Some(Vec::new()),
@@ -188,15 +188,15 @@
     };
     copy.servers.version = 7;
     memory.fetched(source, &copy, now);
-    let next = memory.request(source, 4, now);
+    let next = memory.request(source, now);
     assert_eq!((next.servers_version, next.daemons), (Some(7), false));
-    let later = memory.request(source, 4, now + Duration::from_secs(2));
+    let later = memory.request(source, now + Duration::from_secs(2));
     assert!(later.daemons);
     let other = CopySource {
         vm: VmId(2),
         ..source
     };
-    let moved = memory.request(other, 4, now);
+    let moved = memory.request(other, now);
     assert_eq!((moved.servers_version, moved.daemons), (None, true));
 }
 
--- a/tests/regression/plan_copy_over_slow_link.rs
+++ b/tests/regression/plan_copy_over_slow_link.rs
@@ -13,8 +13,8 @@
 use foxtailhill::peer::{PeerCaller, PeerReply, PeerRequest};
 use foxtailhill::platform;
 use foxtailhill::relay::{
-    CopyTables, DaemonRecord, DaemonRegistry, PlanKeeper, PlanOrigin, Pulse, ReaderElection,
-    RegistrySettings, RelayFleet, StoreHealth, follow_copies,
+    CopyTables, DaemonRecord, DaemonRegistry, PlanKeeper, Pulse, ReaderElection, RegistrySettings,
+    RelayFleet, StoreHealth, follow_copies, follow_plans,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -120,9 +120,7 @@
     let (source, copier) = (tables("entry-1"), tables("entry-0"));
     let record = grown_configuration(8).to_string();
     eyre::ensure!(record.len() > 350_000, "{} bytes", record.len());
-    source
-        .plans
-        .offer_record(record.into_bytes().into(), PlanOrigin::Store);
+    source.plans.offer_record(record.into_bytes().into());
     let health = Arc::new(StoreHealth::default());
     let election = Arc::new(ReaderElection::new(
         "entry-0".into(),
@@ -137,10 +135,12 @@
     let metrics = Arc::new(DaemonMetrics::new());
     group.spawn_cancellable(follow_copies(
         election.clone(),
-        link,
+        link.clone(),
         copier.clone(),
-        metrics,
+        metrics.clone(),
     ));
+    let plans = copier.plans.clone();
+    group.spawn_cancellable(follow_plans(election.clone(), link, plans, metrics));
     let end = tokio::time::Instant::now() + BOUND;
     while tokio::time::Instant::now() < end && copier.plans.version() == 0 {
         election.heard(&reader_pulse(8), Instant::now());
