--- a/tests/regression/team_share_deadlock.rs
+++ b/tests/regression/team_share_deadlock.rs
@@ -1,5 +1,5 @@
-//! A daemon stood still for ever: while it worked out its shares it held the list of teams that its budgets read again, and
-//! a new configuration waited in between.
+//! A daemon with several threads stood still for ever: while it worked out its shares it held the list of teams that its
+//! budgets read again, and a new configuration waited in between.
 
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
