Work out shares of teams only when daemons or teams change

A daemon worked out its share of each team anew every 200 ms, on the thread that carries requests, copies and pulses. In a large fleet that took a large part of a small VM's processor, and all else waited meanwhile.

Cause: the task did so at each tick whether or not anything had changed, and the order of a team's homes formatted and hashed names at each comparison of a sort. Class: work that grows with teams and daemons at a fixed period on the request path's thread.

Change: shares are worked out when the registered daemons or the teams have changed, and a name is hashed once a team. The deadlock test has more teams, as less time is spent in the step that it aims at; with that fault put back it still fails.

--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -116,7 +116,7 @@
         self: &Arc<Self>,
         store: Arc<R>,
         limits: Arc<LimitService<C>>,
-        teams: watch::Receiver<Vec<TeamSpec>>,
+        mut teams: watch::Receiver<Vec<TeamSpec>>,
         timer: &TimerService,
         group: &TaskGroup,
     ) {
@@ -127,11 +127,17 @@
         let now = Instant::now();
         limits.adopt_share(Some(self.share(now)), now);
         group.spawn_cancellable(async move {
+            // Version of the registered daemons by which the shares were worked out.
+            let mut known = None;
             while let Some(now) = ticks.next().await {
                 registry.expire(now);
-                // The limiter reads the teams as well, so they must be free again before it is called.
-                let shares = registry.team_shares(&teams.borrow());
-                limits.set_team_shares(shares);
+                let version = Some(registry.version());
+                if known != version || teams.has_changed().unwrap_or(false) {
+                    known = version;
+                    // The limiter reads the teams as well, so they must be free again before it is called.
+                    let shares = registry.team_shares(&teams.borrow_and_update());
+                    limits.set_team_shares(shares);
+                }
                 limits.adopt_share(Some(registry.share(now)), now);
             }
         });
@@ -279,7 +285,7 @@
     let wanted = (team.burst / HOME_BURST) as usize;
     let wanted = wanted.max(LEAST_HOMES).min(members.len());
     let mut ranked = members.to_vec();
-    ranked.sort_by_key(|(name, _)| xxh3_64(format!("{}\0{name}", team.name).as_bytes()));
+    ranked.sort_by_cached_key(|(name, _)| xxh3_64(format!("{}\0{name}", team.name).as_bytes()));
     let mut zones = HashSet::new();
     let (first, rest): (Vec<_>, Vec<_>) = ranked
         .into_iter()
--- a/tests/regression/team_share_deadlock.rs
+++ b/tests/regression/team_share_deadlock.rs
@@ -15,11 +15,11 @@
 use serde_json::json;
 
 /// Enough for shares to take a good part of the period in which they are worked out.
-const TEAMS: usize = 200;
+const TEAMS: usize = 1_000;
 const DAEMONS: u16 = 80;
 /// Configurations, spread over several of these periods.
-const VERSIONS: u64 = 100;
-const VERSION_PAUSE: Duration = Duration::from_millis(10);
+const VERSIONS: u64 = 1_000;
+const VERSION_PAUSE: Duration = Duration::from_millis(1);
 /// Generous bound; the configurations take seconds.
 const PATIENCE: Duration = Duration::from_secs(60);
 
