Do not blame callers for names that cannot stand in a header

Callers would get 400, which they do not repeat, for proper requests of a team whose name holds a control character, or that were routed to a server whose id does.

Cause: the headers of an offer are built from names of the store, and a name that cannot be sent was called invalid, as a mistake of the caller is. Class: an odd record of the store that is told as the caller's mistake.

Evidence: name_of_a_team_is_no_mistake_of_its_callers (400 for 503) and record_of_a_server_that_cannot_be_named_is_skipped failed before.

Change: such a name is an internal failure, answered 503, and a server whose id cannot be sent is not listed.

Measured: both tests pass, with those of relay, relay_records, regression, fleet_shares, team_shares and platform_names.

--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -184,7 +184,7 @@
 
 fn value(text: &str) -> Result<HeaderValue> {
     HeaderValue::from_str(text)
-        .map_err(|_| Error::invalid(format!("`{text}` cannot stand in a header")))
+        .map_err(|_| Error::internal(format!("`{text}` cannot stand in a header")))
 }
 
 fn malformed(name: &HeaderName) -> Error {
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use http::HeaderValue;
 use serde::Deserialize;
 use serde_json::Value;
 use smol_str::SmolStr;
@@ -57,8 +58,11 @@
 ///
 /// # Errors
 ///
-/// `Invalid` if a field is missing or has another type or an unknown state: another writer may have left it.
+/// `Invalid` if a field is missing or has another type or an unknown state, or the id cannot stand in a header: another writer
+/// may have left it.
 pub fn decode_server(id: &str, record: &[u8]) -> Result<ServerEntry> {
+    HeaderValue::from_str(id)
+        .map_err(|_| Error::invalid(format!("id of server `{id}` cannot stand in a header")))?;
     let server: ServerRecord = serde_json::from_slice(record)
         .map_err(|error| Error::invalid(format!("record of server `{id}`: {error}")))?;
     Ok(ServerEntry {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -80,7 +80,7 @@
     ///
     /// # Errors
     ///
-    /// `Invalid` if a value cannot stand in a header.
+    /// `Internal` if a value cannot stand in a header: no value comes from the caller.
     fn add_offer(&self, headers: &mut HeaderMap, offer: &OfferFacts<'_>) -> Result<()>;
 
     /// Judges the head of an answer to the request `id`, offered to `server`.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,10 +2,13 @@
 
 #[path = "../process_support/mod.rs"]
 mod process_support;
+#[path = "../relay_support/mod.rs"]
+mod relay_support;
 
 mod demand_board_deadlock;
 mod hangup;
 mod key_in_debug_form;
+mod name_in_header;
 mod plan_copy_over_slow_link;
 mod stale_load_report;
 mod suspect_reservation;
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -218,3 +218,17 @@
     assert!(error.message().contains("not above 0"), "{error}");
     Ok(())
 }
+
+/// Guards against a server whose id cannot stand in a header: requests that are routed to it would all be refused.
+#[test]
+fn record_of_a_server_that_cannot_be_named_is_skipped() {
+    for (id, listed) in [
+        ("i-1", true),
+        ("i-à", true),
+        ("i\n1", false),
+        ("i\u{7f}", false),
+    ] {
+        let (id, record) = server(id, "ready");
+        assert_eq!(decode_server(&id, &record).is_ok(), listed, "{id:?}");
+    }
+}
