Bound the silence of a read of the store, not the whole transfer

A configuration whose transfer took longer than a fixed time never arrived over a slow link, and callers of its new routes got 404 for as long as it did not.

Cause: one deadline covered head and body of an answer (1.5 s), and the follower put another around it: 1.5 s for all pages of a table, and the wait of a read and 600 ms, which left 600 ms for a record that arrived late in the wait. What had come by then was dropped, and the next read began from nothing. Class: a bound on a whole transfer that is started over.

Evidence: against a stand-in that sends an answer in 15 pieces 200 ms apart, newest and read of the code before end with `no whole answer within 1500 ms`, and a follower reports 35 failed reads in 60 s and no table.

Change: a call takes bounds of its head, of the silence between two parts of the body and of the whole; a plain duration bounds all three, as before, for all callers but reads of the store. These give up after the same wait for a head as before, after 1 s of silence, and after 15 s in all. A table may have 64 pages, as the follower's bound no longer ends pages without end. The follower lets a read go on that is past its former bound, but reports the table as unreachable at that point, as before, so that nothing lapses and copies are fetched meanwhile. It reads on at once after such a read, and drops what it brought if the daemon has ceased to read the store by then, except for configurations, of which an older one has no effect.

Measured: slow_answer_of_the_store_arrives, slow_table_is_read_once and pages_without_end_are_given_up failed before. All of tests/regression pass twice, with readers, relay, relay_records, path, start and verdicts. As trials, answer_that_goes_silent_is_given_up fails with a silence of 100 s, and late_table_of_a_former_reader_is_dropped fails if late reads are not dropped.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,11 +15,19 @@
 use crate::relay::{
     KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
 };
-use crate::wire::{self, HttpCaller, WireAnswer};
+use crate::wire::{self, CallBounds, HttpCaller, WireAnswer};
 
 const CONNECT_WAIT: Duration = Duration::from_millis(500);
-/// Longest wait for an answer, beyond the time that a read may wait for records.
+/// Longest wait for a short answer, and for the head of a page.
 const CALL_WAIT: Duration = Duration::from_millis(1_500);
+/// Added to the time that a read may wait for records before it is given up: the connection may have gone silent.
+const READ_SLACK: Duration = Duration::from_millis(600);
+/// Longest silence within an answer: a link that loses packets pauses for some hundred ms.
+const SILENCE_WAIT: Duration = Duration::from_secs(1);
+/// Longest time of a read beyond its wait, and of reading a whole table; a slow link takes seconds for a configuration.
+const TRANSFER_WAIT: Duration = Duration::from_secs(15);
+/// Most pages of a table.
+const MAX_PAGES: usize = 64;
 /// A page of newest records holds at most 1 MB before its encoding; a read returns at most [`MAX_KB`].
 const ANSWER_LIMIT: usize = 4 << 20;
 /// Topic of the planner's lease, and its only key.
@@ -65,13 +73,10 @@
         method: Method,
         path: &str,
         body: Bytes,
-        wait: Duration,
+        bounds: impl Into<CallBounds>,
     ) -> Result<WireAnswer> {
         let request = wire::request(self.address, method, path, body)?;
-        let answer = self
-            .caller
-            .call(request, CALL_WAIT + wait, ANSWER_LIMIT)
-            .await?;
+        let answer = self.caller.call(request, bounds, ANSWER_LIMIT).await?;
         match answer.status {
             StatusCode::SERVICE_UNAVAILABLE => {
                 Err(Error::unavailable("the store is not available"))
@@ -90,33 +95,40 @@
             path.push_str("&after=");
             path.extend(after.bytes().map(|byte| format!("%{byte:02X}")));
         }
-        let answer = self
-            .call(Method::GET, &path, Bytes::new(), Duration::ZERO)
-            .await?;
+        let bounds = long_answer(CALL_WAIT, Duration::ZERO);
+        let answer = self.call(Method::GET, &path, Bytes::new(), bounds).await?;
         wire::decode(&answer)
     }
-}
 
-impl RecordStore for StoreClient {
-    async fn newest(&self, table: StoreTable) -> Result<TableRead> {
-        let topic = topic(table);
+    async fn newest_pages(&self, topic: &str) -> Result<TableRead> {
         let mut read = TableRead::default();
-        let mut first = true;
-        loop {
+        for page in 0..MAX_PAGES {
             let after = read.records.last().map(|record| record.key.clone());
-            let page = self.newest_page(topic, after.as_deref()).await?;
+            let page_read = self.newest_page(topic, after.as_deref()).await?;
             // Pages are not a snapshot: what was written after the first one is read again.
-            if std::mem::take(&mut first) {
-                read.next = LogOffset(page.end);
+            if page == 0 {
+                read.next = LogOffset(page_read.end);
             }
-            let full = !page.items.is_empty();
-            for item in page.items {
+            let full = !page_read.items.is_empty();
+            for item in page_read.items {
                 read.records.push(newest_record(item)?);
             }
-            if !page.has_more || !full {
+            if !page_read.has_more || !full {
                 return Ok(read);
             }
         }
+        Err(wire::protocol(format!(
+            "topic `{topic}` has more than {MAX_PAGES} pages"
+        )))
+    }
+}
+
+impl RecordStore for StoreClient {
+    async fn newest(&self, table: StoreTable) -> Result<TableRead> {
+        let pages = self.newest_pages(topic(table));
+        tokio::time::timeout(TRANSFER_WAIT, pages)
+            .await
+            .unwrap_or_else(|_| Err(wire::timed_out("no whole table", TRANSFER_WAIT)))
     }
 
     async fn read(
@@ -130,7 +142,8 @@
             topic(table),
             wait.as_millis()
         );
-        let answer = self.call(Method::GET, &path, Bytes::new(), wait).await?;
+        let bounds = long_answer(wait + READ_SLACK, wait);
+        let answer = self.call(Method::GET, &path, Bytes::new(), bounds).await?;
         match answer.status {
             StatusCode::OK => decode_read(from, answer.body).map(Some),
             StatusCode::GONE => Ok(None),
@@ -141,7 +154,7 @@
     async fn put(&self, table: StoreTable, key: &str, value: Bytes) -> Result<()> {
         let path = format!("/api/log-append?topic={}&part=0", topic(table));
         let body = encode_record(key, &value)?;
-        let answer = self.call(Method::POST, &path, body, Duration::ZERO).await?;
+        let answer = self.call(Method::POST, &path, body, CALL_WAIT).await?;
         match answer.status {
             StatusCode::OK => Ok(()),
             status => Err(unexpected(status)),
@@ -192,7 +205,7 @@
             .map_err(|error| Error::internal(format!("the lease cannot be encoded: {error}")))?;
         let path = format!("/api/log-append?topic={LEASE_TOPIC}&part=0&at={at}");
         let body = encode_record(LEASE_KEY, &value)?;
-        let answer = self.call(Method::POST, &path, body, Duration::ZERO).await?;
+        let answer = self.call(Method::POST, &path, body, CALL_WAIT).await?;
         match answer.status {
             StatusCode::OK => Ok(true),
             // The partition ends elsewhere: somebody else has written.
@@ -202,6 +215,15 @@
     }
 }
 
+/// Bounds a call whose answer may be long and begins after up to `head`, of which it may wait `wait` for records.
+fn long_answer(head: Duration, wait: Duration) -> CallBounds {
+    CallBounds {
+        head,
+        silence: SILENCE_WAIT,
+        whole: wait + TRANSFER_WAIT,
+    }
+}
+
 fn topic(table: StoreTable) -> &'static str {
     match table {
         StoreTable::Configuration => "keyed.op",
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -1,5 +1,6 @@
 //! Follows a table of the store.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,9 +14,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after the first read, in which a daemon that starts hears who reads the store for its zone.
 const ELECTION_PAUSE: Duration = Duration::from_millis(500);
-/// Added to the wait of a read before the read is given up: the connection may have gone silent.
+/// Added to the wait of a read before the read is late.
 const READ_SLACK: Duration = Duration::from_millis(600);
-/// Longest time of reading a whole table.
+/// Time of reading a whole table before it is late.
 const NEWEST_WAIT: Duration = Duration::from_millis(1_500);
 
 /// What was read of a table.
@@ -25,7 +26,7 @@
     Whole(Vec<KeyedRecord>),
     /// Records in the order of writing.
     Records(Vec<KeyedRecord>),
-    /// A read failed. The table is unknown until the next change.
+    /// A read failed or is late. The table is unknown until the next change.
     Unreachable,
 }
 
@@ -63,7 +64,17 @@
             }
             continue;
         }
-        let result = step(&*store, table, next, pace).await;
+        let late = || {
+            log::info!("a read of table {table:?} of the store takes long");
+            health.note(false, Instant::now());
+            sink.apply(TableChange::Unreachable);
+        };
+        let due = next.map_or(NEWEST_WAIT, |_| pace.wait + READ_SLACK);
+        let (result, is_late) = unhurried(due, step(&*store, table, next, pace), late).await;
+        if is_late && !*reading.borrow() && !table.is_versioned() {
+            // Copies from the reader are newer by now.
+            continue;
+        }
         health.note(result.is_ok(), Instant::now());
         match result {
             Ok((from, change)) => {
@@ -76,7 +87,8 @@
                 if let Some(change) = change {
                     sink.apply(change);
                 }
-                if next.is_some() {
+                // What has come since a late read began is read at once.
+                if next.is_some() && !is_late {
                     let pause = pace.pause.max(if first {
                         ELECTION_PAUSE
                     } else {
@@ -105,11 +117,10 @@
     pace: FollowPace,
 ) -> crate::Result<(Option<LogOffset>, Option<TableChange>)> {
     let Some(from) = next else {
-        let read = bounded(NEWEST_WAIT, store.newest(table)).await?;
+        let read = store.newest(table).await?;
         return Ok((Some(read.next), Some(TableChange::Whole(read.records))));
     };
-    let read = store.read(table, from, pace.wait);
-    match bounded(pace.wait + READ_SLACK, read).await? {
+    match store.read(table, from, pace.wait).await? {
         Some(read) if read.records.is_empty() => Ok((Some(read.next), None)),
         Some(read) => Ok((Some(read.next), Some(TableChange::Records(read.records)))),
         // Records were deleted; the newest ones are kept.
@@ -117,14 +128,16 @@
     }
 }
 
-async fn bounded<T>(
-    wait: Duration,
-    call: impl Future<Output = crate::Result<T>>,
-) -> crate::Result<T> {
-    tokio::time::timeout(wait, call).await.unwrap_or_else(|_| {
-        Err(crate::Error::new(
-            crate::Category::Timeout,
-            "the store did not answer in time",
-        ))
-    })
+/// Awaits `call` to its end and calls `late` once `due` has passed before. Returns whether it has.
+async fn unhurried<T>(
+    due: Duration,
+    call: impl Future<Output = T>,
+    late: impl FnOnce(),
+) -> (T, bool) {
+    let mut call = pin!(call);
+    if let Ok(output) = tokio::time::timeout(due, &mut call).await {
+        return (output, false);
+    }
+    late();
+    (call.await, true)
 }
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -20,6 +20,13 @@
     Daemons,
 }
 
+impl StoreTable {
+    /// Returns whether its records carry versions, so that an old one does not replace a newer one.
+    pub fn is_versioned(self) -> bool {
+        self == Self::Configuration
+    }
+}
+
 /// One record of a table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
@@ -36,6 +43,8 @@
 }
 
 /// Client of the store's tables.
+///
+/// A read ends with an error soon after its connection goes silent; one whose bytes keep coming may take many seconds.
 pub trait RecordStore: Send + Sync + 'static {
     /// Reads the newest record of each key.
     fn newest(&self, table: StoreTable) -> impl Future<Output = Result<TableRead>> + Send;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -30,6 +30,28 @@
 type ResettingConnector = MapResponse<HttpConnector, fn(TcpIo) -> TcpIo>;
 type TcpIo = TokioIo<TcpStream>;
 
+/// Time limits of a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallBounds {
+    /// Longest wait for the head of the answer.
+    pub(crate) head: Duration,
+    /// Longest silence between two parts of the body.
+    pub(crate) silence: Duration,
+    /// Longest time of the whole call.
+    pub(crate) whole: Duration,
+}
+
+impl From<Duration> for CallBounds {
+    /// Bounds a call as a whole.
+    fn from(wait: Duration) -> Self {
+        Self {
+            head: wait,
+            silence: wait,
+            whole: wait,
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub(crate) struct WireAnswer {
@@ -99,20 +121,20 @@
         }
     }
 
-    /// Sends `request` and waits up to `wait` for an answer whose body has at most `limit` bytes.
+    /// Sends `request` and waits within `bounds` for an answer whose body has at most `limit` bytes.
     pub(crate) async fn call(
         &self,
         request: Request<Full<Bytes>>,
-        wait: Duration,
+        bounds: impl Into<CallBounds>,
         limit: usize,
     ) -> Result<WireAnswer> {
-        let deadline = tokio::time::Instant::now() + wait;
-        let (head, body) = self.send(request, wait).await?.into_parts();
-        let body = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect())
+        let bounds = bounds.into();
+        let deadline = tokio::time::Instant::now() + bounds.whole;
+        let (head, body) = self.send(request, bounds.head).await?.into_parts();
+        let body = collect(Limited::new(body, limit), bounds.silence);
+        let body = tokio::time::timeout_at(deadline, body)
             .await
-            .map_err(|_| timed_out("no whole answer", wait))?
-            .map_err(|error| protocol(format!("answer broke off: {error}")))?
-            .to_bytes();
+            .map_err(|_| timed_out("no whole answer", bounds.whole))??;
         Ok(WireAnswer {
             status: head.status,
             headers: head.headers,
@@ -121,6 +143,21 @@
     }
 }
 
+/// Collects a body of which no part takes longer than `silence`.
+async fn collect(mut body: Limited<Incoming>, silence: Duration) -> Result<Bytes> {
+    let mut parts: Vec<Bytes> = Vec::new();
+    loop {
+        let frame = tokio::time::timeout(silence, body.frame())
+            .await
+            .map_err(|_| timed_out("no further part of the answer", silence))?;
+        match frame {
+            Some(Ok(frame)) => parts.extend(frame.into_data().ok()),
+            Some(Err(error)) => return Err(protocol(format!("answer broke off: {error}"))),
+            None => return Ok(parts.concat().into()),
+        }
+    }
+}
+
 fn with_reset(io: TcpIo) -> TcpIo {
     reset_on_close(io.inner());
     io
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -10,6 +10,7 @@
 mod key_in_debug_form;
 mod name_in_header;
 mod plan_copy_over_slow_link;
+mod slow_store_answer;
 mod stale_load_report;
 mod suspect_reservation;
 mod team_share_deadlock;
--- /dev/null
+++ b/tests/regression/slow_store_answer.rs
@@ -0,0 +1,391 @@
+//! Long answers of the platform's store were given up midway on a slow link and read again from their beginning, so that
+//! they never arrived.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use eyre::{bail, ensure};
+use foxtailhill::Result;
+use foxtailhill::ids::LogOffset;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::platform::StoreClient;
+use foxtailhill::relay::{
+    FollowPace, RecordStore, StoreHealth, StoreTable, TableChange, TableRead, TableSink,
+    follow_table,
+};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
+
+/// Generous bound of every wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Number of pieces of a slow answer, and the time between them: 3 s in all, longer than any wait for a head here.
+const PIECES: usize = 15;
+const PIECE_PAUSE: Duration = Duration::from_millis(200);
+const VALUE: &[u8] = &[7; 3_000];
+const PACE: FollowPace = FollowPace {
+    wait: Duration::from_millis(500),
+    pause: Duration::ZERO,
+};
+
+/// How the body of an answer is sent.
+#[derive(Clone, Copy, Debug)]
+enum BodyPace {
+    AtOnce,
+    Slow,
+    /// Nothing follows the first half, and the connection stays open.
+    SilentMidway,
+    /// The slow beginning of a body that never ends.
+    Trickle,
+    /// Bytes as fast as they are taken, without end.
+    Flood,
+}
+
+/// Answers a request by its path and the number of requests before it.
+type StoreScript = fn(&str, usize) -> (Bytes, BodyPace);
+
+/// Stand-in of the store.
+struct ScriptedStore {
+    address: SocketAddr,
+    paths: Arc<Mutex<Vec<String>>>,
+    group: TaskGroup,
+}
+
+impl ScriptedStore {
+    async fn bind(script: StoreScript) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let paths = Arc::<Mutex<Vec<String>>>::default();
+        let group = TaskGroup::new();
+        let (seen, connections) = (paths.clone(), group.clone());
+        group.spawn_cancellable(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let seen = seen.clone();
+                connections.spawn_cancellable(async move {
+                    // A client may close its connection at any time.
+                    let _ = serve(stream, &seen, script).await;
+                });
+            }
+        });
+        Ok(Self {
+            address,
+            paths,
+            group,
+        })
+    }
+
+    fn client(&self) -> StoreClient {
+        StoreClient::open(self.address)
+    }
+
+    fn requests(&self, call: &str) -> usize {
+        let paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
+        paths.iter().filter(|path| path.contains(call)).count()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    paths: &Mutex<Vec<String>>,
+    script: StoreScript,
+) -> eyre::Result<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await?);
+        }
+        let head = String::from_utf8(head)?;
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let earlier = {
+            let mut paths = paths.lock().unwrap_or_else(PoisonError::into_inner);
+            paths.push(path.to_owned());
+            paths.len() - 1
+        };
+        let (body, pace) = script(path, earlier);
+        let length = match pace {
+            BodyPace::Trickle => 1_000_000,
+            BodyPace::Flood => u64::MAX / 2,
+            _ => body.len() as u64,
+        };
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await?;
+        match pace {
+            BodyPace::AtOnce => stream.write_all(&body).await?,
+            BodyPace::Slow => {
+                for piece in body.chunks(body.len().div_ceil(PIECES)) {
+                    tokio::time::sleep(PIECE_PAUSE).await;
+                    stream.write_all(piece).await?;
+                }
+            }
+            BodyPace::SilentMidway => {
+                stream.write_all(&body[..body.len() / 2]).await?;
+                std::future::pending::<()>().await;
+            }
+            BodyPace::Trickle => loop {
+                stream.write_all(b" ").await?;
+                tokio::time::sleep(PIECE_PAUSE).await;
+            },
+            BodyPace::Flood => loop {
+                stream.write_all(&[b' '; 4_096]).await?;
+            },
+        }
+    }
+}
+
+fn newest_page(has_more: bool) -> Bytes {
+    let page = json!({
+        "items": [{"key": "config", "value": STANDARD.encode(VALUE), "offset": 4}],
+        "has-more": has_more,
+        "end": 5,
+    });
+    page.to_string().into()
+}
+
+fn read_answer() -> Bytes {
+    let key = b"config";
+    let length = 1 + key.len() + VALUE.len();
+    let mut body = vec![0; 16];
+    body.extend_from_slice(&u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes());
+    body.push(key.len() as u8);
+    body.extend_from_slice(key);
+    body.extend_from_slice(VALUE);
+    body.into()
+}
+
+fn answer(path: &str) -> Bytes {
+    match path.contains("log-newest") {
+        true => newest_page(false),
+        false => read_answer(),
+    }
+}
+
+/// Calls `newest` and `read` and expects what `script` answers to arrive, or neither to.
+async fn check_both(script: StoreScript, whole: bool) -> eyre::Result<()> {
+    let store = ScriptedStore::bind(script).await?;
+    let table = StoreTable::Configuration;
+    let (newest, read) = (store.client(), store.client());
+    let calls = async {
+        tokio::join!(
+            newest.newest(table),
+            read.read(table, LogOffset(5), Duration::ZERO)
+        )
+    };
+    let (newest, read) = timeout(PATIENCE, calls).await?;
+    if whole {
+        let (newest, read) = (newest?, read?);
+        let values = [Some(newest), read].map(|read| {
+            let mut records = read.into_iter().flat_map(|read| read.records);
+            records.next().and_then(|record| record.value)
+        });
+        ensure!(values.iter().all(|value| value.as_deref() == Some(VALUE)));
+    } else {
+        ensure!(newest.is_err(), "{newest:?}");
+        ensure!(read.is_err(), "{read:?}");
+    }
+    store.group.shutdown().await;
+    Ok(())
+}
+
+/// Guards against an answer that is given up while its bytes keep coming.
+#[tokio::test]
+async fn slow_answer_of_the_store_arrives() -> eyre::Result<()> {
+    check_both(|path, _| (answer(path), BodyPace::Slow), true).await
+}
+
+/// Guards against a reader that stays on a connection that went silent midway for as long as on one that brings bytes.
+#[tokio::test]
+async fn answer_that_goes_silent_is_given_up() -> eyre::Result<()> {
+    let several_slow = async {
+        for _ in 0..3 {
+            check_both(|path, _| (answer(path), BodyPace::Slow), true).await?;
+        }
+        bail!("three slow answers arrived before a silent one was given up")
+    };
+    tokio::select! {
+        silent = check_both(|path, _| (answer(path), BodyPace::SilentMidway), false) => silent,
+        slow = several_slow => slow,
+    }
+}
+
+/// Guards against bytes that are no answer and hold a reader for ever or fill its memory.
+#[tokio::test]
+async fn answers_without_end_are_given_up() -> eyre::Result<()> {
+    let trickle = check_both(|path, _| (answer(path), BodyPace::Trickle), false);
+    let flood = check_both(|path, _| (answer(path), BodyPace::Flood), false);
+    let (trickle, flood) = tokio::join!(trickle, flood);
+    trickle.and(flood)
+}
+
+/// Guards against pages of a table that go on for ever.
+#[tokio::test]
+async fn pages_without_end_are_given_up() -> eyre::Result<()> {
+    let store = ScriptedStore::bind(|_, _| (newest_page(true), BodyPace::AtOnce)).await?;
+    let client = store.client();
+    let newest = timeout(PATIENCE, client.newest(StoreTable::Servers)).await?;
+    ensure!(newest.is_err(), "pages without end are taken for a table");
+    store.group.shutdown().await;
+    Ok(())
+}
+
+/// Keeps what a follower tells.
+#[derive(Default)]
+struct ChangeLog {
+    changes: Mutex<Vec<TableChange>>,
+}
+
+impl ChangeLog {
+    fn count(&self, is_kind: fn(&TableChange) -> bool) -> usize {
+        let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        changes.iter().filter(|change| is_kind(change)).count()
+    }
+
+    async fn wait_for(&self, is_kind: fn(&TableChange) -> bool) -> eyre::Result<()> {
+        let bound = tokio::time::Instant::now() + PATIENCE;
+        while self.count(is_kind) == 0 {
+            if tokio::time::Instant::now() > bound {
+                let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+                bail!("only {} changes arrived", changes.len());
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(())
+    }
+}
+
+impl TableSink for ChangeLog {
+    fn apply(&self, change: TableChange) {
+        let mut changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        changes.push(change);
+    }
+}
+
+fn is_whole(change: &TableChange) -> bool {
+    matches!(change, TableChange::Whole(_))
+}
+
+fn is_records(change: &TableChange) -> bool {
+    matches!(change, TableChange::Records(_))
+}
+
+fn is_unreachable(change: &TableChange) -> bool {
+    matches!(change, TableChange::Unreachable)
+}
+
+/// Follows a table of `store` in a task of its group; keep the sender.
+fn follow(store: &ScriptedStore) -> (Arc<ChangeLog>, watch::Sender<bool>) {
+    let changes = Arc::<ChangeLog>::default();
+    let (sender, reading) = watch::channel(true);
+    store.group.spawn_cancellable(follow_table(
+        Arc::new(store.client()),
+        StoreTable::Configuration,
+        PACE,
+        changes.clone(),
+        reading,
+        Arc::<StoreHealth>::default(),
+    ));
+    (changes, sender)
+}
+
+/// Guards against a table that is read again and again from its beginning on a slow link.
+#[tokio::test]
+async fn slow_table_is_read_once() -> eyre::Result<()> {
+    let script: StoreScript = |path, _| (answer(path), BodyPace::Slow);
+    let store = ScriptedStore::bind(script).await?;
+    let (changes, _reading) = follow(&store);
+    changes.wait_for(is_whole).await?;
+    ensure!(store.requests("log-newest") == 1);
+    changes.wait_for(is_records).await?;
+    ensure!(store.requests("from=5&") == 1);
+    // Until a slow answer is whole, nothing may be taken for gone.
+    ensure!(changes.count(is_unreachable) > 0);
+    store.group.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a follower that stays on a connection that went silent midway.
+#[tokio::test]
+async fn table_is_read_again_after_a_silence() -> eyre::Result<()> {
+    let store = ScriptedStore::bind(|path, earlier| {
+        let pace = match earlier {
+            0 | 2 => BodyPace::SilentMidway,
+            _ => BodyPace::AtOnce,
+        };
+        (answer(path), pace)
+    })
+    .await?;
+    let (changes, _reading) = follow(&store);
+    changes.wait_for(is_whole).await?;
+    ensure!(changes.count(is_unreachable) > 0);
+    changes.wait_for(is_records).await?;
+    ensure!(store.requests("log-newest") == 2);
+    ensure!(store.requests("from=5&") == 2);
+    store.group.shutdown().await;
+    Ok(())
+}
+
+/// Store in memory that reads a table once it is told to.
+#[derive(Default)]
+struct HeldStore {
+    released: Notify,
+    finished: AtomicBool,
+}
+
+impl RecordStore for HeldStore {
+    async fn newest(&self, _table: StoreTable) -> Result<TableRead> {
+        self.released.notified().await;
+        self.finished.store(true, Ordering::Relaxed);
+        Ok(TableRead::default())
+    }
+
+    async fn read(
+        &self,
+        _table: StoreTable,
+        _from: LogOffset,
+        _wait: Duration,
+    ) -> Result<Option<TableRead>> {
+        std::future::pending().await
+    }
+
+    async fn put(&self, _table: StoreTable, _key: &str, _value: Bytes) -> Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a late list that replaces the newer one, which a daemon has copied since it ceased to read the store.
+/// The follower takes in what was read without giving way to the test, as both run on one thread.
+#[tokio::test(flavor = "current_thread")]
+async fn late_table_of_a_former_reader_is_dropped() -> eyre::Result<()> {
+    for (table, applied) in [(StoreTable::Servers, 0), (StoreTable::Configuration, 1)] {
+        let store = Arc::<HeldStore>::default();
+        let changes = Arc::<ChangeLog>::default();
+        let (sender, reading) = watch::channel(true);
+        let group = TaskGroup::new();
+        group.spawn_cancellable(follow_table(
+            store.clone(),
+            table,
+            PACE,
+            changes.clone(),
+            reading,
+            Arc::<StoreHealth>::default(),
+        ));
+        changes.wait_for(is_unreachable).await?;
+        sender.send_replace(false);
+        store.released.notify_one();
+        let finished = async {
+            while !store.finished.load(Ordering::Relaxed) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(PATIENCE, finished).await?;
+        ensure!(changes.count(is_whole) == applied, "{table:?}");
+        group.shutdown().await;
+    }
+    Ok(())
+}
