Refuse for good only by a configuration as new as those of the peers

Cause: a daemon refused by the configuration it had, also when pulses had told it that a peer has a newer one. Class: a final answer on the strength of a state that is known to be old.

Nine of the ten tests of plan_lag failed before, with 404 or 401 at once; the tenth guards the refusal where no newer version is known.

Change: if the look-up of the route or the key fails while a peer that was heard of lately has a newer configuration, the request waits for it, 300 ms or a quarter of the caller's remaining time at most, and is looked up again in each one that comes into force. After that it gets 503 with Retry-After. Most requests so need no second attempt, of which callers have few. What the newer configuration refuses too gets 404 or 401; route and key are always taken from one configuration, the newest in force. A peer that fell silent does not count, so that a version whose only holder died does not turn refusals into 503 for good. Requests that wait are within the limit of admitted ones. RelayRig shows its dispatcher and its view of peers for the tests.

Measured: the ten tests of plan_lag pass, 30 runs in a row without a failure; relay, readers and regression pass.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -172,6 +172,7 @@
         zone: settings.zone.clone(),
         core: parts.core.clone(),
         plans: parts.plans.subscribe(),
+        readers: parts.readers.clone(),
         fleet: parts.fleet.clone(),
         crashes: parts.crashes.clone(),
         pool: parts.pool.clone(),
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::fleet::{RelayFleet, holding};
 use crate::relay::plan::{RoutePlan, ServicePlan, ServingPlan, TeamPlan};
+use crate::relay::readers::ReaderElection;
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::routing::RouteNeed;
@@ -29,6 +30,13 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// `Retry-After` where a service has no server: one comes back after a restart within seconds.
 const NO_SERVER_WAIT: Duration = Duration::from_secs(1);
+/// Longest time that a refusal waits for a newer configuration that a peer has: enough for one copy of it, and short
+/// against the time that callers have.
+const PLAN_WAIT: Duration = Duration::from_millis(300);
+/// That wait takes at most one part in so many of the time that the caller has left, which may try another daemon.
+const PLAN_WAIT_PARTS: u32 = 4;
+/// `Retry-After` of a refusal by an old configuration: other daemons have the newer one already.
+const PLAN_RETRY: Duration = Duration::from_millis(100);
 /// Urgency of requests, from 0 to 9. One value for all: a more urgent request would preempt running streams.
 const URGENCY: u8 = 5;
 
@@ -40,6 +48,8 @@
     pub zone: SmolStr,
     pub core: Arc<RequestCore<P>>,
     pub plans: PlanReceiver,
+    /// Knows which configurations peers have.
+    pub readers: Arc<ReaderElection>,
     pub fleet: Arc<RelayFleet>,
     pub crashes: Arc<CrashWatch>,
     pub pool: UpstreamPool,
@@ -91,6 +101,14 @@
     Stream(mpsc::Receiver<Result<RelayPiece>>),
 }
 
+/// What the configuration allows a request.
+struct CallPermit {
+    plan: Arc<ServingPlan>,
+    route: Arc<RoutePlan>,
+    /// `None` on routes that are open to all.
+    team: Option<Arc<TeamPlan>>,
+}
+
 /// Who may run a request, and what it is charged to.
 #[derive(Clone, Debug, Default)]
 pub struct RelayAccess {
@@ -138,13 +156,9 @@
         arrived: Instant,
         access: &mut RelayAccess,
     ) -> Result<RelayAnswer> {
-        let plan = self.context.plans.borrow().clone();
-        let plan = plan.ok_or_else(|| Error::unavailable("the configuration is not loaded yet"))?;
-        access.plan_version = plan.version;
-        let route = find_route(&plan, &head)?.clone();
-        access.route = Some(route.name.clone());
-        let team = authenticate(&plan, &route, &facts)?.cloned();
-        access.team = team.as_ref().map(|team| team.spec.name.clone());
+        let caller_deadline = arrived + facts.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let permit = self.permit(&head, &facts, caller_deadline, access).await?;
+        let CallPermit { plan, route, team } = permit;
         let admission = self.context.core.admit()?;
         let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = fingerprint(access.team.as_ref(), target, &body);
@@ -171,7 +185,6 @@
             ),
             _ => None,
         };
-        let caller_deadline = arrived + facts.deadline.unwrap_or(DEFAULT_DEADLINE);
         let deadline = (caller_deadline - CALLER_WAY).min(arrived + route.timeout);
         let job = RequestJob {
             id: facts.id.clone(),
@@ -209,6 +222,61 @@
         first_piece(self.context.core.start(job)).await
     }
 
+    /// Finds the route and the team of a request. Callers never repeat what was refused for good, so a configuration that
+    /// is older than one of a peer refuses nothing: the request waits a moment for the newer one, and is then refused
+    /// for now.
+    async fn permit(
+        &self,
+        head: &Parts,
+        facts: &CallFacts,
+        caller_deadline: Instant,
+        access: &mut RelayAccess,
+    ) -> Result<CallPermit> {
+        let mut plans = self.context.plans.clone();
+        if let Some(decided) = self.decide(&mut plans, head, facts, access) {
+            return decided;
+        }
+        // Bounds the requests that wait.
+        let _admission = self.context.core.admit()?;
+        let left = caller_deadline.saturating_duration_since(Instant::now());
+        let wait = PLAN_WAIT.min(left / PLAN_WAIT_PARTS);
+        let end = tokio::time::Instant::now() + wait;
+        while !wait.is_zero()
+            && let Ok(Ok(())) = tokio::time::timeout_at(end, plans.changed()).await
+        {
+            if let Some(decided) = self.decide(&mut plans, head, facts, access) {
+                return decided;
+            }
+        }
+        // The peer that had a newer configuration may have gone meanwhile.
+        let decided = self.decide(&mut plans, head, facts, access);
+        decided.unwrap_or_else(|| {
+            let message = "the route or the key may be in a newer configuration, which a peer has";
+            Err(Error::unavailable(message).with_retry_after(PLAN_RETRY))
+        })
+    }
+
+    /// Looks a request up in the configuration in force; `None` if that refuses it and a peer has a newer one.
+    fn decide(
+        &self,
+        plans: &mut PlanReceiver,
+        head: &Parts,
+        facts: &CallFacts,
+        access: &mut RelayAccess,
+    ) -> Option<Result<CallPermit>> {
+        let Some(plan) = plans.borrow_and_update().clone() else {
+            let message = "the configuration is not loaded yet";
+            return Some(Err(Error::unavailable(message)));
+        };
+        let version = plan.version;
+        let decided = look_up(plan, head, facts, access);
+        let is_behind = || self.context.readers.newest_plan(Instant::now()) > version;
+        match decided.is_err() && is_behind() {
+            true => None,
+            false => Some(decided),
+        }
+    }
+
     /// Refuses a request for a model that no server holds and that is not loaded before the caller's patience ends.
     fn refuse_absent(
         &self,
@@ -334,6 +402,24 @@
     }
 }
 
+/// Finds the route and the team of a request in `plan`, and notes in `access` what it finds.
+fn look_up(
+    plan: Arc<ServingPlan>,
+    head: &Parts,
+    facts: &CallFacts,
+    access: &mut RelayAccess,
+) -> Result<CallPermit> {
+    *access = RelayAccess {
+        plan_version: plan.version,
+        ..RelayAccess::default()
+    };
+    let route = find_route(&plan, head)?.clone();
+    access.route = Some(route.name.clone());
+    let team = authenticate(&plan, &route, facts)?.cloned();
+    access.team = team.as_ref().map(|team| team.spec.name.clone());
+    Ok(CallPermit { plan, route, team })
+}
+
 fn find_route<'a>(plan: &'a ServingPlan, head: &Parts) -> Result<&'a Arc<RoutePlan>> {
     let host = head.headers.get(http::header::HOST);
     let host = host
--- /dev/null
+++ b/tests/plan_lag.rs
@@ -0,0 +1,290 @@
+//! What a daemon with an old configuration answers while its peers have a newer one.
+
+mod relay_support;
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxtailhill::ids::VmId;
+use foxtailhill::relay::{Pulse, RelayAccess, RelayAnswer};
+use foxtailhill::{Category, Error};
+use futures_util::{FutureExt, poll};
+use http::StatusCode;
+use relay_support::{
+    HOST, KEY, RelayRig, Script, ScriptedServer, WAIT, finish, header, request, whole,
+};
+use serde_json::{Value, json};
+
+const NEW_KEY: &str = "key-of-the-newer-configuration";
+/// A route of the newer configuration only.
+const NEW_PATH: &str = "/late/1";
+const OLD_PATH: &str = "/check/1";
+/// Time that callers of these tests wait.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+fn add_route(config: &mut Value) {
+    let routes = config["routes"].as_array_mut().expect("a list of routes");
+    let mut route = routes[0].clone();
+    route["name"] = "late".into();
+    route["path-prefix"] = "/late/".into();
+    routes.push(route);
+}
+
+fn add_key(config: &mut Value) {
+    config["tenants"][0]["api-keys"] = json!([KEY, NEW_KEY]);
+}
+
+fn drop_keys(config: &mut Value) {
+    config["tenants"][0]["api-keys"] = json!(["another"]);
+}
+
+fn pulse(plan_version: u64) -> Pulse {
+    Pulse {
+        vm: VmId(1),
+        name: "entry-1".into(),
+        zone: "north".into(),
+        peer: SocketAddr::from(([127, 0, 0, 1], 9)),
+        plan_version,
+        reads_store: true,
+        reading_for: Duration::ZERO,
+        weight: 250,
+        tables_version: 3,
+        loads: Default::default(),
+        spare: Vec::new(),
+        demand: Vec::new(),
+        fence: None,
+        placements: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Tells of a peer whose configuration is newer by `versions`, and which is not silent during a test.
+fn hear(rig: &RelayRig, versions: u64) {
+    let version = rig.plans.version() + versions;
+    rig.readers.heard(&pulse(version), Instant::now() + WAIT);
+}
+
+/// Starts a relay with one server, and lets it hear of a peer whose configuration is newer by `versions`.
+async fn open(versions: u64) -> eyre::Result<(RelayRig, Vec<ScriptedServer>)> {
+    let script = Script::Answer(whole("200 OK", "yes"));
+    let (rig, servers) = RelayRig::with_servers(vec![vec![script]]).await?;
+    hear(&rig, versions);
+    Ok((rig, servers))
+}
+
+/// Calls the request path with `key`, for a request that arrived `age` ago.
+async fn call_aged(
+    rig: &RelayRig,
+    path: &str,
+    key: &str,
+    age: Duration,
+) -> Result<RelayAnswer, Error> {
+    let request = http::Request::builder()
+        .uri(path)
+        .header("Host", HOST)
+        .header("Request-Id", "r1")
+        .header("Deadline-Ms", DEADLINE.as_millis().to_string())
+        .header("Authorization", format!("Bearer {key}"))
+        .body(())
+        .expect("a request");
+    let (head, ()) = request.into_parts();
+    let facts = rig.dispatcher.read(&head)?;
+    let mut access = RelayAccess::default();
+    let arrived = Instant::now() - age;
+    let call = rig
+        .dispatcher
+        .call(head, facts, Bytes::new(), arrived, &mut access);
+    call.await
+}
+
+async fn call(rig: &RelayRig, path: &str, key: &str) -> Result<RelayAnswer, Error> {
+    call_aged(rig, path, key, Duration::ZERO).await
+}
+
+fn category(answer: Result<RelayAnswer, Error>) -> Option<Category> {
+    answer.err().map(|error| error.category())
+}
+
+/// Calls `path` with `key`, puts a newer configuration in force while the request is held, and returns the answer.
+async fn call_before(
+    rig: &mut RelayRig,
+    path: &str,
+    key: &str,
+    change: impl FnOnce(&mut Value),
+) -> eyre::Result<Result<RelayAnswer, Error>> {
+    let plans = rig.plans.clone();
+    let newer = rig.next_plan(change)?;
+    let mut call = pin!(call(rig, path, key));
+    let first = poll!(&mut call);
+    eyre::ensure!(first.is_pending(), "refused at once: {first:?}");
+    plans.offer(newer);
+    Ok(tokio::time::timeout(WAIT, call).await?)
+}
+
+/// Guards against 404, which callers never repeat, by a daemon that lags behind its peers.
+#[tokio::test]
+async fn unknown_route_is_refused_for_now_while_a_newer_configuration_is_known() -> eyre::Result<()>
+{
+    let (rig, _servers) = open(3).await?;
+    let answer = rig.send(&request("GET", NEW_PATH, "r1", "", "")).await;
+    finish(rig, async {
+        let answer = answer?;
+        eyre::ensure!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        eyre::ensure!(header(&answer, "retry-after").is_some(), "{answer}");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against 401, which callers never repeat, by a daemon that lags behind its peers.
+#[tokio::test]
+async fn unknown_key_is_refused_for_now_while_a_newer_configuration_is_known() -> eyre::Result<()> {
+    let (rig, servers) = open(3).await?;
+    let call = request("GET", OLD_PATH, "r1", "", "").replace(KEY, NEW_KEY);
+    let answer = rig.send(&call).await;
+    finish(rig, async {
+        let answer = answer?;
+        eyre::ensure!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        eyre::ensure!(header(&answer, "retry-after").is_some(), "{answer}");
+        eyre::ensure!(servers[0].requests().is_empty(), "the request has run");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a refusal of a request whose route arrives a moment later.
+#[tokio::test]
+async fn request_on_a_new_route_is_served_once_its_configuration_arrives() -> eyre::Result<()> {
+    let (mut rig, _servers) = open(3).await?;
+    let answer = call_before(&mut rig, NEW_PATH, KEY, add_route).await;
+    finish(rig, async {
+        eyre::ensure!(answer??.head.status == StatusCode::OK);
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a refusal of a request whose key arrives a moment later.
+#[tokio::test]
+async fn request_with_a_new_key_is_served_once_its_configuration_arrives() -> eyre::Result<()> {
+    let (mut rig, _servers) = open(3).await?;
+    let answer = call_before(&mut rig, OLD_PATH, NEW_KEY, add_key).await;
+    finish(rig, async {
+        eyre::ensure!(answer??.head.status == StatusCode::OK);
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a refusal by a version between the old and the newest one.
+#[tokio::test]
+async fn request_is_held_until_the_newest_known_configuration_decides() -> eyre::Result<()> {
+    let (mut rig, _servers) = open(6).await?;
+    let plans = rig.plans.clone();
+    let (between, newest) = (rig.next_plan(|_| {})?, rig.next_plan(add_route)?);
+    let answer = async {
+        let mut call = pin!(call(&rig, NEW_PATH, KEY));
+        eyre::ensure!(poll!(&mut call).is_pending(), "refused at once");
+        plans.offer(between);
+        let second = poll!(&mut call);
+        eyre::ensure!(second.is_pending(), "refused too early: {second:?}");
+        plans.offer(newest);
+        Ok(tokio::time::timeout(WAIT, call).await??)
+    }
+    .await;
+    finish(rig, async {
+        eyre::ensure!(answer?.head.status == StatusCode::OK);
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against 503 for what the newest configuration does not allow either.
+#[tokio::test]
+async fn newer_configuration_refuses_for_good() -> eyre::Result<()> {
+    let (mut rig, _servers) = open(3).await?;
+    let route = call_before(&mut rig, NEW_PATH, KEY, |_| {}).await;
+    hear(&rig, 3);
+    let key = call_before(&mut rig, OLD_PATH, NEW_KEY, |_| {}).await;
+    let answer = rig.send(&request("GET", NEW_PATH, "r1", "", "")).await;
+    finish(rig, async {
+        eyre::ensure!(category(route?) == Some(Category::NotFound));
+        eyre::ensure!(category(key?) == Some(Category::Unauthenticated));
+        let answer = answer?;
+        eyre::ensure!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a held request that runs with a route or key that was withdrawn meanwhile.
+#[tokio::test]
+async fn held_request_is_decided_by_the_newer_configuration_alone() -> eyre::Result<()> {
+    let (mut rig, servers) = open(3).await?;
+    let key = call_before(&mut rig, NEW_PATH, KEY, |config| {
+        add_route(config);
+        drop_keys(config);
+    })
+    .await;
+    hear(&rig, 3);
+    let route = call_before(&mut rig, OLD_PATH, NEW_KEY, |config| {
+        add_key(config);
+        config["routes"].as_array_mut().expect("routes").remove(0);
+    })
+    .await;
+    finish(rig, async {
+        eyre::ensure!(category(key?) == Some(Category::Unauthenticated));
+        eyre::ensure!(category(route?) == Some(Category::NotFound));
+        eyre::ensure!(servers[0].requests().is_empty(), "a request has run");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against requests that are held, or refused for now only, where no peer has a newer configuration.
+#[tokio::test]
+async fn newest_known_configuration_refuses_for_good_at_once() -> eyre::Result<()> {
+    let (rig, _servers) = open(0).await?;
+    let route = call(&rig, NEW_PATH, KEY).now_or_never();
+    let key = call(&rig, OLD_PATH, NEW_KEY).now_or_never();
+    finish(rig, async {
+        eyre::ensure!(route.and_then(category) == Some(Category::NotFound));
+        eyre::ensure!(key.and_then(category) == Some(Category::Unauthenticated));
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against 503 for good where the only peer with a newer configuration died before it passed it on.
+#[tokio::test]
+async fn configuration_of_a_peer_that_fell_silent_no_longer_counts() -> eyre::Result<()> {
+    let (rig, _servers) = open(3).await?;
+    let first = category(call(&rig, NEW_PATH, KEY).await);
+    let version = rig.plans.version() + 3;
+    rig.readers.heard(&pulse(version), Instant::now());
+    let end = Instant::now() + WAIT;
+    let mut last = first;
+    while last == Some(Category::Unavailable) && Instant::now() < end {
+        last = category(call(&rig, NEW_PATH, KEY).await);
+    }
+    finish(rig, async {
+        eyre::ensure!(first == Some(Category::Unavailable), "{first:?}");
+        eyre::ensure!(last == Some(Category::NotFound), "{last:?}");
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a request that is held when its caller has no time left for another daemon.
+#[tokio::test]
+async fn request_without_time_left_is_not_held() -> eyre::Result<()> {
+    let (rig, _servers) = open(3).await?;
+    let answer = call_aged(&rig, NEW_PATH, KEY, DEADLINE).now_or_never();
+    finish(rig, async {
+        eyre::ensure!(answer.and_then(category) == Some(Category::Unavailable));
+        Ok(())
+    })
+    .await
+}
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -21,8 +21,8 @@
 use foxtailhill::platform::{self, PlatformFormat};
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
-    CrashWatch, PlanKeeper, RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryShare,
-    ServerChange, UpstreamPool,
+    CrashWatch, PlanKeeper, ReaderElection, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
+    RetryShare, ServerChange, ServingPlan, UpstreamPool,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -225,6 +225,9 @@
     pub group: TaskGroup,
     pub fleet: Arc<RelayFleet>,
     pub plans: Arc<PlanKeeper>,
+    /// Takes the pulses of peers.
+    pub readers: Arc<ReaderElection>,
+    pub dispatcher: Arc<RelayDispatcher<RelayParts, PlatformFormat>>,
     pub draining: Arc<AtomicBool>,
     version: u64,
 }
@@ -268,11 +271,15 @@
             admission_limit: 1_000,
         });
         let crashes = Arc::new(CrashWatch::new());
+        let health = Arc::default();
+        let readers = ReaderElection::new("entry-0".into(), "north".into(), 250, health);
+        let readers = Arc::new(readers);
         let (wishes, _ignored) = mpsc::unbounded_channel();
         let dispatcher = RelayDispatcher::open(RelayContext {
             zone: "north".into(),
             core: core.clone(),
             plans: plans.subscribe(),
+            readers: readers.clone(),
             fleet: fleet.clone(),
             crashes: crashes.clone(),
             pool: UpstreamPool::open(&group),
@@ -287,7 +294,8 @@
         let draining = Arc::new(AtomicBool::new(false));
         let limits = LimitSettings::default();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = RelayServer::bind(&group, any, &limits, dispatcher, draining.clone()).await?;
+        let server =
+            RelayServer::bind(&group, any, &limits, dispatcher.clone(), draining.clone()).await?;
         let mut changes = fleet.subscribe();
         let pumped = core.clone();
         group.spawn_cancellable(async move {
@@ -309,6 +317,8 @@
             group,
             fleet,
             plans,
+            readers,
+            dispatcher,
             draining,
             version: 0,
         })
@@ -332,6 +342,13 @@
 
     /// Puts a new version of the standard configuration in force, with changes.
     pub fn configure(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<()> {
+        let plan = self.next_plan(change)?;
+        self.plans.offer(plan);
+        Ok(())
+    }
+
+    /// Returns a new version of the standard configuration, with changes.
+    pub fn next_plan(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<ServingPlan> {
         self.version += 3;
         let route = |name: &str, kind: &str, resumable: bool| {
             json!({
@@ -358,9 +375,7 @@
                 "rate-per-s": 0, "burst": 0}],
         });
         change(&mut config);
-        self.plans
-            .offer(platform::decode_plan(config.to_string().as_bytes())?);
-        Ok(())
+        Ok(platform::decode_plan(config.to_string().as_bytes())?)
     }
 
     /// Lists a server in a state.
