--- a/src/relay/plan_copy.rs
+++ b/src/relay/plan_copy.rs
@@ -92,7 +92,7 @@
         self.mark.version
     }
 
-    /// Returns the compressed bytes' number.
+    /// Returns the number of compressed bytes.
     pub fn length(&self) -> usize {
         self.bytes.len()
     }
--- a/tests/plan_lag.rs
+++ b/tests/plan_lag.rs
@@ -1,17 +1,17 @@
 //! What a daemon with an old configuration answers while its peers have a newer one.
 
+mod pulse_support;
 mod relay_support;
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxtailhill::ids::VmId;
 use foxtailhill::relay::{Pulse, RelayAccess, RelayAnswer};
 use foxtailhill::{Category, Error};
 use futures_util::{FutureExt, poll};
 use http::StatusCode;
+use pulse_support::pulse;
 use relay_support::{
     HOST, KEY, RelayRig, Script, ScriptedServer, WAIT, finish, header, request, whole,
 };
@@ -40,30 +40,19 @@
     config["tenants"][0]["api-keys"] = json!(["another"]);
 }
 
-fn pulse(plan_version: u64) -> Pulse {
+/// Returns the pulse of a peer that has configuration `plan_version`.
+fn peer_pulse(plan_version: u64) -> Pulse {
     Pulse {
-        vm: VmId(1),
-        name: "entry-1".into(),
-        zone: "north".into(),
-        peer: SocketAddr::from(([127, 0, 0, 1], 9)),
         plan_version,
-        reads_store: true,
-        reading_for: Duration::ZERO,
-        weight: 250,
-        tables_version: 3,
-        loads: Default::default(),
-        spare: Vec::new(),
-        demand: Vec::new(),
-        fence: None,
-        placements: Vec::new(),
-        suspects: Vec::new(),
+        ..pulse(1, "north", true, Duration::ZERO)
     }
 }
 
 /// Tells of a peer whose configuration is newer by `versions`, and which is not silent during a test.
 fn hear(rig: &RelayRig, versions: u64) {
     let version = rig.plans.version() + versions;
-    rig.readers.heard(&pulse(version), Instant::now() + WAIT);
+    rig.readers
+        .heard(&peer_pulse(version), Instant::now() + WAIT);
 }
 
 /// Starts a relay with one server, and lets it hear of a peer whose configuration is newer by `versions`.
@@ -263,7 +252,7 @@
     let (rig, _servers) = open(3).await?;
     let first = category(call(&rig, NEW_PATH, KEY).await);
     let version = rig.plans.version() + 3;
-    rig.readers.heard(&pulse(version), Instant::now());
+    rig.readers.heard(&peer_pulse(version), Instant::now());
     let end = Instant::now() + WAIT;
     let mut last = first;
     while last == Some(Category::Unavailable) && Instant::now() < end {
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -1,5 +1,7 @@
 //! Which daemons read the store, and what the others take over from them.
 
+mod pulse_support;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,32 +9,13 @@
 
 use foxtailhill::ids::VmId;
 use foxtailhill::relay::{
-    CopySource, FetchMemory, Pulse, ReaderElection, RelayFleet, ServerChange, ServerEntry,
-    StoreHealth, TableCopy,
+    CopySource, FetchMemory, ReaderElection, RelayFleet, ServerChange, ServerEntry, StoreHealth,
+    TableCopy,
 };
+use pulse_support::pulse;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-fn pulse(index: u16, zone: &str, reads: bool, reading_for: Duration) -> Pulse {
-    Pulse {
-        vm: VmId(u64::from(index)),
-        name: format!("entry-{index}").into(),
-        zone: zone.into(),
-        peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + index)),
-        plan_version: 5,
-        reads_store: reads,
-        reading_for,
-        weight: 250,
-        tables_version: 3,
-        loads: Default::default(),
-        spare: Vec::new(),
-        demand: Vec::new(),
-        fence: None,
-        placements: Vec::new(),
-        suspects: Vec::new(),
-    }
-}
-
 fn open(health: &Arc<StoreHealth>) -> ReaderElection {
     ReaderElection::new("entry-0".into(), "north".into(), 250, health.clone())
 }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../process_support/mod.rs"]
 mod process_support;
+#[path = "../pulse_support/mod.rs"]
+mod pulse_support;
 #[path = "../relay_support/mod.rs"]
 mod relay_support;
 
--- a/tests/regression/plan_copy_over_slow_link.rs
+++ b/tests/regression/plan_copy_over_slow_link.rs
@@ -20,6 +20,8 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
+use crate::pulse_support::pulse;
+
 /// Simulated time in which a configuration must be in force.
 const BOUND: Duration = Duration::from_secs(3);
 const ROUTES: usize = 1_800;
@@ -96,21 +98,9 @@
 
 fn reader_pulse(plan_version: u64) -> Pulse {
     Pulse {
-        vm: VmId(1),
-        name: "entry-1".into(),
-        zone: "north".into(),
-        peer: address(2),
         plan_version,
-        reads_store: true,
-        reading_for: Duration::from_secs(9),
-        weight: 500,
         tables_version: plan_version,
-        loads: Default::default(),
-        spare: Vec::new(),
-        demand: Vec::new(),
-        fence: None,
-        placements: Vec::new(),
-        suspects: Vec::new(),
+        ..pulse(1, "north", true, Duration::from_secs(9))
     }
 }
 
