--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -23,7 +23,8 @@
 const MISSED_PULSES: u32 = 3;
 /// Added to them: the reader may be slow for a moment.
 const MISSED_SLACK: Duration = Duration::from_millis(300);
-/// Time after the last successful read in which a daemon still counts as reading: longer than any read waits.
+/// Time after the last successful read in which a daemon still counts as reading: longer than a read waits before it is
+/// late.
 const READ_LIFE: Duration = Duration::from_millis(3_500);
 /// Difference between the times of two readers below which they count as having begun together.
 const SAME_AGE: Duration = Duration::from_millis(1_000);
