Note versions of the configuration only when they change

Each pulse of a peer, some hundred a second in a large fleet, set two gauges, which look their labels up under a lock, and looked twice through the peers for a newer configuration. The gauges are set on a change now, and the second look is made only if a peer has a newer version. What is logged, counted and fetched stays the same.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -116,20 +116,19 @@
     let mut news = readers.news();
     let mut assembly = PlanAssembly::default();
     let mut failures = SourceFailures::default();
-    let mut known = 0;
+    let mut notes = VersionNotes::default();
     loop {
         let _ = tokio::time::timeout(FETCH_PERIOD, news.changed()).await;
-        let now = Instant::now();
-        note_versions(
-            &metrics,
-            plans.version(),
-            &mut known,
-            readers.newest_plan(now),
-        );
-        while let Some(source) = {
+        loop {
             let now = Instant::now();
-            readers.newer_plan(plans.version(), failures.latest(now), now)
-        } {
+            let (in_force, newest) = (plans.version(), readers.newest_plan(now));
+            notes.note(&metrics, in_force, newest);
+            if newest <= in_force {
+                break;
+            }
+            let Some(source) = readers.newer_plan(in_force, failures.latest(now), now) else {
+                break;
+            };
             let step = fetch_chunk(&*client, source, &mut assembly, &plans).await;
             if let Err(error) = step {
                 log::info!(
@@ -166,13 +165,27 @@
     }
 }
 
-/// Tells once of each version that a peer has and this daemon has not.
-fn note_versions(metrics: &DaemonMetrics, in_force: u64, known: &mut u64, newest: u64) {
-    if newest > in_force.max(*known) {
-        log::info!("configuration {newest} is known to a peer; this daemon has {in_force}");
+/// What was told last of the versions of the configuration.
+#[derive(Default)]
+struct VersionNotes {
+    /// The version in force and the newest one of a peer.
+    last: Option<(u64, u64)>,
+    /// The newest version that the log has named as one of a peer.
+    told: u64,
+}
+
+impl VersionNotes {
+    /// Notes the versions if they have changed, and logs each one that a peer has and this daemon has not once.
+    fn note(&mut self, metrics: &DaemonMetrics, in_force: u64, newest: u64) {
+        if self.last.replace((in_force, newest)) == Some((in_force, newest)) {
+            return;
+        }
+        if newest > in_force.max(self.told) {
+            log::info!("configuration {newest} is known to a peer; this daemon has {in_force}");
+        }
+        self.told = newest.max(self.told);
+        let versions = &metrics.plan_versions;
+        metrics.set(versions, "in_force", in_force as i64);
+        metrics.set(versions, "known", newest.max(in_force) as i64);
     }
-    *known = newest.max(*known);
-    let versions = &metrics.plan_versions;
-    metrics.set(versions, "in_force", in_force as i64);
-    metrics.set(versions, "known", newest.max(in_force) as i64);
 }
