Remove a way into force that only tests used

PlanKeeper::offer took a decoded configuration without its record; since records are kept for copies only tests called it. They offer records now, as the store does, and still fail on one that cannot be decoded or is not in force.

--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -25,7 +25,6 @@
 
 /// Where a configuration comes from, for the log; lengths are in bytes.
 enum PlanOrigin {
-    Memory,
     Store {
         length: usize,
     },
@@ -39,7 +38,6 @@
 impl fmt::Display for PlanOrigin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Memory => f.write_str("memory"),
             Self::Store { length } => write!(f, "the store: {length} bytes"),
             Self::Peer {
                 peer,
@@ -154,11 +152,6 @@
         Ok(())
     }
 
-    /// Takes over a configuration that no copies are made of unless a version as new is in force.
-    pub fn offer(&self, plan: ServingPlan) {
-        self.adopt(plan, HeldRecord::None, &PlanOrigin::Memory);
-    }
-
     fn adopt(&self, plan: ServingPlan, record: HeldRecord, origin: &PlanOrigin) {
         let mut held = self.held();
         let known = self.version();
--- a/tests/plan_lag.rs
+++ b/tests/plan_lag.rs
@@ -104,11 +104,11 @@
     change: impl FnOnce(&mut Value),
 ) -> eyre::Result<Result<RelayAnswer, Error>> {
     let plans = rig.plans.clone();
-    let newer = rig.next_plan(change)?;
+    let newer = rig.next_record(change)?;
     let mut call = pin!(call(rig, path, key));
     let first = poll!(&mut call);
     eyre::ensure!(first.is_pending(), "refused at once: {first:?}");
-    plans.offer(newer);
+    plans.offer_record(newer);
     Ok(tokio::time::timeout(WAIT, call).await?)
 }
 
@@ -172,14 +172,14 @@
 async fn request_is_held_until_the_newest_known_configuration_decides() -> eyre::Result<()> {
     let (mut rig, _servers) = open(6).await?;
     let plans = rig.plans.clone();
-    let (between, newest) = (rig.next_plan(|_| {})?, rig.next_plan(add_route)?);
+    let (between, newest) = (rig.next_record(|_| {})?, rig.next_record(add_route)?);
     let answer = async {
         let mut call = pin!(call(&rig, NEW_PATH, KEY));
         eyre::ensure!(poll!(&mut call).is_pending(), "refused at once");
-        plans.offer(between);
+        plans.offer_record(between);
         let second = poll!(&mut call);
         eyre::ensure!(second.is_pending(), "refused too early: {second:?}");
-        plans.offer(newest);
+        plans.offer_record(newest);
         Ok(tokio::time::timeout(WAIT, call).await??)
     }
     .await;
--- a/tests/regression/team_share_deadlock.rs
+++ b/tests/regression/team_share_deadlock.rs
@@ -37,7 +37,8 @@
         json!({"name": format!("team-{team}"), "rate-per-s": 100 + version, "burst": 60_000})
     });
     let config = json!({"version": version, "tenants": teams.collect::<Vec<_>>()});
-    plans.offer(platform::decode_plan(config.to_string().as_bytes())?);
+    plans.offer_record(config.to_string().into());
+    eyre::ensure!(plans.version() == version, "{version} is not in force");
     Ok(())
 }
 
--- a/tests/regression/team_without_budget.rs
+++ b/tests/regression/team_without_budget.rs
@@ -23,7 +23,8 @@
 
 fn configure(plans: &PlanKeeper, version: u64, teams: serde_json::Value) -> eyre::Result<()> {
     let config = json!({"version": version, "tenants": teams});
-    plans.offer(platform::decode_plan(config.to_string().as_bytes())?);
+    plans.offer_record(config.to_string().into());
+    eyre::ensure!(plans.version() == version, "{version} is not in force");
     Ok(())
 }
 
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foxtailhill::daemon::RelayParts;
 use foxtailhill::dispatch::{CoreContext, DemandMeter, RequestCore, WaitRoom};
 use foxtailhill::history::RequestHistory;
@@ -22,7 +23,7 @@
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
     CrashWatch, PlanKeeper, ReaderElection, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
-    RetryShare, ServerChange, ServingPlan, UpstreamPool,
+    RetryShare, ServerChange, UpstreamPool,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -342,13 +343,13 @@
 
     /// Puts a new version of the standard configuration in force, with changes.
     pub fn configure(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<()> {
-        let plan = self.next_plan(change)?;
-        self.plans.offer(plan);
+        let record = self.next_record(change)?;
+        self.plans.offer_record(record);
         Ok(())
     }
 
-    /// Returns a new version of the standard configuration, with changes.
-    pub fn next_plan(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<ServingPlan> {
+    /// Returns the record of a new version of the standard configuration, with changes.
+    pub fn next_record(&mut self, change: impl FnOnce(&mut Value)) -> eyre::Result<Bytes> {
         self.version += 3;
         let route = |name: &str, kind: &str, resumable: bool| {
             json!({
@@ -375,7 +376,9 @@
                 "rate-per-s": 0, "burst": 0}],
         });
         change(&mut config);
-        Ok(platform::decode_plan(config.to_string().as_bytes())?)
+        let record = config.to_string();
+        platform::decode_plan(record.as_bytes())?;
+        Ok(record.into())
     }
 
     /// Lists a server in a state.
