Tell every peer all demand since the pulse before

Cause: each pulse carried the demand of one period and took it from the meter, but in a fleet of more than about 30 daemons a period's pulses reach a part of the peers only. At 95 daemons the planner saw about a third of the demand, at 320 less, so it kept too few replicas of busy models. Numbers of waiting requests stayed for 5 s after the last one was served. Ruled out: lost datagrams; the same happens without any loss. Change: DemandLog keeps the demand by period and each peer gets all since the last pulse to it; the planner gets a pulse every third period out of turn; models of which no request waits any more are told once.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -228,6 +228,10 @@
         }
     }
 
+    fn planner(&self) -> Option<SocketAddr> {
+        self.known_planner.address()
+    }
+
     async fn urgent_change(&self) {
         let mut configs = self.configs.subscribe();
         let mut departures = self.fleet.departures();
--- a/src/dispatch/demand.rs
+++ b/src/dispatch/demand.rs
@@ -1,6 +1,6 @@
 //! Counts of demand per model, which the planner uses.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct DemandMeter {
     counts: Mutex<BTreeMap<DemandKey, ModelDemand>>,
+    /// Models of which requests waited when the counts were last taken.
+    waited: Mutex<BTreeSet<SmolStr>>,
 }
 
 impl DemandMeter {
@@ -48,8 +50,15 @@
         self.change(model, None, |demand| demand.misses += 1);
     }
 
-    /// Takes and resets the counts. `waiting` is the number of requests that wait now, by model.
+    /// Takes and resets the counts. `waiting` is the number of requests that wait now, by model. A model of which no
+    /// request waits any more is contained as well.
     pub fn take(&self, waiting: &[(SmolStr, u32)]) -> Vec<ModelDemand> {
+        let now_waiting = waiting.iter().map(|(model, _)| model.clone()).collect();
+        let mut waited = self.waited.lock().unwrap_or_else(PoisonError::into_inner);
+        for model in std::mem::replace(&mut *waited, now_waiting) {
+            self.change(&model, None, |_| {});
+        }
+        drop(waited);
         for (model, count) in waiting {
             self.change(model, None, |demand| demand.waiting = *count);
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod config_copy;
 mod copies;
 mod crash;
+mod demand_log;
 mod dispatcher;
 mod engine_state;
 mod engines;
@@ -41,6 +42,7 @@
 };
 pub use self::copies::{CopyTables, follow_configs, follow_copies};
 pub use self::crash::CrashDetector;
+pub use self::demand_log::{DemandLog, PeriodId};
 pub use self::dispatcher::{
     ConfigReceiver, RelayAnswer, RelayBody, RelayContext, RelayDispatcher, RequestAttribution,
     RetryLimits,
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -1,7 +1,7 @@
 //! Pulses: heartbeat datagrams in which daemons report their frequently changing state to each other. A lost pulse only
 //! makes that state less accurate.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,8 +16,9 @@
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
 use crate::peer::SuspectNotice;
+use crate::relay::demand_log::{DemandLog, PeriodId};
 use crate::relay::engines::PlacementChange;
-use crate::relay::registry::DaemonRegistry;
+use crate::relay::registry::{DaemonRecord, DaemonRegistry};
 use crate::timer::TimerService;
 
 /// Period of pulses in a small fleet, well below the time in which a server's number of requests changes.
@@ -25,6 +26,8 @@
 /// Largest number of periodic pulses that one daemon sends per second. In a larger fleet each period serves only some
 /// of the peers, in rotation.
 const MAX_PULSES_PER_S: usize = 160;
+/// Number of periods between two pulses to the planner, to which each daemon reports out of turn.
+const PLANNER_PERIODS: usize = 3;
 /// Largest datagram, in bytes; a larger pulse is not sent.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -51,7 +54,7 @@
     /// Teams of which it is a home (keeps part of the tokens), with its spare tokens and its share in parts per
     /// million.
     pub spare: Vec<(SmolStr, u64, u32)>,
-    /// Demand since its last pulse.
+    /// Demand since its last pulse to the receiver.
     pub demand: Vec<ModelDemand>,
     /// Fencing number under which it sends orders, if it is the planner.
     pub fence: Option<u64>,
@@ -63,9 +66,12 @@
 
 /// Builds this daemon's pulses and handles those of peers.
 pub trait PulseHandler: Send + Sync + 'static {
-    /// Returns this daemon's pulse, with the changes since the last call.
+    /// Returns this daemon's pulse, with the changes and the demand since the last call.
     fn build_pulse(&self, now: Instant) -> Pulse;
 
+    /// Returns the peer address of the planner, if it is known.
+    fn planner(&self) -> Option<SocketAddr>;
+
     /// Completes when a pulse must be sent to all peers immediately.
     fn urgent_change(&self) -> impl Future<Output = ()> + Send;
 
@@ -91,17 +97,23 @@
     let socket = Arc::new(socket);
     group.spawn_cancellable(receive(socket.clone(), handler.clone()));
     let mut ticks = timer.every(PULSE_PERIOD);
+    let mut sender = PulseSender {
+        socket,
+        registry,
+        handler,
+        demand: DemandLog::new(),
+        turn: 0,
+    };
     group.spawn_cancellable(async move {
-        let mut turn = 0;
         loop {
             let urgent = tokio::select! {
                 tick = ticks.next() => match tick {
                     Some(_) => false,
                     None => return,
                 },
-                () = handler.urgent_change() => true,
+                () = sender.handler.urgent_change() => true,
             };
-            send(&socket, &registry, &*handler, &mut turn, urgent).await;
+            sender.send(urgent).await;
         }
     });
     Ok(())
@@ -144,44 +156,79 @@
     }
 }
 
-async fn send<H: PulseHandler>(
-    socket: &UdpSocket,
-    registry: &DaemonRegistry,
-    handler: &H,
-    turn: &mut usize,
-    urgent: bool,
-) {
-    let zone = &registry.own_registration().1.zone;
-    let peers = registry.peers();
-    let (same_zone, other_zones): (Vec<_>, Vec<_>) =
-        peers.iter().partition(|(_, record)| record.zone == *zone);
-    let pulse = handler.build_pulse(Instant::now());
-    let data = match bincode::serde::encode_to_vec(&pulse, bincode::config::standard()) {
-        Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => data,
+/// Sends this daemon's pulses.
+struct PulseSender<H> {
+    socket: Arc<UdpSocket>,
+    registry: Arc<DaemonRegistry>,
+    handler: Arc<H>,
+    demand: DemandLog,
+    /// Number of pulses built so far.
+    turn: usize,
+}
+
+impl<H: PulseHandler> PulseSender<H> {
+    /// Sends one pulse to the peers whose turn it is, or to all if it is urgent.
+    async fn send(&mut self, urgent: bool) {
+        let mut pulse = self.handler.build_pulse(Instant::now());
+        self.demand.push(std::mem::take(&mut pulse.demand));
+        let peers = self.registry.peers();
+        let vms: HashSet<VmId> = peers.iter().map(|(_, record)| record.vm).collect();
+        self.demand.retain_peers(&vms);
+        // Most receivers have been told of the demand up to the same period, so their datagrams are the same.
+        let mut encoded: HashMap<PeriodId, Option<Vec<u8>>> = HashMap::new();
+        for (name, record) in self.receivers(&peers, &pulse.zone, urgent) {
+            let period = self.demand.tell(record.vm);
+            let data = encoded.entry(period).or_insert_with(|| {
+                pulse.demand = self.demand.since(period);
+                encode(&pulse)
+            });
+            let Some(data) = data else { return };
+            if let Err(error) = self.socket.send_to(data, record.pulse).await {
+                log::debug!("pulse to {name} was not sent: {error}");
+            }
+        }
+        self.turn = self.turn.wrapping_add(1);
+    }
+
+    fn receivers<'a>(
+        &self,
+        peers: &'a [(SmolStr, DaemonRecord)],
+        zone: &str,
+        urgent: bool,
+    ) -> Vec<&'a (SmolStr, DaemonRecord)> {
+        if urgent {
+            return peers.iter().collect();
+        }
+        let (same_zone, other_zones): (Vec<_>, Vec<_>) =
+            peers.iter().partition(|(_, record)| record.zone == *zone);
+        let schedule = PulseSchedule::new(same_zone.len(), other_zones.len());
+        let (same_zone_count, other_zone_count) = schedule.per_tick();
+        let same_zone = round_robin(&same_zone, self.turn, same_zone_count);
+        let other_zones = round_robin(&other_zones, self.turn, other_zone_count);
+        let mut receivers: Vec<_> = same_zone.chain(other_zones).copied().collect();
+        if self.turn.is_multiple_of(PLANNER_PERIODS)
+            && let Some(address) = self.handler.planner()
+            && !receivers.iter().any(|(_, record)| record.peer == address)
+        {
+            receivers.extend(peers.iter().find(|(_, record)| record.peer == address));
+        }
+        receivers
+    }
+}
+
+/// Encodes a pulse, or returns `None` if that is impossible, which is logged.
+fn encode(pulse: &Pulse) -> Option<Vec<u8>> {
+    match bincode::serde::encode_to_vec(pulse, bincode::config::standard()) {
+        Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => Some(data),
         Ok(data) => {
             log::warn!("a pulse of {} bytes is too large to send", data.len());
-            return;
+            None
         }
         Err(error) => {
             log::error!("a pulse cannot be encoded: {error}");
-            return;
-        }
-    };
-    let (same_zone_count, other_zone_count) = match urgent {
-        true => (same_zone.len(), other_zones.len()),
-        false => PulseSchedule::new(same_zone.len(), other_zones.len()).per_tick(),
-    };
-    let receivers = round_robin(&same_zone, *turn, same_zone_count).chain(round_robin(
-        &other_zones,
-        *turn,
-        other_zone_count,
-    ));
-    for (name, record) in receivers {
-        if let Err(error) = socket.send_to(&data, record.pulse).await {
-            log::debug!("pulse to {name} was not sent: {error}");
+            None
         }
     }
-    *turn = turn.wrapping_add(1);
 }
 
 /// Returns the `count` peers that are next in the rotation at `turn`.
