Let late requests yield to those that can still be on time

Cause: within a team the queue served the request with the least time left, so under overload each request waited until it had missed its target: the servers worked for late answers while newer requests became late as well. The routes' and teams' priorities were decoded and used by no decision. Many daemons queue for the same servers, so one daemon's late requests also took the last places from another's that could still be on time; servers then refused what exceeded their queues. Change: WaitEntry states the target and the priority. A late request goes after all that can be on time, late ones by priority; routing gives a late request only three quarters of a server's slots. Late requests are still served when places are free. Streams that go on at another server have no target. Tests, with the old order: half_of_the_requests_are_on_time_under_twice_the_load fails with 31 of 1,000 served requests on time, late_requests_are_served_by_priority_when_places_are_free and queue_agrees_with_the_reference_model (extended by target and priority) fail; with the old limit late_requests_leave_the_last_places_to_others fails.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -70,6 +70,7 @@
                 prefixes,
                 zone: "zone-3".into(),
                 avoid: Vec::new(),
+                late: false,
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -176,6 +176,7 @@
             prefixes,
             zone: self.zone.clone(),
             avoid: Vec::new(),
+            late: false,
         };
         ModelNeed {
             route,
@@ -203,6 +204,8 @@
             class: self.class,
             deadline: self.deadline,
             work,
+            target: None,
+            priority: 0,
             tokens: u64::from(self.prompt_tokens) + u64::from(self.call.max_tokens),
         }
     }
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -75,6 +75,8 @@
 /// A request in a queue.
 pub struct Waiter {
     need: ModelNeed,
+    /// Time until which the answer is on time.
+    target: Option<Instant>,
     grant: oneshot::Sender<ServerSlot>,
 }
 
@@ -140,7 +142,7 @@
             let queue = self.queue(&mut queues, &model);
             let now = Instant::now();
             if queue.queue.is_empty()
-                && let Some(slot) = self.choose(&need, now)
+                && let Some(slot) = self.choose(&need, entry.target, now)
             {
                 queue.queue.adjust_served(&entry.team, entry.tokens as i64);
                 queue.granted_at = now;
@@ -151,9 +153,14 @@
                 .check_wait(&entry, now)
                 .map_err(|error| error.with_context(reason))?;
             let (grant, granted) = oneshot::channel();
+            let waiter = Waiter {
+                need,
+                target: entry.target,
+                grant,
+            };
             let id = queue
                 .queue
-                .push(entry, Waiter { need, grant })
+                .push(entry, waiter)
                 .map_err(|_| overloaded("the queue is full"))?;
             (id, granted, now, reason)
         };
@@ -222,7 +229,7 @@
     fn grant_next(&self, queue: &mut ModelQueue<Q>, now: Instant) -> bool {
         let mut slot = None;
         let popped = queue.queue.pop_next(now, |waiter| {
-            slot = self.choose(&waiter.need, now);
+            slot = self.choose(&waiter.need, waiter.target, now);
             slot.is_some()
         });
         let (Some((_, waiter)), Some(slot)) = (popped, slot) else {
@@ -234,9 +241,15 @@
         true
     }
 
-    fn choose(&self, need: &ModelNeed, now: Instant) -> Option<ServerSlot> {
+    fn choose(
+        &self,
+        need: &ModelNeed,
+        target: Option<Instant>,
+        now: Instant,
+    ) -> Option<ServerSlot> {
         let fleet = self.fleet.snapshot();
         let mut route = need.route.clone();
+        route.late = target.is_some_and(|target| target < now);
         if !fleet.has_usable_server(&route.model, &route.version) {
             let other = need
                 .fallbacks
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,7 +1,8 @@
 //! Order in which waiting requests get a backend server.
 //!
 //! Interactive requests go first: the team with the fewest served tokens before others, and within a team the request
-//! with the least time left. Overnight requests, which are batch requests with a deadline, use the capacity that
+//! with the least time left. A request that has missed its target, so that its answer will be late, yields to all that
+//! can still meet theirs; of late requests, those of the highest priority go first. Overnight requests, which are batch requests with a deadline, use the capacity that
 //! interactive ones leave, the one with the least slack to its deadline first. They are promoted to the interactive
 //! requests of their team when the slack runs out.
 
@@ -28,6 +29,10 @@
     pub deadline: Instant,
     /// Estimated time that the request takes once it is sent.
     pub work: Duration,
+    /// Time until which the answer is on time; `None` if it is as good at any time before the deadline.
+    pub target: Option<Instant>,
+    /// Rank among late requests; 0 goes first.
+    pub priority: u32,
     /// Tokens charged to the team's counter when the request is popped, unless it is popped as an overnight
     /// request that was not promoted.
     pub tokens: u64,
@@ -40,6 +45,16 @@
             .checked_sub(self.work)
             .unwrap_or(self.deadline)
     }
+
+    /// Returns the time by which the request goes before others of its team.
+    fn order_time(&self) -> Instant {
+        self.target.unwrap_or_else(|| self.latest_start())
+    }
+
+    /// Returns whether the answer will be late, also if the request is sent now.
+    fn is_late(&self, now: Instant) -> bool {
+        self.target.is_some_and(|target| target < now)
+    }
 }
 
 /// A queue of waiting requests with a policy for their order.
@@ -155,7 +170,11 @@
         }
     }
 
-    fn first_interactive(&self, admissible: &mut impl FnMut(&T) -> bool) -> Option<WaitId> {
+    fn first_interactive(
+        &self,
+        now: Instant,
+        admissible: &mut impl FnMut(&T) -> bool,
+    ) -> Option<WaitId> {
         let active = self
             .teams
             .iter()
@@ -164,9 +183,19 @@
             .map(|(team, queue)| (queue.counter, team, &queue.waiting))
             .collect();
         teams.sort_by_key(|(counter, team, _)| (*counter, *team));
-        let mut ids = teams.iter().flat_map(|(_, _, keys)| keys.iter());
-        ids.find(|(_, id)| admissible(&self.waiting[id].item))
-            .map(|(_, id)| *id)
+        let mut late = Vec::new();
+        for (_, id) in teams.iter().flat_map(|(_, _, keys)| keys.iter()) {
+            let waiting = &self.waiting[id];
+            if waiting.entry.is_late(now) {
+                late.push((waiting.entry.priority, *id));
+            } else if admissible(&waiting.item) {
+                return Some(*id);
+            }
+        }
+        // The sort is stable: within a priority, the order of teams and of their requests stays.
+        late.sort_by_key(|(priority, _)| *priority);
+        let mut late = late.into_iter().map(|(_, id)| id);
+        late.find(|id| admissible(&self.waiting[id].item))
     }
 
     fn first_overnight(&self, admissible: &mut impl FnMut(&T) -> bool) -> Option<WaitId> {
@@ -207,13 +236,14 @@
         }
         let id = WaitId(self.next);
         self.next += 1;
-        let key = (entry.latest_start(), id);
         let index_key = match entry.class {
             RequestClass::Interactive => {
+                let key = (entry.order_time(), id);
                 self.join_team(&entry.team, key);
                 IndexKey::Team(key)
             }
             RequestClass::Overnight => {
+                let key = (entry.latest_start(), id);
                 self.overnight.insert(key);
                 self.declared_overnight += 1;
                 IndexKey::Overnight(key)
@@ -236,7 +266,7 @@
         mut admissible: impl FnMut(&T) -> bool,
     ) -> Option<(WaitId, T)> {
         self.promote(now);
-        if let Some(id) = self.first_interactive(&mut admissible) {
+        if let Some(id) = self.first_interactive(now, &mut admissible) {
             let waiting = self.take(id)?;
             self.charge(&waiting.entry.team, waiting.entry.tokens);
             return Some((id, waiting.item));
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -195,6 +195,8 @@
             _ => None,
         };
         let deadline = (caller_deadline - CALLER_DEADLINE_MARGIN).min(arrived + route.timeout);
+        let team_priority = team.as_ref().and_then(|team| team.priority);
+        let priority = team_priority.unwrap_or(route.priority);
         let job = RequestJob {
             id: metadata.id.clone(),
             team: attribution.team.clone(),
@@ -215,6 +217,7 @@
                     caller_deadline,
                     deadline,
                     tokens,
+                    priority,
                     urgency: URGENCY,
                     max_idle_connections: service.max_idle_connections(daemons),
                     metadata,
@@ -388,6 +391,7 @@
             prefixes,
             zone: self.context.zone.clone(),
             avoid: Vec::new(),
+            late: false,
         };
         Ok(ModelNeed {
             route,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -80,6 +80,8 @@
     pub(super) deadline: Instant,
     /// Number of tokens charged.
     pub(super) tokens: u64,
+    /// Rank of the request's team, or of its route; 0 is the highest.
+    pub(super) priority: u32,
     /// From 0 to 9; a lower value is more urgent.
     pub(super) urgency: u8,
     /// Maximum number of idle connections that are kept to one server.
@@ -155,6 +157,13 @@
         self.request.deadline.min(limit)
     }
 
+    /// Returns until when the answer, or the first event of a stream, is on time. A stream that goes on at another
+    /// server has no target, and so never yields to requests that have not begun.
+    fn latency_target(&self) -> Option<Instant> {
+        let target = self.request.route.target_latency;
+        (!self.head_sent && !target.is_zero()).then(|| self.request.arrived + target)
+    }
+
     /// Returns until when to wait for the next part of an answer.
     fn answer_deadline(&self) -> Instant {
         let deadline = self.request.deadline;
@@ -438,6 +447,8 @@
             class: RequestClass::Interactive,
             deadline: self.queue_deadline(),
             work: Duration::ZERO,
+            target: self.latency_target(),
+            priority: self.request.priority,
             tokens: self.request.tokens,
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -52,6 +52,8 @@
     pub zone: SmolStr,
     /// Servers on which this request already failed.
     pub avoid: Vec<SmolStr>,
+    /// Whether the answer will be late. Such a request takes only places that others do not need.
+    pub late: bool,
 }
 
 /// Chooses a backend server for each request.
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -20,6 +20,8 @@
 /// Divisor of a server's free capacity: the quotient is the share that one daemon uses between two load reports. As
 /// daemons choose among several servers, two of them seldom use their shares of the same server at once.
 const FREE_SHARE_DIVISOR: u64 = 2;
+/// Share of the places of a server that late requests leave to others, which may come to another daemon, in percent.
+const LATE_RESERVE_PERCENT: u64 = 25;
 /// Candidates are near-equal if their expected time exceeds the best by at most an eighth plus this time, in
 /// microseconds. The lag of load reports hides smaller differences.
 const NEAR_EQUAL_US: u64 = 500;
@@ -66,7 +68,7 @@
         let table = self.prefixes.read();
         let holders = table.holders(&need.prefixes);
         let ranked: Vec<_> = candidates
-            .filter(|candidate| has_capacity(candidate))
+            .filter(|candidate| has_capacity(candidate, need.late))
             .filter(|candidate| !need.avoid.contains(&candidate.view.name))
             .map(|candidate| Ranked::new(need, &candidate, &holders))
             .collect();
@@ -175,10 +177,14 @@
 /// Returns the maximum number of outstanding requests of a server.
 ///
 /// The excess over the slots keeps the batch full until the next report arrives. Further requests wait in this daemon,
-/// whose queue is fair.
-fn dispatch_limit(view: &BackendView) -> u64 {
+/// whose queue is fair. Late requests do not fill the batch: the queues of other daemons, which this one does not know,
+/// may hold requests that can still be on time.
+fn dispatch_limit(view: &BackendView, late: bool) -> u64 {
     let slots = u64::from(view.slots);
-    slots + slots / 8 + 1
+    match late {
+        false => slots + slots / 8 + 1,
+        true => (slots - slots * LATE_RESERVE_PERCENT / 100).max(1),
+    }
 }
 
 /// Returns whether this daemon may send one more request to a server.
@@ -186,8 +192,8 @@
 /// Several daemons see the same free capacity until the next report, so each uses only a share of it. Otherwise each
 /// daemon alone would fill a free server, and requests would wait in the engine. Capacity that an ended request of this
 /// daemon has freed may be used again at once, as no other daemon knows of it.
-fn has_capacity(candidate: &Candidate<'_>) -> bool {
-    let limit = dispatch_limit(candidate.view);
+fn has_capacity(candidate: &Candidate<'_>, late: bool) -> bool {
+    let limit = dispatch_limit(candidate.view, late);
     let reported = candidate.outstanding.saturating_sub(candidate.own_increase);
     let share = limit.saturating_sub(reported).div_ceil(FREE_SHARE_DIVISOR);
     candidate.outstanding < limit && candidate.own_increase < share.max(1)
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -20,6 +20,8 @@
         overnight: bool,
         deadline_s: u8,
         work_s: u8,
+        target_s: Option<u8>,
+        priority: u8,
         tokens: u8,
     },
     Pop {
@@ -60,6 +62,27 @@
         (entry.entry.deadline - entry.entry.work, entry.id)
     }
 
+    /// Late requests by priority after all others; each group by team and time.
+    fn order(&self, entry: &ReferenceEntry, now: Instant) -> impl Ord + use<> {
+        let WaitEntry {
+            team,
+            target,
+            priority,
+            ..
+        } = &entry.entry;
+        if !entry.in_team {
+            return (2, 0, None, Self::latest_start(entry));
+        }
+        let late = target.is_some_and(|target| target < now);
+        let rank = if late { *priority } else { 0 };
+        let time = match (entry.entry.class, target) {
+            (Interactive, Some(target)) => (*target, entry.id),
+            _ => Self::latest_start(entry),
+        };
+        let team = Some((self.counter(team), team.clone()));
+        (u8::from(late), rank, team, time)
+    }
+
     fn counter(&self, team: &SmolStr) -> i64 {
         self.counters.get(team).copied().unwrap_or(0)
     }
@@ -111,12 +134,7 @@
             }
         }
         let allowed = self.entries.iter().filter(|e| admissible(e.item));
-        let first = allowed.min_by_key(|e| {
-            let team = e
-                .in_team
-                .then(|| (self.counter(&e.entry.team), e.entry.team.clone()));
-            (!e.in_team, team, Self::latest_start(e))
-        })?;
+        let first = allowed.min_by_key(|e| self.order(e, now))?;
         let (id, team, charged) = (first.id, first.entry.team.clone(), first.in_team);
         let taken = self.take(id)?;
         if charged {
@@ -167,6 +185,8 @@
                     overnight,
                     deadline_s,
                     work_s,
+                    target_s,
+                    priority,
                     tokens,
                 } => {
                     let entry = WaitEntry {
@@ -174,6 +194,8 @@
                         class: if overnight { Overnight } else { Interactive },
                         deadline: now + Duration::from_secs(deadline_s.into()),
                         work: Duration::from_secs(work_s.into()),
+                        target: target_s.map(|target| now + Duration::from_secs(target.into())),
+                        priority: u32::from(priority % 3),
                         tokens: tokens.into(),
                     };
                     assert_eq!(
@@ -219,10 +241,65 @@
         class,
         deadline,
         work: Duration::from_secs(1),
+        target: None,
+        priority: 0,
         tokens: 100,
     }
 }
 
+/// A request whose answer is on time until `target`.
+fn targeted(team: &str, priority: u32, target: Instant) -> WaitEntry {
+    WaitEntry {
+        target: Some(target),
+        priority,
+        ..entry(team, Interactive, target + Duration::from_secs(5))
+    }
+}
+
+/// Pattern: sustained overload, twice the load that the servers carry. Guards against an order in which each request
+/// waits until it has missed its target, so that nearly none is on time.
+#[test]
+fn half_of_the_requests_are_on_time_under_twice_the_load() {
+    let start = Instant::now();
+    let target = Duration::from_millis(300);
+    let (mut queue, mut on_time) = (WaitQueue::new(10_000), 0);
+    for step in 0..2_000_u32 {
+        let now = start + Duration::from_millis(10) * step;
+        drop(queue.expire(now, |_| Duration::ZERO));
+        let team = ["a", "b", "c"][step as usize % 3];
+        assert!(queue.push(targeted(team, 1, now + target), now).is_ok());
+        if step.is_multiple_of(2) {
+            let (_, arrived) = queue.pop_next(now, |_| true).unwrap();
+            on_time += usize::from(now <= arrived + target);
+        }
+    }
+    assert!(
+        on_time >= 900,
+        "{on_time} of 1,000 served requests are on time"
+    );
+}
+
+/// Pattern: a burst after which the servers keep up. Guards against late requests that are never served although
+/// places are free, and against a less urgent one that goes first.
+#[test]
+fn late_requests_are_served_by_priority_when_places_are_free() {
+    let now = Instant::now();
+    let mut queue = WaitQueue::new(10);
+    let second = Duration::from_secs(1);
+    for (name, priority, target) in [
+        ("late, can wait", 2, now + second),
+        ("late, urgent", 0, now + second * 2),
+        ("on time", 2, now + second * 9),
+    ] {
+        assert!(queue.push(targeted("a", priority, target), name).is_ok());
+    }
+    let later = now + second * 4;
+    let order: Vec<_> = (0..3)
+        .map(|_| queue.pop_next(later, |_| true).unwrap().1)
+        .collect();
+    assert_eq!(order, ["on time", "late, urgent", "late, can wait"]);
+}
+
 /// Guards against a team that starves others because it sends five times as much, or because it sent nothing before.
 #[test]
 fn teams_share_equally_under_contention() {
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -59,6 +59,7 @@
             prefixes: Vec::new(),
             zone: "north".into(),
             avoid: Vec::new(),
+            late: false,
         },
         fallbacks: Vec::new(),
         suspect: Some(KeyDigest::of(fingerprint)),
@@ -71,6 +72,8 @@
         class: RequestClass::Interactive,
         deadline: Instant::now() + Duration::from_millis(200),
         work: Duration::ZERO,
+        target: None,
+        priority: 0,
         tokens: 1,
     }
 }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -48,6 +48,7 @@
         prefixes: Vec::new(),
         zone: "z0".into(),
         avoid: Vec::new(),
+        late: false,
     }
 }
 
@@ -135,6 +136,45 @@
         });
 }
 
+/// Pattern: many daemons under overload, each with its own queue. Guards against late requests that take the last places
+/// of a server from requests of other daemons that can still be on time, and against late requests that are not served
+/// although places are free.
+#[test]
+fn late_requests_leave_the_last_places_to_others() {
+    let late = RouteNeed {
+        late: true,
+        ..need(1)
+    };
+    for running in 0..12 {
+        let mut busy = view(0, "z0", 1);
+        busy.report.running = running;
+        let views = [busy];
+        let for_late = policy(1).choose(&late, &views, Instant::now());
+        let for_others = policy(1).choose(&need(1), &views, Instant::now());
+        assert!(
+            for_late.is_none() || for_others.is_some(),
+            "with {running} of 8 slots taken, only a late request is sent"
+        );
+        match running {
+            0..6 => assert_eq!(for_late, Some(0), "{running} of 8 slots taken"),
+            6..10 => assert_eq!((for_late, for_others), (None, Some(0)), "{running} of 8"),
+            _ => assert_eq!(for_others, None, "{running} of 8 slots taken"),
+        }
+    }
+}
+
+/// Guards against late requests that no server ever takes because it has a single slot.
+#[test]
+fn server_with_one_slot_takes_late_requests() {
+    let mut small = view(0, "z0", 1);
+    small.slots = 1;
+    let late = RouteNeed {
+        late: true,
+        ..need(1)
+    };
+    assert_eq!(policy(1).choose(&late, &[small], Instant::now()), Some(0));
+}
+
 /// Guards against a ranking that ignores load, adapter, cached prefix or zone.
 #[test]
 fn policy_prefers_free_servers_cached_prefixes_and_own_zone() {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -181,6 +181,7 @@
             prefixes: Vec::new(),
             zone: "z".into(),
             avoid: Vec::new(),
+            late: false,
         };
         let fleet = self.watch.snapshot();
         let policy = ExpectedTimePolicy::new(self.prefixes.clone(), 1);
