--- a/src/queue.rs
+++ b/src/queue.rs
@@ -2,9 +2,11 @@
 //!
 //! Interactive requests go first: the team with the fewest served tokens before others, and within a team the request
 //! with the least time left. A request that has missed its target, so that its answer will be late, yields to all that
-//! can still meet theirs; of late requests, those of the highest priority go first. Overnight requests, which are batch requests with a deadline, use the capacity that
-//! interactive ones leave, the one with the least slack to its deadline first. They are promoted to the interactive
-//! requests of their team when the slack runs out.
+//! can still meet theirs; of late requests, those of the highest priority go first.
+//!
+//! Overnight requests, which are batch requests with a deadline, use the capacity that interactive ones leave, the one
+//! with the least slack to its deadline first. They are promoted to the interactive requests of their team when the
+//! slack runs out.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -182,7 +182,7 @@
                 pulse.demand = self.demand.since(period);
                 encode(&pulse)
             });
-            let Some(data) = data else { return };
+            let Some(data) = data else { continue };
             if let Err(error) = self.socket.send_to(data, record.pulse).await {
                 log::debug!("pulse to {name} was not sent: {error}");
             }
