Log how a stream without a length or with an incomplete last event ended

Cause: a stream that is forwarded to its end is logged at debug level only, and no line says how its answer was framed. Change: one line at info level when a stream is delimited by its connection, or when bytes follow its last complete event. No logic changed.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -390,6 +390,15 @@
         // Bytes after the last event are part of a complete answer. After a broken connection they are dropped, as the
         // next server sends that event again.
         let rest = splitter.take_rest();
+        if answer.ends_with_connection() || !rest.is_empty() {
+            log::info!(
+                "the stream of {} ended after event {:?} and {} more bytes; delimited by its connection: {}",
+                slot.name,
+                self.last_event,
+                rest.len(),
+                answer.ends_with_connection(),
+            );
+        }
         if !self.send_events(&answer, rest, pieces).await
             || pieces.send(Ok(RelayPiece::End)).await.is_err()
         {
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -175,6 +176,12 @@
 }
 
 impl UpstreamAnswer {
+    /// Returns whether the answer has neither a length nor chunks, so that the end of the connection is its end.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool unless the server has `max_idle` idle connections already. Must be called
     /// only after the body was read to its end.
     pub fn release(self, max_idle: usize) {
