Add failing tests of streams that end inside an event

The tests give the relay a stream with neither a length nor chunks whose connection ends inside an event, the same on a route that can be resumed, and a stream in chunks that ends inside an event. A fourth test holds what must stay: a whole stream without a length is complete.

--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -14,6 +14,7 @@
 mod name_in_header;
 mod slow_store_answer;
 mod stale_load_report;
+mod stream_broken_inside_an_event;
 mod suspect_reservation;
 mod team_share_deadlock;
 mod team_without_budget;
