Log what an attempt that broke had brought, and its prompt parts

Cause: when a server crashes under a request, the logs said neither which server it was, nor how far the answer had come, nor what the request had in common with others. Change: one line at info level per broken attempt. No logic changed.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -105,6 +105,8 @@
     /// Id of the last event that was forwarded, or that the caller stated in its request.
     last_event: Option<u64>,
     head_sent: bool,
+    /// Complete events that the current server has sent.
+    attempt_events: u32,
     /// Error answer of a backend server, which is forwarded if no other server answers.
     fallback: Option<RelayPiece>,
 }
@@ -130,6 +132,7 @@
             sends: 0,
             attempts: 0,
             head_sent: false,
+            attempt_events: 0,
             fallback: None,
         }
     }
@@ -212,6 +215,7 @@
         let previous = (self.verdict, self.attempts);
         self.sends += 1;
         self.attempts += 1;
+        self.attempt_events = 0;
         let deadline = self.answer_deadline();
         self.verdict = RunVerdict::MayHaveRun;
         // An idle connection may break after the server has read the request; only a repeatable one can be sent again.
@@ -285,6 +289,12 @@
             self.fleet.call_failed(&slot.name);
         }
         if is_connection_error_or_timeout && error.verdict() != RunVerdict::NotRun {
+            log::info!(
+                "the attempt at {} broke after {} events, prompt parts {:x?}: {error}",
+                slot.name,
+                self.attempt_events,
+                self.request.metadata.prompt,
+            );
             self.crashes
                 .record_broken(&slot.name, self.request.fingerprint, now);
         }
@@ -417,6 +427,7 @@
     fn new_events(&mut self, splitter: &mut EventSplitter) -> Bytes {
         let mut events: Vec<Bytes> = Vec::new();
         while let Some(event) = splitter.next_event() {
+            self.attempt_events += 1;
             if let Some(id) = event.id {
                 if self.last_event.is_some_and(|last| id <= last) {
                     continue;
