--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -33,6 +33,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 /// Time limit of every wait for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -54,6 +55,9 @@
     Early(String),
     /// Writes bytes and then nothing more, with the connection open.
     Stall(String),
+    /// Crashes if the request contains `trigger`: no connection is accepted any more and this one is reset. Otherwise
+    /// writes `answer`.
+    CrashOn { trigger: String, answer: String },
 }
 
 /// A backend server that follows a script.
@@ -68,6 +72,8 @@
     /// Number of the abandoned connections that were reset.
     pub resets: Arc<AtomicUsize>,
     pub connections: Arc<AtomicUsize>,
+    /// Cancelled when the server crashes.
+    pub crash: CancellationToken,
 }
 
 impl ScriptedServer {
@@ -86,19 +92,23 @@
             abandoned: Arc::default(),
             resets: Arc::default(),
             connections: Arc::default(),
+            crash: CancellationToken::new(),
         };
         let (scripts, requests) = (server.scripts.clone(), server.requests.clone());
         let (abandoned, connections) = (server.abandoned.clone(), server.connections.clone());
         let resets = server.resets.clone();
+        let crash = server.crash.clone();
         let parent = group.clone();
         group.spawn_cancellable(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Some(Ok((stream, _))) = crash.run_until_cancelled(listener.accept()).await {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (scripts, requests) = (scripts.clone(), requests.clone());
                 let (abandoned, resets) = (abandoned.clone(), resets.clone());
+                let crash = crash.clone();
                 parent.spawn_cancellable(async move {
                     // The script ends when the relay closes the connection.
-                    let _ = run_scripts(stream, &scripts, &requests, &abandoned, &resets).await;
+                    let _ =
+                        run_scripts(stream, &scripts, &requests, &abandoned, &resets, &crash).await;
                 });
             }
         });
@@ -117,6 +127,7 @@
     requests: &Mutex<Vec<String>>,
     abandoned: &AtomicUsize,
     resets: &AtomicUsize,
+    crash: &CancellationToken,
 ) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     loop {
@@ -150,6 +161,7 @@
             }
         }
         let request = String::from_utf8_lossy(&buffer[..head_end + length]).into_owned();
+        let text = request.clone();
         lock(requests).push(request);
         buffer.drain(..head_end + length);
         match script {
@@ -172,6 +184,11 @@
                 }
                 return stream.set_zero_linger();
             }
+            Script::CrashOn { trigger, .. } if text.contains(&trigger) => {
+                crash.cancel();
+                return stream.set_zero_linger();
+            }
+            Script::CrashOn { answer, .. } => stream.write_all(&bytes(&answer)).await?,
             Script::Stall(text) => {
                 stream.write_all(&bytes(&text)).await?;
                 let read = stream.read_buf(&mut buffer).await;
