Refuse requests with a prompt part that crashes servers

Cause: a daemon recognised a harmful request by the digest of the whole request. Requests with the harmful part are never alike, so none was refused, and each was sent again after it had crashed its server. Class: what fails is recognised by an identity that is finer than its cause. Second: a crash became known with the server's record, seconds later. Change: BlameTable (no network) blames prompt parts. A request whose server broke before a second event, and now refuses connections, makes its parts suspect; an answer to a later request clears them; a part with three crashes that no other part explains is blocked for five minutes. Daemons tell each other of crashes at once in small datagrams, and repeat blocked and cleared parts in pulses. Requests with a blocked part are refused as not run, also those that wait; a daemon tries one request after 1 to 9 s.

--- /dev/null
+++ b/src/blame.rs
@@ -0,0 +1,553 @@
+//! Prompt parts that crash the backend servers which begin to write an answer on them.
+//!
+//! Every part of a request whose server crashed before it wrote an answer is *suspect*, until a server writes an answer
+//! to a later request with that part. A part under which server after server crashes is *blocked*: requests with it are
+//! refused.
+//!
+//! Two rules keep harmless parts from being blocked. A crash counts against a part only if the request was sent after
+//! the crash that was counted before it, because many servers may crash at once for another reason. And a crash that a
+//! blocked part explains is no evidence against the other parts of the same requests; the later a part stands in its
+//! prompt, the fewer requests share it, so later parts are blocked first.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// Crashes, not explained by another blocked part, after which a part is blocked.
+pub const BLOCKING_CRASHES: usize = 3;
+/// Crashes after which a request is not sent again once its server has crashed.
+const RESEND_CRASHES: usize = 2;
+/// Time after its last crash for which a part stays suspect.
+const SUSPECT_TIME: Duration = Duration::from_secs(60);
+/// Time for which a part is blocked. After it, one more crash blocks the part again.
+pub const BLOCK_TIME: Duration = Duration::from_secs(300);
+/// Time after which one request with a blocked part may run, in case the part is harmless. Each daemon waits for some time
+/// of its own in addition, so that mostly one makes the trial.
+const FIRST_TRIAL: Duration = Duration::from_secs(1);
+/// Time to the next trial of a daemon once one has failed.
+const NEXT_TRIAL: Duration = Duration::from_secs(64);
+/// Longest time by which a daemon delays its trials.
+pub const MAX_TRIAL_DELAY: Duration = Duration::from_secs(8);
+/// Time for which a part is known to be cleared, and for which older notices about it are ignored.
+const CLEARED_TIME: Duration = Duration::from_secs(30);
+/// Longest usual delay of a message between daemons. The request of another daemon's report was sent up to that much
+/// earlier than the report says.
+const MESSAGE_DELAY: Duration = Duration::from_millis(100);
+/// Time for which pulses tell that a part was cleared after a single crash: long enough for a pulse to every peer in turn.
+const SHARE_TIME: Duration = Duration::from_secs(4);
+/// Maximum number of crashes that are kept as evidence.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of reports of one crash that are kept.
+const MAX_REPORTS: usize = 32;
+/// Maximum number of notices in one pulse, which must fit into a datagram.
+const MAX_NOTICES: usize = 32;
+
+/// Id of a prompt part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PartId(pub u64);
+
+/// One start of a backend server, as a hash of its id and its time of start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServerStart(pub u64);
+
+/// A request whose server crashed before it wrote an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    pub server: ServerStart,
+    /// Time since the request was sent to the server.
+    pub sent_ago: Duration,
+    /// In the order in which they stand in the prompt.
+    pub parts: Vec<PartId>,
+}
+
+/// What another daemon knows about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartNotice {
+    pub part: PartId,
+    /// Whether the part is blocked; otherwise it was cleared.
+    pub is_blocked: bool,
+    /// Time since the part was blocked or cleared.
+    pub age: Duration,
+    /// Time since the first of the crashes because of which it was blocked; `age` if it was cleared.
+    pub first_ago: Duration,
+}
+
+/// A message about crashes from one daemon to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BlameMessage {
+    Crash(CrashReport),
+    Notice(PartNotice),
+}
+
+/// Parts whose state has changed because of a crash.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BlameChange {
+    pub blocked: Vec<PartId>,
+    /// Parts that are no longer blocked, as another part explains their crashes.
+    pub unblocked: Vec<PartId>,
+}
+
+/// Requests whose server crashed, by their parts. Several daemons may report the same crash.
+#[derive(Clone, Debug)]
+struct CrashRecord {
+    server: ServerStart,
+    at: Instant,
+    requests: Vec<Vec<PartId>>,
+}
+
+#[derive(Clone, Debug)]
+struct PartRecord {
+    /// Number of crashes that count against the part.
+    crashes: usize,
+    /// The servers of these crashes.
+    crashed: Vec<ServerStart>,
+    /// When the first and the last of these crashes became known.
+    first: Instant,
+    last: Instant,
+    /// Largest position of the part in a prompt.
+    depth: usize,
+    state: PartState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PartState {
+    Suspect,
+    Blocked {
+        since: Instant,
+        /// Time of this daemon's next trial.
+        trial: Instant,
+    },
+    Cleared {
+        at: Instant,
+        /// Time for which other daemons are told.
+        shared_for: Duration,
+    },
+}
+
+/// Table of suspect parts with a bounded size. Its functions take the time as an argument.
+#[derive(Clone, Debug)]
+pub struct BlameTable {
+    capacity: usize,
+    /// Time by which this daemon delays its trials.
+    trial_delay: Duration,
+    records: HashMap<PartId, PartRecord>,
+    /// Parts in the order in which they became known. When the table is full, the first that is not blocked goes.
+    order: VecDeque<PartId>,
+    /// The latest crashes, oldest first.
+    crashes: VecDeque<CrashRecord>,
+}
+
+impl BlameTable {
+    /// Creates a table of up to `capacity` parts. Daemons draw their `trial_delay` at random, up to [`MAX_TRIAL_DELAY`].
+    pub fn new(capacity: usize, trial_delay: Duration) -> Self {
+        Self {
+            capacity: capacity.max(1),
+            trial_delay,
+            records: HashMap::new(),
+            order: VecDeque::new(),
+            crashes: VecDeque::new(),
+        }
+    }
+
+    /// Returns until when requests with any of `parts` are refused; `None` if they may run.
+    pub fn blocked_until(&self, parts: &[PartId], now: Instant) -> Option<Instant> {
+        let records = parts.iter().filter_map(|part| self.records.get(part));
+        let ends = records.filter_map(|record| record.state.blocked_until());
+        ends.filter(|until| *until > now).max()
+    }
+
+    /// Returns whether a trial is due for each blocked part of a request.
+    pub fn is_trial_due(&self, parts: &[PartId], now: Instant) -> bool {
+        let states = parts.iter().filter_map(|part| self.records.get(part));
+        states.map(|record| record.state).all(|state| match state {
+            PartState::Blocked { trial, .. } => trial <= now,
+            PartState::Suspect | PartState::Cleared { .. } => true,
+        })
+    }
+
+    /// Takes the trial that is due for the blocked parts of a request, so that this one request may run. Returns whether
+    /// there was one.
+    pub fn take_trial(&mut self, parts: &[PartId], now: Instant) -> bool {
+        if !self.is_trial_due(parts, now) {
+            return false;
+        }
+        let next = now + NEXT_TRIAL + self.trial_delay;
+        for part in parts {
+            if let Some(record) = self.records.get_mut(part) {
+                record.delay_trial(next);
+            }
+        }
+        true
+    }
+
+    /// Returns whether a request with `parts` may be sent again after its server crashed.
+    pub fn may_resend(&self, parts: &[PartId], now: Instant) -> bool {
+        let last = parts.last().and_then(|part| self.records.get(part));
+        !last.is_some_and(|record| record.crashes >= RESEND_CRASHES && record.is_live(now))
+    }
+
+    /// Counts a crash against the parts of a request, which this daemon has sent if `is_own` is set. Returns which parts
+    /// are blocked because of it, and which no longer.
+    pub fn record_crash(
+        &mut self,
+        report: &CrashReport,
+        is_own: bool,
+        now: Instant,
+    ) -> BlameChange {
+        self.keep_crash(report, now);
+        let delay = match is_own {
+            true => Duration::ZERO,
+            false => MESSAGE_DELAY,
+        };
+        let sent = now.checked_sub(report.sent_ago + delay);
+        let next_trial = now + NEXT_TRIAL + self.trial_delay;
+        let mut has_candidate = false;
+        for (depth, part) in report.parts.iter().enumerate() {
+            let record = self.record(*part, now);
+            record.depth = record.depth.max(depth);
+            has_candidate |=
+                record.count(report.server, sent, now) && record.crashes >= BLOCKING_CRASHES;
+            // A trial has failed.
+            record.delay_trial(next_trial);
+        }
+        match has_candidate {
+            true => self.update_blocks(now),
+            false => BlameChange::default(),
+        }
+    }
+
+    /// Records that a server is writing the answer to a request that was sent at `sent`, which clears its parts. Returns
+    /// the parts of which other daemons must be told at once, as they may be about to block them.
+    pub fn record_progress(
+        &mut self,
+        parts: &[PartId],
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<PartId> {
+        let mut cleared = Vec::new();
+        if self.records.is_empty() {
+            return cleared;
+        }
+        for part in parts {
+            let Some(record) = self.records.get_mut(part) else {
+                continue;
+            };
+            if matches!(record.state, PartState::Cleared { .. }) || sent < record.first {
+                continue;
+            }
+            let is_urgent = record.crashes >= RESEND_CRASHES || record.is_blocked();
+            if is_urgent {
+                cleared.push(*part);
+            }
+            record.clear(now, if is_urgent { CLEARED_TIME } else { SHARE_TIME });
+        }
+        cleared
+    }
+
+    /// Applies what another daemon knows. A part that was cleared after the first crash is not blocked because of it,
+    /// whichever notice comes first. Returns whether anything changed.
+    pub fn apply_notice(&mut self, notice: PartNotice, now: Instant) -> bool {
+        let lifetime = match notice.is_blocked {
+            true => BLOCK_TIME,
+            false => CLEARED_TIME,
+        };
+        let times = now
+            .checked_sub(notice.age)
+            .zip(now.checked_sub(notice.first_ago));
+        let Some((at, first)) = times.filter(|_| notice.age < lifetime) else {
+            return false;
+        };
+        let known = self.records.get_mut(&notice.part);
+        match (known, notice.is_blocked) {
+            (Some(record), true) => {
+                if let PartState::Cleared {
+                    at: cleared,
+                    shared_for,
+                } = &mut record.state
+                    && *cleared >= first
+                {
+                    *shared_for = now.saturating_duration_since(*cleared) + SHARE_TIME;
+                    return false;
+                }
+                if record.is_blocked() {
+                    return false;
+                }
+            }
+            (Some(record), false) => {
+                let is_cleared = matches!(record.state, PartState::Cleared { .. });
+                if is_cleared || at <= record.first {
+                    return false;
+                }
+            }
+            (None, is_blocked) => {
+                if !is_blocked {
+                    return false;
+                }
+            }
+        }
+        let trial = now + FIRST_TRIAL + self.trial_delay;
+        let record = self.record(notice.part, now);
+        if notice.is_blocked {
+            record.first = first;
+            record.state = PartState::Blocked { since: at, trial };
+        } else {
+            record.clear(at, SHARE_TIME);
+        }
+        true
+    }
+
+    /// Returns the newest notices for other daemons about blocked and cleared parts.
+    pub fn notices(&self, now: Instant) -> Vec<PartNotice> {
+        let newest = self.order.iter().rev();
+        let notices = newest.filter_map(|part| {
+            let record = self.records.get(part)?;
+            let (is_blocked, at) = match record.state {
+                PartState::Blocked { since, .. } => (true, since),
+                PartState::Cleared { at, shared_for } if at + shared_for > now => (false, at),
+                PartState::Suspect | PartState::Cleared { .. } => return None,
+            };
+            let age = now.saturating_duration_since(at);
+            let first_ago = match is_blocked {
+                true => now.saturating_duration_since(record.first),
+                false => age,
+            };
+            Some(PartNotice {
+                part: *part,
+                is_blocked,
+                age,
+                first_ago,
+            })
+        });
+        notices.take(MAX_NOTICES).collect()
+    }
+
+    /// Ends elapsed blocks, and forgets parts that are no longer suspect.
+    pub fn expire(&mut self, now: Instant) {
+        for record in self.records.values_mut() {
+            record.end_block(now);
+        }
+        self.records.retain(|_, record| record.is_live(now));
+        let records = &self.records;
+        self.order.retain(|part| records.contains_key(part));
+        self.crashes.retain(|crash| crash.at + SUSPECT_TIME > now);
+    }
+
+    /// Returns the numbers of suspect and of blocked parts.
+    pub fn counts(&self) -> (usize, usize) {
+        let mut counts = (0, 0);
+        for record in self.records.values() {
+            match record.state {
+                PartState::Suspect => counts.0 += 1,
+                PartState::Blocked { .. } => counts.1 += 1,
+                PartState::Cleared { .. } => {}
+            }
+        }
+        counts
+    }
+
+    fn keep_crash(&mut self, report: &CrashReport, now: Instant) {
+        let mut crashes = self.crashes.iter_mut();
+        match crashes.find(|crash| crash.server == report.server) {
+            Some(crash) if crash.requests.len() < MAX_REPORTS => {
+                crash.requests.push(report.parts.clone());
+            }
+            Some(_) => {}
+            None => {
+                if self.crashes.len() >= MAX_CRASHES {
+                    self.crashes.pop_front();
+                }
+                self.crashes.push_back(CrashRecord {
+                    server: report.server,
+                    at: now,
+                    requests: vec![report.parts.clone()],
+                });
+            }
+        }
+    }
+
+    /// Blocks parts with enough unexplained crashes, and ends the blocks of those whose crashes are explained by now.
+    fn update_blocks(&mut self, now: Instant) -> BlameChange {
+        let mut change = BlameChange::default();
+        let trial = now + FIRST_TRIAL + self.trial_delay;
+        let records = self.records.iter();
+        let candidates = records.filter(|(_, record)| record.crashes >= BLOCKING_CRASHES);
+        let mut candidates: Vec<_> = candidates
+            .map(|(part, record)| (*part, record.depth))
+            .collect();
+        if candidates.is_empty() {
+            return change;
+        }
+        let counts = self.count_crashes();
+        candidates.sort_unstable_by_key(|(part, depth)| (std::cmp::Reverse(*depth), part.0));
+        for (part, depth) in candidates {
+            let (unexplained, explained) = self.explain_crashes(part, depth, &counts);
+            let is_cause = unexplained >= BLOCKING_CRASHES;
+            let Some(record) = self.records.get_mut(&part) else {
+                continue;
+            };
+            if !record.is_blocked() && is_cause {
+                record.state = PartState::Blocked { since: now, trial };
+                change.blocked.push(part);
+            } else if record.is_blocked() && !is_cause && explained > 0 {
+                record.state = PartState::Suspect;
+                change.unblocked.push(part);
+            }
+        }
+        change
+    }
+
+    /// Returns how many of the crashes that count against a part no other part explains, and how many one does.
+    ///
+    /// A blocked part explains the crashes of its requests, unless it stands earlier in its prompts than `part`. So does a
+    /// suspect one that stands later and was seen in as many crashes, as it will be blocked first if it is the cause.
+    fn explain_crashes(
+        &self,
+        part: PartId,
+        depth: usize,
+        counts: &HashMap<PartId, usize>,
+    ) -> (usize, usize) {
+        let Some(record) = self.records.get(&part) else {
+            return (0, 0);
+        };
+        let count = |part: &PartId| counts.get(part).copied().unwrap_or(0);
+        let explains = |other: &PartId| {
+            let Some(record) = self.records.get(other) else {
+                return false;
+            };
+            *other != part
+                && match record.state {
+                    PartState::Blocked { .. } => record.depth >= depth,
+                    PartState::Suspect => record.depth > depth && count(other) >= count(&part),
+                    PartState::Cleared { .. } => false,
+                }
+        };
+        let kept = self.crashes.iter();
+        let counted = kept.filter(|crash| record.crashed.contains(&crash.server));
+        let (explained, unexplained): (Vec<_>, Vec<_>) =
+            counted.partition(|crash| crash.parts().any(explains));
+        let before_last_block = record.crashes - record.crashed.len();
+        (unexplained.len() + before_last_block, explained.len())
+    }
+
+    /// Returns for each part the number of kept crashes under requests with it.
+    fn count_crashes(&self) -> HashMap<PartId, usize> {
+        let mut counts = HashMap::new();
+        for crash in &self.crashes {
+            let parts: HashSet<&PartId> = crash.parts().collect();
+            for part in parts {
+                *counts.entry(*part).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+
+    fn record(&mut self, part: PartId, now: Instant) -> &mut PartRecord {
+        if !self.records.contains_key(&part) {
+            self.make_room();
+            self.order.push_back(part);
+        }
+        self.records.entry(part).or_insert_with(|| PartRecord {
+            crashes: 0,
+            crashed: Vec::new(),
+            first: now,
+            last: now,
+            depth: 0,
+            state: PartState::Suspect,
+        })
+    }
+
+    fn make_room(&mut self) {
+        if self.records.len() < self.capacity {
+            return;
+        }
+        let is_blocked = |part: &PartId| self.records.get(part).is_some_and(PartRecord::is_blocked);
+        let position = self.order.iter().position(|part| !is_blocked(part));
+        if let Some(oldest) = self.order.remove(position.unwrap_or(0)) {
+            self.records.remove(&oldest);
+        }
+    }
+}
+
+impl CrashRecord {
+    fn parts(&self) -> impl Iterator<Item = &PartId> {
+        self.requests.iter().flatten()
+    }
+}
+
+impl PartState {
+    fn blocked_until(self) -> Option<Instant> {
+        match self {
+            Self::Blocked { since, .. } => Some(since + BLOCK_TIME),
+            Self::Suspect | Self::Cleared { .. } => None,
+        }
+    }
+}
+
+impl PartRecord {
+    /// Counts a crash, unless it is known or the request was sent before the last one. Returns whether it was counted.
+    fn count(&mut self, server: ServerStart, sent: Option<Instant>, now: Instant) -> bool {
+        self.end_block(now);
+        if let PartState::Cleared { at, .. } = self.state {
+            if sent.is_none_or(|sent| sent <= at) {
+                return false;
+            }
+            self.state = PartState::Suspect;
+        }
+        if !self.is_live(now) {
+            self.forget_crashes();
+        }
+        let is_later = self.crashes == 0 || sent.is_some_and(|sent| sent >= self.last);
+        if self.crashed.contains(&server) || !is_later {
+            return false;
+        }
+        if self.crashes == 0 {
+            self.first = now;
+        }
+        self.crashes += 1;
+        self.crashed.push(server);
+        self.last = now;
+        true
+    }
+
+    /// Moves the next trial to `next`, if the part is blocked.
+    fn delay_trial(&mut self, next: Instant) {
+        if let PartState::Blocked { trial, .. } = &mut self.state {
+            *trial = next;
+        }
+    }
+
+    fn forget_crashes(&mut self) {
+        self.crashes = 0;
+        self.crashed.clear();
+    }
+
+    fn clear(&mut self, at: Instant, shared_for: Duration) {
+        self.forget_crashes();
+        self.state = PartState::Cleared { at, shared_for };
+    }
+
+    /// Makes a part suspect whose block has ended, so that one more crash blocks it again.
+    fn end_block(&mut self, now: Instant) {
+        if let Some(end) = self.state.blocked_until()
+            && end <= now
+        {
+            self.state = PartState::Suspect;
+            self.last = end;
+            self.crashes = BLOCKING_CRASHES - 1;
+            self.crashed.clear();
+        }
+    }
+
+    fn is_blocked(&self) -> bool {
+        matches!(self.state, PartState::Blocked { .. })
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        match self.state {
+            PartState::Suspect => self.last + SUSPECT_TIME > now,
+            PartState::Blocked { .. } => true,
+            PartState::Cleared { at, .. } => at + CLEARED_TIME > now,
+        }
+    }
+}
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -23,7 +23,7 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    ConfigHolder, CopyTables, CrashDetector, DaemonRecord, DaemonRegistry, FollowPace,
+    ConfigHolder, CopyTables, CrashDetector, CrashWatch, DaemonRecord, DaemonRegistry, FollowPace,
     LeaseCandidate, LeaseManager, PlannerContext, ReaderElection, RegistrySettings, RelayContext,
     RelayDispatcher, RelayFleet, RelayServer, ReplicaPlanner, RetryLimits, ServerSink, StoreHealth,
     StoreTable, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
@@ -92,6 +92,7 @@
     pub(super) configs: Arc<ConfigHolder>,
     pub(super) fleet: Arc<RelayFleet>,
     pub(super) crashes: Arc<CrashDetector>,
+    pub(super) watch: Arc<CrashWatch>,
     pub(super) registry: Arc<DaemonRegistry>,
     pub(super) limits: Arc<LimitService<PeerClient>>,
     pub(super) peer_table: Arc<PeerTable>,
@@ -179,6 +180,7 @@
         readers: services.readers.clone(),
         fleet: services.fleet.clone(),
         crashes: services.crashes.clone(),
+        watch: services.watch.clone(),
         pool: services.pool.clone(),
         format: Arc::new(PlatformFormat),
         retries: RetryLimits {
@@ -294,6 +296,7 @@
         settings.capacity.weight(),
         health.clone(),
     ));
+    let pool = UpstreamPool::open(request_tasks);
     let vm = registry.own_registration().1.vm;
     let lease = LeaseManager::spawn(
         service_tasks,
@@ -323,13 +326,14 @@
         store,
         timer,
         configs,
-        fleet,
+        fleet: fleet.clone(),
         crashes: Arc::default(),
+        watch: CrashWatch::open(fleet, pool.clone()),
         registry,
         limits,
         peer_table,
         demand,
-        pool: UpstreamPool::open(request_tasks),
+        pool,
         core,
     }
 }
@@ -395,11 +399,13 @@
 fn spawn_fleet(services: &RelayServices, group: &TaskGroup) {
     let mut ticks = services.timer.every(FLEET_PERIOD);
     let (fleet, crashes) = (services.fleet.clone(), services.crashes.clone());
+    let watch = services.watch.clone();
     let core = services.core.clone();
     group.spawn_cancellable(async move {
         while let Some(now) = ticks.next().await {
             fleet.tick(now);
             crashes.report(&fleet, &core, now);
+            watch.expire(now);
         }
     });
     let mut changes = services.fleet.subscribe();
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
+use crate::blame::BlameMessage;
 use crate::daemon::relay::{Core, Planner, RelayServices};
 use crate::error::Result;
 use crate::kernel::TaskGroup;
@@ -18,7 +19,7 @@
 };
 use crate::placement::DemandTracker;
 use crate::relay::{
-    ConfigHolder, CopyTables, DaemonRegistry, PlacementChange, PlacementRequest, Pulse,
+    ConfigHolder, CopyTables, CrashWatch, DaemonRegistry, PlacementChange, PlacementRequest, Pulse,
     PulseHandler, QUARANTINE_TIME, ReaderElection, RelayFleet,
 };
 
@@ -170,6 +171,7 @@
     pub(super) planner: Arc<Planner>,
     pub(super) known_planner: Arc<KnownPlanner>,
     pub(super) readers: Arc<ReaderElection>,
+    pub(super) watch: Arc<CrashWatch>,
     notices: RecentNotices,
 }
 
@@ -186,6 +188,7 @@
             planner: services.planner.clone(),
             known_planner: services.known_planner.clone(),
             readers: services.readers.clone(),
+            watch: services.watch.clone(),
             notices: RecentNotices::default(),
         }
     }
@@ -225,6 +228,7 @@
             fence: self.planner.fence(),
             placements: self.planner.take_announcements(),
             suspects: self.notices.update(self.core.take_notices(), now),
+            parts: self.watch.notices(now),
         }
     }
 
@@ -248,6 +252,16 @@
         }
     }
 
+    async fn take_blame(&self) -> Vec<BlameMessage> {
+        self.watch.take_messages().await
+    }
+
+    fn handle_blame(&self, messages: Vec<BlameMessage>, now: Instant) {
+        for message in messages {
+            self.watch.handle_message(message, now);
+        }
+    }
+
     fn handle_pulse(&self, pulse: Pulse, now: Instant) {
         self.readers.note_pulse(&pulse, now);
         self.fleet
@@ -255,6 +269,7 @@
         self.demand.record(pulse.peer, &pulse.demand, now);
         self.fleet.note_placements(&pulse.placements, now);
         self.core.apply_notices(&pulse.suspects, QUARANTINE_TIME);
+        self.watch.apply_notices(&pulse.parts, now);
         if let Some(fence) = pulse.fence {
             self.known_planner.note(fence, pulse.peer);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 //! sent to a backend server, or if the backend server itself refused the request.
 
 pub mod admin;
+pub mod blame;
 pub mod catalog;
 pub mod claim;
 pub mod currency;
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -9,11 +9,13 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
+use crate::blame::PartId;
 use crate::dispatch::{CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, fingerprint};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::absent::AbsentModels;
 use crate::relay::config::{RouteConfig, ServiceConfig, ServingConfig, TeamConfig};
 use crate::relay::crash::CrashDetector;
+use crate::relay::crash_watch::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::engines::PlacementRequest;
 use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
@@ -54,6 +56,7 @@
     pub readers: Arc<ReaderElection>,
     pub fleet: Arc<RelayFleet>,
     pub crashes: Arc<CrashDetector>,
+    pub watch: Arc<CrashWatch>,
     pub pool: UpstreamPool,
     pub format: Arc<F>,
     /// Limits on the retries that all daemons together send to one service.
@@ -172,6 +175,8 @@
         let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = fingerprint(attribution.team.as_ref(), target, &body);
         self.context.core.check_suspect(&fingerprint)?;
+        let parts = shared_parts(&metadata);
+        self.context.watch.check_new(&parts)?;
         let service = self.select_service(&config, &route)?;
         let model_need = self.model_need(service, &metadata)?;
         self.request_adapter(service, &metadata);
@@ -212,6 +217,7 @@
                     target: head.uri,
                     headers: self.context.format.forwardable_headers(&head.headers),
                     body,
+                    parts,
                     fingerprint,
                     arrived,
                     caller_deadline,
@@ -227,6 +233,7 @@
                 self.context.pool.clone(),
                 self.context.fleet.clone(),
                 self.context.crashes.clone(),
+                self.context.watch.clone(),
                 budget,
             ),
             _admission: admission,
@@ -470,6 +477,15 @@
     })
 }
 
+/// Returns the prompt parts that other requests may share: all but the last, which belongs to the request or its session.
+fn shared_parts(metadata: &RequestMetadata) -> Vec<PartId> {
+    let shared = metadata
+        .prompt
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| PartId(part.id)).collect()
+}
+
 fn tokens_to_charge(team: Option<&TeamConfig>, metadata: &RequestMetadata) -> u64 {
     match metadata.tokens {
         Some((prompt, output)) => prompt.saturating_add(output),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
+use crate::blame::PartId;
 use crate::catalog::RequestClass;
 use crate::dispatch::{Attempt, Exchange, FleetSource, ServerSlot};
 use crate::error::{Category, Error, Result, RunVerdict};
@@ -16,6 +17,7 @@
 use crate::queue::WaitEntry;
 use crate::relay::config::{CallKind, RouteConfig};
 use crate::relay::crash::CrashDetector;
+use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
 use crate::relay::events::EventSplitter;
 use crate::relay::fleet::RelayFleet;
@@ -38,6 +40,8 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Maximum time to read a refusal to its end, which allows its connection to be reused.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Events after which an answer has certainly been begun. A server that crashes as it begins to write may have sent one.
+const MIN_PROGRESS_EVENTS: u32 = 2;
 /// Time that a request stays in quarantine after a second backend server died under it.
 pub(crate) const QUARANTINE_TIME: Duration = Duration::from_secs(30);
 
@@ -71,6 +75,8 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Prompt parts that other requests may share.
+    pub(super) parts: Vec<PartId>,
     /// Identifies repetitions of the same request, for the detection of requests that crash their servers.
     pub(super) fingerprint: KeyDigest,
     pub(super) arrived: Instant,
@@ -95,6 +101,7 @@
     pool: UpstreamPool,
     fleet: Arc<RelayFleet>,
     crashes: Arc<CrashDetector>,
+    watch: Arc<CrashWatch>,
     /// Retry budget of the request's service.
     budget: Arc<RetryBudget>,
     verdict: RunVerdict,
@@ -107,6 +114,10 @@
     head_sent: bool,
     /// Complete events that the current server has sent.
     attempt_events: u32,
+    /// When the request was sent to the current server.
+    sent: Instant,
+    /// Whether the connection to the current server broke before the server had begun the answer.
+    broke_early: bool,
     /// Error answer of a backend server, which is forwarded if no other server answers.
     fallback: Option<RelayPiece>,
 }
@@ -118,6 +129,7 @@
         pool: UpstreamPool,
         fleet: Arc<RelayFleet>,
         crashes: Arc<CrashDetector>,
+        watch: Arc<CrashWatch>,
         budget: Arc<RetryBudget>,
     ) -> Self {
         Self {
@@ -127,12 +139,15 @@
             pool,
             fleet,
             crashes,
+            watch,
             budget,
             verdict: RunVerdict::NotRun,
             sends: 0,
             attempts: 0,
             head_sent: false,
             attempt_events: 0,
+            sent: Instant::now(),
+            broke_early: false,
             fallback: None,
         }
     }
@@ -208,6 +223,10 @@
                 "the deadline is too close to send the request",
             ));
         }
+        // A part may have been blocked while the request waited for the server.
+        if let Err(error) = self.watch.check_send(&self.request.parts) {
+            return Attempt::Stopped(error);
+        }
         let request = match self.build_request(slot) {
             Ok(request) => request,
             Err(error) => return Attempt::Stopped(error),
@@ -216,6 +235,8 @@
         self.sends += 1;
         self.attempts += 1;
         self.attempt_events = 0;
+        self.sent = Instant::now();
+        self.broke_early = false;
         let deadline = self.answer_deadline();
         self.verdict = RunVerdict::MayHaveRun;
         // An idle connection may break after the server has read the request; only a repeatable one can be sent again.
@@ -281,7 +302,7 @@
 
     /// Handles a failed attempt: records connection errors and time-outs, and stops the request if it must not run a
     /// second time.
-    fn failed_attempt(&self, slot: &ServerSlot, error: Error) -> Attempt {
+    fn failed_attempt(&mut self, slot: &ServerSlot, error: Error) -> Attempt {
         let is_connection_error_or_timeout =
             matches!(error.category(), Category::Unavailable | Category::Timeout);
         let now = Instant::now();
@@ -295,6 +316,8 @@
                 self.attempt_events,
                 self.request.metadata.prompt,
             );
+            self.broke_early = error.category() == Category::Unavailable
+                && self.attempt_events < MIN_PROGRESS_EVENTS;
             self.crashes
                 .record_broken(&slot.name, self.request.fingerprint, now);
         }
@@ -357,6 +380,7 @@
         }
         self.verdict = RunVerdict::Ran;
         self.fleet.call_succeeded(&slot.name);
+        self.watch.note_progress(&self.request.parts, self.sent);
         match pieces.send(Ok(piece)).await {
             Ok(()) => Attempt::Finished,
             Err(_) => Attempt::Cancelled,
@@ -420,6 +444,7 @@
         answer.release(self.request.max_idle_connections);
         self.verdict = RunVerdict::Ran;
         self.fleet.call_succeeded(&slot.name);
+        self.watch.note_progress(&self.request.parts, self.sent);
         Attempt::Finished
     }
 
@@ -428,6 +453,9 @@
         let mut events: Vec<Bytes> = Vec::new();
         while let Some(event) = splitter.next_event() {
             self.attempt_events += 1;
+            if self.attempt_events == MIN_PROGRESS_EVENTS {
+                self.watch.note_progress(&self.request.parts, self.sent);
+            }
             if let Some(id) = event.id {
                 if self.last_event.is_some_and(|last| id <= last) {
                     continue;
@@ -481,7 +509,24 @@
         slot: &ServerSlot,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
     ) -> Attempt {
-        self.send_to(slot, pieces).await
+        let attempt = self.send_to(slot, pieces).await;
+        if !std::mem::take(&mut self.broke_early) {
+            return attempt;
+        }
+        let parts = &self.request.parts;
+        let broken = BrokenAttempt {
+            server: &slot.name,
+            address: slot.address,
+            parts,
+            sent: self.sent,
+        };
+        self.watch.examine(broken).await;
+        match attempt {
+            Attempt::Failed { error, .. } if !self.watch.may_resend(parts) => {
+                Attempt::Stopped(error)
+            }
+            attempt => attempt,
+        }
     }
 
     fn may_retry(&mut self, _error: &Error) -> bool {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,6 +7,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::watch;
 
+use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
 use crate::ids::VmId;
@@ -272,6 +273,14 @@
         load_times.min().unwrap_or(model.store_load)
     }
 
+    /// Returns the start of a listed server; `None` if the server is leaving or is not listed.
+    pub fn server_start(&self, id: &str) -> Option<ServerStart> {
+        let state = self.state();
+        let entry = &state.servers.get(id)?.entry;
+        let text = format_smolstr!("{id} {}", entry.born_ms);
+        (!entry.leaving).then(|| ServerStart(xxhash_rust::xxh3::xxh3_64(text.as_bytes())))
+    }
+
     /// Returns whether calls to a server failed lately.
     pub fn is_suspected(&self, id: &str) -> bool {
         let state = self.state();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod config_copy;
 mod copies;
 mod crash;
+mod crash_watch;
 mod demand_log;
 mod dispatcher;
 mod engine_state;
@@ -42,6 +43,7 @@
 };
 pub use self::copies::{CopyTables, follow_configs, follow_copies};
 pub use self::crash::CrashDetector;
+pub use self::crash_watch::{BrokenAttempt, CrashWatch};
 pub use self::demand_log::{DemandLog, PeriodId};
 pub use self::dispatcher::{
     ConfigReceiver, RelayAnswer, RelayBody, RelayContext, RelayDispatcher, RequestAttribution,
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 
+use crate::blame::{BlameMessage, PartNotice};
 use crate::dispatch::ModelDemand;
 use crate::error::{Error, Result};
 use crate::ids::VmId;
@@ -30,6 +32,8 @@
 const PLANNER_PERIODS: usize = 3;
 /// Largest datagram, in bytes; a larger pulse is not sent.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Maximum number of messages about crashes in one datagram.
+const MAX_BLAME_MESSAGES: usize = 16;
 
 /// The state that a daemon reports to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +66,8 @@
     pub placements: Vec<PlacementChange>,
     /// Requests during which servers died recently.
     pub suspects: Vec<SuspectNotice>,
+    /// Prompt parts that are blocked, or were cleared recently.
+    pub parts: Vec<PartNotice>,
 }
 
 /// Builds this daemon's pulses and handles those of peers.
@@ -75,8 +81,14 @@
     /// Completes when a pulse must be sent to all peers immediately.
     fn urgent_change(&self) -> impl Future<Output = ()> + Send;
 
+    /// Waits for messages about crashes, which are sent to all peers immediately, and takes them.
+    fn take_blame(&self) -> impl Future<Output = Vec<BlameMessage>> + Send;
+
     /// Handles the pulse of a peer.
     fn handle_pulse(&self, pulse: Pulse, now: Instant);
+
+    /// Handles messages of a peer about crashes.
+    fn handle_blame(&self, messages: Vec<BlameMessage>, now: Instant);
 }
 
 /// Spawns tasks in `group` that send and receive pulses at `address`.
@@ -112,6 +124,10 @@
                     None => return,
                 },
                 () = sender.handler.urgent_change() => true,
+                messages = sender.handler.take_blame() => {
+                    sender.send_blame(messages).await;
+                    continue;
+                }
             };
             sender.send(urgent).await;
         }
@@ -180,7 +196,7 @@
             let period = self.demand.tell(record.vm);
             let data = encoded.entry(period).or_insert_with(|| {
                 pulse.demand = self.demand.since(period);
-                encode(&pulse)
+                encode(DatagramKind::Pulse, &pulse)
             });
             let Some(data) = data else { continue };
             if let Err(error) = self.socket.send_to(data, record.pulse).await {
@@ -190,6 +206,21 @@
         self.turn = self.turn.wrapping_add(1);
     }
 
+    /// Sends messages about crashes to all peers.
+    async fn send_blame(&self, messages: Vec<BlameMessage>) {
+        let peers = self.registry.peers();
+        for part in messages.chunks(MAX_BLAME_MESSAGES) {
+            let Some(data) = encode(DatagramKind::Blame, &part) else {
+                continue;
+            };
+            for (name, record) in &peers {
+                if let Err(error) = self.socket.send_to(&data, record.pulse).await {
+                    log::debug!("messages about crashes were not sent to {name}: {error}");
+                }
+            }
+        }
+    }
+
     fn receivers<'a>(
         &self,
         peers: &'a [(SmolStr, DaemonRecord)],
@@ -216,16 +247,27 @@
     }
 }
 
-/// Encodes a pulse, or returns `None` if that is impossible, which is logged.
-fn encode(pulse: &Pulse) -> Option<Vec<u8>> {
-    match bincode::serde::encode_to_vec(pulse, bincode::config::standard()) {
+/// What a datagram contains, as its first byte.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DatagramKind {
+    Pulse = 0,
+    Blame = 1,
+}
+
+/// Encodes the content of a datagram, or returns `None` if that is impossible, which is logged.
+fn encode<T: Serialize>(kind: DatagramKind, content: &T) -> Option<Vec<u8>> {
+    let message = (kind as u8, content);
+    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
         Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => Some(data),
         Ok(data) => {
-            log::warn!("a pulse of {} bytes is too large to send", data.len());
+            log::warn!(
+                "a {kind:?} datagram of {} bytes is too large to send",
+                data.len()
+            );
             None
         }
         Err(error) => {
-            log::error!("a pulse cannot be encoded: {error}");
+            log::error!("a {kind:?} datagram cannot be encoded: {error}");
             None
         }
     }
@@ -247,11 +289,30 @@
                 continue;
             }
         };
-        let decoded =
-            bincode::serde::decode_from_slice(&buffer[..length], bincode::config::standard());
-        match decoded {
-            Ok((pulse, _)) => handler.handle_pulse(pulse, Instant::now()),
-            Err(error) => log::debug!("a pulse cannot be decoded: {error}"),
-        }
+        handle_datagram(&buffer[..length], &*handler);
+    }
+}
+
+fn handle_datagram<H: PulseHandler>(datagram: &[u8], handler: &H) {
+    let Some((kind, content)) = datagram.split_first() else {
+        return;
+    };
+    let now = Instant::now();
+    let result = if *kind == DatagramKind::Pulse as u8 {
+        decode(content).map(|pulse| handler.handle_pulse(pulse, now))
+    } else if *kind == DatagramKind::Blame as u8 {
+        decode(content).map(|messages| handler.handle_blame(messages, now))
+    } else {
+        Err(Error::invalid(format!("unknown kind {kind}")))
+    };
+    if let Err(error) = result {
+        log::debug!("a datagram cannot be decoded: {error}");
     }
 }
+
+fn decode<T: DeserializeOwned>(content: &[u8]) -> Result<T> {
+    let decoded = bincode::serde::decode_from_slice(content, bincode::config::standard());
+    decoded
+        .map(|(content, _)| content)
+        .map_err(|error| Error::invalid(error.to_string()))
+}
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -3,6 +3,7 @@
 //! A connection whose answer was not read to its end is closed, which also cancels the request on the server.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -110,6 +111,20 @@
         }
     }
 
+    /// Returns whether `address` refuses connections, which shows that its server has ended. A server behind a cut link
+    /// does not answer.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let is_refusal = |error: std::io::Error| {
+            let kind = error.kind();
+            matches!(
+                kind,
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            )
+        };
+        connect.is_ok_and(|connected| connected.err().is_some_and(is_refusal))
+    }
+
     /// Closes idle connections that have expired.
     pub fn expire(&self, now: Instant) {
         self.idle().retain(|_, connections| {
--- /dev/null
+++ b/tests/blame.rs
@@ -0,0 +1,288 @@
+//! Prompts that crash servers: fleets of daemons that share what they see of crashes, without a network.
+//!
+//! The pattern: of many requests, a share has one part that crashes each server that begins to answer it. No two requests
+//! are alike, and harmless ones share the caller and all other parts.
+
+mod blame_sim;
+
+use std::time::{Duration, Instant};
+
+use foxtailhill::blame::{
+    BLOCK_TIME, BLOCKING_CRASHES, BlameTable, CrashReport, PartId, PartNotice, ServerStart,
+};
+
+use crate::blame_sim::{FleetSim, SimOptions, SimResult};
+
+const MS: Duration = Duration::from_millis(1);
+/// Bound of the users: sends of such requests after `contact-ms` from the fifth crash.
+const MAX_LATE_SENDS: usize = 3;
+
+/// Seeds of each pattern; `FOXTAILHILL_BLAME_SEEDS` sets their number for long runs.
+fn seeds() -> std::ops::Range<u64> {
+    let count = std::env::var("FOXTAILHILL_BLAME_SEEDS");
+    0..count.map_or(4, |count| count.parse().expect("a number of seeds"))
+}
+
+fn report(server: u64, sent_ago: Duration, parts: &[u64]) -> CrashReport {
+    CrashReport {
+        server: ServerStart(server),
+        sent_ago,
+        parts: parts.iter().map(|part| PartId(*part)).collect(),
+    }
+}
+
+/// Crashes a server every 100 ms under a new request with `parts`.
+fn crash_in_turn(
+    table: &mut BlameTable,
+    servers: std::ops::Range<u64>,
+    parts: &[u64],
+    start: Instant,
+) {
+    for server in servers {
+        let now = start + 100 * MS * server as u32;
+        table.record_crash(&report(server, 50 * MS, parts), true, now);
+    }
+}
+
+fn is_blocked(table: &BlameTable, part: u64, now: Instant) -> bool {
+    table.blocked_until(&[PartId(part)], now).is_some()
+}
+
+/// Guards against blocking the parts that harmless requests share with harmful ones.
+#[test]
+fn only_the_latest_of_the_parts_that_always_crash_together_is_blocked() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    crash_in_turn(&mut table, 1..6, &[1, 2, 3], start);
+    let now = start + 600 * MS;
+    assert!(is_blocked(&table, 3, now));
+    assert!(!is_blocked(&table, 1, now) && !is_blocked(&table, 2, now));
+}
+
+/// Guards against a first part that crashes servers and is never blocked, as the parts after it differ.
+#[test]
+fn first_part_is_blocked_if_the_later_ones_differ() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    for server in 1..6 {
+        let now = start + 100 * MS * server as u32;
+        table.record_crash(&report(server, 50 * MS, &[1, 10 + server]), true, now);
+    }
+    assert!(is_blocked(&table, 1, start + 600 * MS));
+}
+
+/// Guards against blocking every part in use because many servers have crashed at once.
+#[test]
+fn servers_that_crash_at_once_block_nothing() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    for server in 0..20 {
+        let now = start + MS * server as u32;
+        let change = table.record_crash(&report(server, 50 * MS, &[1, 2]), true, now);
+        assert!(change.blocked.is_empty(), "server {server}");
+    }
+}
+
+/// Guards against counting a crash once for each daemon that reports it.
+#[test]
+fn crash_that_several_daemons_report_counts_once() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    for daemon in 0..10 {
+        let now = start + 200 * MS * daemon;
+        table.record_crash(&report(7, 50 * MS, &[1]), false, now);
+    }
+    assert!(!is_blocked(&table, 1, start + Duration::from_secs(2)));
+}
+
+/// Guards against blocking a part under which servers write answers between the crashes.
+#[test]
+fn answer_to_a_later_request_clears_its_parts() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    crash_in_turn(&mut table, 1..3, &[1], start);
+    let sent = start + 250 * MS;
+    let told = table.record_progress(&[PartId(1)], sent, sent + 40 * MS);
+    assert_eq!(told, [PartId(1)]);
+    crash_in_turn(&mut table, 3..5, &[1], start);
+    assert!(!is_blocked(&table, 1, start + 600 * MS));
+}
+
+/// Guards against clearing a part by an answer that was begun before the part was harmful.
+#[test]
+fn answer_to_a_request_from_before_the_crashes_clears_nothing() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    crash_in_turn(&mut table, 1..4, &[1], start);
+    table.record_progress(&[PartId(1)], start, start + 350 * MS);
+    assert!(is_blocked(&table, 1, start + 400 * MS));
+}
+
+/// Guards against a block that hides for ever that its part is harmless, and against more than one request per trial.
+#[test]
+fn blocked_part_is_tried_again_once_per_trial() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    crash_in_turn(&mut table, 1..4, &[1], start);
+    let parts = [PartId(1)];
+    let mut trials = Vec::new();
+    for step in 0..1_000_u32 {
+        let now = start + 100 * MS * step;
+        if table.take_trial(&parts, now) && is_blocked(&table, 1, now) {
+            trials.push(step);
+        }
+    }
+    assert_eq!(trials.len(), 2, "{trials:?}");
+    let now = start + Duration::from_secs(101);
+    table.record_progress(&parts, now - 50 * MS, now);
+    assert!(!is_blocked(&table, 1, now));
+}
+
+/// Guards against a harmful part that crashes several servers again after each block.
+#[test]
+fn one_crash_after_a_block_blocks_again() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    crash_in_turn(&mut table, 1..4, &[1], start);
+    let after = start + BLOCK_TIME + Duration::from_secs(1);
+    table.expire(after);
+    assert!(!is_blocked(&table, 1, after));
+    table.record_crash(&report(90, 50 * MS, &[1]), true, after + 100 * MS);
+    assert!(is_blocked(&table, 1, after + 200 * MS));
+}
+
+/// Guards against an older notice that blocks a part again after it was cleared.
+#[test]
+fn newer_of_two_notices_holds() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let notice = |is_blocked, age| PartNotice {
+        part: PartId(1),
+        is_blocked,
+        age,
+        first_ago: age,
+    };
+    let second = Duration::from_secs(1);
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    assert!(table.apply_notice(notice(true, second * 5), now));
+    assert!(table.apply_notice(notice(false, second * 3), now));
+    assert!(!table.apply_notice(notice(true, second * 4), now));
+    assert!(!is_blocked(&table, 1, now));
+    assert!(table.apply_notice(notice(true, second * 2), now));
+    assert!(is_blocked(&table, 1, now));
+}
+
+/// Guards against a table that grows with the number of parts, or that forgets a blocked part for suspect ones.
+#[test]
+fn full_table_keeps_blocked_parts() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(8, Duration::ZERO);
+    crash_in_turn(&mut table, 1..4, &[1], start);
+    for part in 100..200 {
+        table.record_crash(&report(part, MS, &[part]), true, start + 500 * MS);
+    }
+    assert!(is_blocked(&table, 1, start + 500 * MS));
+    let (suspects, blocked) = table.counts();
+    assert!(suspects + blocked <= 8, "{suspects} and {blocked}");
+}
+
+fn check(name: &str, options: SimOptions) {
+    let result = FleetSim::run(options);
+    println!("{name}: {result:?}");
+    let SimResult {
+        late_sends,
+        sound_sent,
+        sound_refused,
+        deadly_parts_blocked,
+        sound_parts_blocked,
+        ..
+    } = result;
+    assert!(deadly_parts_blocked, "{name}: {result:?}");
+    assert!(late_sends <= MAX_LATE_SENDS, "{name}: {result:?}");
+    assert!(!sound_parts_blocked, "{name}: {result:?}");
+    assert!(sound_refused * 100 <= sound_sent, "{name}: {result:?}");
+}
+
+/// Guards against a part that crashes servers on and on in fleets of any size and at any rate.
+#[test]
+fn harmful_part_is_blocked_in_fleets_of_all_sizes() {
+    for (daemons, servers) in [(9, 21), (95, 58), (320, 600)] {
+        for share in [0.005, 0.05, 0.2] {
+            // The largest fleet takes as long as all others.
+            let seeds = if daemons > 100 { 0..1 } else { seeds() };
+            for seed in seeds {
+                let options = SimOptions {
+                    daemons,
+                    servers,
+                    share,
+                    seed,
+                    ..SimOptions::default()
+                };
+                check(
+                    &format!("{daemons} daemons, share {share}, seed {seed}"),
+                    options,
+                );
+            }
+        }
+    }
+}
+
+/// Guards against one harmful part that hides another one.
+#[test]
+fn two_harmful_parts_are_both_blocked() {
+    for seed in seeds() {
+        let options = SimOptions {
+            deadly_parts: 2,
+            seed,
+            ..SimOptions::default()
+        };
+        check(&format!("two parts, seed {seed}"), options);
+    }
+}
+
+/// Guards against daemons that do not learn of a block because messages to them are late or lost.
+#[test]
+fn late_and_lost_messages_do_not_prevent_a_block() {
+    for seed in seeds() {
+        let options = SimOptions {
+            loss: 0.3,
+            delay: 200 * MS,
+            seed,
+            ..SimOptions::default()
+        };
+        check(&format!("late and lost messages, seed {seed}"), options);
+    }
+}
+
+/// Guards against a daemon that sends harmful requests because it has started after the crashes.
+#[test]
+fn daemon_that_starts_later_learns_of_a_block() {
+    for seed in seeds() {
+        let options = SimOptions {
+            restarts: true,
+            seed,
+            ..SimOptions::default()
+        };
+        check(&format!("daemons restart, seed {seed}"), options);
+    }
+}
+
+/// Guards against blocking parts because servers crash by themselves, one after the other or many at once.
+#[test]
+fn servers_that_crash_by_themselves_block_no_part() {
+    for crash_at_once in [1, 4, 12] {
+        for seed in seeds() {
+            let options = SimOptions {
+                share: 0.0,
+                deadly_parts: 0,
+                crash_at_once,
+                seed,
+                ..SimOptions::default()
+            };
+            let result = FleetSim::run(options);
+            println!("{crash_at_once} at once, seed {seed}: {result:?}");
+            assert!(result.own_crashes > 3 * BLOCKING_CRASHES, "{result:?}");
+            assert!(!result.sound_parts_blocked, "{result:?}");
+            assert_eq!(result.sound_refused, 0, "{result:?}");
+        }
+    }
+}
--- a/tests/pulse_support/mod.rs
+++ b/tests/pulse_support/mod.rs
@@ -24,5 +24,6 @@
         fence: None,
         placements: Vec::new(),
         suspects: Vec::new(),
+        parts: Vec::new(),
     }
 }
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -22,8 +22,8 @@
 use foxtailhill::platform::{self, PlatformFormat};
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
-    ConfigHolder, CrashDetector, ReaderElection, RelayContext, RelayDispatcher, RelayFleet,
-    RelayServer, RetryLimits, ServerChange, UpstreamPool,
+    ConfigHolder, CrashDetector, CrashWatch, ReaderElection, RelayContext, RelayDispatcher,
+    RelayFleet, RelayServer, RetryLimits, ServerChange, UpstreamPool,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -289,6 +289,8 @@
             admission_limit: 1_000,
         });
         let crashes = Arc::new(CrashDetector::new());
+        let pool = UpstreamPool::open(&group);
+        let watch = CrashWatch::open(fleet.clone(), pool.clone());
         let health = Arc::default();
         let readers = ReaderElection::new("entry-0".into(), "north".into(), 250, health);
         let readers = Arc::new(readers);
@@ -300,7 +302,8 @@
             readers: readers.clone(),
             fleet: fleet.clone(),
             crashes: crashes.clone(),
-            pool: UpstreamPool::open(&group),
+            watch,
+            pool,
             format: Arc::new(PlatformFormat),
             retries: RetryLimits {
                 percent: 20,
