Send no requests to a server in the time for which it has asked for none

Cause: a refusal kept its server free of requests for 50 ms, whatever the server asked for. Change: src/platform decodes the header of 503 answers; the fleet keeps the pause for that start of the server, also if its record lapses and comes back. A request whose servers all pause for longer than it may wait is refused at once and told when the first one is back. A malformed value counts as none.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue};
+use http::header::{AUTHORIZATION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{StatusCode, request, response};
 use smol_str::SmolStr;
 
@@ -55,6 +55,9 @@
 /// Upper limit of deadlines; a longer one is reduced to it.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3_600);
 
+/// Upper limit of the time for which a server wants no requests; a longer one is reduced to it.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 3_600);
+
 /// Reads and writes the platform's headers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlatformFormat;
@@ -119,6 +122,9 @@
         let leaving = head.headers.get(SERVER_LEAVING);
         ServerNotice {
             is_leaving: leaving.is_some_and(|value| value.as_bytes().trim_ascii() == b"1"),
+            pause: (head.status == StatusCode::SERVICE_UNAVAILABLE)
+                .then(|| retry_after(&head.headers))
+                .flatten(),
         }
     }
 
@@ -161,6 +167,13 @@
     text.parse().map(Some).map_err(|_| malformed(name))
 }
 
+/// Reads the seconds in `Retry-After`. A malformed value counts as none: the answer is a refusal in any case.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = number::<f64>(headers, &RETRY_AFTER).ok().flatten()?;
+    let pause = Duration::try_from_secs_f64(seconds).ok()?;
+    (!pause.is_zero()).then(|| pause.min(MAX_PAUSE))
+}
+
 fn caller_key(headers: &HeaderMap) -> Result<Option<CallerKey>> {
     let Some(text) = text(headers, &AUTHORIZATION)? else {
         return Ok(None);
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -189,6 +189,7 @@
             metadata.tokens.map_or(0, |(_, output)| output),
         );
         self.refuse_absent(service, &route, &metadata, &model_need)?;
+        self.refuse_paused(service, &route, &metadata)?;
         let tokens = tokens_to_charge(team.as_deref(), &metadata);
         let charge = match &team {
             Some(team) if team.spec.rate > 0 => Some(
@@ -325,6 +326,32 @@
         Err(Error::unavailable(message).with_retry_after(wait))
     }
 
+    /// Refuses a request if all servers that could take it want no requests for longer than it may wait.
+    fn refuse_paused(
+        &self,
+        service: &ServiceConfig,
+        route: &RouteConfig,
+        metadata: &RequestMetadata,
+    ) -> Result<()> {
+        let model = metadata.model.as_ref().filter(|_| service.engine.is_some());
+        let item = model.map(|model| LoadItem {
+            model: model.clone(),
+            adapter: metadata.adapter.clone(),
+        });
+        let until = self
+            .context
+            .fleet
+            .paused_until(&service.name, item.as_ref());
+        let wait = until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        });
+        if wait <= route.wait_limit() {
+            return Ok(());
+        }
+        let message = "the backend servers want no requests for now";
+        Err(Error::new(Category::Overloaded, message).with_retry_after(wait))
+    }
+
     /// Requests the load of the adapter if no server holds it. Models are loaded according to demand alone.
     fn request_adapter(&self, service: &ServiceConfig, metadata: &RequestMetadata) {
         let (Some(model), Some(adapter)) = (&metadata.model, &metadata.adapter) else {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -1,5 +1,7 @@
 //! The view of the backend servers, from their records in the store and from the outcomes of calls to them.
 
+mod notices;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -14,7 +16,6 @@
 use crate::relay::announcements::{AnnouncementTable, server_start};
 use crate::relay::config::ModelConfig;
 use crate::relay::engines::{LoadItem, PlacementChange};
-use crate::relay::format::ServerNotice;
 use crate::relay::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry, holds_item};
 use crate::routing::{BackendView, FleetSnapshot, ServerHandle};
 
@@ -211,27 +212,6 @@
         self.suspect(id, |_| FULL_BACKOFF);
     }
 
-    /// Applies what an answer of a server says about the server.
-    pub fn apply_notice(&self, id: &str, notice: ServerNotice) {
-        if !notice.is_leaving {
-            return;
-        }
-        let now = Instant::now();
-        let mut state = self.state();
-        let Some(server) = state.servers.get(id) else {
-            return;
-        };
-        if server.entry.leaving {
-            return;
-        }
-        log::info!("server {id} says in an answer that it is leaving");
-        let mut entry = server.entry.clone();
-        state.announcements.note_leaving(server_start(&entry), now);
-        entry.leaving = true;
-        state.put(entry, now);
-        self.publish(&mut state, now);
-    }
-
     /// Notes that a server does not hold an item that its record names.
     pub fn note_missing(&self, id: &str, item: LoadItem) {
         let now = Instant::now();
@@ -418,7 +398,8 @@
     }
 
     fn put(&mut self, mut entry: ServerEntry, now: Instant) {
-        entry.leaving |= self.announcements.is_leaving(server_start(&entry));
+        let start = server_start(&entry);
+        entry.leaving |= self.announcements.is_leaving(start);
         let known = self.servers.get(&entry.id);
         if known.is_none_or(|server| server.entry != entry) {
             self.version += 1;
@@ -446,6 +427,10 @@
             self.departures += 1;
         }
         server.handle.set_leaving(entry.leaving);
+        if let Some(until) = self.announcements.paused_until(start, now) {
+            server.suspected_until = server.suspected_until.max(Some(until));
+            server.handle.set_suspected(true);
+        }
         server.expires_at = None;
         if server.entry != entry {
             server.changed = version;
--- a/src/relay/format.rs
+++ b/src/relay/format.rs
@@ -67,6 +67,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerNotice {
     pub is_leaving: bool,
+    /// Time for which the server wants no requests of this daemon.
+    pub pause: Option<Duration>,
 }
 
 /// Maps metadata to the headers of requests and answers.
