Leave the first trial of a blocked part to the daemons that saw its crashes

Cause, found by reading: a daemon that has restarted learns of old blocks from pulses and would have let one request with each of them run within seconds, so that a rolling restart of many daemons would crash a server for each. Blocked parts could also be missing from pulses when more than 32 parts had been cleared in the last seconds. Change: a part that is known from a notice has its first trial 64 s after it was blocked; notices name blocked parts first.

--- a/src/blame.rs
+++ b/src/blame.rs
@@ -286,7 +286,8 @@
                 }
             }
         }
-        let trial = now + FIRST_TRIAL + self.trial_delay;
+        // The daemons that have seen the crashes make the first trial.
+        let trial = at + NEXT_TRIAL + self.trial_delay;
         let record = self.record(notice.part, now);
         if notice.is_blocked {
             record.first = first;
@@ -297,29 +298,34 @@
         true
     }
 
-    /// Returns the newest notices for other daemons about blocked and cleared parts.
+    /// Returns notices for other daemons: all blocked parts first, then those cleared lately.
     pub fn notices(&self, now: Instant) -> Vec<PartNotice> {
         let newest = self.order.iter().rev();
-        let notices = newest.filter_map(|part| {
-            let record = self.records.get(part)?;
-            let (is_blocked, at) = match record.state {
-                PartState::Blocked { since, .. } => (true, since),
-                PartState::Cleared { at, shared_for } if at + shared_for > now => (false, at),
-                PartState::Suspect | PartState::Cleared { .. } => return None,
-            };
-            let age = now.saturating_duration_since(at);
-            let first_ago = match is_blocked {
-                true => now.saturating_duration_since(record.first),
-                false => age,
-            };
-            Some(PartNotice {
-                part: *part,
-                is_blocked,
-                age,
-                first_ago,
-            })
-        });
-        notices.take(MAX_NOTICES).collect()
+        let known = newest.filter_map(|part| Some((*part, self.records.get(part)?)));
+        let (mut blocked, mut cleared) = (Vec::new(), Vec::new());
+        for (part, record) in known {
+            match record.state {
+                PartState::Blocked { since, .. } => blocked.push(PartNotice {
+                    part,
+                    is_blocked: true,
+                    age: now.saturating_duration_since(since),
+                    first_ago: now.saturating_duration_since(record.first),
+                }),
+                PartState::Cleared { at, shared_for } if at + shared_for > now => {
+                    let age = now.saturating_duration_since(at);
+                    cleared.push(PartNotice {
+                        part,
+                        is_blocked: false,
+                        age,
+                        first_ago: age,
+                    });
+                }
+                PartState::Suspect | PartState::Cleared { .. } => {}
+            }
+        }
+        blocked.append(&mut cleared);
+        blocked.truncate(MAX_NOTICES);
+        blocked
     }
 
     /// Ends elapsed blocks, and forgets parts that are no longer suspect.
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -171,6 +171,41 @@
     assert!(is_blocked(&table, 1, now));
 }
 
+/// Guards against a trial by each daemon that learns of a block after it has started.
+#[test]
+fn daemon_that_learns_of_an_old_block_makes_no_trial_at_once() {
+    let now = Instant::now();
+    let age = Duration::from_secs(20);
+    let mut table = BlameTable::new(100, Duration::ZERO);
+    table.apply_notice(
+        PartNotice {
+            part: PartId(1),
+            is_blocked: true,
+            age,
+            first_ago: age,
+        },
+        now,
+    );
+    assert!(!table.is_trial_due(&[PartId(1)], now + Duration::from_secs(5)));
+    assert!(table.is_trial_due(&[PartId(1)], now + Duration::from_secs(45)));
+}
+
+/// Guards against blocked parts that are not told because many others were cleared.
+#[test]
+fn blocked_parts_are_told_first() {
+    let start = Instant::now();
+    let mut table = BlameTable::new(1_000, Duration::ZERO);
+    crash_in_turn(&mut table, 1..4, &[1], start);
+    for part in 100..200 {
+        let now = start + 500 * MS;
+        table.record_crash(&report(part, MS, &[part]), true, now);
+        table.record_progress(&[PartId(part)], now, now + MS);
+    }
+    let notices = table.notices(start + 600 * MS);
+    assert_eq!(notices[0].part, PartId(1));
+    assert!(notices[0].is_blocked && !notices[1].is_blocked);
+}
+
 /// Guards against a table that grows with the number of parts, or that forgets a blocked part for suspect ones.
 #[test]
 fn full_table_keeps_blocked_parts() {
