Keep pauses of servers out of the published view, and count blocked parts in metrics

Cause, found by reading: each 503 with a time published the whole view of the fleet again, which costs processor time in a large fleet under load; a pause needs the server's handle only. The numbers of suspect and blocked parts were not visible. Change: a pause suspends the server's handle, as a failed call does; only a departure publishes. Gauge suspects has the kinds suspect_parts and blocked_parts.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -17,7 +17,7 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerTable;
-use crate::metrics::DaemonMetrics;
+use crate::metrics::{DaemonMetrics, KindLabels};
 use crate::peer::{PeerClient, PeerServer};
 use crate::placement::DemandTracker;
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
@@ -406,6 +406,11 @@
             fleet.tick(now);
             crashes.report(&fleet, &core, now);
             watch.expire(now);
+            let (suspect, blocked) = watch.counts();
+            for (kind, count) in [("suspect_parts", suspect), ("blocked_parts", blocked)] {
+                let gauge = core.metrics().suspects.get_or_create(&KindLabels { kind });
+                gauge.set(count as i64);
+            }
         }
     });
     let mut changes = services.fleet.subscribe();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -109,7 +109,8 @@
     pub config_versions: Family<KindLabels, Gauge>,
     /// Copies of another daemon's tables by kind (`whole`, `failed`).
     pub copies: Family<KindLabels, Counter>,
-    /// Requests in quarantine and suspects by kind (`suspect`, `quarantined`).
+    /// Suspects and what is refused by kind (`suspect` and `quarantined` requests, `suspect_parts` and `blocked_parts` of
+    /// prompts).
     pub suspects: Family<KindLabels, Gauge>,
     /// Backend servers by kind (`usable`, `leaving`, `down`).
     pub backends: Family<KindLabels, Gauge>,
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -314,8 +314,7 @@
             return;
         };
         let until = Instant::now() + time(server);
-        server.suspected_until = server.suspected_until.max(Some(until));
-        server.handle.set_suspected(true);
+        server.suspend_until(until);
     }
 
     fn publish(&self, state: &mut FleetState, now: Instant) {
@@ -428,8 +427,7 @@
         }
         server.handle.set_leaving(entry.leaving);
         if let Some(until) = self.announcements.paused_until(start, now) {
-            server.suspected_until = server.suspected_until.max(Some(until));
-            server.handle.set_suspected(true);
+            server.suspend_until(until);
         }
         server.expires_at = None;
         if server.entry != entry {
@@ -523,6 +521,12 @@
         }
     }
 
+    /// Gives the server no work until `until`.
+    fn suspend_until(&mut self, until: Instant) {
+        self.suspected_until = self.suspected_until.max(Some(until));
+        self.handle.set_suspected(true);
+    }
+
     /// Derives the models from the record and the placement changes that it does not show yet.
     fn update_models(&mut self, now: Instant) {
         let entry = &self.entry;
--- a/src/relay/fleet/notices.rs
+++ b/src/relay/fleet/notices.rs
@@ -16,20 +16,23 @@
         }
         let now = Instant::now();
         let mut state = self.state();
-        let Some(mut entry) = state.servers.get(id).map(|server| server.entry.clone()) else {
+        let state = &mut *state;
+        let Some(server) = state.servers.get_mut(id) else {
             return;
         };
-        log::debug!("server {id} says in an answer: {notice:?}");
-        let start = server_start(&entry);
+        let start = server_start(&server.entry);
         if let Some(pause) = notice.pause {
+            log::debug!("server {id} wants no requests for {pause:?}");
             state.announcements.note_pause(start, now + pause, now);
+            server.suspend_until(now + pause);
         }
-        if notice.is_leaving && !entry.leaving {
+        if notice.is_leaving && !server.entry.leaving {
+            log::info!("server {id} says in an answer that it is leaving");
             state.announcements.note_leaving(start, now);
-            entry.leaving = true;
+            let entry = server.entry.clone();
+            state.put(entry, now);
+            self.publish(state, now);
         }
-        state.put(entry, now);
-        self.publish(&mut state, now);
     }
 
     /// Returns when the first server with `model` of `service` wants requests again; `None` if one does now, or none has
