--- a/src/blame.rs
+++ b/src/blame.rs
@@ -5,16 +5,16 @@
 //! refused.
 //!
 //! Two rules keep harmless parts from being blocked. A crash counts against a part only if the request was sent after
-//! the crash that was counted before it, because many servers may crash at once for another reason. And a crash that a
-//! blocked part explains is no evidence against the other parts of the same requests; the later a part stands in its
-//! prompt, the fewer requests share it, so later parts are blocked first.
+//! the crash that was counted before it, because many servers may crash at once for another reason. And a crash that
+//! another part explains, see [`BlameTable::record_crash`], is no evidence against the other parts of the same requests;
+//! the later a part stands in its prompt, the fewer requests share it, so later parts are blocked first.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-/// Crashes, not explained by another blocked part, after which a part is blocked.
+/// Crashes, not explained by another part, after which a part is blocked.
 pub const BLOCKING_CRASHES: usize = 3;
 /// Crashes after which a request is not sent again once its server has crashed.
 const RESEND_CRASHES: usize = 2;
@@ -25,7 +25,8 @@
 /// Time after which one request with a blocked part may run, in case the part is harmless. Each daemon waits for some time
 /// of its own in addition, so that mostly one makes the trial.
 const FIRST_TRIAL: Duration = Duration::from_secs(1);
-/// Time to the next trial of a daemon once one has failed.
+/// Time to the next trial once one was made, or has failed at another daemon. A daemon that knows a block from a notice
+/// counts it from the block.
 const NEXT_TRIAL: Duration = Duration::from_secs(64);
 /// Longest time by which a daemon delays its trials.
 pub const MAX_TRIAL_DELAY: Duration = Duration::from_secs(8);
@@ -189,6 +190,9 @@
 
     /// Counts a crash against the parts of a request, which this daemon has sent if `is_own` is set. Returns which parts
     /// are blocked because of it, and which no longer.
+    ///
+    /// Another part explains a crash if it is blocked and does not stand earlier in its prompts, or if it stands later and
+    /// is suspect in at least as many crashes.
     pub fn record_crash(
         &mut self,
         report: &CrashReport,
