Log and count requests whose connection the daemon closes without a complete answer

A request whose connection ended was recorded as given up by its caller, whoever closed it, and a request that was dropped while it waited was logged with configuration 0 and no route.

A connection now tells its requests why the daemon closed it: the write time passed, or its task was stopped with the process. Such a request, and an answer that breaks off after its first part, is a warning with the request's id, its route, the configuration that it was matched against and the one in force, and counts in closed_requests by kind. A connection closed with an incomplete request head is an info line.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -4,8 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,63 @@
     open: watch::Sender<()>,
 }
 
+/// Why this daemon closed a connection with a request on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseCause {
+    /// The caller read nothing of the answer for the write time.
+    WriteTimeout,
+    /// The listener's tasks were stopped.
+    Shutdown,
+}
+
+impl CloseCause {
+    /// Returns the name used in metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::WriteTimeout => "write_timeout",
+            Self::Shutdown => "shutdown",
+        }
+    }
+
+    /// Returns the text used in log lines and the history.
+    pub(crate) fn message(self) -> &'static str {
+        match self {
+            Self::WriteTimeout => "the daemon closed the connection: its caller read nothing",
+            Self::Shutdown => "the daemon closed the connection: it shut down",
+        }
+    }
+}
+
+/// Extension of each request that tells why its connection was closed. The cause is set before the request is dropped.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionEnd(Arc<OnceLock<CloseCause>>);
+
+impl ConnectionEnd {
+    /// Returns why the daemon closed the connection; `None` if it is open or its caller closed it.
+    pub(crate) fn cause(&self) -> Option<CloseCause> {
+        self.0.get().copied()
+    }
+
+    fn set(&self, cause: CloseCause) {
+        // The first cause is the one that closed the connection.
+        let _ = self.0.set(cause);
+    }
+}
+
+/// Sets the cause of a connection whose task is dropped before the connection has ended.
+struct EndGuard<'a> {
+    end: &'a ConnectionEnd,
+    ended: bool,
+}
+
+impl Drop for EndGuard<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end.set(CloseCause::Shutdown);
+        }
+    }
+}
+
 struct Acceptor {
     listener: TcpListener,
     router: Router,
@@ -176,6 +233,11 @@
             tokio::time::sleep(FIRST_BYTE_TIME).await;
         }
     });
+    // Declared after the connection, so that it is dropped before the requests on it.
+    let mut guard = EndGuard {
+        end: &state.end,
+        ended: false,
+    };
     let mut closing = false;
     loop {
         tokio::select! {
@@ -183,23 +245,30 @@
                 if let Err(error) = result {
                     log::debug!("connection ended: {error}");
                 }
+                guard.ended = true;
                 return;
             }
             () = stopped.as_mut(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = state.expired(&limits) => return,
+            () = state.expired(&limits) => {
+                if state.is_head_incomplete() {
+                    log::info!("closed a connection whose request head did not arrive in time");
+                }
+                return;
+            }
         }
     }
 }
 
 async fn respond(
     router: Router,
-    request: http::Request<Incoming>,
+    mut request: http::Request<Incoming>,
     state: Arc<ConnectionState>,
 ) -> std::result::Result<http::Response<Body>, std::convert::Infallible> {
     let active = state.begin();
+    request.extensions_mut().insert(state.end.clone());
     let response = router.oneshot(request.map(Body::new)).await?;
     // The mapping keeps the request active until the body has been sent or dropped.
     Ok(response.map(|body| {
@@ -247,6 +316,7 @@
     head_since: AtomicU64,
     http2: AtomicBool,
     new: AtomicBool,
+    end: ConnectionEnd,
 }
 
 /// Marks a request as active until it is dropped.
@@ -261,6 +331,7 @@
             head_since: AtomicU64::new(0),
             http2: AtomicBool::new(false),
             new: AtomicBool::new(true),
+            end: ConnectionEnd::default(),
         }
     }
 
@@ -279,6 +350,11 @@
         self.new.load(Ordering::SeqCst)
     }
 
+    /// Returns whether a part of a request head has arrived.
+    fn is_head_incomplete(&self) -> bool {
+        self.head_since.load(Ordering::SeqCst) != 0
+    }
+
     /// Records that bytes arrived. On HTTP/2, bytes between requests may not belong to a request.
     fn received(&self) {
         self.new.store(false, Ordering::SeqCst);
@@ -367,6 +443,7 @@
             .write_deadline
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(write_time)));
         ready!(write_deadline.as_mut().poll(cx));
+        self.state.end.set(CloseCause::WriteTimeout);
         Poll::Ready(io::Error::new(
             io::ErrorKind::TimedOut,
             format!("the caller read nothing of the answer for {write_time:?}"),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -75,6 +75,9 @@
     registry: Registry,
     /// Finished requests by route kind, outcome and verdict.
     pub requests: Family<OutcomeLabels, Counter>,
+    /// Requests whose connection this daemon closed without a complete answer, by kind (`broken_answer`,
+    /// `write_timeout`, `shutdown`).
+    pub closed: Family<KindLabels, Counter>,
     /// Time from the arrival of a model call to its first token, in seconds.
     pub first_token: Histogram,
     /// Time between two tokens of one answer, in seconds.
@@ -128,6 +131,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("foxtailhill"),
             requests: Family::default(),
+            closed: Family::default(),
             first_token: Histogram::new(exponential_buckets(0.005, 1.6, 18)),
             inter_token: Histogram::new(exponential_buckets(0.001, 1.6, 14)),
             in_flight: Gauge::default(),
@@ -156,6 +160,11 @@
     fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Finished requests", self.requests.clone());
+        registry.register(
+            "closed_requests",
+            "Requests without a complete answer whose connection the daemon closed",
+            self.closed.clone(),
+        );
         registry.register(
             "first_token_seconds",
             "Time to the first token",
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -139,6 +139,11 @@
         &self.context.core
     }
 
+    /// Subscribes to the configuration in force.
+    pub(super) fn configs(&self) -> ConfigReceiver {
+        self.context.configs.clone()
+    }
+
     /// Reads the metadata from the headers of a request.
     ///
     /// # Errors
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -20,10 +20,10 @@
 
 use crate::dispatch::CoreParts;
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::http::connection::HttpListener;
+use crate::http::connection::{ConnectionEnd, HttpListener};
 use crate::kernel::TaskGroup;
 use crate::logging;
-use crate::relay::dispatcher::{RelayAnswer, RelayBody, RelayDispatcher, RequestAttribution};
+use crate::relay::dispatcher::{RelayAnswer, RelayBody, RelayDispatcher};
 use crate::relay::exchange::RelayPiece;
 use crate::relay::format::RelayFormat;
 use crate::relay::trace::RequestTrace;
@@ -101,19 +101,25 @@
             return error_response(&error);
         }
     };
-    let core = context.dispatcher.core();
-    let mut trace = RequestTrace::begin(core, metadata.id.clone(), head.uri.path(), arrived);
-    let mut attribution = RequestAttribution::default();
+    let connection = head.extensions.get::<ConnectionEnd>();
     let id = metadata.id.clone();
+    let mut trace = RequestTrace::begin(
+        context.dispatcher.core(),
+        context.dispatcher.configs(),
+        connection.cloned().unwrap_or_default(),
+        id.clone(),
+        head.uri.path(),
+        arrived,
+    );
     let call = async {
         let body = read_body(body, &context.limits).await?;
         let dispatcher = &context.dispatcher;
         dispatcher
-            .call(head, metadata, body, arrived, &mut attribution)
+            .call(head, metadata, body, arrived, trace.attribution_mut())
             .await
     };
     let result = logging::scope_request_id(id, call).await;
-    trace.set_attribution(attribution);
+    trace.record_team();
     match result {
         Ok(answer) => forwarded_response(answer, trace),
         Err(error) => {
--- a/src/relay/trace.rs
+++ b/src/relay/trace.rs
@@ -9,10 +9,14 @@
 use crate::dispatch::{CoreParts, RequestCore};
 use crate::error::Error;
 use crate::history::{RequestHistory, RequestRecord};
+use crate::http::connection::ConnectionEnd;
 use crate::metrics::{DaemonMetrics, RouteKind};
-use crate::relay::dispatcher::RequestAttribution;
+use crate::relay::dispatcher::{ConfigReceiver, RequestAttribution};
 
-/// A request in progress. If it is dropped unfinished, the request is recorded as cancelled by the caller.
+/// Kind in metrics of an answer that ended before it was complete.
+const BROKEN_ANSWER: &str = "broken_answer";
+
+/// A request in progress. If it is dropped unfinished, its connection was closed, by the caller or by this daemon.
 pub(super) struct RequestTrace {
     id: SmolStr,
     arrived: Instant,
@@ -22,13 +26,17 @@
     first_ms: Option<u128>,
     history: Arc<RequestHistory>,
     metrics: Arc<DaemonMetrics>,
+    configs: ConfigReceiver,
+    connection: ConnectionEnd,
     finished: bool,
 }
 
 impl RequestTrace {
-    /// Starts the record of a request for `path`.
+    /// Starts the record of a request for `path` on `connection`.
     pub(super) fn begin<P: CoreParts>(
         core: &RequestCore<P>,
+        configs: ConfigReceiver,
+        connection: ConnectionEnd,
         id: SmolStr,
         path: &str,
         arrived: Instant,
@@ -44,14 +52,21 @@
             first_ms: None,
             history,
             metrics,
+            configs,
+            connection,
             finished: false,
         }
     }
 
-    pub(super) fn set_attribution(&mut self, attribution: RequestAttribution) {
-        self.history
-            .update(&self.id, |record| record.team = attribution.team.clone());
-        self.attribution = attribution;
+    /// Returns the attribution, which is set while the request is processed.
+    pub(super) fn attribution_mut(&mut self) -> &mut RequestAttribution {
+        &mut self.attribution
+    }
+
+    /// Records the team once the attribution is known.
+    pub(super) fn record_team(&self) {
+        let team = self.attribution.team.clone();
+        self.history.update(&self.id, |record| record.team = team);
     }
 
     /// Records the time and status of the first part of the answer.
@@ -77,7 +92,13 @@
         self.history.update(&self.id, |record| record.fail(error));
         self.metrics.finish_request(RouteKind::Relay, Some(error));
         let outcome = format!("{error} ({})", error.verdict());
-        self.log(log::Level::Info, &outcome);
+        if self.status.is_none() {
+            return self.log(log::Level::Info, &outcome);
+        }
+        // The caller has a part of the answer, so its connection is closed.
+        self.metrics.count(&self.metrics.closed, BROKEN_ANSWER);
+        let outcome = format!("the answer broke off: {outcome}");
+        self.log(log::Level::Warn, &outcome);
     }
 
     fn log(&self, level: log::Level, outcome: &str) {
@@ -88,9 +109,13 @@
         let empty = SmolStr::default();
         log::log!(
             level,
-            "request {}: {outcome}; configuration {} route {} team {} servers {:?} status {} first {} ms end {} ms",
+            "request {}: {outcome}; configuration {} of {} in force, route {} team {} servers {:?} status {} first {} ms end {} ms",
             self.id,
             self.attribution.config_version,
+            self.configs
+                .borrow()
+                .as_ref()
+                .map_or(0, |config| config.version),
             self.attribution.route.as_ref().unwrap_or(&empty),
             self.attribution.team.as_ref().unwrap_or(&empty),
             record.servers,
@@ -104,10 +129,16 @@
 impl Drop for RequestTrace {
     fn drop(&mut self) {
         if !self.finished {
-            let cause = "the caller closed the connection";
+            let (level, cause) = match self.connection.cause() {
+                None => (log::Level::Info, "the caller closed the connection"),
+                Some(cause) => {
+                    self.metrics.count(&self.metrics.closed, cause.as_str());
+                    (log::Level::Warn, cause.message())
+                }
+            };
             self.history.update(&self.id, |record| record.cancel(cause));
             self.metrics.cancel_request(RouteKind::Relay);
-            self.log(log::Level::Info, cause);
+            self.log(level, cause);
         }
         self.metrics.in_flight.dec();
     }
