Answer requests that cannot be served before a shutdown ends

Cause: the drain time was known to the shutdown only. A request waited until its own deadline, and the process ended first. The same holds for the product's own edge, whose overnight requests wait for hours.

Each shutdown now starts a DrainClock with its end, and the steps of a request run against it. What has not been sent is refused with 503 and Retry-After once its answer would come after the end, by the target latency of its route (for overnight calls by their estimated work): the core decides that in the place where it would otherwise get a server, so a refused request is not sent later. A request at a server whose answer has not begun 125 ms before the end gets 502. Both use 250 ms of the drain time at most; streams that have begun go on to the end. The end counts from the signal, so that a slow release of the lease does not move it beyond the time after which the platform kills the process.

requests_without_an_answer_get_one_before_the_process_ends starts the shipped program with a store and a server and ends it by SIGTERM.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,7 +22,7 @@
 use crate::daemon::peers::{DaemonPeerHandler, DaemonStatus};
 use crate::daemon::tasks::{ReportInbox, TaskContext};
 use crate::dispatch::{
-    AccessGate, CoreContext, DemandMeter, DispatchContext, ModelQueues, RequestCore,
+    AccessGate, CoreContext, DemandMeter, DispatchContext, DrainClock, ModelQueues, RequestCore,
     RequestDispatcher,
 };
 use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
@@ -92,6 +92,7 @@
     replica: Arc<Replica>,
     claims: Arc<Claims>,
     draining: Arc<AtomicBool>,
+    drain_clock: Arc<DrainClock>,
     /// Tasks of requests, which are joined before those of services.
     request_tasks: TaskGroup,
     service_tasks: TaskGroup,
@@ -167,6 +168,7 @@
         metrics: metrics.clone(),
         admission_limit: settings.limits.in_flight,
     });
+    let drain_clock = request_core.drain_clock().clone();
     let dispatcher = RequestDispatcher::<P>::open(DispatchContext {
         zone: settings.zone.clone(),
         gate: AccessGate::new(core.replica.subscribe(), currency.clone()),
@@ -254,6 +256,7 @@
         replica: core.replica.clone(),
         claims: core.claims.clone(),
         draining,
+        drain_clock,
         request_tasks: request_tasks.clone(),
         service_tasks: service_tasks.clone(),
     })
@@ -373,24 +376,24 @@
     pub async fn shutdown(self) {
         let started = Instant::now();
         self.draining.store(true, Ordering::Relaxed);
+        let timing = &self.settings.timing;
+        let end = started + timing.balancer_lag + timing.drain;
+        self.drain_clock.start(end);
         log::info!(
             "shutting down; listeners stay open for {:?} until the balancer stops sending requests",
-            self.settings.timing.balancer_lag
+            timing.balancer_lag
         );
-        tokio::time::sleep(self.settings.timing.balancer_lag).await;
+        tokio::time::sleep(timing.balancer_lag).await;
         self.operator.stop();
         let drained = async {
             self.caller.drain().await;
             // A non-repeatable call continues after its caller has disconnected, as its outcome must be recorded.
             self.request_tasks.shutdown().await;
         };
-        if tokio::time::timeout(self.settings.timing.drain, drained)
-            .await
-            .is_err()
-        {
+        if tokio::time::timeout_at(end.into(), drained).await.is_err() {
             log::error!(
                 "requests were still running after the drain time of {:?}",
-                self.settings.timing.drain
+                timing.drain
             );
         }
         if let Err(error) = self.members.leave(FINAL_APPEND_TIMEOUT).await {
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -10,7 +10,9 @@
 use crate::daemon::relay_peers::{
     KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
 };
-use crate::dispatch::{CoreContext, CoreParts, DemandMeter, ModelQueues, RequestCore, Waiter};
+use crate::dispatch::{
+    CoreContext, CoreParts, DemandMeter, DrainClock, ModelQueues, RequestCore, Waiter,
+};
 use crate::error::{Error, Result};
 use crate::history::RequestHistory;
 use crate::ids::VmId;
@@ -123,6 +125,7 @@
     caller: RelayServer,
     admin: AdminServer,
     draining: Arc<AtomicBool>,
+    drain_clock: Arc<DrainClock>,
     /// Tasks of requests, which are joined before those of services.
     request_tasks: TaskGroup,
     service_tasks: TaskGroup,
@@ -234,6 +237,7 @@
         caller,
         admin,
         draining,
+        drain_clock: services.core.drain_clock().clone(),
         request_tasks: request_tasks.clone(),
         service_tasks: service_tasks.clone(),
         lease: services.lease,
@@ -472,11 +476,13 @@
     /// Shuts down without interrupting requests.
     ///
     /// Readiness fails, callers are asked to open their next connection to another daemon, running requests may
-    /// finish within the drain time, and all tasks are joined.
+    /// finish within the drain time, those that cannot are refused, and all tasks are joined.
     pub async fn shutdown(self) {
         let started = Instant::now();
         self.draining.store(true, Ordering::Relaxed);
         let timing = &self.settings.timing;
+        let end = started + timing.balancer_lag + timing.drain;
+        self.drain_clock.start(end);
         log::info!(
             "shutting down; listeners stay open for {:?} until the balancer stops sending requests",
             timing.balancer_lag
@@ -488,7 +494,7 @@
             self.caller.drain().await;
             self.request_tasks.shutdown().await;
         };
-        if tokio::time::timeout(timing.drain, drained).await.is_err() {
+        if tokio::time::timeout_at(end.into(), drained).await.is_err() {
             log::error!(
                 "requests were still running after the drain time of {:?}",
                 timing.drain
--- /dev/null
+++ b/src/dispatch/drain.rs
@@ -0,0 +1,83 @@
+//! Until when a daemon that shuts down can still answer requests.
+
+use std::future::Future;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, watch};
+
+use crate::error::{Category, Error, Result, RunVerdict};
+
+/// Time before the end in which refusals of requests that have not been sent are written.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Time before the end in which the failures of requests without an answer are written. It is shorter, so that a request
+/// that has not been sent is refused.
+const FAILURE_TIME: Duration = Duration::from_millis(125);
+/// `Retry-After` of a refusal. Other daemons take requests at once.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The end of a shutdown, by which each request must have an answer.
+#[derive(Debug, Default)]
+pub struct DrainClock {
+    end: watch::Sender<Option<Instant>>,
+}
+
+impl DrainClock {
+    /// Starts the shutdown; the process ends at `end`.
+    pub fn start(&self, end: Instant) {
+        self.end.send_replace(Some(end));
+    }
+
+    /// Runs a step of a request that has not been sent to a server and takes `work` once it is.
+    ///
+    /// # Errors
+    ///
+    /// Those of `step`; `ShuttingDown` once the answer would come after the end.
+    pub(crate) async fn run_unsent<T>(
+        &self,
+        work: Duration,
+        step: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        tokio::select! {
+            biased;
+            () = self.reach(work + REFUSAL_TIME) => {
+                let message = "the daemon is shutting down";
+                Err(Error::new(Category::ShuttingDown, message).with_retry_after(RETRY_AFTER))
+            }
+            result = step => result,
+        }
+    }
+
+    /// Waits for the first part of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Those of the request; `ShuttingDown` if the answer has not begun shortly before the end.
+    pub(crate) async fn first_piece<T>(&self, pieces: &mut mpsc::Receiver<Result<T>>) -> Result<T> {
+        let error = tokio::select! {
+            biased;
+            piece = pieces.recv() => match piece {
+                Some(piece) => return piece,
+                None => Error::internal("the request ended without an answer"),
+            },
+            () = self.reach(FAILURE_TIME) => {
+                let message = "the daemon shut down before the answer began";
+                Error::new(Category::ShuttingDown, message)
+            }
+        };
+        Err(error.with_verdict(RunVerdict::MayHaveRun))
+    }
+
+    /// Resolves `lead` before the end; never unless the daemon shuts down.
+    async fn reach(&self, lead: Duration) {
+        let mut ends = self.end.subscribe();
+        let end = match ends.wait_for(Option::is_some).await {
+            Ok(end) => *end,
+            Err(_) => None,
+        };
+        let Some(end) = end else {
+            return std::future::pending().await;
+        };
+        let time = end.checked_sub(lead).unwrap_or_else(Instant::now);
+        tokio::time::sleep_until(time.into()).await;
+    }
+}
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -87,18 +87,12 @@
         };
         self.core.retries.count_request();
         let mut rest = self.core.start(job);
-        match rest.recv().await {
-            Some(Ok(chunk)) => Ok((
-                usage,
-                TokenStream {
-                    first: Some(chunk),
-                    rest,
-                },
-            )),
-            Some(Err(error)) => Err(error),
-            None => Err(Error::internal("the request ended without an answer")
-                .with_verdict(RunVerdict::MayHaveRun)),
-        }
+        let first = self.core.drain_clock().first_piece(&mut rest).await?;
+        let stream = TokenStream {
+            first: Some(first),
+            rest,
+        };
+        Ok((usage, stream))
     }
 
     async fn admit_model(self: &Arc<Self>, call: ModelCall) -> Result<ChatJob<P>> {
@@ -210,6 +204,10 @@
         }
     }
 
+    fn expected_time(&self) -> Duration {
+        self.wait_entry().work
+    }
+
     async fn attempt(
         &mut self,
         slot: &ServerSlot,
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::dispatch::demand::DemandMeter;
+use crate::dispatch::drain::DrainClock;
 use crate::dispatch::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::history::{RequestHistory, RequestStage};
@@ -81,6 +82,10 @@
     /// Returns by what the queue orders the request, as of now.
     fn wait_entry(&self) -> WaitEntry;
 
+    /// Returns how long the answer is expected to take, or to take until it begins, once the request is sent. At shutdown
+    /// a request is refused when less time is left.
+    fn expected_time(&self) -> Duration;
+
     /// Sends the request to the server in `slot` and forwards the answer until the attempt ends.
     fn attempt(
         &mut self,
@@ -138,6 +143,7 @@
     pub(super) retries: RetryBudget,
     pub(super) history: Arc<RequestHistory>,
     pub(super) metrics: Arc<DaemonMetrics>,
+    drain: Arc<DrainClock>,
     suspects: Arc<Mutex<SuspectTable>>,
     admissions: Arc<Semaphore>,
     /// Notices about suspects that have not been sent to peers yet.
@@ -155,6 +161,7 @@
             retries: context.retries,
             history: context.history,
             metrics: context.metrics,
+            drain: Arc::default(),
             suspects: context.suspects,
             admissions: Arc::new(Semaphore::new(context.admission_limit)),
             notices: Mutex::default(),
@@ -184,6 +191,11 @@
         &self.metrics
     }
 
+    /// Returns the clock by which requests end at shutdown.
+    pub fn drain_clock(&self) -> &Arc<DrainClock> {
+        &self.drain
+    }
+
     /// Returns the meter that counts demand for the planner.
     pub fn demand(&self) -> &DemandMeter {
         &self.demand
@@ -369,8 +381,9 @@
         pieces: &mpsc::Sender<Result<X::Piece>>,
     ) -> Attempt {
         let asked = Instant::now();
+        let expected_time = job.exchange.expected_time();
         let slot = tokio::select! {
-            slot = self.acquire(job) => slot,
+            slot = self.drain.run_unsent(expected_time, self.acquire(job)) => slot,
             () = pieces.closed() => return Attempt::Cancelled,
         };
         self.note_stage(&job.id, RequestStage::Queue, asked);
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -168,9 +168,9 @@
         attribution: &mut RequestAttribution,
     ) -> Result<RelayAnswer> {
         let caller_deadline = arrived + metadata.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let route_match = self
-            .match_route(&head, &metadata, caller_deadline, attribution)
-            .await?;
+        let drain = self.context.core.drain_clock();
+        let route_match = self.match_route(&head, &metadata, caller_deadline, attribution);
+        let route_match = drain.run_unsent(Duration::ZERO, route_match).await?;
         let RouteMatch {
             config,
             route,
@@ -197,12 +197,13 @@
         self.refuse_paused(service, &route, &metadata)?;
         let tokens = tokens_to_charge(team.as_deref(), &metadata);
         let charge = match &team {
-            Some(team) if team.spec.rate > 0 => Some(
-                self.context
+            Some(team) if team.spec.rate > 0 => {
+                let charge = self
+                    .context
                     .core
-                    .charge(&metadata.id, &team.spec.name, tokens)
-                    .await?,
-            ),
+                    .charge(&metadata.id, &team.spec.name, tokens);
+                Some(drain.run_unsent(route.target_latency, charge).await?)
+            }
             _ => None,
         };
         let deadline = (caller_deadline - CALLER_DEADLINE_MARGIN).min(arrived + route.timeout);
@@ -244,7 +245,21 @@
             ),
             _admission: admission,
         };
-        wait_for_head(self.context.core.start(job)).await
+        let mut pieces = self.context.core.start(job);
+        match drain.first_piece(&mut pieces).await? {
+            RelayPiece::Whole { head, body } => Ok(RelayAnswer {
+                head,
+                body: RelayBody::Whole(body),
+            }),
+            RelayPiece::Head(head) => Ok(RelayAnswer {
+                head,
+                body: RelayBody::Stream(pieces),
+            }),
+            RelayPiece::Data(_) | RelayPiece::End => {
+                Err(Error::internal("the answer began without its head")
+                    .with_verdict(RunVerdict::MayHaveRun))
+            }
+        }
     }
 
     /// Finds the route and the team of a request. Callers do not retry 401 and 404, so these are not returned while a
@@ -440,24 +455,6 @@
     }
 }
 
-async fn wait_for_head(mut pieces: mpsc::Receiver<Result<RelayPiece>>) -> Result<RelayAnswer> {
-    match pieces.recv().await {
-        Some(Ok(RelayPiece::Whole { head, body })) => Ok(RelayAnswer {
-            head,
-            body: RelayBody::Whole(body),
-        }),
-        Some(Ok(RelayPiece::Head(head))) => Ok(RelayAnswer {
-            head,
-            body: RelayBody::Stream(pieces),
-        }),
-        Some(Err(error)) => Err(error),
-        Some(Ok(RelayPiece::Data(_) | RelayPiece::End)) | None => {
-            Err(Error::internal("the request ended without an answer")
-                .with_verdict(RunVerdict::MayHaveRun))
-        }
-    }
-}
-
 /// Finds the route and the team of a request in `config` and records them in `attribution`.
 fn match_in_config(
     config: Arc<ServingConfig>,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -508,6 +508,13 @@
         }
     }
 
+    fn expected_time(&self) -> Duration {
+        match self.head_sent {
+            true => Duration::ZERO,
+            false => self.request.route.target_latency,
+        }
+    }
+
     async fn attempt(
         &mut self,
         slot: &ServerSlot,
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::body::Body;
@@ -112,8 +112,10 @@
         arrived,
     );
     let call = async {
-        let body = read_body(body, &context.limits).await?;
         let dispatcher = &context.dispatcher;
+        let body = read_body(body, &context.limits);
+        let drain = dispatcher.core().drain_clock();
+        let body = drain.run_unsent(Duration::ZERO, body).await?;
         dispatcher
             .call(head, metadata, body, arrived, trace.attribution_mut())
             .await
