Leave a request at a silent server unless another one takes it at once

Callers saw streams cut midway although their server was sound: it had been silent for more than a second and went on later. Nothing else was wrong at that time, so near a planned change such a cut is a lost request.

Cause: after 60% of the silence limit (1.2 s at least) an attempt ended as failed, and only then was it asked whether the retry budget and a free server allowed to go on. A server that falls silent holds many streams at once, while a daemon's part of the budget is a few retries; the streams beyond it, and all where no other server had room, broke their callers' connections. Calls that may run twice were answered 504 in the same way after four times their target latency.

The order is now reversed. The stall time only begins the search: an attempt at a silent server ends when another server has room for the request and a retry has been taken for it, checked each 100 ms; otherwise the request stays until data or the deadline comes. Silence alone ends no answer before its time. The server counts as suspected from the stall on, as before, so it gets no new requests meanwhile. The class is giving up what is held before what replaces it is secured.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -25,7 +25,9 @@
 pub use self::drain::DrainClock;
 pub use self::model::TokenStream;
 pub use self::name::ModelName;
-pub use self::request_core::{Attempt, CoreContext, CoreParts, Exchange, RequestCore};
+pub use self::request_core::{
+    Attempt, CoreContext, CoreParts, Exchange, OtherServers, RequestCore,
+};
 pub(crate) use self::request_core::{ChargeOf, RequestJob, fingerprint};
 pub use self::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
 use crate::catalog::RequestClass;
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -13,7 +13,9 @@
 use crate::dispatch::access::AccessGrant;
 use crate::dispatch::answer::{AnswerChecker, ChunkVerdict};
 use crate::dispatch::name::{ModelName, find_model, other_versions};
-use crate::dispatch::request_core::{Attempt, ChargeOf, Exchange, RequestJob, fingerprint};
+use crate::dispatch::request_core::{
+    Attempt, ChargeOf, Exchange, OtherServers, RequestJob, fingerprint,
+};
 use crate::dispatch::room::{FleetSource, ModelNeed, ServerSlot};
 use crate::dispatch::{DispatchParts, ModelCall, RequestDispatcher, TokenUsage};
 use crate::engine::{EngineChunk, EngineClient, EngineRequest, prefix_hashes};
@@ -208,10 +210,11 @@
         self.wait_entry().work
     }
 
-    async fn attempt(
+    async fn attempt<O: OtherServers>(
         &mut self,
         slot: &ServerSlot,
         tokens: &mpsc::Sender<Result<EngineChunk>>,
+        _others: &O,
     ) -> Attempt {
         self.stream_from(slot, tokens).await
     }
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -74,6 +74,27 @@
     },
 }
 
+/// Tells whether another server than the current one could take a request.
+pub trait OtherServers: Sync {
+    /// Returns whether the request would get a place at another server at once.
+    fn have_room(&self) -> bool;
+}
+
+/// The servers of a model other than `current`.
+struct QueueServers<'a, P: CoreParts> {
+    queues: &'a ModelQueues<P::Routing, P::Queue, P::Fleet>,
+    need: &'a ModelNeed,
+    current: &'a SmolStr,
+}
+
+impl<P: CoreParts> OtherServers for QueueServers<'_, P> {
+    fn have_room(&self) -> bool {
+        let mut route = self.need.route.clone();
+        route.avoid.push(self.current.clone());
+        self.queues.has_room(route)
+    }
+}
+
 /// An admitted request in its caller's protocol, which sends it to backend servers and forwards the answer.
 pub trait Exchange: Send + 'static {
     /// Part of the answer that goes to the caller.
@@ -86,11 +107,13 @@
     /// a request is refused when less time is left.
     fn expected_time(&self) -> Duration;
 
-    /// Sends the request to the server in `slot` and forwards the answer until the attempt ends.
-    fn attempt(
+    /// Sends the request to the server in `slot` and forwards the answer until the attempt ends. An attempt at a server
+    /// that may still answer ends only if one of `others` has room.
+    fn attempt<O: OtherServers>(
         &mut self,
         slot: &ServerSlot,
         pieces: &mpsc::Sender<Result<Self::Piece>>,
+        others: &O,
     ) -> impl Future<Output = Attempt> + Send;
 
     /// Returns whether another server may be tried after `error`, and takes the retry from a budget. Called once per
@@ -398,7 +421,12 @@
         };
         self.history
             .update(&job.id, |record| record.add_server(slot.name.clone()));
-        let result = job.exchange.attempt(&slot, pieces).await;
+        let others = QueueServers::<P> {
+            queues: &self.queues,
+            need: &job.need,
+            current: &slot.name,
+        };
+        let result = job.exchange.attempt(&slot, pieces, &others).await;
         match &result {
             Attempt::Finished => self.clear_suspect(&job.fingerprint),
             Attempt::Failed { .. } | Attempt::NotResident => {
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -204,6 +204,17 @@
         }
     }
 
+    /// Returns whether a request would get a slot at once.
+    pub fn has_room(&self, mut route: RouteNeed) -> bool {
+        let suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        route.avoid.extend(suspects.reserved_servers().cloned());
+        drop(suspects);
+        let fleet = self.fleet.snapshot();
+        self.routing
+            .choose_in(&route, &fleet, Instant::now())
+            .is_some()
+    }
+
     /// Corrects a team's served tokens once its request has ended.
     pub fn adjust_served(&self, model: &SmolStr, team: &SmolStr, tokens: i64) {
         if let Some(queue) = self.queues().get_mut(model) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,27 +1,26 @@
 //! Sends an opaque request to one backend server after another and forwards the answer.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
-use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
-use crate::blame::PartId;
 use crate::catalog::RequestClass;
-use crate::dispatch::{Attempt, Exchange, FleetSource, ServerSlot};
+use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot};
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::ids::KeyDigest;
 use crate::queue::WaitEntry;
-use crate::relay::config::{CallKind, RouteConfig};
+use crate::relay::config::CallKind;
 use crate::relay::crash::CrashDetector;
 use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
 use crate::relay::events::{self, EventSplitter};
 use crate::relay::fleet::RelayFleet;
-use crate::relay::format::{AnswerKind, RelayFormat, RequestMetadata, UpstreamMetadata};
+use crate::relay::format::{AnswerKind, RelayFormat, UpstreamMetadata};
+use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::upstream::{UpstreamAnswer, UpstreamPool};
 use crate::retry::RetryBudget;
 use crate::wire;
@@ -32,9 +31,11 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 /// Subtracted from the time that a backend server is given, for the transfer of its answer.
 const SERVER_DEADLINE_MARGIN: Duration = Duration::from_millis(5);
-/// Time without data after which a stream is resumed on another server, in percent of the silence limit of its route.
+/// Time without data after which a stream may be resumed on another server, in percent of the silence limit of its route.
 const STALL_PERCENT: u32 = 60;
-/// Multiple of the target latency after which an idempotent request is sent to another server.
+/// Period in which a request at a silent server checks whether it can go on at another one.
+const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Multiple of the target latency after which an idempotent request may be sent to another server.
 const RETRY_LATENCY_FACTOR: u32 = 4;
 /// Maximum size of the body of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -45,55 +46,6 @@
 /// Time that a request stays in quarantine after a second backend server died under it.
 pub(crate) const QUARANTINE_TIME: Duration = Duration::from_secs(30);
 
-/// Status and headers of an answer as the backend server sent them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ResponseHead {
-    pub status: StatusCode,
-    /// Without connection-specific headers.
-    pub headers: HeaderMap,
-}
-
-/// A part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RelayPiece {
-    /// The complete answer.
-    Whole { head: ResponseHead, body: Bytes },
-    /// The head of a stream.
-    Head(ResponseHead),
-    /// Bytes of a stream.
-    Data(Bytes),
-    /// The stream is complete.
-    End,
-}
-
-/// Data of a request that is the same for every server that it is sent to.
-pub(super) struct RelayRequest {
-    pub(super) metadata: RequestMetadata,
-    pub(super) route: Arc<RouteConfig>,
-    pub(super) team: Option<SmolStr>,
-    pub(super) method: Method,
-    pub(super) target: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    /// Prompt parts that other requests may share.
-    pub(super) parts: Vec<PartId>,
-    /// Identifies repetitions of the same request, for the detection of requests that crash their servers.
-    pub(super) fingerprint: KeyDigest,
-    pub(super) arrived: Instant,
-    /// Time until which the caller waits for the answer.
-    pub(super) caller_deadline: Instant,
-    /// Time by which the answer must be complete.
-    pub(super) deadline: Instant,
-    /// Number of tokens charged.
-    pub(super) tokens: u64,
-    /// Rank of the request's team, or of its route; 0 is the highest.
-    pub(super) priority: u32,
-    /// From 0 to 9; a lower value is more urgent.
-    pub(super) urgency: u8,
-    /// Maximum number of idle connections that are kept to one server.
-    pub(super) max_idle_connections: usize,
-}
-
 /// A request and its progress across backend servers.
 pub struct RelayExchange<F> {
     request: RelayRequest,
@@ -118,6 +70,8 @@
     sent: Instant,
     /// Whether the connection to the current server broke before the server had begun the answer.
     broke_early: bool,
+    /// Whether a retry was taken from the budget before the attempt ended.
+    retry_reserved: bool,
     /// Error answer of a backend server, which is forwarded if no other server answers.
     fallback: Option<RelayPiece>,
 }
@@ -148,6 +102,7 @@
             attempt_events: 0,
             sent: Instant::now(),
             broke_early: false,
+            retry_reserved: false,
             fallback: None,
         }
     }
@@ -156,7 +111,7 @@
         self.request.route.is_repeatable()
     }
 
-    /// Returns the time without data after which the request is sent to another server.
+    /// Returns the time without data after which the request may be sent to another server.
     fn stall_timeout(&self) -> Duration {
         let route = &self.request.route;
         match route.kind {
@@ -182,13 +137,51 @@
         (!self.head_sent && !target.is_zero()).then(|| self.request.arrived + target)
     }
 
-    /// Returns until when to wait for the next part of an answer.
-    fn answer_deadline(&self) -> Instant {
+    /// Returns whether the request may be sent once more.
+    fn has_attempts_left(&self) -> bool {
+        self.sends < MAX_SENDS && self.attempts < self.request.route.max_attempts
+    }
+
+    /// Takes a retry from the budget for a request whose server is silent, if another server can take it at once.
+    fn reserve_retry(&mut self, others: &impl OtherServers) -> bool {
+        self.retry_reserved = self.is_repeatable()
+            && self.has_attempts_left()
+            && others.have_room()
+            && self.budget.try_retry();
+        self.retry_reserved
+    }
+
+    /// Waits for the next part of an answer until the deadline. A silent server may still answer, so it is given up
+    /// before the deadline only if another one takes the request. Returns `None` if the wait is over.
+    async fn wait_for_server<T>(
+        &mut self,
+        slot: &ServerSlot,
+        others: &impl OtherServers,
+        part: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut part = std::pin::pin!(part);
         let deadline = self.request.deadline;
-        if self.is_repeatable() && self.attempts < self.request.route.max_attempts {
-            deadline.min(Instant::now() + self.stall_timeout())
-        } else {
-            deadline
+        let mut check = match self.is_repeatable() && self.has_attempts_left() {
+            true => deadline.min(Instant::now() + self.stall_timeout()),
+            false => deadline,
+        };
+        let mut is_first = true;
+        loop {
+            if let Ok(part) = tokio::time::timeout_at(check.into(), part.as_mut()).await {
+                return Some(part);
+            }
+            if check >= deadline || self.reserve_retry(others) {
+                return None;
+            }
+            if is_first {
+                log::info!(
+                    "server {} is silent and no other can take the request",
+                    slot.name
+                );
+                self.fleet.call_failed(&slot.name);
+            }
+            is_first = false;
+            check = deadline.min(Instant::now() + STALL_CHECK_PERIOD);
         }
     }
 
@@ -217,6 +210,7 @@
         &mut self,
         slot: &ServerSlot,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &impl OtherServers,
     ) -> Attempt {
         if Instant::now() + MIN_TIME_LEFT >= self.request.deadline {
             return Attempt::Stopped(timeout_error(
@@ -237,27 +231,25 @@
         self.attempt_events = 0;
         self.sent = Instant::now();
         self.broke_early = false;
-        let deadline = self.answer_deadline();
         self.verdict = RunVerdict::MayHaveRun;
         // An idle connection may break after the server has read the request; only a repeatable one can be sent again.
         let reuse = self.is_repeatable();
+        let pool = self.pool.clone();
+        let head = pool.send(&slot.name, slot.address, request, reuse);
         let sent = tokio::select! {
             biased;
             () = pieces.closed() => return Attempt::Cancelled,
-            sent = tokio::time::timeout_at(
-                deadline.into(),
-                self.pool.send(&slot.name, slot.address, request, reuse),
-            ) => sent,
+            sent = self.wait_for_server(slot, others, head) => sent,
         };
         let answer = match sent {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
+            Some(Ok(answer)) => answer,
+            Some(Err(error)) => {
                 if error.verdict() == RunVerdict::NotRun {
                     (self.verdict, self.attempts) = previous;
                 }
                 return self.failed_attempt(slot, error);
             }
-            Err(_) => return self.failed_attempt(slot, answer_timeout()),
+            None => return self.failed_attempt(slot, answer_timeout()),
         };
         let kind = self
             .format
@@ -267,7 +259,7 @@
             self.fleet.apply_notice(&slot.name, notice);
         }
         match kind {
-            AnswerKind::Answer => self.forward_answer(slot, answer, pieces).await,
+            AnswerKind::Answer => self.forward_answer(slot, answer, pieces, others).await,
             AnswerKind::IdMismatch => {
                 let message = "the answer belongs to another request";
                 let error = Error::new(Category::Protocol, message);
@@ -336,13 +328,14 @@
         slot: &ServerSlot,
         answer: UpstreamAnswer,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &impl OtherServers,
     ) -> Attempt {
         let is_stream =
             self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
         if is_stream {
-            self.forward_stream(slot, answer, pieces).await
+            self.forward_stream(slot, answer, pieces, others).await
         } else {
-            self.forward_whole(slot, answer, pieces).await
+            self.forward_whole(slot, answer, pieces, others).await
         }
     }
 
@@ -351,18 +344,18 @@
         slot: &ServerSlot,
         mut answer: UpstreamAnswer,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &impl OtherServers,
     ) -> Attempt {
-        let deadline = self.answer_deadline();
         let body = Limited::new(&mut answer.body, MAX_ANSWER_BYTES).collect();
         let body = tokio::select! {
             biased;
             () = pieces.closed() => return Attempt::Cancelled,
-            body = tokio::time::timeout_at(deadline.into(), body) => body,
+            body = self.wait_for_server(slot, others, body) => body,
         };
         let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => return self.failed_attempt(slot, unreadable_answer(&*error)),
-            Err(_) => return self.failed_attempt(slot, answer_timeout()),
+            Some(Ok(body)) => body.to_bytes(),
+            Some(Err(error)) => return self.failed_attempt(slot, unreadable_answer(&*error)),
+            None => return self.failed_attempt(slot, answer_timeout()),
         };
         let head = response_head(&answer);
         answer.release(self.request.max_idle_connections);
@@ -396,22 +389,23 @@
         slot: &ServerSlot,
         mut answer: UpstreamAnswer,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &impl OtherServers,
     ) -> Attempt {
         let mut splitter = EventSplitter::default();
         loop {
-            let deadline = self.answer_deadline();
+            let frame = answer.body.frame();
             let frame = tokio::select! {
                 biased;
                 () = pieces.closed() => return Attempt::Cancelled,
-                frame = tokio::time::timeout_at(deadline.into(), answer.body.frame()) => frame,
+                frame = self.wait_for_server(slot, others, frame) => frame,
             };
             let data = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(error))) => {
+                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Some(Some(Err(error))) => {
                     return self.failed_attempt(slot, unreadable_answer(&error));
                 }
-                Ok(None) => break,
-                Err(_) => return self.failed_attempt(slot, answer_timeout()),
+                Some(None) => break,
+                None => return self.failed_attempt(slot, answer_timeout()),
             };
             if !splitter.push(&data) {
                 let error = Error::new(
@@ -515,12 +509,13 @@
         }
     }
 
-    async fn attempt(
+    async fn attempt<O: OtherServers>(
         &mut self,
         slot: &ServerSlot,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &O,
     ) -> Attempt {
-        let attempt = self.send_to(slot, pieces).await;
+        let attempt = self.send_to(slot, pieces, others).await;
         if !std::mem::take(&mut self.broke_early) {
             return attempt;
         }
@@ -541,9 +536,8 @@
     }
 
     fn may_retry(&mut self, _error: &Error) -> bool {
-        self.sends < MAX_SENDS
-            && self.attempts < self.request.route.max_attempts
-            && self.budget.try_retry()
+        std::mem::take(&mut self.retry_reserved)
+            || self.has_attempts_left() && self.budget.try_retry()
     }
 
     fn may_retry_not_resident(&mut self) -> bool {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -29,6 +29,7 @@
 mod pulse;
 mod readers;
 mod registry;
+mod request;
 mod server;
 mod server_list;
 mod store;
@@ -56,7 +57,7 @@
 };
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE_TIME;
-pub use self::exchange::{RelayExchange, RelayPiece, ResponseHead};
+pub use self::exchange::RelayExchange;
 pub use self::fleet::{RelayFleet, routing_name};
 pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
 pub use self::format::{
@@ -73,6 +74,7 @@
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
 pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
+pub use self::request::{RelayPiece, ResponseHead};
 pub use self::server::{RelayServer, bind_readiness};
 pub use self::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -24,8 +24,8 @@
 use crate::kernel::TaskGroup;
 use crate::logging;
 use crate::relay::dispatcher::{RelayAnswer, RelayBody, RelayDispatcher};
-use crate::relay::exchange::RelayPiece;
 use crate::relay::format::RelayFormat;
+use crate::relay::request::RelayPiece;
 use crate::relay::trace::RequestTrace;
 use crate::settings::LimitSettings;
 
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -13,6 +13,7 @@
 mod key_in_debug_form;
 mod name_in_header;
 mod prompt_part_that_crashes_servers;
+mod silent_server;
 mod slow_store_answer;
 mod stale_load_report;
 mod stream_broken_inside_an_event;
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -253,6 +253,15 @@
 impl RelayRig {
     /// Starts a relay without a configuration and without servers.
     pub async fn open() -> eyre::Result<Self> {
+        Self::open_with(RetryLimits {
+            percent: 20,
+            extra: 20,
+        })
+        .await
+    }
+
+    /// Like [`Self::open`], with these limits on retries.
+    pub async fn open_with(retries: RetryLimits) -> eyre::Result<Self> {
         let group = TaskGroup::new();
         let fleet = Arc::new(RelayFleet::new());
         let configs = Arc::new(ConfigHolder::new(
@@ -305,10 +314,7 @@
             watch,
             pool,
             format: Arc::new(PlatformFormat),
-            retries: RetryLimits {
-                percent: 20,
-                extra: 20,
-            },
+            retries,
             daemons: watch::channel(1).1,
             placement_requests,
         });
