--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -13,7 +13,9 @@
 use crate::dispatch::access::AccessGrant;
 use crate::dispatch::answer::{AnswerChecker, ChunkVerdict};
 use crate::dispatch::name::{ModelName, find_model, other_versions};
-use crate::dispatch::request_core::{Attempt, ChargeOf, Exchange, RequestJob, fingerprint};
+use crate::dispatch::request_core::{
+    Attempt, ChargeOf, Exchange, OtherServers, RequestJob, fingerprint,
+};
 use crate::dispatch::room::{FleetSource, ModelNeed, ServerSlot};
 use crate::dispatch::{DispatchParts, ModelCall, RequestDispatcher, TokenUsage};
 use crate::engine::{EngineChunk, EngineClient, EngineRequest, prefix_hashes};
@@ -87,18 +89,12 @@
         };
         self.core.retries.count_request();
         let mut rest = self.core.start(job);
-        match rest.recv().await {
-            Some(Ok(chunk)) => Ok((
-                usage,
-                TokenStream {
-                    first: Some(chunk),
-                    rest,
-                },
-            )),
-            Some(Err(error)) => Err(error),
-            None => Err(Error::internal("the request ended without an answer")
-                .with_verdict(RunVerdict::MayHaveRun)),
-        }
+        let first = self.core.drain_clock().first_piece(&mut rest).await?;
+        let stream = TokenStream {
+            first: Some(first),
+            rest,
+        };
+        Ok((usage, stream))
     }
 
     async fn admit_model(self: &Arc<Self>, call: ModelCall) -> Result<ChatJob<P>> {
@@ -210,10 +206,15 @@
         }
     }
 
-    async fn attempt(
+    fn expected_time(&self) -> Duration {
+        self.wait_entry().work
+    }
+
+    async fn attempt<O: OtherServers>(
         &mut self,
         slot: &ServerSlot,
         tokens: &mpsc::Sender<Result<EngineChunk>>,
+        _others: &O,
     ) -> Attempt {
         self.stream_from(slot, tokens).await
     }
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::dispatch::demand::DemandMeter;
+use crate::dispatch::drain::DrainClock;
 use crate::dispatch::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::history::{RequestHistory, RequestStage};
@@ -73,6 +74,27 @@
     },
 }
 
+/// Tells whether another server than the current one could take a request.
+pub trait OtherServers: Sync {
+    /// Returns whether the request would get a place at another server at once.
+    fn have_room(&self) -> bool;
+}
+
+/// The servers of a model other than `current`.
+struct QueueServers<'a, P: CoreParts> {
+    queues: &'a ModelQueues<P::Routing, P::Queue, P::Fleet>,
+    need: &'a ModelNeed,
+    current: &'a SmolStr,
+}
+
+impl<P: CoreParts> OtherServers for QueueServers<'_, P> {
+    fn have_room(&self) -> bool {
+        let mut route = self.need.route.clone();
+        route.avoid.push(self.current.clone());
+        self.queues.has_room(route)
+    }
+}
+
 /// An admitted request in its caller's protocol, which sends it to backend servers and forwards the answer.
 pub trait Exchange: Send + 'static {
     /// Part of the answer that goes to the caller.
@@ -81,11 +103,17 @@
     /// Returns by what the queue orders the request, as of now.
     fn wait_entry(&self) -> WaitEntry;
 
-    /// Sends the request to the server in `slot` and forwards the answer until the attempt ends.
-    fn attempt(
+    /// Returns how long the answer is expected to take, or to take until it begins, once the request is sent. At shutdown
+    /// a request is refused when less time is left.
+    fn expected_time(&self) -> Duration;
+
+    /// Sends the request to the server in `slot` and forwards the answer until the attempt ends. An attempt at a server
+    /// that may still answer ends only if one of `others` has room.
+    fn attempt<O: OtherServers>(
         &mut self,
         slot: &ServerSlot,
         pieces: &mpsc::Sender<Result<Self::Piece>>,
+        others: &O,
     ) -> impl Future<Output = Attempt> + Send;
 
     /// Returns whether another server may be tried after `error`, and takes the retry from a budget. Called once per
@@ -138,6 +166,7 @@
     pub(super) retries: RetryBudget,
     pub(super) history: Arc<RequestHistory>,
     pub(super) metrics: Arc<DaemonMetrics>,
+    drain: Arc<DrainClock>,
     suspects: Arc<Mutex<SuspectTable>>,
     admissions: Arc<Semaphore>,
     /// Notices about suspects that have not been sent to peers yet.
@@ -155,6 +184,7 @@
             retries: context.retries,
             history: context.history,
             metrics: context.metrics,
+            drain: Arc::default(),
             suspects: context.suspects,
             admissions: Arc::new(Semaphore::new(context.admission_limit)),
             notices: Mutex::default(),
@@ -184,6 +214,11 @@
         &self.metrics
     }
 
+    /// Returns the clock by which requests end at shutdown.
+    pub fn drain_clock(&self) -> &Arc<DrainClock> {
+        &self.drain
+    }
+
     /// Returns the meter that counts demand for the planner.
     pub fn demand(&self) -> &DemandMeter {
         &self.demand
@@ -369,8 +404,9 @@
         pieces: &mpsc::Sender<Result<X::Piece>>,
     ) -> Attempt {
         let asked = Instant::now();
+        let expected_time = job.exchange.expected_time();
         let slot = tokio::select! {
-            slot = self.acquire(job) => slot,
+            slot = self.drain.run_unsent(expected_time, self.acquire(job)) => slot,
             () = pieces.closed() => return Attempt::Cancelled,
         };
         self.note_stage(&job.id, RequestStage::Queue, asked);
@@ -385,7 +421,12 @@
         };
         self.history
             .update(&job.id, |record| record.add_server(slot.name.clone()));
-        let result = job.exchange.attempt(&slot, pieces).await;
+        let others = QueueServers::<P> {
+            queues: &self.queues,
+            need: &job.need,
+            current: &slot.name,
+        };
+        let result = job.exchange.attempt(&slot, pieces, &others).await;
         match &result {
             Attempt::Finished => self.clear_suspect(&job.fingerprint),
             Attempt::Failed { .. } | Attempt::NotResident => {
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -18,10 +18,11 @@
 use crate::relay::crash_watch::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::engines::PlacementRequest;
-use crate::relay::exchange::{RelayExchange, RelayPiece, RelayRequest, ResponseHead};
+use crate::relay::exchange::RelayExchange;
 use crate::relay::fleet::{RelayFleet, routing_name};
 use crate::relay::format::{RelayFormat, RequestMetadata};
 use crate::relay::readers::ReaderElection;
+use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::routing::RouteNeed;
@@ -139,6 +140,11 @@
         &self.context.core
     }
 
+    /// Subscribes to the configuration in force.
+    pub(super) fn configs(&self) -> ConfigReceiver {
+        self.context.configs.clone()
+    }
+
     /// Reads the metadata from the headers of a request.
     ///
     /// # Errors
@@ -163,9 +169,9 @@
         attribution: &mut RequestAttribution,
     ) -> Result<RelayAnswer> {
         let caller_deadline = arrived + metadata.deadline.unwrap_or(DEFAULT_DEADLINE);
-        let route_match = self
-            .match_route(&head, &metadata, caller_deadline, attribution)
-            .await?;
+        let drain = self.context.core.drain_clock();
+        let route_match = self.match_route(&head, &metadata, caller_deadline, attribution);
+        let route_match = drain.run_unsent(Duration::ZERO, route_match).await?;
         let RouteMatch {
             config,
             route,
@@ -192,12 +198,13 @@
         self.refuse_paused(service, &route, &metadata)?;
         let tokens = tokens_to_charge(team.as_deref(), &metadata);
         let charge = match &team {
-            Some(team) if team.spec.rate > 0 => Some(
-                self.context
+            Some(team) if team.spec.rate > 0 => {
+                let charge = self
+                    .context
                     .core
-                    .charge(&metadata.id, &team.spec.name, tokens)
-                    .await?,
-            ),
+                    .charge(&metadata.id, &team.spec.name, tokens);
+                Some(drain.run_unsent(route.target_latency, charge).await?)
+            }
             _ => None,
         };
         let deadline = (caller_deadline - CALLER_DEADLINE_MARGIN).min(arrived + route.timeout);
@@ -239,7 +246,21 @@
             ),
             _admission: admission,
         };
-        wait_for_head(self.context.core.start(job)).await
+        let mut pieces = self.context.core.start(job);
+        match drain.first_piece(&mut pieces).await? {
+            RelayPiece::Whole { head, body } => Ok(RelayAnswer {
+                head,
+                body: RelayBody::Whole(body),
+            }),
+            RelayPiece::Head(head) => Ok(RelayAnswer {
+                head,
+                body: RelayBody::Stream(pieces),
+            }),
+            RelayPiece::Data(_) | RelayPiece::End => {
+                Err(Error::internal("the answer began without its head")
+                    .with_verdict(RunVerdict::MayHaveRun))
+            }
+        }
     }
 
     /// Finds the route and the team of a request. Callers do not retry 401 and 404, so these are not returned while a
@@ -435,24 +456,6 @@
     }
 }
 
-async fn wait_for_head(mut pieces: mpsc::Receiver<Result<RelayPiece>>) -> Result<RelayAnswer> {
-    match pieces.recv().await {
-        Some(Ok(RelayPiece::Whole { head, body })) => Ok(RelayAnswer {
-            head,
-            body: RelayBody::Whole(body),
-        }),
-        Some(Ok(RelayPiece::Head(head))) => Ok(RelayAnswer {
-            head,
-            body: RelayBody::Stream(pieces),
-        }),
-        Some(Err(error)) => Err(error),
-        Some(Ok(RelayPiece::Data(_) | RelayPiece::End)) | None => {
-            Err(Error::internal("the request ended without an answer")
-                .with_verdict(RunVerdict::MayHaveRun))
-        }
-    }
-}
-
 /// Finds the route and the team of a request in `config` and records them in `attribution`.
 fn match_in_config(
     config: Arc<ServingConfig>,
