Attribute a refusal on a reused connection only by its request id

Callers saw: a resumable stream or an idempotent request got 503 although its server was at work on it. Requests that run at most once were not affected, as they never share a connection. Cause: 503, 429, 421 and 400 without `Request-Id` were taken for the answer to the newest request on any connection. The request counted as not run, was sent to another server, and the connection went back to the pool with its true answer still to come. Change: only on the first answer of a connection does a refusal without an id count as one. On a reused connection the attempt counts as one that may have run; the connection is closed, which stops the server. Its notices still apply, as they are the server's own. Why it works: before the first request there is nothing that a server could repeat; later the id is the only attribution.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -128,21 +128,32 @@
         }
     }
 
-    fn classify(&self, id: &str, server: &str, head: &response::Parts) -> AnswerKind {
+    fn classify(
+        &self,
+        id: &str,
+        server: &str,
+        head: &response::Parts,
+        is_first: bool,
+    ) -> AnswerKind {
         let header = |name: HeaderName| head.headers.get(name).map(HeaderValue::as_bytes);
         let answered = header(REQUEST_ID);
         if answered.is_some_and(|answered| answered != id.as_bytes()) {
             return AnswerKind::IdMismatch;
         }
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let refused = is_misdirected
+            || header(NOT_RUN).is_some()
+            || head.status == StatusCode::BAD_REQUEST && answered.is_none();
+        if refused && answered.is_none() && !is_first {
+            return AnswerKind::Unattributed;
+        }
+        if is_misdirected {
             let instance = header(INSTANCE_ID);
             return match instance.is_some_and(|instance| instance != server.as_bytes()) {
                 true => AnswerKind::WrongInstance,
                 false => AnswerKind::ModelMissing,
             };
         }
-        let refused = header(NOT_RUN).is_some()
-            || head.status == StatusCode::BAD_REQUEST && answered.is_none();
         match (refused, answered) {
             (true, _) => AnswerKind::Full,
             // A server that ran a request repeats its id in the answer.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -260,9 +260,10 @@
             }
             Err(_) => return self.failed_attempt(slot, answer_timeout()),
         };
+        let id = &self.request.metadata.id;
         let kind = self
             .format
-            .classify(&self.request.metadata.id, &slot.name, &answer.head);
+            .classify(id, &slot.name, &answer.head, answer.is_first);
         if !matches!(kind, AnswerKind::WrongInstance | AnswerKind::IdMismatch) {
             let notice = self.format.read_notice(&answer.head);
             self.fleet.apply_notice(&slot.name, notice);
@@ -274,6 +275,12 @@
                 let error = Error::new(Category::Protocol, message);
                 self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
             }
+            AnswerKind::Unattributed => {
+                self.fleet.note_full(&slot.name);
+                let message = "the refusal may be that of an earlier request on the connection";
+                let error = Error::new(Category::Protocol, message);
+                self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
+            }
             refusal => {
                 (self.verdict, self.attempts) = previous;
                 read_refusal_to_end(answer, self.request.max_idle_connections).await;
--- a/src/relay/format.rs
+++ b/src/relay/format.rs
@@ -61,6 +61,8 @@
     WrongInstance,
     /// The answer belongs to another request.
     IdMismatch,
+    /// A refusal that may be that of an earlier request on the same connection, as it does not state a request id.
+    Unattributed,
 }
 
 /// What the head of an answer says about its server, apart from the request.
@@ -98,6 +100,13 @@
     /// Reads what the head of an answer says about its server.
     fn read_notice(&self, head: &response::Parts) -> ServerNotice;
 
-    /// Classifies the head of an answer to the request `id`, which was sent to `server`.
-    fn classify(&self, id: &str, server: &str, head: &response::Parts) -> AnswerKind;
+    /// Classifies the head of an answer to the request `id`, which was sent to `server`. `is_first` states whether it is
+    /// the first answer on its connection.
+    fn classify(
+        &self,
+        id: &str,
+        server: &str,
+        head: &response::Parts,
+        is_first: bool,
+    ) -> AnswerKind;
 }
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -58,6 +58,8 @@
 pub struct UpstreamAnswer {
     pub head: response::Parts,
     pub body: Incoming,
+    /// Whether it is the first answer on its connection. A later one may repeat the answer to an earlier request.
+    pub is_first: bool,
     pooled: PooledConnection,
 }
 
@@ -93,7 +95,7 @@
     ) -> Result<UpstreamAnswer> {
         while reuse && let Some(mut connection) = self.take_idle(server) {
             match connection.sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.answer(server, connection, answer)),
+                Ok(answer) => return Ok(self.answer(server, connection, answer, false)),
                 Err(mut failure) => match failure.take_message() {
                     // The server closed the connection before the request was written.
                     Some(unsent) => request = unsent,
@@ -103,7 +105,7 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.sender.send_request(request).await {
-            Ok(answer) => Ok(self.answer(server, connection, answer)),
+            Ok(answer) => Ok(self.answer(server, connection, answer, true)),
             Err(error) if error.is_canceled() => Err(Error::unavailable(
                 "the server closed the connection before the request was sent",
             )),
@@ -138,6 +140,7 @@
         server: &SmolStr,
         connection: Connection,
         answer: http::Response<Incoming>,
+        is_first: bool,
     ) -> UpstreamAnswer {
         let (head, body) = answer.into_parts();
         let keep_alive = keep_alive_time(&head);
@@ -147,7 +150,12 @@
             connection,
             keep_alive,
         };
-        UpstreamAnswer { head, body, pooled }
+        UpstreamAnswer {
+            head,
+            body,
+            is_first,
+            pooled,
+        }
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection> {
