Open a connection for each order to an engine

What could happen: answers to orders state no id, and orders and reports shared kept connections. An earlier 202, 409 or report counted as the answer to the next order, and each later answer on the connection as that of the call after its own. Change: an order has a connection of its own. Reports still share connections: each one states the count of orders and is whole in itself, and an order whose count differs is refused by the engine. Evidence: each_order_has_its_own_connection failed before (one connection in place of three) and passes.

--- a/src/platform/engines.rs
+++ b/src/platform/engines.rs
@@ -22,7 +22,9 @@
 /// Client for the control interface of engines.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
-    client: HttpClient,
+    /// Each order has its own connection, as its answer does not state which order it belongs to.
+    orders: HttpClient,
+    reports: HttpClient,
 }
 
 #[derive(Serialize)]
@@ -54,21 +56,22 @@
     /// Creates a client; connections are opened on use.
     pub fn open() -> Self {
         Self {
-            client: HttpClient::open(CONNECT_TIMEOUT),
+            orders: HttpClient::open_without_reuse(CONNECT_TIMEOUT),
+            reports: HttpClient::open(CONNECT_TIMEOUT),
         }
     }
+}
 
-    async fn call(
-        &self,
-        server: &str,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<wire::HttpAnswer> {
-        let server = HeaderValue::from_str(server).map_err(|_| {
-            Error::invalid(format!("server id `{server}` is not a valid header value"))
-        })?;
-        request.headers_mut().insert(EXPECT_INSTANCE, server);
-        self.client.call(request, CALL_TIMEOUT, ANSWER_LIMIT).await
-    }
+/// Sends a request that only `server` may carry out.
+async fn call(
+    client: &HttpClient,
+    server: &str,
+    mut request: Request<Full<Bytes>>,
+) -> Result<wire::HttpAnswer> {
+    let server = HeaderValue::from_str(server)
+        .map_err(|_| Error::invalid(format!("server id `{server}` is not a valid header value")))?;
+    request.headers_mut().insert(EXPECT_INSTANCE, server);
+    client.call(request, CALL_TIMEOUT, ANSWER_LIMIT).await
 }
 
 impl EngineControl for EngineClient {
@@ -94,7 +97,7 @@
         let body = serde_json::to_vec(&body)
             .map_err(|error| Error::internal(format!("the order cannot be encoded: {error}")))?;
         let request = wire::json_request(address, Method::POST, "/api/order", body)?;
-        let answer = self.call(server, request).await?;
+        let answer = call(&self.orders, server, request).await?;
         match answer.status {
             StatusCode::ACCEPTED => Ok(OrderAnswer::Accepted),
             StatusCode::OK => Ok(OrderAnswer::AlreadyDone),
@@ -110,7 +113,7 @@
 
     async fn report(&self, server: &str, address: SocketAddr) -> Result<EngineReport> {
         let request = wire::request(address, Method::GET, "/api/report", Bytes::new())?;
-        let answer = self.call(server, request).await?;
+        let answer = call(&self.reports, server, request).await?;
         let report: ReportBody = wire::decode(&answer)?;
         Ok(EngineReport {
             born_ms: report.born,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -19,6 +19,8 @@
 
 /// Idle time after which a connection is closed, before the server is likely to close it.
 const IDLE_CONNECTION_TIME: Duration = Duration::from_secs(20);
+/// Maximum number of idle connections per server.
+const MAX_IDLE_CONNECTIONS: usize = usize::MAX;
 
 /// Client for HTTP/1.1 calls to socket addresses. It sends each request at most once.
 #[derive(Clone, Debug)]
@@ -75,15 +77,20 @@
 impl HttpClient {
     /// Creates a client whose attempts to connect time out after `connect`.
     pub(crate) fn open(connect: Duration) -> Self {
-        Self::build(connect, None)
+        Self::build(connect, None, MAX_IDLE_CONNECTIONS)
     }
 
     /// Creates a client whose connections come from the address `local`.
     pub(crate) fn open_from(connect: Duration, local: IpAddr) -> Self {
-        Self::build(connect, Some(local))
+        Self::build(connect, Some(local), MAX_IDLE_CONNECTIONS)
     }
 
-    fn build(connect: Duration, local: Option<IpAddr>) -> Self {
+    /// Creates a client that opens a connection for each request, so that no answer can be that of an earlier one.
+    pub(crate) fn open_without_reuse(connect: Duration) -> Self {
+        Self::build(connect, None, 0)
+    }
+
+    fn build(connect: Duration, local: Option<IpAddr>, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_local_address(local);
         connector.set_connect_timeout(Some(connect));
@@ -91,6 +98,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_CONNECTION_TIME)
+            .pool_max_idle_per_host(max_idle)
             .build(MapResponse::new(
                 connector,
                 with_reset as fn(TcpIo) -> TcpIo,
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,6 +9,7 @@
 
 mod config_copy_over_slow_link;
 mod demand_tracker_deadlock;
+mod earlier_answer_to_order;
 mod earlier_refusal_on_kept_connection;
 mod hangup;
 mod key_in_debug_form;
