Resume a stream only with the events of a stream of the same type

Callers saw: the text of any answer with a status of success, such as 200 with a plain text, as far as it held an empty line; a whole head in it too. An answer without a body (200 or 204) ended the stream as complete. Answers with other statuses were dropped before too. Cause: any answer with a status of success to a streaming route was read as events, and events without an id were forwarded. Change: once the head of a stream was sent, an answer continues it only if its status and media type are those of that stream, and only with events that have an id. Any other answer is a failed attempt: another server goes on, or the caller's connection breaks. An error answer that was kept to be forwarded is dropped once a stream has begun. Evidence: error_answer_to_a_resumed_stream_is_not_part_of_it failed before (error text inside the stream) and passes. error_answer_before_a_broken_stream_does_not_end_it passed before too: the caller-facing server refused such a piece. Why it works: a server that resumes a stream sends what the caller already has a head for; ids are the only order of events. Not decided: an event stream without any event still ends a resumed stream, as nothing may be left after the last event.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -21,6 +21,7 @@
 use crate::relay::crash::CrashDetector;
 use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
+use crate::relay::exchange::stream::StreamType;
 use crate::relay::fleet::RelayFleet;
 use crate::relay::format::{AnswerKind, RelayFormat, RequestMetadata, UpstreamMetadata};
 use crate::relay::upstream::{UpstreamAnswer, UpstreamPool};
@@ -112,7 +113,8 @@
     attempts: usize,
     /// Id of the last event that was forwarded, or that the caller stated in its request.
     last_event: Option<u64>,
-    head_sent: bool,
+    /// Type of the stream whose head was sent to the caller.
+    sent_type: Option<StreamType>,
     /// Complete events that the current server has sent.
     attempt_events: u32,
     /// When the request was sent to the current server.
@@ -145,7 +147,7 @@
             verdict: RunVerdict::NotRun,
             sends: 0,
             attempts: 0,
-            head_sent: false,
+            sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
             broke_early: false,
@@ -168,9 +170,9 @@
 
     /// Returns until when the request may wait for a free slot.
     fn queue_deadline(&self) -> Instant {
-        let last_activity = match self.head_sent {
-            true => Instant::now(),
-            false => self.request.arrived,
+        let last_activity = match self.sent_type {
+            Some(_) => Instant::now(),
+            None => self.request.arrived,
         };
         let limit = last_activity + self.request.route.wait_limit();
         self.request.deadline.min(limit)
@@ -180,7 +182,7 @@
     /// server has no target, and so never yields to requests that have not begun.
     fn latency_target(&self) -> Option<Instant> {
         let target = self.request.route.target_latency;
-        (!self.head_sent && !target.is_zero()).then(|| self.request.arrived + target)
+        (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.arrived + target)
     }
 
     /// Returns until when to wait for the next part of an answer.
@@ -345,8 +347,12 @@
         answer: UpstreamAnswer,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
     ) -> Attempt {
-        let is_stream =
-            self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
+        let is_stream = match &self.sent_type {
+            Some(sent_type) => *sent_type == StreamType::of(&answer.head),
+            None => {
+                self.request.route.kind == CallKind::Streaming && answer.head.status.is_success()
+            }
+        };
         if is_stream {
             self.forward_stream(slot, answer, pieces).await
         } else {
@@ -382,10 +388,10 @@
                 Category::Protocol,
                 format!("the backend server answered {status}"),
             );
-            self.fallback = (!self.head_sent).then_some(piece);
+            self.fallback = self.sent_type.is_none().then_some(piece);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
         }
-        if self.head_sent {
+        if self.sent_type.is_some() {
             let message = format!("the backend server answered {status} to a resumed stream");
             let error = Error::new(Category::Protocol, message);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -1,6 +1,8 @@
 //! Forwards the answer to a streaming request event by event.
 
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, StatusCode, response};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
@@ -14,6 +16,30 @@
 use crate::relay::format::RelayFormat;
 use crate::relay::upstream::UpstreamAnswer;
 
+/// Status and media type of a stream. A server that resumes a stream answers with the same; any other answer is an
+/// error and no part of the stream.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct StreamType {
+    status: StatusCode,
+    media_type: Option<HeaderValue>,
+}
+
+impl StreamType {
+    pub(super) fn of(head: &response::Parts) -> Self {
+        Self {
+            status: head.status,
+            media_type: head.headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
+/// Events to forward.
+struct NewEvents {
+    bytes: Bytes,
+    /// Whether an event without an id follows them, whose place in a resumed stream is unknown.
+    has_unplaced: bool,
+}
+
 impl<F: RelayFormat> RelayExchange<F> {
     pub(super) async fn forward_stream(
         &mut self,
@@ -22,6 +48,7 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
     ) -> Attempt {
         let mut splitter = EventSplitter::default();
+        let is_resumed = self.sent_type.is_some();
         loop {
             let deadline = self.answer_deadline();
             let frame = tokio::select! {
@@ -44,10 +71,18 @@
                 );
                 return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
             }
-            let events = self.new_events(&mut splitter);
-            if !events.is_empty() && !self.send_events(&answer, events, pieces).await {
+            let NewEvents {
+                bytes,
+                has_unplaced,
+            } = self.new_events(&mut splitter, is_resumed);
+            if !bytes.is_empty() && !self.send_events(&answer, bytes, pieces).await {
                 return Attempt::Cancelled;
             }
+            if has_unplaced {
+                let message = "the backend server sent an event without an id in a resumed stream";
+                let error = Error::new(Category::Protocol, message);
+                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            }
         }
         let rest = splitter.take_rest();
         let is_broken = events::is_event_part(&rest);
@@ -76,10 +111,15 @@
         Attempt::Finished
     }
 
-    /// Takes the complete events that the caller does not have yet.
-    fn new_events(&mut self, splitter: &mut EventSplitter) -> Bytes {
+    /// Takes the complete events that the caller does not have yet. In a resumed stream, stops at an event without an id.
+    fn new_events(&mut self, splitter: &mut EventSplitter, is_resumed: bool) -> NewEvents {
         let mut events: Vec<Bytes> = Vec::new();
+        let mut has_unplaced = false;
         while let Some(event) = splitter.next_event() {
+            if is_resumed && event.id.is_none() {
+                has_unplaced = true;
+                break;
+            }
             self.attempt_events += 1;
             if self.attempt_events == MIN_PROGRESS_EVENTS {
                 self.watch.note_progress(&self.request.parts, self.sent);
@@ -92,9 +132,13 @@
             }
             events.push(event.bytes);
         }
-        match events.len() {
+        let bytes = match events.len() {
             1 => events.swap_remove(0),
             _ => events.concat().into(),
+        };
+        NewEvents {
+            bytes,
+            has_unplaced,
         }
     }
 
@@ -106,8 +150,9 @@
         bytes: Bytes,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
     ) -> bool {
-        if !self.head_sent {
-            self.head_sent = true;
+        if self.sent_type.is_none() {
+            self.sent_type = Some(StreamType::of(&answer.head));
+            self.fallback = None;
             let head = RelayPiece::Head(response_head(answer));
             if pieces.send(Ok(head)).await.is_err() {
                 return false;
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -11,6 +11,7 @@
 mod demand_tracker_deadlock;
 mod earlier_answer_to_order;
 mod earlier_refusal_on_kept_connection;
+mod error_inside_resumed_stream;
 mod hangup;
 mod key_in_debug_form;
 mod name_in_header;
