Use no server whose record lacks a field that every server writes

What could happen here: no odd record ended the process or hid another one. Cause: fields that the relay doesn't use weren't read, so nothing checked them. Change: the three fields are decoded too. Evidence: odd_record_names_no_server_and_leaves_the_others failed before (a record without `version` was taken) and passes: fields missing, of another type, nested 100,000 deep, numbers too large, ports out of range, bytes that are no JSON. odd_record_of_a_daemon_leaves_the_others, with forged lengths among the daemons' records, passed before too.

--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -10,15 +10,22 @@
 use crate::error::{Error, Result};
 use crate::relay::{HeldModel, ServerEntry};
 
-/// The field `seq` is not read: here it counts writes of the record, whereas in a report it counts orders.
+/// A record of a server. Fields with an underscore are read only to check the record, as every server writes them.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ServerRecord {
     service: SmolStr,
     address: SocketAddr,
     zone: SmolStr,
+    #[serde(rename = "version")]
+    _version: SmolStr,
     slots: u32,
     state: StateRecord,
+    #[serde(rename = "cold-left-ms")]
+    _cold_left_ms: f64,
+    /// Counts writes of the record, whereas in a report it counts orders.
+    #[serde(rename = "seq")]
+    _seq: u64,
     /// Unix time of the start, in milliseconds.
     #[serde(default)]
     born: u64,
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -15,6 +15,7 @@
 mod hangup;
 mod key_in_debug_form;
 mod name_in_header;
+mod odd_server_record;
 mod prompt_part_that_crashes_servers;
 mod slow_store_answer;
 mod stale_load_report;
--- /dev/null
+++ b/tests/regression/odd_server_record.rs
@@ -0,0 +1,158 @@
+//! Another program wrote an odd record among those of the servers: deeply nested, with a number that is too large, or with
+//! a port that does not exist.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhill::ids::VmId;
+use foxtailhill::platform::decode_server;
+use foxtailhill::relay::{
+    DaemonRecord, DaemonRegistry, KeyedRecord, RegistrySettings, RelayFleet, ServerSink,
+    TableChange, TableSink,
+};
+use serde_json::{Value, json};
+
+fn sound() -> Value {
+    json!({
+        "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "version": "v1", "slots": 4,
+        "state": "ready", "cold-left-ms": 0, "seq": 7, "born": 1_700_000_000_000_u64,
+        "models": [{"name": "m1", "version": 2, "adapters": ["a1"]}],
+        "at-hand": {"in-memory": ["m1"], "on-disk": []}
+    })
+}
+
+/// Returns the sound record with the text of one field replaced; without `text`, the field is left out.
+fn with_field(name: &str, text: Option<&str>) -> Bytes {
+    let mut record = sound();
+    let fields = record.as_object_mut();
+    let old = fields.and_then(|fields| fields.remove(name));
+    assert!(old.is_some(), "{name}");
+    let mut record = record.to_string();
+    if let Some(text) = text {
+        record.truncate(record.len() - 1);
+        record.push_str(&format!(",\"{name}\":{text}}}"));
+    }
+    record.into()
+}
+
+fn record(key: &str, value: impl Into<Bytes>) -> KeyedRecord {
+    KeyedRecord {
+        key: key.into(),
+        value: Some(value.into()),
+    }
+}
+
+fn ids(fleet: &RelayFleet) -> Vec<String> {
+    let servers = fleet.servers();
+    servers.iter().map(|server| server.id.to_string()).collect()
+}
+
+fn odd_records() -> Vec<(String, Bytes)> {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let objects = format!("{}1{}", "{\"a\":".repeat(100_000), "}".repeat(100_000));
+    let mut odd = Vec::new();
+    for name in [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold-left-ms",
+        "seq",
+    ] {
+        odd.push((format!("no {name}"), with_field(name, None)));
+        for text in ["null", "[]", "{}", "true", &nested, &objects] {
+            let case = format!("{name}: {}", &text[..text.len().min(8)]);
+            odd.push((case, with_field(name, Some(text))));
+        }
+    }
+    for (name, text) in [
+        ("address", "\"10.0.0.9:70000\""),
+        ("address", "\"10.0.0.9:-1\""),
+        ("address", "\"10.0.0.9\""),
+        ("address", "\"10.0.0.999:80\""),
+        ("slots", "4294967296"),
+        ("slots", "-1"),
+        ("slots", "1e999"),
+        ("slots", "4.5"),
+        ("seq", "18446744073709551616"),
+        ("seq", "-1"),
+        ("cold-left-ms", "1e999"),
+        ("born", "1e999"),
+        ("born", "-1"),
+        ("born", "[]"),
+        ("state", "\"gone\""),
+        ("models", &nested),
+        ("models", "[{\"name\": 7}]"),
+        ("at-hand", &objects),
+    ] {
+        let case = format!("{name}: {}", &text[..text.len().min(16)]);
+        odd.push((case, with_field(name, Some(text))));
+    }
+    for bytes in [
+        &b""[..],
+        b"{",
+        b"\xff\xfe",
+        b"null",
+        b"[1]",
+        nested.as_bytes(),
+    ] {
+        odd.push((
+            format!("{:?}", &bytes[..bytes.len().min(8)]),
+            Bytes::copy_from_slice(bytes),
+        ));
+    }
+    odd
+}
+
+/// Guards against using a server whose record lacks a field that every server writes, and against an odd record that ends
+/// the process or hides the records beside it.
+#[test]
+fn odd_record_names_no_server_and_leaves_the_others() -> eyre::Result<()> {
+    let sound = Bytes::from(sound().to_string());
+    assert!(decode_server("i-1", &sound).is_ok());
+    for (case, odd) in odd_records() {
+        assert!(decode_server("i-2", &odd).is_err(), "{case}");
+        let fleet = Arc::new(RelayFleet::new());
+        let sink = ServerSink::new(decode_server, fleet.clone());
+        let records = || vec![record("i-2", odd.clone()), record("i-1", sound.clone())];
+        sink.apply(TableChange::Snapshot(records()));
+        assert_eq!(ids(&fleet), ["i-1"], "{case}");
+        sink.apply(TableChange::Records(records()));
+        assert_eq!(ids(&fleet), ["i-1"], "{case}");
+    }
+    Ok(())
+}
+
+/// Guards against a daemon's record with a forged length that ends the process, or that hides the records beside it.
+#[test]
+fn odd_record_of_a_daemon_leaves_the_others() -> eyre::Result<()> {
+    let daemon = DaemonRecord {
+        vm: VmId::random(),
+        zone: "north".into(),
+        peer: "10.0.0.1:1".parse()?,
+        pulse: "10.0.0.1:1".parse()?,
+    };
+    let registry = DaemonRegistry::new(RegistrySettings {
+        name: "entry-0".into(),
+        record: daemon.clone(),
+        term: Duration::from_secs(30),
+        settle_time: Duration::from_secs(1),
+    });
+    let encoded = bincode::serde::encode_to_vec(&daemon, bincode::config::standard())?;
+    for start in 0..encoded.len() {
+        // 253 announces an integer of eight bytes: the longest length there is.
+        let mut odd = encoded[..start].to_vec();
+        odd.push(253);
+        odd.extend([0xff; 8]);
+        registry.apply(TableChange::Snapshot(vec![
+            record("entry-1", odd),
+            record("entry-2", encoded.clone()),
+        ]));
+        let peers = registry.peers();
+        assert!(peers.iter().any(|(name, _)| name == "entry-2"), "{start}");
+    }
+    Ok(())
+}
