Skip a malformed item of a page of newest records

What could happen: one item of a page that is not a key and a text in base64 made the whole page, and so the whole table, unreadable as long as it stood there. Change: such an item is skipped; the others hold. Evidence: odd_item_of_a_page_leaves_the_others failed before and passes.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{Method, StatusCode};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -48,12 +49,20 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct NewestPage {
-    items: Vec<NewestItem>,
+    items: Vec<PageItem>,
     #[serde(default)]
     has_more: bool,
     end: u64,
 }
 
+/// An item of a page. One that is malformed must not hide the others.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum PageItem {
+    Record(NewestItem),
+    Malformed(IgnoredAny),
+}
+
 #[derive(Deserialize)]
 struct NewestItem {
     key: SmolStr,
@@ -61,6 +70,15 @@
     value: Option<String>,
 }
 
+impl PageItem {
+    fn record(self) -> Option<NewestItem> {
+        match self {
+            Self::Record(item) => Some(item),
+            Self::Malformed(_) => None,
+        }
+    }
+}
+
 impl StoreClient {
     /// Creates a client of the store at `address`; connections are opened on use.
     pub fn open(address: SocketAddr) -> Self {
@@ -104,8 +122,8 @@
 
     async fn newest_pages(&self, topic: &str) -> Result<TableRead> {
         let mut read = TableRead::default();
+        let mut after: Option<SmolStr> = None;
         for page in 0..MAX_PAGES {
-            let after = read.records.last().map(|record| record.key.clone());
             let newest = self.newest_page(topic, after.as_deref()).await?;
             // Pages are not a snapshot: reading continues at the end that the first page gives, so that later writes
             // are read again.
@@ -113,8 +131,12 @@
                 read.next = LogOffset(newest.end);
             }
             let has_items = !newest.items.is_empty();
-            for item in newest.items {
-                read.records.push(newest_record(item)?);
+            for item in newest.items.into_iter().filter_map(PageItem::record) {
+                after = Some(item.key.clone());
+                match newest_record(item) {
+                    Ok(record) => read.records.push(record),
+                    Err(error) => log::warn!("skipping a record of topic `{topic}`: {error}"),
+                }
             }
             if !newest.has_more || !has_items {
                 return Ok(read);
@@ -179,7 +201,8 @@
 impl LeaseStore for StoreClient {
     async fn read_lease(&self) -> Result<LeaseState> {
         let page = self.newest_page(LEASE_TOPIC, None).await?;
-        let item = page.items.into_iter().find(|item| item.key == LEASE_KEY);
+        let mut items = page.items.into_iter().filter_map(PageItem::record);
+        let item = items.find(|item| item.key == LEASE_KEY);
         let value = item
             .map(newest_record)
             .transpose()?
--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -6,13 +6,16 @@
 
 use bytes::Bytes;
 use foxtailhill::ids::VmId;
-use foxtailhill::platform::decode_server;
+use foxtailhill::kernel::TaskGroup;
+use foxtailhill::platform::{StoreClient, decode_server};
 use foxtailhill::relay::{
-    DaemonRecord, DaemonRegistry, KeyedRecord, RegistrySettings, RelayFleet, ServerSink,
-    TableChange, TableSink,
+    DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, RegistrySettings, RelayFleet,
+    ServerSink, StoreTable, TableChange, TableSink,
 };
 use serde_json::{Value, json};
 
+use crate::relay_support::{Script, ScriptedServer};
+
 fn sound() -> Value {
     json!({
         "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "version": "v1", "slots": 4,
@@ -126,6 +129,37 @@
     Ok(())
 }
 
+/// Guards against a table that cannot be read because of one item of a page.
+#[tokio::test]
+async fn odd_item_of_a_page_leaves_the_others() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let page = json!({
+        "items": [
+            {"key": "i-1", "value": "e30=", "offset": 1},
+            {"key": "i-2", "value": "no base64", "offset": 2},
+            {"key": 3, "value": "e30=", "offset": 3},
+            {"key": "i-4", "value": {}, "offset": 4},
+            {"key": "i-5", "value": "e30=", "offset": 5}
+        ],
+        "has-more": false, "end": 6
+    });
+    let page = page.to_string();
+    let length = page.len();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{page}");
+    let server = ScriptedServer::bind(&group, "store", [Script::Answer(answer)]).await?;
+    let read = StoreClient::open(server.address)
+        .newest(StoreTable::Servers)
+        .await?;
+    let keys: Vec<&str> = read
+        .records
+        .iter()
+        .map(|record| record.key.as_str())
+        .collect();
+    assert_eq!(keys, ["i-1", "i-5"]);
+    group.shutdown().await;
+    Ok(())
+}
+
 /// Guards against a daemon's record with a forged length that ends the process, or that hides the records beside it.
 #[test]
 fn odd_record_of_a_daemon_leaves_the_others() -> eyre::Result<()> {
