Log a malformed record of a server once, not each time it is written

What could happen: a foreign writer that repeats its record with each heartbeat cost a line in the log of each daemon that reads the list, each time. Change: a record that can't be decoded is logged only if the previous record of its key could be, or there was none. Evidence: odd_record_that_is_written_again_is_logged_once failed before (10 lines in place of 1) and passes.

--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -1,5 +1,6 @@
 //! Holds the current configuration, and passes the list of backend servers from the store to the fleet.
 
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -204,20 +205,32 @@
 pub struct ServerSink {
     decode: ServerDecoder,
     fleet: Arc<RelayFleet>,
+    /// Keys whose newest record cannot be decoded.
+    malformed: Mutex<HashSet<SmolStr>>,
 }
 
 impl ServerSink {
     /// Creates a sink that applies changes to `fleet`.
     pub fn new(decode: ServerDecoder, fleet: Arc<RelayFleet>) -> Self {
-        Self { decode, fleet }
+        Self {
+            decode,
+            fleet,
+            malformed: Mutex::default(),
+        }
     }
 
-    /// Decodes a record. A record that cannot be decoded, such as one from a foreign writer, is logged and skipped.
+    /// Decodes a record. A record that cannot be decoded, such as one from a foreign writer, is skipped. It is logged
+    /// unless the previous record of its key could not be decoded either, as writers repeat their records.
     fn decode_entry(&self, key: &SmolStr, value: &[u8]) -> Option<ServerEntry> {
         match (self.decode)(key, value) {
-            Ok(entry) => Some(entry),
+            Ok(entry) => {
+                self.malformed().remove(key);
+                Some(entry)
+            }
             Err(error) => {
-                log::warn!("{error}");
+                if self.malformed().insert(key.clone()) {
+                    log::warn!("{error}");
+                }
                 None
             }
         }
@@ -225,10 +238,19 @@
 
     fn change(&self, record: &KeyedRecord) -> Option<ServerChange> {
         match &record.value {
-            None => Some(ServerChange::Removed(record.key.clone())),
+            None => {
+                self.malformed().remove(&record.key);
+                Some(ServerChange::Removed(record.key.clone()))
+            }
             Some(value) => self.decode_entry(&record.key, value).map(ServerChange::Put),
         }
     }
+
+    fn malformed(&self) -> MutexGuard<'_, HashSet<SmolStr>> {
+        self.malformed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl TableSink for ServerSink {
@@ -236,6 +258,8 @@
         let changes = match change {
             TableChange::Unreachable => vec![ServerChange::Unreachable],
             TableChange::Snapshot(records) => {
+                self.malformed()
+                    .retain(|key| records.iter().any(|record| record.key == *key));
                 let records = records.iter();
                 let entries = records.filter_map(|record| {
                     let value = record.value.as_ref()?;
--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -1,7 +1,7 @@
 //! Another program wrote an odd record among those of the servers: deeply nested, with a number that is too large, or with
 //! a port that does not exist.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, Once, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,10 +12,41 @@
     DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, RegistrySettings, RelayFleet,
     ServerSink, StoreTable, TableChange, TableSink,
 };
+use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::{Value, json};
 
 use crate::relay_support::{Script, ScriptedServer};
 
+/// Lines that this process has logged.
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+static LOGGER: LineLogger = LineLogger;
+static INSTALL: Once = Once::new();
+
+struct LineLogger;
+
+impl Log for LineLogger {
+    fn enabled(&self, _metadata: &Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record) {
+        let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+fn count_lines(part: &str) -> usize {
+    INSTALL.call_once(|| {
+        if log::set_logger(&LOGGER).is_ok() {
+            log::set_max_level(LevelFilter::Warn);
+        }
+    });
+    let lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+    lines.iter().filter(|line| line.contains(part)).count()
+}
+
 fn sound() -> Value {
     json!({
         "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "version": "v1", "slots": 4,
@@ -129,6 +160,23 @@
     Ok(())
 }
 
+/// Guards against a line in the log for each time that an odd record is written again.
+#[test]
+fn odd_record_that_is_written_again_is_logged_once() {
+    assert_eq!(count_lines("server `i-odd`"), 0);
+    let sink = ServerSink::new(decode_server, Arc::default());
+    let write = |value: Bytes| sink.apply(TableChange::Records(vec![record("i-odd", value)]));
+    for _ in 0..5 {
+        write(with_field("address", Some("\"10.0.0.9:70000\"")));
+        sink.apply(TableChange::Snapshot(vec![record("i-odd", "{")]));
+    }
+    assert_eq!(count_lines("server `i-odd`"), 1);
+    write(sound().to_string().into());
+    write("{".into());
+    write("{".into());
+    assert_eq!(count_lines("server `i-odd`"), 2);
+}
+
 /// Guards against a table that cannot be read because of one item of a page.
 #[tokio::test]
 async fn odd_item_of_a_page_leaves_the_others() -> eyre::Result<()> {
