--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,7 @@
 //! Sends an opaque request to one backend server after another and forwards the answer.
 
+mod stream;
+
 use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,7 +19,7 @@
 use crate::relay::crash::CrashDetector;
 use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
-use crate::relay::events::{self, EventSplitter};
+use crate::relay::exchange::stream::StreamType;
 use crate::relay::fleet::RelayFleet;
 use crate::relay::format::{AnswerKind, RelayFormat, UpstreamMetadata};
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
@@ -63,7 +65,8 @@
     attempts: usize,
     /// Id of the last event that was forwarded, or that the caller stated in its request.
     last_event: Option<u64>,
-    head_sent: bool,
+    /// Type of the stream whose head was sent to the caller.
+    sent_type: Option<StreamType>,
     /// Complete events that the current server has sent.
     attempt_events: u32,
     /// When the request was sent to the current server.
@@ -98,7 +101,7 @@
             verdict: RunVerdict::NotRun,
             sends: 0,
             attempts: 0,
-            head_sent: false,
+            sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
             broke_early: false,
@@ -122,9 +125,9 @@
 
     /// Returns until when the request may wait for a free slot.
     fn queue_deadline(&self) -> Instant {
-        let last_activity = match self.head_sent {
-            true => Instant::now(),
-            false => self.request.arrived,
+        let last_activity = match self.sent_type {
+            Some(_) => Instant::now(),
+            None => self.request.arrived,
         };
         let limit = last_activity + self.request.route.wait_limit();
         self.request.deadline.min(limit)
@@ -134,7 +137,7 @@
     /// server has no target, and so never yields to requests that have not begun.
     fn latency_target(&self) -> Option<Instant> {
         let target = self.request.route.target_latency;
-        (!self.head_sent && !target.is_zero()).then(|| self.request.arrived + target)
+        (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.arrived + target)
     }
 
     /// Returns whether the request may be sent once more.
@@ -251,9 +254,10 @@
             }
             None => return self.failed_attempt(slot, answer_timeout()),
         };
+        let id = &self.request.metadata.id;
         let kind = self
             .format
-            .classify(&self.request.metadata.id, &slot.name, &answer.head);
+            .classify(id, &slot.name, &answer.head, answer.is_first);
         if !matches!(kind, AnswerKind::WrongInstance | AnswerKind::IdMismatch) {
             let notice = self.format.read_notice(&answer.head);
             self.fleet.apply_notice(&slot.name, notice);
@@ -265,6 +269,12 @@
                 let error = Error::new(Category::Protocol, message);
                 self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
             }
+            AnswerKind::Unattributed => {
+                self.fleet.note_full(&slot.name);
+                let message = "the refusal may be that of an earlier request on the connection";
+                let error = Error::new(Category::Protocol, message);
+                self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
+            }
             refusal => {
                 (self.verdict, self.attempts) = previous;
                 read_refusal_to_end(answer, self.request.max_idle_connections).await;
@@ -330,8 +340,12 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
         others: &impl OtherServers,
     ) -> Attempt {
-        let is_stream =
-            self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
+        let is_stream = match &self.sent_type {
+            Some(sent_type) => *sent_type == StreamType::of(&answer.head),
+            None => {
+                self.request.route.kind == CallKind::Streaming && answer.head.status.is_success()
+            }
+        };
         if is_stream {
             self.forward_stream(slot, answer, pieces, others).await
         } else {
@@ -367,10 +381,10 @@
                 Category::Protocol,
                 format!("the backend server answered {status}"),
             );
-            self.fallback = (!self.head_sent).then_some(piece);
+            self.fallback = self.sent_type.is_none().then_some(piece);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
         }
-        if self.head_sent {
+        if self.sent_type.is_some() {
             let message = format!("the backend server answered {status} to a resumed stream");
             let error = Error::new(Category::Protocol, message);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
@@ -383,108 +397,6 @@
             Err(_) => Attempt::Cancelled,
         }
     }
-
-    async fn forward_stream(
-        &mut self,
-        slot: &ServerSlot,
-        mut answer: UpstreamAnswer,
-        pieces: &mpsc::Sender<Result<RelayPiece>>,
-        others: &impl OtherServers,
-    ) -> Attempt {
-        let mut splitter = EventSplitter::default();
-        loop {
-            let frame = answer.body.frame();
-            let frame = tokio::select! {
-                biased;
-                () = pieces.closed() => return Attempt::Cancelled,
-                frame = self.wait_for_server(slot, others, frame) => frame,
-            };
-            let data = match frame {
-                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Some(Some(Err(error))) => {
-                    return self.failed_attempt(slot, unreadable_answer(&error));
-                }
-                Some(None) => break,
-                None => return self.failed_attempt(slot, answer_timeout()),
-            };
-            if !splitter.push(&data) {
-                let error = Error::new(
-                    Category::Protocol,
-                    "the backend server sent an event that is longer than 1 MiB",
-                );
-                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
-            }
-            let events = self.new_events(&mut splitter);
-            if !events.is_empty() && !self.send_events(&answer, events, pieces).await {
-                return Attempt::Cancelled;
-            }
-        }
-        let rest = splitter.take_rest();
-        let is_broken = events::is_event_part(&rest);
-        if answer.ends_with_connection() || is_broken {
-            log::info!(
-                "the stream of {} ended after event {:?} and {} more bytes; delimited by its connection: {}",
-                slot.name,
-                self.last_event,
-                rest.len(),
-                answer.ends_with_connection(),
-            );
-        }
-        if is_broken {
-            // The incomplete event is dropped, as the next server sends it again.
-            return self.failed_attempt(slot, broken_stream());
-        }
-        if !self.send_events(&answer, rest, pieces).await
-            || pieces.send(Ok(RelayPiece::End)).await.is_err()
-        {
-            return Attempt::Cancelled;
-        }
-        answer.release(self.request.max_idle_connections);
-        self.verdict = RunVerdict::Ran;
-        self.fleet.call_succeeded(&slot.name);
-        self.watch.note_progress(&self.request.parts, self.sent);
-        Attempt::Finished
-    }
-
-    /// Takes the complete events that the caller does not have yet.
-    fn new_events(&mut self, splitter: &mut EventSplitter) -> Bytes {
-        let mut events: Vec<Bytes> = Vec::new();
-        while let Some(event) = splitter.next_event() {
-            self.attempt_events += 1;
-            if self.attempt_events == MIN_PROGRESS_EVENTS {
-                self.watch.note_progress(&self.request.parts, self.sent);
-            }
-            if let Some(id) = event.id {
-                if self.last_event.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                self.last_event = Some(id);
-            }
-            events.push(event.bytes);
-        }
-        match events.len() {
-            1 => events.swap_remove(0),
-            _ => events.concat().into(),
-        }
-    }
-
-    /// Sends `bytes` to the caller, preceded by the head if it has not been sent yet. Returns `false` if the caller has
-    /// closed the connection.
-    async fn send_events(
-        &mut self,
-        answer: &UpstreamAnswer,
-        bytes: Bytes,
-        pieces: &mpsc::Sender<Result<RelayPiece>>,
-    ) -> bool {
-        if !self.head_sent {
-            self.head_sent = true;
-            let head = RelayPiece::Head(response_head(answer));
-            if pieces.send(Ok(head)).await.is_err() {
-                return false;
-            }
-        }
-        bytes.is_empty() || pieces.send(Ok(RelayPiece::Data(bytes))).await.is_ok()
-    }
 }
 
 impl<F: RelayFormat> Exchange for RelayExchange<F> {
@@ -503,9 +415,9 @@
     }
 
     fn expected_time(&self) -> Duration {
-        match self.head_sent {
-            true => Duration::ZERO,
-            false => self.request.route.target_latency,
+        match self.sent_type {
+            Some(_) => Duration::ZERO,
+            None => self.request.route.target_latency,
         }
     }
 
--- /dev/null
+++ b/src/relay/exchange/stream.rs
@@ -0,0 +1,165 @@
+//! Forwards the answer to a streaming request event by event.
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, StatusCode, response};
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
+use crate::dispatch::{Attempt, OtherServers, ServerSlot};
+use crate::error::{Category, Error, Result, RunVerdict};
+use crate::relay::events::{self, EventSplitter};
+use crate::relay::exchange::{
+    MIN_PROGRESS_EVENTS, RelayExchange, answer_timeout, broken_stream, response_head,
+    unreadable_answer,
+};
+use crate::relay::format::RelayFormat;
+use crate::relay::request::RelayPiece;
+use crate::relay::upstream::UpstreamAnswer;
+
+/// Status and media type of a stream. A server that resumes a stream answers with the same; any other answer is an
+/// error and no part of the stream.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct StreamType {
+    status: StatusCode,
+    media_type: Option<HeaderValue>,
+}
+
+impl StreamType {
+    pub(super) fn of(head: &response::Parts) -> Self {
+        Self {
+            status: head.status,
+            media_type: head.headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
+/// Events to forward.
+struct NewEvents {
+    bytes: Bytes,
+    /// Whether an event without an id follows them, whose place in a resumed stream is unknown.
+    has_unplaced: bool,
+}
+
+impl<F: RelayFormat> RelayExchange<F> {
+    pub(super) async fn forward_stream(
+        &mut self,
+        slot: &ServerSlot,
+        mut answer: UpstreamAnswer,
+        pieces: &mpsc::Sender<Result<RelayPiece>>,
+        others: &impl OtherServers,
+    ) -> Attempt {
+        let mut splitter = EventSplitter::default();
+        let is_resumed = self.sent_type.is_some();
+        loop {
+            let frame = answer.body.frame();
+            let frame = tokio::select! {
+                biased;
+                () = pieces.closed() => return Attempt::Cancelled,
+                frame = self.wait_for_server(slot, others, frame) => frame,
+            };
+            let data = match frame {
+                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Some(Some(Err(error))) => {
+                    return self.failed_attempt(slot, unreadable_answer(&error));
+                }
+                Some(None) => break,
+                None => return self.failed_attempt(slot, answer_timeout()),
+            };
+            if !splitter.push(&data) {
+                let error = Error::new(
+                    Category::Protocol,
+                    "the backend server sent an event that is longer than 1 MiB",
+                );
+                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            }
+            let NewEvents {
+                bytes,
+                has_unplaced,
+            } = self.new_events(&mut splitter, is_resumed);
+            if !bytes.is_empty() && !self.send_events(&answer, bytes, pieces).await {
+                return Attempt::Cancelled;
+            }
+            if has_unplaced {
+                let message = "the backend server sent an event without an id in a resumed stream";
+                let error = Error::new(Category::Protocol, message);
+                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            }
+        }
+        let rest = splitter.take_rest();
+        let is_broken = events::is_event_part(&rest);
+        if answer.ends_with_connection() || is_broken {
+            log::info!(
+                "the stream of {} ended after event {:?} and {} more bytes; delimited by its connection: {}",
+                slot.name,
+                self.last_event,
+                rest.len(),
+                answer.ends_with_connection(),
+            );
+        }
+        if is_broken {
+            // The incomplete event is dropped, as the next server sends it again.
+            return self.failed_attempt(slot, broken_stream());
+        }
+        if !self.send_events(&answer, rest, pieces).await
+            || pieces.send(Ok(RelayPiece::End)).await.is_err()
+        {
+            return Attempt::Cancelled;
+        }
+        answer.release(self.request.max_idle_connections);
+        self.verdict = RunVerdict::Ran;
+        self.fleet.call_succeeded(&slot.name);
+        self.watch.note_progress(&self.request.parts, self.sent);
+        Attempt::Finished
+    }
+
+    /// Takes the complete events that the caller does not have yet. In a resumed stream, stops at an event without an id.
+    fn new_events(&mut self, splitter: &mut EventSplitter, is_resumed: bool) -> NewEvents {
+        let mut events: Vec<Bytes> = Vec::new();
+        let mut has_unplaced = false;
+        while let Some(event) = splitter.next_event() {
+            if is_resumed && event.id.is_none() {
+                has_unplaced = true;
+                break;
+            }
+            self.attempt_events += 1;
+            if self.attempt_events == MIN_PROGRESS_EVENTS {
+                self.watch.note_progress(&self.request.parts, self.sent);
+            }
+            if let Some(id) = event.id {
+                if self.last_event.is_some_and(|last| id <= last) {
+                    continue;
+                }
+                self.last_event = Some(id);
+            }
+            events.push(event.bytes);
+        }
+        let bytes = match events.len() {
+            1 => events.swap_remove(0),
+            _ => events.concat().into(),
+        };
+        NewEvents {
+            bytes,
+            has_unplaced,
+        }
+    }
+
+    /// Sends `bytes` to the caller, preceded by the head if it has not been sent yet. Returns `false` if the caller has
+    /// closed the connection.
+    async fn send_events(
+        &mut self,
+        answer: &UpstreamAnswer,
+        bytes: Bytes,
+        pieces: &mpsc::Sender<Result<RelayPiece>>,
+    ) -> bool {
+        if self.sent_type.is_none() {
+            self.sent_type = Some(StreamType::of(&answer.head));
+            self.fallback = None;
+            let head = RelayPiece::Head(response_head(answer));
+            if pieces.send(Ok(head)).await.is_err() {
+                return false;
+            }
+        }
+        bytes.is_empty() || pieces.send(Ok(RelayPiece::Data(bytes))).await.is_ok()
+    }
+}
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,9 +9,13 @@
 
 mod config_copy_over_slow_link;
 mod demand_tracker_deadlock;
+mod earlier_answer_to_order;
+mod earlier_refusal_on_kept_connection;
+mod error_inside_resumed_stream;
 mod hangup;
 mod key_in_debug_form;
 mod name_in_header;
+mod odd_server_record;
 mod prompt_part_that_crashes_servers;
 mod silent_server;
 mod slow_store_answer;
