Read what has arrived on a connection before it is closed

Callers that reuse a connection saw it closed without an answer to a request that they had sent well before: when a daemon that shuts down closed its connections between two requests, or when the idle time had passed while the process was held up, as on a quarter of a core.

Cause: the close was decided by a timer alone. Arrived data shows only after the runtime has looked for it, and a connection that is ready and due to be closed at once took either branch at random.

A stop now waits for 1 ms on each connection, which makes the runtime look for arrived data, and of a connection and its time-outs the connection goes first. What arrives after that crosses the close, as on any connection. All listeners share this, that of the product's own edge too. The class is a decision by a timer on a state that has not been read.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -34,6 +34,9 @@
 /// Time that a connection without data has to send its first byte after a stop. Closing it at once would lose a
 /// request that is already on the network.
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(100);
+/// Time after a stop in which requests that have arrived are read. It makes the runtime look for arrived data first: a
+/// connection between two requests that is closed at once loses a request that the runtime has not noticed yet.
+const ARRIVED_DATA_TIME: Duration = Duration::from_millis(1);
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 /// Answer data that one HTTP/2 stream buffers for its caller, in bytes.
@@ -229,9 +232,11 @@
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
     let mut stopped = std::pin::pin!(async {
         stop.cancelled().await;
-        if state.is_new() {
-            tokio::time::sleep(FIRST_BYTE_TIME).await;
-        }
+        let wait = match state.is_new() {
+            true => FIRST_BYTE_TIME,
+            false => ARRIVED_DATA_TIME,
+        };
+        tokio::time::sleep(wait).await;
     });
     // Declared after the connection, so that it is dropped before the requests on it.
     let mut guard = EndGuard {
@@ -241,6 +246,8 @@
     let mut closing = false;
     loop {
         tokio::select! {
+            // A request that has arrived is read before the connection may be closed.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     log::debug!("connection ended: {error}");
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -7,6 +7,7 @@
 #[path = "../relay_support/mod.rs"]
 mod relay_support;
 
+mod arrived_request_on_a_closed_connection;
 mod config_copy_over_slow_link;
 mod demand_tracker_deadlock;
 mod hangup;
--- a/tests/regression/silent_server.rs
+++ b/tests/regression/silent_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtailhill::relay::RetryLimits;
+use foxtailhill::settings::LimitSettings;
 
 use crate::relay_support::{
     RelayRig, Script, ScriptedServer, chunk, event, request, stream_head, until,
@@ -48,11 +49,11 @@
 /// Guards against giving up streams of a silent server when the retry budget has a retry for one of them only.
 #[tokio::test]
 async fn streams_beyond_the_retry_budget_outlast_a_silence() -> eyre::Result<()> {
-    let mut rig = RelayRig::open_with(RetryLimits {
+    let retries = RetryLimits {
         percent: 0,
         extra: 1,
-    })
-    .await?;
+    };
+    let mut rig = RelayRig::open_with(retries, LimitSettings::default()).await?;
     rig.configure(|_| {})?;
     let silent = ScriptedServer::bind(&rig.group, "i-0", [silent_stream()]).await?;
     rig.list_server(&silent, "ready")?;
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -240,6 +240,7 @@
 /// A relay with the platform's formats.
 pub struct RelayRig {
     pub address: SocketAddr,
+    pub server: RelayServer,
     pub group: TaskGroup,
     pub fleet: Arc<RelayFleet>,
     pub configs: Arc<ConfigHolder>,
@@ -253,15 +254,18 @@
 impl RelayRig {
     /// Starts a relay without a configuration and without servers.
     pub async fn open() -> eyre::Result<Self> {
-        Self::open_with(RetryLimits {
+        let retries = RetryLimits {
             percent: 20,
             extra: 20,
-        })
-        .await
+        };
+        Self::open_with(retries, LimitSettings::default()).await
     }
 
-    /// Like [`Self::open`], with these limits on retries.
-    pub async fn open_with(retries: RetryLimits) -> eyre::Result<Self> {
+    /// Like [`Self::open`], with these limits on retries and callers.
+    pub async fn open_with(
+        retries: RetryLimits,
+        caller_limits: LimitSettings,
+    ) -> eyre::Result<Self> {
         let group = TaskGroup::new();
         let fleet = Arc::new(RelayFleet::new());
         let configs = Arc::new(ConfigHolder::new(
@@ -319,10 +323,15 @@
             placement_requests,
         });
         let draining = Arc::new(AtomicBool::new(false));
-        let limits = LimitSettings::default();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server =
-            RelayServer::bind(&group, any, &limits, dispatcher.clone(), draining.clone()).await?;
+        let server = RelayServer::bind(
+            &group,
+            any,
+            &caller_limits,
+            dispatcher.clone(),
+            draining.clone(),
+        )
+        .await?;
         let mut changes = fleet.subscribe();
         let pumped = core.clone();
         group.spawn_cancellable(async move {
@@ -341,6 +350,7 @@
         });
         Ok(Self {
             address: server.address(),
+            server,
             group,
             fleet,
             configs,
