--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -296,7 +296,8 @@
             );
             answered.fetch_add(1, Ordering::Relaxed);
             // Odd clients use their connection on although they are asked not to.
-            if client % 2 == 0 && header(&answer, "connection").as_deref() == Some("close") {
+            if client.is_multiple_of(2) && header(&answer, "connection").as_deref() == Some("close")
+            {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(5 + 3 * client as u64)).await;
