--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -25,11 +25,11 @@
 struct LineLogger;
 
 impl Log for LineLogger {
-    fn enabled(&self, _metadata: &Metadata) -> bool {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
         true
     }
 
-    fn log(&self, record: &Record) {
+    fn log(&self, record: &Record<'_>) {
         let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
         lines.push(record.args().to_string());
     }
