--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod layout;
 mod lease;
 mod planner;
+mod planner_state;
 mod pulse;
 mod readers;
 mod registry;
