Log the source of each load of weights and what a new planner knows of earlier ones

The line of an order did not say whether it was counted as a load from the weight store, what budget its round had, and with what a planner that takes over begins.

--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -150,6 +150,7 @@
         let mut calls = Vec::new();
         {
             let mut state = self.state();
+            state.note_fence(fence);
             state.sync_engines(&servers, now);
             calls.extend(state.due_calls(now));
             for service in config.services() {
@@ -211,7 +212,7 @@
         let moves = policy.plan(&layout, &models, budget, now);
         moves
             .into_iter()
-            .filter_map(|step| state.begin_move(&layout[step.engine].id, step, now))
+            .filter_map(|step| state.begin_move(&layout[step.engine].id, step, budget, now))
             .collect()
     }
 
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -38,7 +38,10 @@
     pub(super) waiters: HashMap<PlacementRequest, Vec<oneshot::Sender<PlacementChange>>>,
     /// Placement changes to announce, with the number of pulses that will still carry them.
     pub(super) outgoing: Vec<(PlacementChange, u32)>,
+    /// Fencing number with which this daemon planned last.
+    fence: Option<u64>,
 }
+
 /// A call to an engine: an order with the number of accepted orders that it expects, or a report request.
 pub(super) struct EngineCall {
     pub(super) server: SmolStr,
@@ -46,6 +49,17 @@
 }
 
 impl PlannerState {
+    /// Notes the fencing number of a round.
+    pub(super) fn note_fence(&mut self, fence: u64) {
+        if self.fence.replace(fence) != Some(fence) {
+            log::info!(
+                "planning with fencing number {fence}; {} loads from the weight store are known of the last {} s",
+                self.store_loads.len(),
+                STORE_BUDGET_WINDOW.as_secs()
+            );
+        }
+    }
+
     /// Follows the list of engines. The models in the record of a known engine are ignored: the record may be older
     /// than the effect of orders, by seconds while the metadata store has faults.
     pub(super) fn sync_engines(&mut self, servers: &[ServerEntry], now: Instant) {
@@ -113,13 +127,23 @@
         most.saturating_sub(self.store_loads.len() + uncertain)
     }
 
-    /// Opens the order of a move and counts its load from the weight store.
+    /// Opens the order of a move and counts its load from the weight store; `budget` is what the policy was given.
     pub(super) fn begin_move(
         &mut self,
         id: &SmolStr,
         step: LayoutMove,
+        budget: usize,
         now: Instant,
     ) -> Option<EngineCall> {
+        let source = match &step.order {
+            ReplicaOrder::Unload(_) => None,
+            ReplicaOrder::Load(_) if step.from_store => Some("from the weight store"),
+            ReplicaOrder::Load(_) => Some("from the engine's own copy"),
+        };
+        if let Some(source) = source {
+            let model = &item(&step.order).model;
+            log::info!("load of {model} on {id} {source}, budget of the round {budget}");
+        }
         if step.from_store {
             self.store_loads.push_back(now);
         }
