Keep loads from the weight store within one ceiling over all holders of the lease

Callers saw nothing; the weight store got more loads within 5 s than it allows (CEILING), when the daemon with the planner's lease was killed while servers were replaced or crashed.

Cause: loads within the last 5 s were counted in the memory of one process. Its successor, also the same daemon half a second later, started with a whole window of its own. Loads were also counted when they were ordered, although an order without an answer may begin its load seconds later, and what was known of such orders went with their engine or with a short loss of the lease. Class: a limit of the fleet that is kept in the memory of one process and starts full.

Change: the budget is a token bucket that is empty when a planner takes over. Its burst is what the ceiling allows beyond the rate, so any window holds at most the burst and the rate, whoever ordered the loads. A load reserves a token from its order until it is known to have begun, is refused, or is superseded by another order with the same precondition; the reservation is kept for the order, not for the engine. Orders that the predecessor left open may begin for 13 s more, so the successor's burst is at most half of the whole for that time. No token is reserved for models without a replica any more: they come first in each round, and the next token is less than a second away.

--- a/src/relay/engine_state.rs
+++ b/src/relay/engine_state.rs
@@ -16,6 +16,8 @@
 
 pub(super) struct OpenOrder {
     pub(super) order: ReplicaOrder,
+    /// Whether it is a load from the weight store.
+    pub(super) from_store: bool,
     /// Precondition of the order: `accepted_orders` when it was opened. An engine whose number differs refuses it.
     pub(super) expected_orders: u64,
     pub(super) sent_at: Instant,
--- a/src/relay/layout.rs
+++ b/src/relay/layout.rs
@@ -23,8 +23,6 @@
 const MIN_RESIDENCE: Duration = Duration::from_secs(4);
 /// Largest number of orders per round.
 const MAX_MOVES: usize = 8;
-/// Loads from the weight store that are reserved for models without a replica.
-const RESERVED_STORE_LOADS: usize = 1;
 /// Cost of the eviction of a replica when engines are compared, in seconds of load time.
 const EVICTION_COST_S: f64 = 0.5;
 /// Cost of an engine without a free slot, in seconds of load time.
@@ -327,15 +325,7 @@
 
     fn may_load(&self, model: usize, engine: usize) -> bool {
         let (_, from_store) = load_time(&self.engines[engine], &self.models[model].config);
-        !from_store || self.may_load_from_store(model)
-    }
-
-    fn may_load_from_store(&self, model: usize) -> bool {
-        let reserved = match self.replicas[model] {
-            0 => 0,
-            _ => RESERVED_STORE_LOADS,
-        };
-        self.store_load_budget > reserved
+        !from_store || self.store_load_budget > 0
     }
 
     /// Returns the evictable model on the engine that is needed least, and the cost of its eviction: the concurrent
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod keeper;
 mod layout;
 mod lease;
+mod load_budget;
 mod planner;
 mod planner_state;
 mod pulse;
@@ -68,6 +69,7 @@
 pub use self::lease::{
     LeaseCandidate, LeaseManager, LeaseRecord, LeaseState, LeaseStep, LeaseStore,
 };
+pub use self::load_budget::{LoadBudget, LoadCeiling, OrderKey};
 pub use self::planner::{PlannerContext, ReplicaPlanner};
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
 pub use self::readers::{
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -150,7 +150,8 @@
         let mut calls = Vec::new();
         {
             let mut state = self.state();
-            state.note_fence(fence);
+            state.note_fence(fence, now);
+            state.store_loads.fill(store_rate(&config), now);
             state.sync_engines(&servers, now);
             calls.extend(state.due_calls(now));
             for service in config.services() {
@@ -207,7 +208,7 @@
                 }
             })
             .collect();
-        let budget = state.store_budget(engine, now);
+        let budget = state.store_loads.available();
         let policy = state.policies.entry(service.clone()).or_default();
         let moves = policy.plan(&layout, &models, budget, now);
         moves
@@ -239,16 +240,17 @@
                     let report = control.report(&call.server, address).await;
                     planner.state().handle_report(&call.server, report)
                 }
-                Some((order, expected_orders)) => {
+                Some(sent) => {
+                    let order = &sent.order;
                     // The lease may have ended since the round.
                     if planner.fence() != Some(fence) {
-                        planner.state().cancel_order(&call.server);
+                        planner.state().cancel_order(sent);
                         return;
                     }
                     let context = OrderContext {
                         holder: planner.context.name.clone(),
                         fence,
-                        expected_orders: *expected_orders,
+                        expected_orders: sent.key.expected_orders,
                     };
                     log::info!("order to {}: {order:?}, {context:?}", call.server);
                     let answer = control.order(&call.server, address, order, &context).await;
@@ -260,7 +262,7 @@
                     let size = engine
                         .as_ref()
                         .map_or(0.0, |engine| item_mb(engine, item(order)));
-                    planner.state().handle_answer(&call.server, answer, size)
+                    planner.state().handle_answer(sent, answer, size)
                 }
             };
             planner.publish(&service, changes);
@@ -293,3 +295,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the loads per second that the weight store allows: the lowest rate of any service, as they share it.
+fn store_rate(config: &ServingConfig) -> f64 {
+    let engines = config
+        .services()
+        .filter_map(|service| service.engine.as_ref());
+    let rates = engines.map(|engine| engine.loads_per_s);
+    rates.reduce(f64::min).unwrap_or(0.0)
+}
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -1,6 +1,6 @@
 //! What the planner knows of its engines and their open orders. Performs no I/O.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
@@ -13,6 +13,7 @@
 };
 use crate::relay::fleet::routing_name;
 use crate::relay::layout::{LayoutMove, LayoutPolicy};
+use crate::relay::load_budget::{LoadBudget, MAX_ORDER_DELAY, OrderKey};
 use crate::relay::planner::PlannerContext;
 use crate::relay::server_list::{ServerEntry, holds_item};
 
@@ -24,17 +25,12 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 /// Time after which an order without an answer is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(1_200);
-/// Longest time after which an order without an answer may still be carried out.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
-/// Window of the budget of loads from the weight store.
-const STORE_BUDGET_WINDOW: Duration = Duration::from_secs(5);
 
 #[derive(Default)]
 pub(super) struct PlannerState {
     pub(super) engines: HashMap<SmolStr, EngineState>,
     pub(super) policies: HashMap<SmolStr, LayoutPolicy>,
-    /// Loads from the weight store that began within the window.
-    store_loads: VecDeque<Instant>,
+    pub(super) store_loads: LoadBudget,
     pub(super) waiters: HashMap<PlacementRequest, Vec<oneshot::Sender<PlacementChange>>>,
     /// Placement changes to announce, with the number of pulses that will still carry them.
     pub(super) outgoing: Vec<(PlacementChange, u32)>,
@@ -42,21 +38,26 @@
     fence: Option<u64>,
 }
 
-/// A call to an engine: an order with the number of accepted orders that it expects, or a report request.
+/// A call to an engine: an order, or a report request.
 pub(super) struct EngineCall {
     pub(super) server: SmolStr,
-    pub(super) order: Option<(ReplicaOrder, u64)>,
+    pub(super) order: Option<SentOrder>,
+}
+
+/// A copy of an order.
+pub(super) struct SentOrder {
+    pub(super) order: ReplicaOrder,
+    pub(super) key: OrderKey,
+    /// Whether it is a load from the weight store.
+    pub(super) from_store: bool,
 }
 
 impl PlannerState {
     /// Notes the fencing number of a round.
-    pub(super) fn note_fence(&mut self, fence: u64) {
+    pub(super) fn note_fence(&mut self, fence: u64, now: Instant) {
         if self.fence.replace(fence) != Some(fence) {
-            log::info!(
-                "planning with fencing number {fence}; {} loads from the weight store are known of the last {} s",
-                self.store_loads.len(),
-                STORE_BUDGET_WINDOW.as_secs()
-            );
+            log::info!("planning with fencing number {fence}; the budget of loads is empty");
+            self.store_loads.take_over(now);
         }
     }
 
@@ -77,13 +78,6 @@
             }
             engine.uncertain_loads.retain(|(_, until)| *until > now);
         }
-        while self
-            .store_loads
-            .front()
-            .is_some_and(|at| *at + STORE_BUDGET_WINDOW <= now)
-        {
-            self.store_loads.pop_front();
-        }
     }
 
     /// Returns the calls that are due: open orders to resend and report requests.
@@ -99,7 +93,15 @@
                 Some(open) if !open.accepted && open.sent_at + RESEND_DELAY <= now => {
                     // The expected number of orders lets only one of the copies take effect.
                     open.sent_at = now;
-                    Some((open.order.clone(), open.expected_orders))
+                    Some(SentOrder {
+                        order: open.order.clone(),
+                        key: OrderKey {
+                            server: id.clone(),
+                            born_ms: engine.born_ms,
+                            expected_orders: open.expected_orders,
+                        },
+                        from_store: open.from_store,
+                    })
                 }
                 Some(open) if may_ask && open.sent_at + REPORT_INTERVAL <= now => None,
                 None if may_ask && engine.accepted_orders.is_none() => None,
@@ -117,17 +119,7 @@
         calls
     }
 
-    /// Returns how many loads from the weight store may be ordered now. An order without an answer may begin its load
-    /// at any time, so it counts until it can no longer be carried out.
-    pub(super) fn store_budget(&self, config: &EngineConfig, now: Instant) -> usize {
-        let most = (config.loads_per_s * STORE_BUDGET_WINDOW.as_secs_f64()) as usize;
-        let engines = self.engines.values();
-        let uncertain = engines.flat_map(|engine| &engine.uncertain_loads);
-        let uncertain = uncertain.filter(|(_, until)| *until > now).count();
-        most.saturating_sub(self.store_loads.len() + uncertain)
-    }
-
-    /// Opens the order of a move and counts its load from the weight store; `budget` is what the policy was given.
+    /// Opens the order of a move; `budget` is what the policy was given.
     pub(super) fn begin_move(
         &mut self,
         id: &SmolStr,
@@ -144,16 +136,14 @@
             let model = &item(&step.order).model;
             log::info!("load of {model} on {id} {source}, budget of the round {budget}");
         }
-        if step.from_store {
-            self.store_loads.push_back(now);
-        }
-        self.begin_order(id, step.order, now)
+        self.begin_order(id, step.order, step.from_store, now)
     }
 
     fn begin_order(
         &mut self,
         id: &SmolStr,
         order: ReplicaOrder,
+        from_store: bool,
         now: Instant,
     ) -> Option<EngineCall> {
         let engine = self.engines.get_mut(id)?;
@@ -164,13 +154,26 @@
         engine.call_in_flight = true;
         engine.open_order = Some(OpenOrder {
             order: order.clone(),
+            from_store,
             expected_orders,
             sent_at: now,
             accepted: false,
         });
+        let key = OrderKey {
+            server: id.clone(),
+            born_ms: engine.born_ms,
+            expected_orders,
+        };
+        if from_store {
+            self.store_loads.open(key.clone());
+        }
         Some(EngineCall {
             server: id.clone(),
-            order: Some((order, expected_orders)),
+            order: Some(SentOrder {
+                order,
+                key,
+                from_store,
+            }),
         })
     }
 
@@ -215,27 +218,46 @@
                 Some((server.id.clone(), order))
             });
             if let Some((id, order)) = order {
-                calls.extend(self.begin_order(&id, order, now));
+                calls.extend(self.begin_order(&id, order, false, now));
             }
         }
         calls
     }
 
     /// Removes an open order that was not sent.
-    pub(super) fn cancel_order(&mut self, id: &SmolStr) {
-        if let Some(engine) = self.engines.get_mut(id) {
+    pub(super) fn cancel_order(&mut self, sent: &SentOrder) {
+        self.store_loads.note_refused(&sent.key);
+        if let Some(engine) = self.engines.get_mut(&sent.key.server) {
             engine.call_in_flight = false;
             engine.open_order = None;
         }
     }
 
+    /// Notes what the answer to an order says of loads from the weight store.
+    fn note_load(&mut self, sent: &SentOrder, answer: &crate::Result<OrderAnswer>, now: Instant) {
+        let (loads, key) = (&mut self.store_loads, &sent.key);
+        match answer {
+            Ok(OrderAnswer::Accepted) if sent.from_store => loads.note_begun(key),
+            Ok(OrderAnswer::Accepted) => loads.note_superseded(key),
+            _ if !sent.from_store => {}
+            Ok(OrderAnswer::AlreadyDone) => loads.note_already_done(key),
+            Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Invalid) => {
+                loads.note_refused(key);
+            }
+            Err(error) if error.verdict() == crate::RunVerdict::NotRun => loads.note_refused(key),
+            Err(_) => loads.note_unanswered(key, now),
+        }
+    }
+
     /// Handles the answer to an order; `size` is the memory that the order may take, in MB.
     pub(super) fn handle_answer(
         &mut self,
-        id: &SmolStr,
+        sent: &SentOrder,
         answer: crate::Result<OrderAnswer>,
         size: f64,
     ) -> Vec<PlacementChange> {
+        self.note_load(sent, &answer, Instant::now());
+        let id = &sent.key.server;
         let Some(engine) = self.engines.get_mut(id) else {
             return Vec::new();
         };
@@ -315,6 +337,8 @@
                 return Vec::new();
             }
         };
+        self.store_loads
+            .note_accepted_orders(id, report.accepted_orders);
         let carried_out = match &engine.open_order {
             // The engine is carrying out an order, perhaps of a previous planner, that its models do not show yet.
             _ if report.busy => false,
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -214,6 +214,18 @@
     }
 }
 
+/// Returns the largest number of loads within the platform's window of 5 s.
+fn most_loads_in_a_window(loads: &[Instant]) -> usize {
+    let window = |from: &Instant| {
+        let end = *from + Duration::from_secs(5);
+        loads
+            .iter()
+            .filter(|at| **at >= *from && **at < end)
+            .count()
+    };
+    loads.iter().map(window).max().unwrap_or(0)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -280,6 +292,20 @@
 
 fn open_with(seed: u64, lost: f64, loads_per_s: f64) -> PlannerRig {
     let group = TaskGroup::new();
+    let control = Arc::new(FaultyEngines {
+        group: group.clone(),
+        engines: Arc::default(),
+        violations: Arc::default(),
+        loads: Arc::default(),
+        random: Mutex::new(StdRng::seed_from_u64(seed)),
+        lost_part: lost,
+        asked: Mutex::default(),
+    });
+    open_planner(group, control, loads_per_s)
+}
+
+/// Opens a planner of `control`, which may have had another one before.
+fn open_planner(group: TaskGroup, control: Arc<FaultyEngines>, loads_per_s: f64) -> PlannerRig {
     let timer = TimerService::spawn(&group);
     let fleet = Arc::new(RelayFleet::new());
     let desk = ServerEntry {
@@ -290,15 +316,6 @@
     let records = (0..ENGINES).map(stale_record).chain([desk]).collect();
     fleet.apply(vec![ServerChange::Snapshot(records)], Instant::now());
     let (configs, receiver) = watch::channel(Some(Arc::new(serving_config(loads_per_s))));
-    let control = Arc::new(FaultyEngines {
-        group: group.clone(),
-        engines: Arc::default(),
-        violations: Arc::default(),
-        loads: Arc::default(),
-        random: Mutex::new(StdRng::seed_from_u64(seed)),
-        lost_part: lost,
-        asked: Mutex::default(),
-    });
     let (_eligible, eligible) = watch::channel(true);
     let candidate = LeaseCandidate::new("entry-1".into(), VmId::random(), Duration::ZERO);
     let lease = LeaseManager::spawn(&group, Arc::new(FreeLease::default()), candidate, eligible);
@@ -393,14 +410,7 @@
         }
         let loads = lock(&rig.control.loads).clone();
         rig.group.shutdown().await;
-        let window = |from: &Instant| {
-            let end = *from + Duration::from_secs(5);
-            loads
-                .iter()
-                .filter(|at| **at >= *from && **at < end)
-                .count()
-        };
-        let most = loads.iter().map(window).max().unwrap_or(0);
+        let most = most_loads_in_a_window(&loads);
         assert!(most <= MOST, "seed {seed}: {most} loads in 5 s");
         assert!(
             loads.len() >= MODELS / 2,
@@ -410,6 +420,30 @@
     }
 }
 
+/// Guards against more loads from the weight store than it allows in 5 s when planners take over from each other, none of
+/// which knows the loads of the one before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn store_loads_of_consecutive_planners_stay_within_the_rate() {
+    // The platform's bound: the rate in a window of 5 s, a tenth more, and three.
+    const MOST: usize = (1.0 * 5.0 * 1.1) as usize + 3;
+    let mut rig = open_with(1, 0.0, 1.0);
+    for planner in 0..3 {
+        for _ in 0..40 {
+            (0..MODELS).for_each(|model| rig.report_demand(model, 60));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let control = rig.control.clone();
+        rig.group.shutdown().await;
+        if planner < 2 {
+            rig = open_planner(TaskGroup::new(), control, 1.0);
+        }
+    }
+    let loads = lock(&rig.control.loads).clone();
+    let most = most_loads_in_a_window(&loads);
+    assert!(most <= MOST, "{most} loads in 5 s");
+    assert!(loads.len() >= 3, "only {} loads", loads.len());
+}
+
 /// Guards against orders based on the state of an engine that still carries out an order of the previous planner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn new_planner_waits_for_a_load_in_progress() {
