Read the era of the platform's store and log when it rises

Cause: in a drill the store comes back from a copy and gives offsets out again. Its answers name an era, which nothing read, so the logs could not tell a drill from an outage. Change: reads of tables and of the planner's lease carry the era of the answer; a log line says when it has risen. No decision uses it yet. Measured: formatter and clippy without a warning; no behaviour changes.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -59,6 +59,19 @@
     }
 }
 
+/// Era of the platform's store. It rises each time the store comes back from a copy, which may lack records that the
+/// store had acknowledged, so offsets of different eras must not be compared. 0 for a store that does not name it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreEra(pub u64);
+
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// Random id of one run of a daemon, generated at its start and never reused. It does not identify the VM itself: a
 /// daemon that restarts on the same VM gets a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -37,6 +37,9 @@
 /// Id of the server that answers.
 const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
 
+/// Era of the store; set on all its answers.
+pub(super) const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Headers that only this system may set; they are removed from callers' requests.
 const SYSTEM_HEADERS: [HeaderName; 11] = [
     EXPECT_INSTANCE,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's store, a log with topics that keep the newest record of each key.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
@@ -11,7 +13,8 @@
 use smol_str::SmolStr;
 
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::ids::{LogOffset, VmId};
+use crate::ids::{LogOffset, StoreEra, VmId};
+use crate::platform::headers::STORE_ERA;
 use crate::relay::{
     KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
 };
@@ -43,6 +46,8 @@
 pub struct StoreClient {
     address: SocketAddr,
     client: HttpClient,
+    /// Newest era that an answer has named, for log lines.
+    newest_era: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -67,6 +72,7 @@
         Self {
             address,
             client: HttpClient::open(CONNECT_TIMEOUT),
+            newest_era: Arc::default(),
         }
     }
 
@@ -79,6 +85,11 @@
     ) -> Result<HttpAnswer> {
         let request = wire::request(self.address, method, path, body)?;
         let answer = self.client.call(request, timeouts, ANSWER_LIMIT).await?;
+        let StoreEra(era) = store_era(&answer);
+        let newest = self.newest_era.fetch_max(era, Ordering::Relaxed);
+        if era > newest {
+            log::info!("the store is in era {era} after {newest}");
+        }
         match answer.status {
             StatusCode::SERVICE_UNAVAILABLE => Err(Error::unavailable("the store is unavailable")),
             StatusCode::TOO_MANY_REQUESTS => Err(Error::new(
@@ -89,7 +100,12 @@
         }
     }
 
-    async fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<NewestPage> {
+    /// Reads a page of newest records; also returns the era of the answer.
+    async fn newest_page(
+        &self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<(NewestPage, StoreEra)> {
         let mut path = format!("/api/log-newest?topic={topic}&part=0");
         if let Some(after) = after {
             path.push_str("&after=");
@@ -99,18 +115,19 @@
         let answer = self
             .call(Method::GET, &path, Bytes::new(), timeouts)
             .await?;
-        wire::decode(&answer)
+        Ok((wire::decode(&answer)?, store_era(&answer)))
     }
 
     async fn newest_pages(&self, topic: &str) -> Result<TableRead> {
         let mut read = TableRead::default();
         for page in 0..MAX_PAGES {
             let after = read.records.last().map(|record| record.key.clone());
-            let newest = self.newest_page(topic, after.as_deref()).await?;
+            let (newest, era) = self.newest_page(topic, after.as_deref()).await?;
             // Pages are not a snapshot: reading continues at the end that the first page gives, so that later writes
             // are read again.
             if page == 0 {
                 read.next = LogOffset(newest.end);
+                read.era = era;
             }
             let has_items = !newest.items.is_empty();
             for item in newest.items {
@@ -150,7 +167,10 @@
             .call(Method::GET, &path, Bytes::new(), timeouts)
             .await?;
         match answer.status {
-            StatusCode::OK => decode_read(from, answer.body).map(Some),
+            StatusCode::OK => {
+                let era = store_era(&answer);
+                decode_read(from, era, answer.body).map(Some)
+            }
             StatusCode::GONE => Ok(None),
             status => Err(unexpected_status(status)),
         }
@@ -178,7 +198,7 @@
 
 impl LeaseStore for StoreClient {
     async fn read_lease(&self) -> Result<LeaseState> {
-        let page = self.newest_page(LEASE_TOPIC, None).await?;
+        let (page, era) = self.newest_page(LEASE_TOPIC, None).await?;
         let item = page.items.into_iter().find(|item| item.key == LEASE_KEY);
         let value = item
             .map(newest_record)
@@ -197,6 +217,7 @@
                 released: value.released,
             }),
             next: LogOffset(page.end),
+            era,
         })
     }
 
@@ -231,6 +252,13 @@
     }
 }
 
+/// Returns the era of the store that sent `answer`.
+fn store_era(answer: &HttpAnswer) -> StoreEra {
+    let value = answer.headers.get(STORE_ERA);
+    let era = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    StoreEra(era.unwrap_or(0))
+}
+
 fn topic(table: StoreTable) -> &'static str {
     match table {
         StoreTable::Configuration => "keyed.op",
@@ -270,7 +298,7 @@
 
 /// Decodes the answer of a read: the end and the first kept offset, then the records. A record whose key is not UTF-8
 /// comes from another program and is skipped.
-fn decode_read(from: LogOffset, mut body: Bytes) -> Result<TableRead> {
+fn decode_read(from: LogOffset, era: StoreEra, mut body: Bytes) -> Result<TableRead> {
     let truncated = || wire::protocol("a read of the store ends too early");
     if body.len() < 16 {
         return Err(truncated());
@@ -280,6 +308,7 @@
     let mut read = TableRead {
         records: Vec::new(),
         next: from,
+        era,
     };
     while body.has_remaining() {
         if body.len() < 4 {
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use crate::error::Result;
-use crate::ids::{LogOffset, VmId};
+use crate::ids::{LogOffset, StoreEra, VmId};
 use crate::kernel::TaskGroup;
 
 /// Time between renewals, and between reads by the other candidates.
@@ -48,6 +48,8 @@
 pub struct LeaseState {
     pub record: Option<LeaseRecord>,
     pub next: LogOffset,
+    /// Era of the store that answered.
+    pub era: StoreEra,
 }
 
 /// Storage of the lease record.
@@ -158,9 +160,11 @@
     /// Records that `record` was written at `at` by a call begun at `sent_at`.
     pub fn confirm_write(&mut self, at: LogOffset, record: LeaseRecord, sent_at: Instant) {
         self.confirmed_at = (!record.released).then_some(sent_at);
+        let seen = self.seen.as_ref();
         let state = LeaseState {
             record: Some(record),
             next: at.next(),
+            era: seen.map(|(state, _)| state.era).unwrap_or_default(),
         };
         self.seen = Some((state, sent_at));
     }
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::error::Result;
-use crate::ids::LogOffset;
+use crate::ids::{LogOffset, StoreEra};
 
 /// A table of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -41,6 +41,8 @@
 pub struct TableRead {
     pub records: Vec<KeyedRecord>,
     pub next: LogOffset,
+    /// Era of the store that answered; the offset belongs to it.
+    pub era: StoreEra,
 }
 
 /// Client of the store's tables.
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -25,6 +25,7 @@
         self.state = LeaseState {
             record: Some(record.clone()),
             next: at.next(),
+            ..LeaseState::default()
         };
         true
     }
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -41,6 +41,7 @@
         *lock(&self.0) = LeaseState {
             record: Some(record.clone()),
             next: at.next(),
+            ..LeaseState::default()
         };
         Ok(true)
     }
