Log a write of the lease that is answered in another era than its offset was read in

Cause: after a loss the store gives offsets out again. Nothing said whether an append under a condition was answered in the era that its offset belongs to, so the logs could not tell a renewal from one that succeeded by chance. Change: an append for the planner's lease returns the era of its answer; a difference is logged. No decision uses it yet. Measured: cargo check without a warning; no behaviour changes.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,7 @@
 use crate::platform::headers::STORE_ERA;
 use crate::relay::{
     KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
+    WriteAnswer,
 };
 use crate::wire::{self, CallTimeouts, HttpAnswer, HttpClient};
 
@@ -221,7 +222,7 @@
         })
     }
 
-    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<bool> {
+    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<WriteAnswer> {
         let value = LeaseValue {
             holder: record.holder.clone(),
             vm: record.vm,
@@ -233,12 +234,16 @@
         let path = format!("/api/log-append?topic={LEASE_TOPIC}&part=0&at={at}");
         let body = encode_record(LEASE_KEY, &value)?;
         let answer = self.call(Method::POST, &path, body, CALL_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK => Ok(true),
+        let written = match answer.status {
+            StatusCode::OK => true,
             // The log does not end at `at`: another daemon has written.
-            StatusCode::PRECONDITION_FAILED => Ok(false),
-            status => Err(unexpected_status(status)),
-        }
+            StatusCode::PRECONDITION_FAILED => false,
+            status => return Err(unexpected_status(status)),
+        };
+        Ok(WriteAnswer {
+            written,
+            era: store_era(&answer),
+        })
     }
 }
 
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -52,18 +52,27 @@
     pub era: StoreEra,
 }
 
+/// Answer of the store to a write under a condition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriteAnswer {
+    /// Whether the record was written.
+    pub written: bool,
+    /// Era of the store that answered.
+    pub era: StoreEra,
+}
+
 /// Storage of the lease record.
 pub trait LeaseStore: Send + Sync + 'static {
     /// Reads the newest record.
     fn read_lease(&self) -> impl Future<Output = Result<LeaseState>> + Send;
 
-    /// Writes `record` if the next record is still at offset `at`, and returns whether it was written. After an error,
-    /// the write may still take effect later if no other write has by then.
+    /// Writes `record` if the next record is at offset `at`. After an error, the write may still take effect later if no
+    /// other write has by then. The same offset may exist in several eras of the store.
     fn write_lease(
         &self,
         at: LogOffset,
         record: &LeaseRecord,
-    ) -> impl Future<Output = Result<bool>> + Send;
+    ) -> impl Future<Output = Result<WriteAnswer>> + Send;
 }
 
 /// What a candidate does next.
@@ -72,7 +81,16 @@
     /// Another VM holds the lease.
     Wait,
     /// Write a record at this offset, to renew or acquire the lease.
-    Write { at: LogOffset, record: LeaseRecord },
+    Write(LeaseWrite),
+}
+
+/// A record to write at the offset of the next record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseWrite {
+    pub at: LogOffset,
+    /// Era of the store in which `at` was read.
+    pub era: StoreEra,
+    pub record: LeaseRecord,
 }
 
 /// State of the lease as one daemon knows it. Performs no I/O; the time is an argument.
@@ -151,10 +169,11 @@
             fence,
             released: false,
         };
-        LeaseStep::Write {
+        LeaseStep::Write(LeaseWrite {
             at: state.next,
+            era: state.era,
             record,
-        }
+        })
     }
 
     /// Records that `record` was written at `at` by a call begun at `sent_at`.
@@ -251,17 +270,17 @@
     /// Releases the lease, so that another daemon can take it before it expires.
     pub async fn release<L: LeaseStore>(&self, store: &L) {
         let now = Instant::now();
-        let LeaseStep::Write { at, mut record } = self.with(|candidate| candidate.next_step(now))
-        else {
+        let LeaseStep::Write(mut write) = self.with(|candidate| candidate.next_step(now)) else {
             return;
         };
         if self.with(|candidate| candidate.fence(now)).is_none() {
             return;
         }
-        record.released = true;
+        write.record.released = true;
         self.with(LeaseCandidate::clear_confirmation);
-        match tokio::time::timeout(STORE_TIMEOUT, store.write_lease(at, &record)).await {
-            Ok(Ok(true)) => log::info!("the planner's lease is released"),
+        let call = store.write_lease(write.at, &write.record);
+        match tokio::time::timeout(STORE_TIMEOUT, call).await {
+            Ok(Ok(answer)) if answer.written => log::info!("the planner's lease is released"),
             _ => log::info!("the planner's lease was not released and will expire"),
         }
     }
@@ -324,22 +343,36 @@
     let sent_at = Instant::now();
     let (own, next_step) =
         manager.with(|candidate| (candidate.names_own_vm(), candidate.next_step(sent_at)));
-    let LeaseStep::Write { at, record } = next_step else {
+    let LeaseStep::Write(write) = next_step else {
         return true;
     };
     if !own && !may_take {
         return true;
     }
-    match tokio::time::timeout(STORE_TIMEOUT, store.write_lease(at, &record)).await {
-        Ok(Ok(true)) => manager.with(|candidate| candidate.confirm_write(at, record, sent_at)),
-        // Another daemon has written, or an earlier write of this daemon took effect late.
-        Ok(Ok(false)) => manager.with(LeaseCandidate::clear_confirmation),
+    let call = store.write_lease(write.at, &write.record);
+    match tokio::time::timeout(STORE_TIMEOUT, call).await {
+        Ok(Ok(answer)) => {
+            if answer.era != write.era {
+                log::info!(
+                    "the planner's lease was read in era {} of the store; the answer to its write is of era {}: {write:?}, \
+                     {answer:?}",
+                    write.era,
+                    answer.era
+                );
+            }
+            match answer.written {
+                true => manager
+                    .with(|candidate| candidate.confirm_write(write.at, write.record, sent_at)),
+                // Another daemon has written, or an earlier write of this daemon took effect late.
+                false => manager.with(LeaseCandidate::clear_confirmation),
+            }
+        }
         // The write may have taken effect; the next read tells.
         Ok(Err(error)) => {
             log::debug!("the planner's lease was not written: {error}");
-            manager.with(|candidate| candidate.note_unconfirmed_write());
+            manager.with(LeaseCandidate::note_unconfirmed_write);
         }
-        Err(_) => manager.with(|candidate| candidate.note_unconfirmed_write()),
+        Err(_) => manager.with(LeaseCandidate::note_unconfirmed_write),
     }
     true
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -65,7 +65,8 @@
 pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{
-    LeaseCandidate, LeaseManager, LeaseRecord, LeaseState, LeaseStep, LeaseStore,
+    LeaseCandidate, LeaseManager, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseWrite,
+    WriteAnswer,
 };
 pub use self::planner::{PlannerContext, ReplicaPlanner};
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxtailhill::ids::{LogOffset, VmId};
-use foxtailhill::relay::{LeaseCandidate, LeaseRecord, LeaseState, LeaseStep};
+use foxtailhill::relay::{LeaseCandidate, LeaseRecord, LeaseState, LeaseStep, LeaseWrite};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -48,7 +48,7 @@
     if candidate.needs_read(now) {
         candidate.observe(store.state.clone(), now, now);
     }
-    if let LeaseStep::Write { at, record } = candidate.next_step(now) {
+    if let LeaseStep::Write(LeaseWrite { at, record, .. }) = candidate.next_step(now) {
         match store.write(at, &record) {
             true => candidate.confirm_write(at, record, now),
             false => candidate.clear_confirmation(),
@@ -148,7 +148,7 @@
             if candidate.needs_read(now) && random.random_bool(0.8) {
                 candidate.observe(store.state.clone(), now, now);
             }
-            if let LeaseStep::Write { at, record } = candidate.next_step(now) {
+            if let LeaseStep::Write(LeaseWrite { at, record, .. }) = candidate.next_step(now) {
                 match random.random_range(0..10) {
                     0 => {
                         let late = now + Duration::from_millis(random.random_range(200..6_000));
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -7,14 +7,14 @@
 
 use foxtailhill::dispatch::ModelDemand;
 use foxtailhill::error::{Category, Error, Result, RunVerdict};
-use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::ids::{LogOffset, StoreEra, VmId};
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::placement::DemandTracker;
 use foxtailhill::relay::{
     EngineConfig, EngineControl, EngineReport, HeldModel, LeaseCandidate, LeaseManager,
     LeaseRecord, LeaseState, LeaseStore, LoadItem, ModelConfig, OrderAnswer, OrderContext,
     PlacementRequest, PlannerContext, RelayFleet, ReplicaOrder, ReplicaPlanner, ServerChange,
-    ServerEntry, ServiceConfig, ServingConfig,
+    ServerEntry, ServiceConfig, ServingConfig, WriteAnswer,
 };
 use foxtailhill::timer::TimerService;
 use rand::rngs::StdRng;
@@ -37,13 +37,16 @@
         Ok(lock(&self.0).clone())
     }
 
-    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<bool> {
+    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<WriteAnswer> {
         *lock(&self.0) = LeaseState {
             record: Some(record.clone()),
             next: at.next(),
             ..LeaseState::default()
         };
-        Ok(true)
+        Ok(WriteAnswer {
+            written: true,
+            era: StoreEra::default(),
+        })
     }
 }
 
