--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -152,6 +152,110 @@
     assert_eq!(again.fence(now + Duration::from_millis(300)), Some(2));
 }
 
+/// Guards against a planner that stops for seconds after a drill although nobody else can have held the lease, and against
+/// the second use of its number.
+#[test]
+fn holder_of_lost_records_continues_at_once_with_a_higher_fence() {
+    let (mut first, mut second) = (candidate("a"), candidate("b"));
+    let start = Instant::now();
+    let mut store = SimulatedStore {
+        era: StoreEra(1),
+        ..SimulatedStore::default()
+    };
+    assert!(renew(&mut first, &mut store, start));
+    let before = first.fence(start);
+    // All records of the lease are lost.
+    store.begin_drill(start, Duration::from_secs(1));
+    store.advance(start);
+    let now = start + Duration::from_millis(900);
+    assert!(!renew(&mut second, &mut store, now));
+    renew(&mut first, &mut store, now);
+    assert_eq!(first.fence(now), before, "the lease lasts until it expires");
+    let now = start + Duration::from_millis(1_800);
+    assert!(renew(&mut first, &mut store, now));
+    assert!(!renew(&mut second, &mut store, now));
+    assert!(first.fence(now) > before);
+}
+
+/// Guards against orders under an older record: the VM that it names may have lost the lease to another VM whose record
+/// is gone.
+#[test]
+fn vm_named_by_an_older_record_waits_for_the_holder_of_lost_records() {
+    let (mut first, mut second) = (candidate("a"), candidate("b"));
+    let start = Instant::now();
+    let mut store = SimulatedStore {
+        era: StoreEra(1),
+        ..SimulatedStore::default()
+    };
+    assert!(renew(&mut first, &mut store, start));
+    let mut now = start;
+    while !renew(&mut second, &mut store, now) {
+        now += Duration::from_millis(100);
+    }
+    let newest = second.fence(now);
+    // Only the first record is left.
+    store.begin_drill(now, now - start);
+    store.advance(now);
+    let last_order = now + Duration::from_millis(2_500);
+    let mut again = candidate("a");
+    let taken = loop {
+        let taken = [&mut first, &mut again].into_iter().find_map(|candidate| {
+            renew(candidate, &mut store, now);
+            candidate.fence(now)
+        });
+        if let Some(fence) = taken {
+            break fence;
+        }
+        now += Duration::from_millis(100);
+        assert!(
+            now < start + Duration::from_secs(60),
+            "nobody took the lease"
+        );
+    };
+    assert!(last_order + ORDER_DELAY <= now, "orders of two holders mix");
+    assert!(Some(taken) > newest, "the fencing number did not grow");
+}
+
+/// Guards against a delayed write of an older era that hides the newest holder, so that its number is given out again.
+#[test]
+fn late_write_of_an_older_era_gives_nobody_the_lease() {
+    let (mut first, mut second, mut third) = (candidate("a"), candidate("b"), candidate("c"));
+    let start = Instant::now();
+    let mut store = SimulatedStore {
+        era: StoreEra(1),
+        ..SimulatedStore::default()
+    };
+    for step in 0..3 {
+        let now = start + Duration::from_millis(900) * step;
+        assert!(renew(&mut first, &mut store, now));
+    }
+    // The third renewal is delayed until its offset is given out again.
+    let mut now = start + Duration::from_millis(2_700);
+    let LeaseStep::Write(late) = first.next_step(now) else {
+        panic!("the holder does not renew");
+    };
+    first.note_unconfirmed_write();
+    store.begin_drill(now, Duration::from_secs(1));
+    store.advance(now);
+    while !renew(&mut second, &mut store, now) {
+        now += Duration::from_millis(100);
+    }
+    let held = second.fence(now);
+    assert!(store.write(late.at, &late.record, now).written);
+    now += Duration::from_millis(900);
+    assert!(
+        !renew(&mut first, &mut store, now),
+        "an older record permits orders"
+    );
+    let buried = now;
+    while !renew(&mut third, &mut store, now) {
+        assert!(!renew(&mut first, &mut store, now));
+        now += Duration::from_millis(100);
+    }
+    assert!(buried + ORDER_DELAY <= now, "orders of two holders mix");
+    assert!(third.fence(now) > held, "the fencing number did not grow");
+}
+
 /// What happens to the store and the daemons in a simulation, besides lost and late writes and pauses.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Drills {
