--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's store, a log with topics that keep the newest record of each key.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
@@ -12,9 +14,11 @@
 use smol_str::SmolStr;
 
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::ids::{LogOffset, VmId};
+use crate::ids::{LogOffset, StoreEra, VmId};
+use crate::platform::headers::STORE_ERA;
 use crate::relay::{
     KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
+    WriteAnswer,
 };
 use crate::wire::{self, CallTimeouts, HttpAnswer, HttpClient};
 
@@ -44,6 +48,8 @@
 pub struct StoreClient {
     address: SocketAddr,
     client: HttpClient,
+    /// Newest era that an answer has named, for log lines.
+    newest_era: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -85,6 +91,7 @@
         Self {
             address,
             client: HttpClient::open(CONNECT_TIMEOUT),
+            newest_era: Arc::default(),
         }
     }
 
@@ -97,6 +104,11 @@
     ) -> Result<HttpAnswer> {
         let request = wire::request(self.address, method, path, body)?;
         let answer = self.client.call(request, timeouts, ANSWER_LIMIT).await?;
+        let StoreEra(era) = store_era(&answer);
+        let newest = self.newest_era.fetch_max(era, Ordering::Relaxed);
+        if era > newest {
+            log::info!("the store is in era {era} after {newest}");
+        }
         match answer.status {
             StatusCode::SERVICE_UNAVAILABLE => Err(Error::unavailable("the store is unavailable")),
             StatusCode::TOO_MANY_REQUESTS => Err(Error::new(
@@ -107,7 +119,12 @@
         }
     }
 
-    async fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<NewestPage> {
+    /// Reads a page of newest records; also returns the era of the answer.
+    async fn newest_page(
+        &self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<(NewestPage, StoreEra)> {
         let mut path = format!("/api/log-newest?topic={topic}&part=0");
         if let Some(after) = after {
             path.push_str("&after=");
@@ -117,18 +134,19 @@
         let answer = self
             .call(Method::GET, &path, Bytes::new(), timeouts)
             .await?;
-        wire::decode(&answer)
+        Ok((wire::decode(&answer)?, store_era(&answer)))
     }
 
     async fn newest_pages(&self, topic: &str) -> Result<TableRead> {
         let mut read = TableRead::default();
         let mut after: Option<SmolStr> = None;
         for page in 0..MAX_PAGES {
-            let newest = self.newest_page(topic, after.as_deref()).await?;
+            let (newest, era) = self.newest_page(topic, after.as_deref()).await?;
             // Pages are not a snapshot: reading continues at the end that the first page gives, so that later writes
             // are read again.
             if page == 0 {
                 read.next = LogOffset(newest.end);
+                read.era = era;
             }
             let has_items = !newest.items.is_empty();
             for item in newest.items.into_iter().filter_map(PageItem::record) {
@@ -172,7 +190,10 @@
             .call(Method::GET, &path, Bytes::new(), timeouts)
             .await?;
         match answer.status {
-            StatusCode::OK => decode_read(from, answer.body).map(Some),
+            StatusCode::OK => {
+                let era = store_era(&answer);
+                decode_read(from, era, answer.body).map(Some)
+            }
             StatusCode::GONE => Ok(None),
             status => Err(unexpected_status(status)),
         }
@@ -200,7 +221,7 @@
 
 impl LeaseStore for StoreClient {
     async fn read_lease(&self) -> Result<LeaseState> {
-        let page = self.newest_page(LEASE_TOPIC, None).await?;
+        let (page, era) = self.newest_page(LEASE_TOPIC, None).await?;
         let mut items = page.items.into_iter().filter_map(PageItem::record);
         let item = items.find(|item| item.key == LEASE_KEY);
         let value = item
@@ -220,10 +241,11 @@
                 released: value.released,
             }),
             next: LogOffset(page.end),
+            era,
         })
     }
 
-    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<bool> {
+    async fn write_lease(&self, at: LogOffset, record: &LeaseRecord) -> Result<WriteAnswer> {
         let value = LeaseValue {
             holder: record.holder.clone(),
             vm: record.vm,
@@ -235,12 +257,16 @@
         let path = format!("/api/log-append?topic={LEASE_TOPIC}&part=0&at={at}");
         let body = encode_record(LEASE_KEY, &value)?;
         let answer = self.call(Method::POST, &path, body, CALL_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK => Ok(true),
+        let written = match answer.status {
+            StatusCode::OK => true,
             // The log does not end at `at`: another daemon has written.
-            StatusCode::PRECONDITION_FAILED => Ok(false),
-            status => Err(unexpected_status(status)),
-        }
+            StatusCode::PRECONDITION_FAILED => false,
+            status => return Err(unexpected_status(status)),
+        };
+        Ok(WriteAnswer {
+            written,
+            era: store_era(&answer),
+        })
     }
 }
 
@@ -254,6 +280,13 @@
     }
 }
 
+/// Returns the era of the store that sent `answer`.
+fn store_era(answer: &HttpAnswer) -> StoreEra {
+    let value = answer.headers.get(STORE_ERA);
+    let era = value.and_then(|value| value.to_str().ok()?.parse().ok());
+    StoreEra(era.unwrap_or(0))
+}
+
 fn topic(table: StoreTable) -> &'static str {
     match table {
         StoreTable::Configuration => "keyed.op",
@@ -293,7 +326,7 @@
 
 /// Decodes the answer of a read: the end and the first kept offset, then the records. A record whose key is not UTF-8
 /// comes from another program and is skipped.
-fn decode_read(from: LogOffset, mut body: Bytes) -> Result<TableRead> {
+fn decode_read(from: LogOffset, era: StoreEra, mut body: Bytes) -> Result<TableRead> {
     let truncated = || wire::protocol("a read of the store ends too early");
     if body.len() < 16 {
         return Err(truncated());
@@ -303,6 +336,7 @@
     let mut read = TableRead {
         records: Vec::new(),
         next: from,
+        era,
     };
     while body.has_remaining() {
         if body.len() < 4 {
