Keep newer records of servers when a restored store has older ones

Change: the list has an era. For 6 s after it rises, a record that was written before the known one (by the start and the number of writes) is ignored, also that of a removed server, and a server whose record is missing is kept for the 2 s of an outage. Then the order of the log decides as before. Changes of an era before that of the list are ignored. The number of writes (`seq`) is decoded and is no change of a record. The code that applies records moves to fleet/records.rs. Why it works: the number of writes orders the records of one start, whatever the store has lost; the time limit bounds the harm if a record is ignored wrongly.

--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -10,7 +10,6 @@
 use crate::error::{Error, Result};
 use crate::relay::{HeldModel, ServerEntry};
 
-/// The field `seq` is not read: here it counts writes of the record, whereas in a report it counts orders.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ServerRecord {
@@ -22,6 +21,9 @@
     /// Unix time of the start, in milliseconds.
     #[serde(default)]
     born: u64,
+    /// Number of writes of the record since the start. In a report a field of this name counts orders.
+    #[serde(default)]
+    seq: u64,
     #[serde(default)]
     models: Vec<ModelRecord>,
     /// Models whose weights are in host memory or on disk.
@@ -75,6 +77,7 @@
         leaving: matches!(server.state, StateRecord::Draining),
         models: server.models.into_iter().map(HeldModel::from).collect(),
         born_ms: server.born,
+        seq: server.seq,
         in_host_memory: model_names(&server.at_hand, "in-memory"),
         on_disk: model_names(&server.at_hand, "on-disk"),
     })
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -1,6 +1,7 @@
 //! The view of the backend servers, from their records in the store and from the outcomes of calls to them.
 
 mod notices;
+mod records;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -12,7 +13,7 @@
 use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
-use crate::ids::VmId;
+use crate::ids::{StoreEra, VmId};
 use crate::relay::announcements::{AnnouncementTable, server_start};
 use crate::relay::config::ModelConfig;
 use crate::relay::engines::{LoadItem, PlacementChange};
@@ -27,8 +28,6 @@
 const MAX_DOUBLINGS: u32 = 3;
 /// Time for which a server that refused a request as full gets no more.
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
-/// Time after an outage of the store in which servers whose records expired write them again.
-const EXPIRY_GRACE: Duration = Duration::from_secs(2);
 /// Age up to which a peer's report of its running requests is used.
 const PEER_REPORT_MAX_AGE: Duration = Duration::from_secs(3);
 /// Longest time by which a server's record may lag behind the effect of an order. A change that is younger than this
@@ -39,8 +38,6 @@
 /// Time for which an unload stays in effect although the record still shows the item. Longer than that of a load, as
 /// the record shows the item until the requests that use it have ended.
 const UNLOAD_OVERLAY_TIME: Duration = Duration::from_secs(10);
-/// Number of removed servers kept for daemons that copy the list.
-const MAX_REMOVED: usize = 512;
 /// Time between two tokens of one stream in a batch of usual size, in microseconds.
 const TOKEN_US: u32 = 6_000;
 
@@ -63,6 +60,15 @@
     expires_at: Option<Instant>,
 }
 
+/// A server that was removed from the list.
+struct RemovedServer {
+    id: SmolStr,
+    /// Version of the list that removed it.
+    version: u64,
+    /// Age order of its last record.
+    write_order: (u64, u64),
+}
+
 #[derive(Default)]
 struct FleetState {
     servers: BTreeMap<SmolStr, ServerState>,
@@ -73,8 +79,8 @@
     unreachable: bool,
     /// Grows with each change of the records.
     version: u64,
-    /// Removed servers with the version of the list that removed them, oldest first.
-    removed: VecDeque<(u64, SmolStr)>,
+    /// Removed servers, oldest first.
+    removed: VecDeque<RemovedServer>,
     /// Version of the list up to which removals are forgotten.
     forgotten_version: u64,
     /// Counts the servers that began to leave, stopped leaving or were removed.
@@ -83,8 +89,12 @@
     /// [`RelayFleet::take_crashed`].
     crashed: Vec<SmolStr>,
     announcements: AnnouncementTable,
-    /// When the list could be read again after an outage.
+    /// When the list could be read again after an outage, or was first read in a new era of the store.
     reachable_since: Option<Instant>,
+    /// Newest era of the store in which the list was read.
+    era: Option<StoreEra>,
+    /// When the list was first read in this era, unless it is the first that is known.
+    restored_at: Option<Instant>,
 }
 
 /// All backend servers. Share it in an [`Arc`].
@@ -134,14 +144,16 @@
         let servers = state.servers.values();
         let changed = servers.filter(|server| since.is_none_or(|since| server.changed > since));
         let removed = state.removed.iter();
-        let removed = removed.filter(|(at, id)| {
-            since.is_some_and(|since| *at > since) && !state.servers.contains_key(id)
+        let removed = removed.filter(|server| {
+            since.is_some_and(|since| server.version > since)
+                && !state.servers.contains_key(&server.id)
         });
         ServerDelta {
             version: state.version,
+            era: state.era.unwrap_or_default(),
             is_snapshot: since.is_none(),
             changed: changed.map(|server| server.entry.clone()).collect(),
-            removed: removed.map(|(_, id)| id.clone()).collect(),
+            removed: removed.map(|server| server.id.clone()).collect(),
         }
     }
 
@@ -164,10 +176,20 @@
         servers.any(|server| server.entry.service == service && !server.entry.leaving)
     }
 
+    /// Returns the newest era of the store in which the list was read.
+    pub fn era(&self) -> StoreEra {
+        self.state().era.unwrap_or_default()
+    }
+
     /// Applies changes in order.
     pub fn apply(&self, changes: Vec<ServerChange>, now: Instant) {
         let mut state = self.state();
         for change in changes {
+            if let ServerChange::Era(era) = change
+                && !state.enter_era(era, now)
+            {
+                break;
+            }
             state.apply(change, now);
         }
         self.publish(&mut state, now);
@@ -360,116 +382,6 @@
 }
 
 impl FleetState {
-    fn apply(&mut self, change: ServerChange, now: Instant) {
-        match change {
-            ServerChange::Snapshot(entries) => {
-                self.note_reachable(now);
-                let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
-                for entry in entries {
-                    self.put(entry, now);
-                }
-                let missing: Vec<SmolStr> = self
-                    .servers
-                    .keys()
-                    .filter(|id| !listed.contains(id))
-                    .cloned()
-                    .collect();
-                for id in missing {
-                    self.handle_missing(&id, now);
-                }
-            }
-            ServerChange::Put(entry) => {
-                self.note_reachable(now);
-                self.put(entry, now);
-            }
-            ServerChange::Removed(id) => {
-                self.note_reachable(now);
-                self.handle_missing(&id, now);
-            }
-            ServerChange::Unreachable => self.unreachable = true,
-        }
-    }
-
-    fn note_reachable(&mut self, now: Instant) {
-        if std::mem::take(&mut self.unreachable) {
-            self.reachable_since = Some(now);
-        }
-    }
-
-    fn put(&mut self, mut entry: ServerEntry, now: Instant) {
-        let start = server_start(&entry);
-        entry.leaving |= self.announcements.is_leaving(start);
-        let known = self.servers.get(&entry.id);
-        if known.is_none_or(|server| server.entry != entry) {
-            self.version += 1;
-        }
-        let version = self.version;
-        let server = self
-            .servers
-            .entry(entry.id.clone())
-            .or_insert_with(|| ServerState::new(entry.clone(), version, now));
-        if server.entry.born_ms != entry.born_ms || server.entry.address != entry.address {
-            log::info!("server {} has restarted at {}", entry.id, entry.address);
-            server.suspected_until = None;
-            server.failures = 0;
-            server.placements.clear();
-            server.handle.set_suspected(false);
-            self.crashed.push(entry.id.clone());
-        }
-        if server.entry.leaving != entry.leaving {
-            log::info!(
-                "server {} of {} now has leaving = {}",
-                entry.id,
-                entry.service,
-                entry.leaving
-            );
-            self.departures += 1;
-        }
-        server.handle.set_leaving(entry.leaving);
-        if let Some(until) = self.announcements.paused_until(start, now) {
-            server.suspend_until(until);
-        }
-        server.expires_at = None;
-        if server.entry != entry {
-            server.changed = version;
-        }
-        server.entry = entry;
-        server.update_models(now);
-    }
-
-    /// Removes a server whose record is missing, or keeps it for [`EXPIRY_GRACE`] after an outage of the store in which
-    /// the record may have expired. A server that was first listed after the outage came from an old record and ended
-    /// during the outage; it is removed at once.
-    fn handle_missing(&mut self, id: &SmolStr, now: Instant) {
-        let reachable_since = self
-            .reachable_since
-            .filter(|back| *back + EXPIRY_GRACE > now);
-        let server = self.servers.get_mut(id);
-        match (reachable_since, server) {
-            (Some(back), Some(server)) if server.listed_at < back => {
-                server.expires_at = Some(back + EXPIRY_GRACE);
-            }
-            _ => self.remove(id),
-        }
-    }
-
-    fn remove(&mut self, id: &SmolStr) {
-        if let Some(server) = self.servers.remove(id) {
-            self.version += 1;
-            self.departures += 1;
-            self.removed.push_back((self.version, id.clone()));
-            if self.removed.len() > MAX_REMOVED
-                && let Some((version, _)) = self.removed.pop_front()
-            {
-                self.forgotten_version = version;
-            }
-            if !server.entry.leaving {
-                self.crashed.push(id.clone());
-            }
-            log::info!("server {id} of {} is gone", server.entry.service);
-        }
-    }
-
     fn expire(&mut self, now: Instant) {
         self.announcements.expire(now);
         let expired: Vec<SmolStr> = self
--- a/src/relay/fleet/notices.rs
+++ b/src/relay/fleet/notices.rs
@@ -30,7 +30,7 @@
             log::info!("server {id} says in an answer that it is leaving");
             state.announcements.note_leaving(start, now);
             let entry = server.entry.clone();
-            state.put(entry, now);
+            state.list(entry, now);
             self.publish(state, now);
         }
     }
--- /dev/null
+++ b/src/relay/fleet/records.rs
@@ -0,0 +1,191 @@
+//! Applies the records of backend servers to the list.
+
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::ids::StoreEra;
+use crate::relay::announcements::server_start;
+use crate::relay::fleet::{FleetState, RemovedServer, ServerState};
+use crate::relay::server_list::{ServerChange, ServerEntry};
+
+/// Time after an outage of the store in which servers whose records expired write them again. The same holds for records
+/// that the store has lost.
+const EXPIRY_GRACE: Duration = Duration::from_secs(2);
+/// Time after which a restored store has no records of servers that ended before: three intervals in which servers write
+/// their records, and a margin.
+const LAPSE_TIME: Duration = Duration::from_secs(6);
+/// Number of removed servers kept for daemons that copy the list.
+const MAX_REMOVED: usize = 512;
+
+impl FleetState {
+    /// Notes that changes come from `era`. Returns false if the list is of a newer era, so that they must be ignored.
+    pub(super) fn enter_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        match self.era {
+            Some(known) if era < known => false,
+            Some(known) if era > known => {
+                log::info!("the list of servers is from era {era} of the store after {known}");
+                self.era = Some(era);
+                self.unreachable = false;
+                self.reachable_since = Some(now);
+                self.restored_at = Some(now);
+                // Daemons that copy the list learn of the era.
+                self.version += 1;
+                true
+            }
+            _ => {
+                self.era = Some(era);
+                true
+            }
+        }
+    }
+
+    pub(super) fn apply(&mut self, change: ServerChange, now: Instant) {
+        match change {
+            ServerChange::Era(_) => {}
+            ServerChange::Snapshot(entries) => {
+                self.note_reachable(now);
+                let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
+                for entry in entries {
+                    self.put(entry, now);
+                }
+                let missing: Vec<SmolStr> = self
+                    .servers
+                    .keys()
+                    .filter(|id| !listed.contains(id))
+                    .cloned()
+                    .collect();
+                for id in missing {
+                    self.handle_missing(&id, now);
+                }
+            }
+            ServerChange::Put(entry) => {
+                self.note_reachable(now);
+                self.put(entry, now);
+            }
+            ServerChange::Removed(id) => {
+                self.note_reachable(now);
+                self.handle_missing(&id, now);
+            }
+            ServerChange::Unreachable => self.unreachable = true,
+        }
+    }
+
+    fn note_reachable(&mut self, now: Instant) {
+        if std::mem::take(&mut self.unreachable) {
+            self.reachable_since = Some(now);
+        }
+    }
+
+    /// Lists a server with its record, unless a restored store has an older record than is known.
+    fn put(&mut self, entry: ServerEntry, now: Instant) {
+        let is_restored = self.restored_at.is_some_and(|at| at + LAPSE_TIME > now);
+        if !is_restored {
+            self.list(entry, now);
+            return;
+        }
+        match self.servers.get(&entry.id) {
+            Some(known) if known.entry.born_ms > entry.born_ms => {
+                log::info!(
+                    "record of an earlier start of server {} is ignored",
+                    entry.id
+                );
+                let id = entry.id;
+                self.handle_missing(&id, now);
+            }
+            Some(known) if known.entry.write_order() > entry.write_order() => {
+                log::info!("older record of server {} is ignored", entry.id);
+            }
+            None if self.has_removed(&entry) => {
+                log::info!("record of removed server {} is ignored", entry.id);
+            }
+            _ => self.list(entry, now),
+        }
+    }
+
+    /// Returns whether the server was removed when its record was the same or newer.
+    fn has_removed(&self, entry: &ServerEntry) -> bool {
+        let mut removed = self.removed.iter().rev();
+        let last = removed.find(|removed| removed.id == entry.id);
+        last.is_some_and(|removed| removed.write_order >= entry.write_order())
+    }
+
+    /// Lists a server with its record and what it has announced.
+    pub(super) fn list(&mut self, mut entry: ServerEntry, now: Instant) {
+        let start = server_start(&entry);
+        entry.leaving |= self.announcements.is_leaving(start);
+        let known = self.servers.get(&entry.id);
+        if known.is_none_or(|server| server.entry.differs_from(&entry)) {
+            self.version += 1;
+        }
+        let version = self.version;
+        let server = self
+            .servers
+            .entry(entry.id.clone())
+            .or_insert_with(|| ServerState::new(entry.clone(), version, now));
+        if server.entry.born_ms != entry.born_ms || server.entry.address != entry.address {
+            log::info!("server {} has restarted at {}", entry.id, entry.address);
+            server.suspected_until = None;
+            server.failures = 0;
+            server.placements.clear();
+            server.handle.set_suspected(false);
+            self.crashed.push(entry.id.clone());
+        }
+        if server.entry.leaving != entry.leaving {
+            log::info!(
+                "server {} of {} now has leaving = {}",
+                entry.id,
+                entry.service,
+                entry.leaving
+            );
+            self.departures += 1;
+        }
+        server.handle.set_leaving(entry.leaving);
+        if let Some(until) = self.announcements.paused_until(start, now) {
+            server.suspend_until(until);
+        }
+        server.expires_at = None;
+        if server.entry.differs_from(&entry) {
+            server.changed = version;
+        }
+        server.entry = entry;
+        server.update_models(now);
+    }
+
+    /// Removes a server whose record is missing, or keeps it for [`EXPIRY_GRACE`] after an outage of the store in which
+    /// the record may have expired or was lost. A server that was first listed after the outage came from an old record
+    /// and ended during the outage; it is removed at once.
+    fn handle_missing(&mut self, id: &SmolStr, now: Instant) {
+        let reachable_since = self
+            .reachable_since
+            .filter(|back| *back + EXPIRY_GRACE > now);
+        let server = self.servers.get_mut(id);
+        match (reachable_since, server) {
+            (Some(back), Some(server)) if server.listed_at < back => {
+                server.expires_at = Some(back + EXPIRY_GRACE);
+            }
+            _ => self.remove(id),
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: &SmolStr) {
+        if let Some(server) = self.servers.remove(id) {
+            self.version += 1;
+            self.departures += 1;
+            self.removed.push_back(RemovedServer {
+                id: id.clone(),
+                version: self.version,
+                write_order: server.entry.write_order(),
+            });
+            if self.removed.len() > MAX_REMOVED
+                && let Some(oldest) = self.removed.pop_front()
+            {
+                self.forgotten_version = oldest.version;
+            }
+            if !server.entry.leaving {
+                self.crashed.push(id.clone());
+            }
+            log::info!("server {id} of {} is gone", server.entry.service);
+        }
+    }
+}
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -244,13 +244,16 @@
                     let value = record.value.as_ref()?;
                     self.decode_entry(&record.key, value)
                 });
-                vec![ServerChange::Snapshot(entries.collect())]
+                let snapshot = ServerChange::Snapshot(entries.collect());
+                vec![ServerChange::Era(read.era), snapshot]
+            }
+            TableChange::Records(read) => {
+                let changes = read.records.iter();
+                let changes = changes.filter_map(|record| self.change(record));
+                std::iter::once(ServerChange::Era(read.era))
+                    .chain(changes)
+                    .collect()
             }
-            TableChange::Records(read) => read
-                .records
-                .iter()
-                .filter_map(|record| self.change(record))
-                .collect(),
         };
         self.fleet.apply(changes, Instant::now());
     }
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::ids::StoreEra;
 use crate::relay::engines::LoadItem;
 
 /// A model in the memory of an engine.
@@ -29,6 +30,8 @@
     pub models: Vec<HeldModel>,
     /// Unix time of its start, in milliseconds; a different value under the same id means that it has restarted.
     pub born_ms: u64,
+    /// Number of writes of its record since its start.
+    pub seq: u64,
     /// Models whose weights are in its host memory.
     pub in_host_memory: Vec<SmolStr>,
     /// Models whose weights are on its disk.
@@ -38,6 +41,8 @@
 /// A change of the list of backend servers.
 #[derive(Clone, Debug)]
 pub enum ServerChange {
+    /// The changes that follow come from this era of the store; they are ignored if the list is of a newer one.
+    Era(StoreEra),
     /// All servers; others were removed.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
@@ -51,6 +56,8 @@
 pub struct ServerDelta {
     /// Version of the list after these changes.
     pub version: u64,
+    /// Era of the store that the list was read from.
+    pub era: StoreEra,
     /// Whether `changed` contains all servers, so that any other server was removed.
     pub is_snapshot: bool,
     pub changed: Vec<ServerEntry>,
@@ -60,16 +67,30 @@
 impl ServerDelta {
     /// Returns the changes in the order in which they must be applied.
     pub fn into_changes(self) -> Vec<ServerChange> {
+        let era = ServerChange::Era(self.era);
         if self.is_snapshot {
-            return vec![ServerChange::Snapshot(self.changed)];
+            return vec![era, ServerChange::Snapshot(self.changed)];
         }
         let removed = self.removed.into_iter().map(ServerChange::Removed);
         let changed = self.changed.into_iter().map(ServerChange::Put);
-        removed.chain(changed).collect()
+        std::iter::once(era).chain(removed).chain(changed).collect()
     }
 }
 
 impl ServerEntry {
+    /// Returns the age order of records of the same server: a record with a larger value was written later.
+    pub(super) fn write_order(&self) -> (u64, u64) {
+        (self.born_ms, self.seq)
+    }
+
+    /// Returns whether two records of the same server differ in more than the number of writes.
+    pub(super) fn differs_from(&self, other: &Self) -> bool {
+        Self {
+            seq: other.seq,
+            ..self.clone()
+        } != *other
+    }
+
     /// Returns whether the record lists the model and, if the item has one, its adapter.
     pub fn holds(&self, item: &LoadItem) -> bool {
         holds_item(&self.models, item)
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -197,6 +197,7 @@
         leaving,
         models: Vec::new(),
         born_ms,
+        seq: 0,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -13,6 +13,7 @@
 mod key_in_debug_form;
 mod name_in_header;
 mod offset_of_an_earlier_era;
+mod older_server_list;
 mod prompt_part_that_crashes_servers;
 mod slow_store_answer;
 mod stale_load_report;
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -261,6 +261,7 @@
         leaving: false,
         models: Vec::new(),
         born_ms: 1,
+        seq: 0,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
