Keep daemons whose registration a restored store lacks

In a test the shares of a team added up to more than the whole (QUOTA). It renewed its record up to 14 s later, and got no pulses until then. Change: a registration has the era in which it was last read. A whole table of a newer era does not drop it; its term does. A daemon whose record is missing from a newer era, or is of another process, writes it again at once; the others do not write, so a drill causes no burst of writes. Copies between daemons carry the eras. Why it works: nobody takes a share while its holder may use it, and the time without a record is that of one read of the table.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -72,7 +72,9 @@
 pub use self::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
-pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
+pub use self::registry::{
+    DaemonRecord, DaemonRegistry, Registration, RegistryCopy, RegistrySettings,
+};
 pub use self::server::{RelayServer, bind_readiness};
 pub use self::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -17,7 +17,7 @@
 
 use crate::ids::VmId;
 use crate::relay::pulse::{Pulse, PulseSchedule};
-use crate::relay::registry::DaemonRecord;
+use crate::relay::registry::RegistryCopy;
 use crate::relay::server_list::ServerDelta;
 
 /// Number of pulse intervals without a pulse after which a daemon counts as dead.
@@ -49,8 +49,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableCopy {
     pub servers: ServerDelta,
-    /// Name, record and age of each registration, if requested.
-    pub daemons: Option<Vec<(SmolStr, DaemonRecord, Duration)>>,
+    /// The registered daemons, if requested.
+    pub daemons: Option<RegistryCopy>,
 }
 
 /// Whether this daemon's own reads of the store succeed.
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -7,6 +7,9 @@
 //! A daemon may use its shares for a term after it last renewed its record. A daemon whose record is not renewed for
 //! longer than the term, while the records are readable without interruption, is dropped. A new daemon waits until all
 //! others have read its record before it uses its shares.
+//!
+//! A restored store may lack records that daemons rely on. A daemon whose record it lacks writes it again at once, and
+//! the others keep it for its term.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -16,18 +19,18 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalog::TeamSpec;
 use crate::error::{Error, Result};
-use crate::ids::VmId;
+use crate::ids::{StoreEra, VmId};
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::{ShareGrant, ShareSink, WHOLE_PPM};
 use crate::peer::PeerCaller;
 use crate::relay::follower::{TableChange, TableSink};
-use crate::relay::store::{KeyedRecord, RecordStore, StoreTable};
+use crate::relay::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 use crate::timer::TimerService;
 
 /// Time between two renewals. It is less than half of the usual term, so that one renewal may be lost.
@@ -72,10 +75,31 @@
     pub settle_time: Duration,
 }
 
+/// A registered daemon in a copy of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    pub name: SmolStr,
+    pub record: DaemonRecord,
+    /// Time since the record was last read.
+    pub age: Duration,
+    /// Era of the store in which the record was last read.
+    pub era: StoreEra,
+}
+
+/// Copy of the registered daemons.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistryCopy {
+    /// Newest era of the store in which the table was read.
+    pub era: StoreEra,
+    pub registrations: Vec<Registration>,
+}
+
 struct Member {
     record: DaemonRecord,
     /// When its record was last read.
     seen_at: Instant,
+    /// Era of the store in which its record was last read.
+    era: StoreEra,
 }
 
 #[derive(Default)]
@@ -90,8 +114,12 @@
     registered_at: Option<Instant>,
     /// When the last acknowledged renewal was sent.
     renewed_at: Option<Instant>,
-    /// Increases with each change of the registered daemons.
+    /// Increases with each change of the registered daemons or of the era.
     version: u64,
+    /// Newest era of the store in which the table was read.
+    era: Option<StoreEra>,
+    /// When the table was first read in this era.
+    era_since: Option<Instant>,
 }
 
 /// The registered daemons. Share it in an [`Arc`].
@@ -99,6 +127,8 @@
     settings: RegistrySettings,
     state: Mutex<RegistryState>,
     count: watch::Sender<u32>,
+    /// Wakes the renewal of this daemon's record when the store has lost it.
+    lost: Notify,
 }
 
 impl DaemonRegistry {
@@ -108,6 +138,7 @@
             settings,
             state: Mutex::default(),
             count: watch::Sender::new(MIN_DAEMONS),
+            lost: Notify::new(),
         }
     }
 
@@ -202,26 +233,58 @@
             .collect()
     }
 
-    /// Returns all registered daemons, including this one, with the time since each record was last read.
-    pub fn registrations(&self, now: Instant) -> Vec<(SmolStr, DaemonRecord, Duration)> {
+    /// Returns the newest era of the store in which the table was read.
+    pub fn era(&self) -> StoreEra {
+        self.state().era.unwrap_or_default()
+    }
+
+    /// Returns all registered daemons, including this one, for a daemon that copies the table.
+    pub fn registrations(&self, now: Instant) -> RegistryCopy {
         let state = self.state();
         let members = state.members.iter();
-        let copies = members.map(|(name, member)| {
-            let age = now.saturating_duration_since(member.seen_at);
-            (name.clone(), member.record.clone(), age)
+        let registrations = members.map(|(name, member)| Registration {
+            name: name.clone(),
+            record: member.record.clone(),
+            age: now.saturating_duration_since(member.seen_at),
+            era: member.era,
         });
-        copies.collect()
+        RegistryCopy {
+            era: state.era.unwrap_or_default(),
+            registrations: registrations.collect(),
+        }
     }
 
-    /// Replaces the registered daemons by a copy from another daemon.
-    pub fn apply_copy(&self, daemons: Vec<(SmolStr, DaemonRecord, Duration)>, now: Instant) {
+    /// Replaces the registered daemons by a copy from another daemon, unless the copy is of an older era of the store.
+    pub fn apply_copy(&self, copy: RegistryCopy, now: Instant) {
         let mut state = self.state();
-        state.retain(|name, _| daemons.iter().any(|(other, _, _)| other == name));
-        for (name, record, age) in daemons {
-            let seen_at = now.checked_sub(age).unwrap_or(now);
-            state.insert(name, record, seen_at);
+        if !state.enter_era(copy.era, now) {
+            return;
+        }
+        state.retain_listed(copy.era, |name| {
+            copy.registrations.iter().any(|other| other.name == *name)
+        });
+        for copied in copy.registrations {
+            let member = Member {
+                record: copied.record,
+                seen_at: now.checked_sub(copied.age).unwrap_or(now),
+                era: copied.era,
+            };
+            state.insert(copied.name, member);
         }
         state.readable_since.get_or_insert(now);
+        self.check_own_record(&state);
+    }
+
+    /// Wakes the renewal of this daemon's record if the store lost it after the last renewal.
+    fn check_own_record(&self, state: &RegistryState) {
+        let own = state.members.get(&self.settings.name);
+        let is_listed = own.is_some_and(|own| {
+            Some(own.era) == state.era && own.record.vm == self.settings.record.vm
+        });
+        if !is_listed && state.renewed_at.is_some() && state.renewed_at < state.era_since {
+            log::info!("the store has lost the record of this daemon, which is written again");
+            self.lost.notify_one();
+        }
     }
 
     /// Returns this daemon's name and record.
@@ -273,16 +336,26 @@
                 return;
             }
             TableChange::Snapshot(read) => {
-                let records = read.records;
+                if !state.enter_era(read.era, now) {
+                    return;
+                }
+                let records = &read.records;
                 let own = records
                     .iter()
                     .any(|record| record.key == self.settings.name && record.value.is_some());
                 state.was_registered.get_or_insert(own);
-                let listed = |name: &SmolStr| records.iter().any(|record| record.key == *name);
-                state.retain(|name, _| listed(name));
-                state.apply(records, now);
+                state.retain_listed(read.era, |name| {
+                    records.iter().any(|record| record.key == *name)
+                });
+                state.apply(read, now);
+                self.check_own_record(&state);
+            }
+            TableChange::Records(read) => {
+                if !state.enter_era(read.era, now) {
+                    return;
+                }
+                state.apply(read, now);
             }
-            TableChange::Records(read) => state.apply(read.records, now),
         }
         state.readable_since.get_or_insert(now);
     }
@@ -314,10 +387,30 @@
         (settled && now < until).then_some(until)
     }
 
-    fn insert(&mut self, name: SmolStr, record: DaemonRecord, seen_at: Instant) {
-        let known = self.members.get(&name).map(|member| &member.record);
-        self.version += u64::from(known != Some(&record));
-        self.members.insert(name, Member { record, seen_at });
+    /// Notes that the table was read in `era`. Returns false if it was already read in a newer one.
+    fn enter_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        if self.era.is_some_and(|known| era < known) {
+            return false;
+        }
+        let known = self.era.replace(era);
+        if known.is_some_and(|known| era > known) {
+            // Daemons that copy the table learn of the era.
+            self.version += 1;
+            self.era_since = Some(now);
+        }
+        true
+    }
+
+    /// Drops the daemons that a whole table of `era` does not list. One whose record was last read in an earlier era is
+    /// kept until its term ends: the store may have lost the record while the daemon still uses its shares.
+    fn retain_listed(&mut self, era: StoreEra, listed: impl Fn(&SmolStr) -> bool) {
+        self.retain(|name, member| member.era < era || listed(name));
+    }
+
+    fn insert(&mut self, name: SmolStr, member: Member) {
+        let known = self.members.get(&name).map(|known| &known.record);
+        self.version += u64::from(known != Some(&member.record));
+        self.members.insert(name, member);
     }
 
     fn retain(&mut self, keep: impl Fn(&SmolStr, &Member) -> bool) {
@@ -326,14 +419,21 @@
         self.version += (before - self.members.len()) as u64;
     }
 
-    fn apply(&mut self, records: Vec<KeyedRecord>, now: Instant) {
-        for KeyedRecord { key, value } in records {
+    fn apply(&mut self, read: TableRead, now: Instant) {
+        for KeyedRecord { key, value } in read.records {
             let Some(value) = value else {
                 self.retain(|name, _| *name != key);
                 continue;
             };
             match decode(&value) {
-                Ok(record) => self.insert(key, record, now),
+                Ok(record) => {
+                    let member = Member {
+                        record,
+                        seen_at: now,
+                        era: read.era,
+                    };
+                    self.insert(key, member);
+                }
                 Err(error) => log::warn!("skipping the record of daemon {key}: {error}"),
             }
         }
@@ -366,7 +466,10 @@
             }
             Err(_) => RENEW_RETRY_DELAY,
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = registry.lost.notified() => {}
+        }
     }
 }
 
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -9,8 +9,8 @@
 
 use foxtailhill::ids::VmId;
 use foxtailhill::relay::{
-    CopySource, FetchHistory, ReaderElection, RelayFleet, ServerChange, ServerEntry, StoreHealth,
-    TableCopy,
+    CopySource, FetchHistory, ReaderElection, RegistryCopy, RelayFleet, ServerChange, ServerEntry,
+    StoreHealth, TableCopy,
 };
 use pulse_support::pulse;
 use rand::rngs::StdRng;
@@ -170,7 +170,7 @@
     let first = history.request(source, now);
     assert_eq!((first.servers_version, first.daemons), (None, true));
     let mut copy = TableCopy {
-        daemons: Some(Vec::new()),
+        daemons: Some(RegistryCopy::default()),
         ..TableCopy::default()
     };
     copy.servers.version = 7;
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -15,6 +15,7 @@
 mod offset_of_an_earlier_era;
 mod older_server_list;
 mod prompt_part_that_crashes_servers;
+mod registration_lost_by_the_store;
 mod slow_store_answer;
 mod stale_load_report;
 mod stream_broken_inside_an_event;
--- a/tests/regression/team_share_deadlock.rs
+++ b/tests/regression/team_share_deadlock.rs
@@ -4,13 +4,15 @@
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
-use foxtailhill::ids::VmId;
+use foxtailhill::ids::{StoreEra, VmId};
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::limit::LimitService;
 use foxtailhill::member::PeerTable;
 use foxtailhill::peer::PeerClient;
 use foxtailhill::platform::{self, StoreClient};
-use foxtailhill::relay::{ConfigHolder, DaemonRecord, DaemonRegistry, RegistrySettings};
+use foxtailhill::relay::{
+    ConfigHolder, DaemonRecord, DaemonRegistry, Registration, RegistryCopy, RegistrySettings,
+};
 use foxtailhill::timer::TimerService;
 use serde_json::json;
 
@@ -64,11 +66,17 @@
             term: WAIT_TIMEOUT,
             settle_time: Duration::ZERO,
         }));
-        let daemons = (0..DAEMONS).map(|number| {
-            let name = format!("vm-{number}").into();
-            (name, record(number), Duration::ZERO)
+        let daemons = (0..DAEMONS).map(|number| Registration {
+            name: format!("vm-{number}").into(),
+            record: record(number),
+            age: Duration::ZERO,
+            era: StoreEra(1),
         });
-        registry.apply_copy(daemons.collect(), Instant::now());
+        let copy = RegistryCopy {
+            era: StoreEra(1),
+            registrations: daemons.collect(),
+        };
+        registry.apply_copy(copy, Instant::now());
         // The store is not asked: the daemon has not read the list of daemons from it.
         let store = Arc::new(StoreClient::open(([127, 0, 0, 1], 9).into()));
         let timer = TimerService::spawn(&group);
--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -8,14 +8,14 @@
 use bytes::Bytes;
 use foxtailhill::Result;
 use foxtailhill::catalog::TeamSpec;
-use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::ids::{LogOffset, StoreEra, VmId};
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::limit::LimitService;
 use foxtailhill::member::{PeerTable, WHOLE_PPM};
 use foxtailhill::peer::PeerClient;
 use foxtailhill::relay::{
-    DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, RegistrySettings, StoreTable,
-    TableChange, TableRead, TableSink,
+    DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, Registration, RegistryCopy,
+    RegistrySettings, StoreTable, TableChange, TableRead, TableSink,
 };
 use foxtailhill::timer::TimerService;
 use smol_str::SmolStr;
@@ -56,12 +56,17 @@
     }
 }
 
-fn daemons(count: u16) -> Vec<(SmolStr, DaemonRecord, Duration)> {
-    let daemons = (0..count).map(|number| {
-        let name = format!("vm-{number}").into();
-        (name, record(number), Duration::ZERO)
+fn daemons(count: u16) -> RegistryCopy {
+    let daemons = (0..count).map(|number| Registration {
+        name: format!("vm-{number}").into(),
+        record: record(number),
+        age: Duration::ZERO,
+        era: StoreEra(1),
     });
-    daemons.collect()
+    RegistryCopy {
+        era: StoreEra(1),
+        registrations: daemons.collect(),
+    }
 }
 
 fn team(name: &str) -> TeamSpec {
@@ -112,6 +117,7 @@
             key: OWN.into(),
             value: Some(own.into()),
         }],
+        era: StoreEra(1),
         ..TableRead::default()
     }));
     registry.spawn(
