Refuse copies of tables from an earlier era of the store

Cause (read in the code): daemons learn of a drill seconds apart, and a daemon copied the tables of one that had not read the restored store yet. Its count of versions says nothing about eras. Change: a copy with a table of an earlier era counts as a failure of its source, so another is asked. Why it works: which of two copies is newer is decided by the era first, and within an era by the reads of the store as before.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -56,6 +56,23 @@
         }
     }
 
+    /// Returns `copy`, unless this daemon has tables of a newer era of the store.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if a table of the copy is of an older era.
+    pub fn check_era(&self, copy: TableCopy) -> Result<TableCopy> {
+        let (servers, daemons) = (self.fleet.era(), self.registry.era());
+        let copied = copy.daemons.as_ref().map_or(daemons, |copied| copied.era);
+        if copy.servers.era < servers || copied < daemons {
+            return Err(Error::unavailable(format!(
+                "the copy is from eras {} and {copied} of the store; this daemon is at {servers} and {daemons}",
+                copy.servers.era
+            )));
+        }
+        Ok(copy)
+    }
+
     fn apply(&self, copy: TableCopy) {
         let now = Instant::now();
         let changes = copy.servers.into_changes();
@@ -92,16 +109,17 @@
             continue;
         };
         let request = PeerRequest::FetchTables(history.request(source, now));
-        match client.call(source.peer, request, FETCH_TIMEOUT).await {
-            Ok(PeerReply::Tables(copy)) => {
+        let reply = client.call(source.peer, request, FETCH_TIMEOUT).await;
+        let copy = reply.and_then(|reply| match reply {
+            PeerReply::Tables(copy) => tables.check_era(copy),
+            _ => Err(wire::protocol("the reply is of another kind")),
+        });
+        match copy {
+            Ok(copy) => {
                 history.note_fetch(source, &copy, now);
                 metrics.count(&metrics.copies, "whole");
                 tables.apply(copy);
             }
-            Ok(_) => log::warn!(
-                "{} answered a request for tables with a reply of another kind",
-                source.peer
-            ),
             Err(error) => {
                 log::info!("no tables could be fetched from {}: {error}", source.peer);
                 metrics.count(&metrics.copies, "failed");
--- /dev/null
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -0,0 +1,119 @@
+//! A daemon copied the tables of another one that had not read the restored store yet, and went back to the older ones.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxtailhill::ids::{StoreEra, VmId};
+use foxtailhill::relay::{
+    ConfigHolder, CopyTables, DaemonRecord, DaemonRegistry, Registration, RegistryCopy,
+    RegistrySettings, RelayFleet, ServerChange, ServerDelta, ServerEntry, TableCopy,
+};
+
+fn server(index: u64) -> ServerEntry {
+    ServerEntry {
+        id: format!("i-{index}").into(),
+        service: "desk".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "north".into(),
+        slots: 6,
+        leaving: false,
+        models: Vec::new(),
+        born_ms: 1_000,
+        seq: 1,
+        in_host_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn list(era: u64, servers: &[u64]) -> ServerDelta {
+    ServerDelta {
+        version: 7,
+        era: StoreEra(era),
+        is_snapshot: true,
+        changed: servers.iter().map(|index| server(*index)).collect(),
+        removed: Vec::new(),
+    }
+}
+
+fn record(number: u16) -> DaemonRecord {
+    DaemonRecord {
+        vm: VmId(number.into()),
+        zone: "north".into(),
+        peer: ([127, 0, 0, 1], number).into(),
+        pulse: ([127, 0, 0, 1], number).into(),
+    }
+}
+
+fn daemons(era: u64, numbers: &[u16]) -> RegistryCopy {
+    let registrations = numbers.iter().map(|number| Registration {
+        name: format!("vm-{number}").into(),
+        record: record(*number),
+        age: Duration::ZERO,
+        era: StoreEra(era),
+    });
+    RegistryCopy {
+        era: StoreEra(era),
+        registrations: registrations.collect(),
+    }
+}
+
+fn open_registry() -> DaemonRegistry {
+    DaemonRegistry::new(RegistrySettings {
+        name: "vm-0".into(),
+        record: record(0),
+        term: Duration::from_secs(30),
+        settle_time: Duration::ZERO,
+    })
+}
+
+/// Guards against a copy of an earlier era that is applied, and against one of the same era that is not.
+#[test]
+fn copy_of_an_earlier_era_is_refused() {
+    let now = Instant::now();
+    let tables = CopyTables {
+        configs: Arc::new(ConfigHolder::new("config", |_| {
+            Err(foxtailhill::error::Error::invalid("none"))
+        })),
+        fleet: Arc::default(),
+        registry: Arc::new(open_registry()),
+    };
+    tables.fleet.apply(list(2, &[1]).into_changes(), now);
+    tables.registry.apply_copy(daemons(2, &[0, 1]), now);
+    let copy = |servers, daemons_era| TableCopy {
+        servers: list(servers, &[1, 2]),
+        daemons: Some(daemons(daemons_era, &[0, 1, 2])),
+    };
+    assert!(tables.check_era(copy(1, 2)).is_err());
+    assert!(tables.check_era(copy(2, 1)).is_err());
+    assert!(tables.check_era(copy(2, 2)).is_ok());
+    assert!(tables.check_era(copy(3, 2)).is_ok());
+    tables.fleet.apply(list(1, &[1, 2]).into_changes(), now);
+    assert_eq!(tables.fleet.servers().len(), 1);
+    tables.registry.apply_copy(daemons(1, &[0, 1, 2]), now);
+    assert_eq!(tables.registry.peers().len(), 1);
+}
+
+/// Guards against a new era that is not announced to the daemons that copy the tables because no record has changed.
+#[test]
+fn copies_tell_the_era() {
+    let now = Instant::now();
+    let fleet = RelayFleet::new();
+    fleet.apply(list(1, &[1]).into_changes(), now);
+    let version = fleet.version();
+    fleet.apply(
+        vec![
+            ServerChange::Era(StoreEra(2)),
+            ServerChange::Snapshot(vec![server(1)]),
+        ],
+        now,
+    );
+    assert!(fleet.version() > version);
+    assert_eq!(fleet.changes_since(Some(version)).era, StoreEra(2));
+    let registry = open_registry();
+    registry.apply_copy(daemons(1, &[0]), now);
+    let version = registry.version();
+    registry.apply_copy(daemons(2, &[0]), now);
+    assert!(registry.version() > version);
+    assert_eq!(registry.registrations(now).era, StoreEra(2));
+}
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -8,6 +8,7 @@
 mod relay_support;
 
 mod config_copy_over_slow_link;
+mod copy_of_an_earlier_era;
 mod demand_tracker_deadlock;
 mod hangup;
 mod key_in_debug_form;
