Let a starting daemon wait for a newer configuration of its peers

Cause: a daemon that starts after a drill reads an older configuration than its peers have, and reported that it was ready with it, before it could hear of theirs (CONFIG). Change: until it is ready for the first time, a daemon is not ready while a live peer has a newer configuration (5 s at most), nor before it has heard a peer, if any is registered (1 s at most). Measured: with the check switched off, the test of regression/older_configuration_at_start failed; with it, it passes. Why it works: the peers' configuration is fetched as before, only before the first callers are sent here. The limits keep a daemon that cannot hear or fetch in use.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -23,11 +23,11 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    ConfigHolder, CopyTables, CrashDetector, CrashWatch, DaemonRecord, DaemonRegistry, FollowPace,
-    LeaseCandidate, LeaseManager, PlannerContext, ReaderElection, RegistrySettings, RelayContext,
-    RelayDispatcher, RelayFleet, RelayServer, ReplicaPlanner, RetryLimits, ServerSink, StoreHealth,
-    StoreTable, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
-    spawn_pulses,
+    ConfigHolder, ConfigKnowledge, CopyTables, CrashDetector, CrashWatch, DaemonRecord,
+    DaemonRegistry, FollowPace, LeaseCandidate, LeaseManager, PlannerContext, ReaderElection,
+    RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer, ReplicaPlanner,
+    RetryLimits, ServerSink, StartGate, StoreHealth, StoreTable, UpstreamPool, bind_readiness,
+    follow_configs, follow_copies, follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -205,6 +205,8 @@
         fleet: services.fleet.clone(),
         registry: services.registry.clone(),
         limits: services.limits.clone(),
+        readers: services.readers.clone(),
+        gate: StartGate::open(Instant::now()),
         draining: draining.clone(),
     });
     let answer = state.clone();
@@ -428,6 +430,8 @@
     fleet: Arc<RelayFleet>,
     registry: Arc<DaemonRegistry>,
     limits: Arc<LimitService<PeerClient>>,
+    readers: Arc<ReaderElection>,
+    gate: StartGate,
     draining: Arc<AtomicBool>,
 }
 
@@ -442,7 +446,14 @@
         if self.fleet.servers().is_empty() {
             return Err(Error::unavailable("no backend server is known yet"));
         }
-        Ok(())
+        let now = Instant::now();
+        let known = ConfigKnowledge {
+            in_force: self.configs.version(),
+            newest: self.readers.newest_config_version(now),
+            has_peers: !self.registry.peers().is_empty(),
+            hears_peers: !self.readers.live_peers(now).is_empty(),
+        };
+        self.gate.check(known, now)
     }
 
     fn dump(&self) -> Value {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,6 +31,7 @@
 mod registry;
 mod server;
 mod server_list;
+mod start_gate;
 mod store;
 mod trace;
 mod upstream;
@@ -77,5 +78,6 @@
 };
 pub use self::server::{RelayServer, bind_readiness};
 pub use self::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry};
+pub use self::start_gate::{ConfigKnowledge, StartGate};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::upstream::{UpstreamAnswer, UpstreamPool};
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -14,6 +14,7 @@
 mod key_in_debug_form;
 mod name_in_header;
 mod offset_of_an_earlier_era;
+mod older_configuration_at_start;
 mod older_server_list;
 mod prompt_part_that_crashes_servers;
 mod registration_lost_by_the_store;
