Test that eras and numbers of writes reach the list of servers

Callers: none. Cause: the tests of the list applied changes of it and not records of the store, so nothing showed that the era of a read and the number of writes of a record reach it, nor that a server's periodic write is no change. Change: two tests in regression/older_server_list. Measured: both pass, as do the five others of the module.

--- a/tests/regression/older_server_list.rs
+++ b/tests/regression/older_server_list.rs
@@ -1,10 +1,17 @@
 //! The list of servers of a restored store is older than what a daemon knows. It took the place of the newer one.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foxtailhill::ids::StoreEra;
-use foxtailhill::relay::{RelayFleet, ServerChange, ServerEntry};
+use foxtailhill::platform::decode_server;
+use foxtailhill::relay::{
+    KeyedRecord, RelayFleet, ServerChange, ServerEntry, ServerSink, TableChange, TableRead,
+    TableSink,
+};
+use serde_json::json;
 
 fn server(index: u64, seq: u64, leaving: bool) -> ServerEntry {
     ServerEntry {
@@ -145,3 +152,55 @@
     fleet.apply(put(2, server(1, 1, false)), later);
     assert!(usable(&fleet).contains(&"i-1".into()));
 }
+
+fn record(key: &str, state: &str, seq: u64) -> KeyedRecord {
+    let record = json!({
+        "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "slots": 6, "state": state, "seq": seq,
+        "born": 1_000
+    });
+    KeyedRecord {
+        key: key.into(),
+        value: Some(Bytes::from(record.to_string())),
+    }
+}
+
+fn read(era: u64, records: Vec<KeyedRecord>) -> TableRead {
+    TableRead {
+        records,
+        era: StoreEra(era),
+        ..TableRead::default()
+    }
+}
+
+/// Guards against an era or a number of writes that is read from the store and does not reach the list.
+#[test]
+fn records_of_a_restored_store_reach_the_list_with_their_era() {
+    let fleet = Arc::new(RelayFleet::new());
+    let sink = ServerSink::new(decode_server, fleet.clone());
+    let listed = || vec![record("i-1", "ready", 5), record("i-2", "ready", 5)];
+    sink.apply(TableChange::Snapshot(read(1, listed())));
+    let later = vec![record("i-1", "draining", 6), record("i-3", "ready", 1)];
+    sink.apply(TableChange::Records(read(1, later)));
+    sink.apply(TableChange::Snapshot(read(2, listed())));
+    assert_eq!(fleet.era(), StoreEra(2));
+    assert_eq!(usable(&fleet), ["i-2", "i-3"]);
+    sink.apply(TableChange::Records(read(
+        1,
+        vec![record("i-2", "draining", 9)],
+    )));
+    assert_eq!(usable(&fleet), ["i-2", "i-3"]);
+}
+
+/// Guards against a list that counts as changed, and is copied by all other daemons, each time that a server writes its
+/// record.
+#[test]
+fn number_of_writes_alone_is_no_change() {
+    let start = Instant::now();
+    let fleet = open(start);
+    let version = fleet.version();
+    fleet.apply(put(1, server(1, 6, false)), start);
+    assert_eq!(fleet.version(), version);
+    assert!(fleet.changes_since(Some(version)).changed.is_empty());
+    fleet.apply(put(1, server(1, 7, true)), start);
+    assert_eq!(fleet.changes_since(Some(version)).changed.len(), 1);
+}
