--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -23,9 +23,8 @@
     state: StateRecord,
     #[serde(rename = "cold-left-ms")]
     _cold_left_ms: f64,
-    /// Counts writes of the record, whereas in a report it counts orders.
-    #[serde(rename = "seq")]
-    _seq: u64,
+    /// Number of writes of the record since the start. In a report a field of this name counts orders.
+    seq: u64,
     /// Unix time of the start, in milliseconds.
     #[serde(default)]
     born: u64,
@@ -82,6 +81,7 @@
         leaving: matches!(server.state, StateRecord::Draining),
         models: server.models.into_iter().map(HeldModel::from).collect(),
         born_ms: server.born,
+        seq: server.seq,
         in_host_memory: model_names(&server.at_hand, "in-memory"),
         on_disk: model_names(&server.at_hand, "on-disk"),
     })
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -191,10 +191,13 @@
 
 impl TableSink for ConfigHolder {
     fn apply(&self, change: TableChange) {
-        let (TableChange::Snapshot(records) | TableChange::Records(records)) = change else {
+        let (TableChange::Snapshot(read) | TableChange::Records(read)) = change else {
             return;
         };
-        let own = records.into_iter().filter(|record| record.key == self.key);
+        let own = read
+            .records
+            .into_iter()
+            .filter(|record| record.key == self.key);
         for value in own.filter_map(|record| record.value) {
             self.offer_record(value);
         }
@@ -257,20 +260,24 @@
     fn apply(&self, change: TableChange) {
         let changes = match change {
             TableChange::Unreachable => vec![ServerChange::Unreachable],
-            TableChange::Snapshot(records) => {
+            TableChange::Snapshot(read) => {
+                let records = read.records.iter();
                 self.malformed()
-                    .retain(|key| records.iter().any(|record| record.key == *key));
-                let records = records.iter();
+                    .retain(|key| records.clone().any(|record| record.key == *key));
                 let entries = records.filter_map(|record| {
                     let value = record.value.as_ref()?;
                     self.decode_entry(&record.key, value)
                 });
-                vec![ServerChange::Snapshot(entries.collect())]
+                let snapshot = ServerChange::Snapshot(entries.collect());
+                vec![ServerChange::Era(read.era), snapshot]
+            }
+            TableChange::Records(read) => {
+                let changes = read.records.iter();
+                let changes = changes.filter_map(|record| self.change(record));
+                std::iter::once(ServerChange::Era(read.era))
+                    .chain(changes)
+                    .collect()
             }
-            TableChange::Records(records) => records
-                .iter()
-                .filter_map(|record| self.change(record))
-                .collect(),
         };
         self.fleet.apply(changes, Instant::now());
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,6 +34,7 @@
 mod request;
 mod server;
 mod server_list;
+mod start_gate;
 mod store;
 mod trace;
 mod upstream;
@@ -77,9 +78,12 @@
 pub use self::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
-pub use self::registry::{DaemonRecord, DaemonRegistry, RegistrySettings};
+pub use self::registry::{
+    DaemonRecord, DaemonRegistry, Registration, RegistryCopy, RegistrySettings,
+};
 pub use self::request::{RelayPiece, ResponseHead};
 pub use self::server::{RelayServer, bind_readiness};
 pub use self::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry};
+pub use self::start_gate::{ConfigKnowledge, StartGate};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::upstream::{UpstreamAnswer, UpstreamPool};
--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -10,7 +10,7 @@
 use foxtailhill::platform::{StoreClient, decode_server};
 use foxtailhill::relay::{
     DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, RegistrySettings, RelayFleet,
-    ServerSink, StoreTable, TableChange, TableSink,
+    ServerSink, StoreTable, TableChange, TableRead, TableSink,
 };
 use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::{Value, json};
@@ -70,6 +70,13 @@
     record.into()
 }
 
+fn read(records: Vec<KeyedRecord>) -> TableRead {
+    TableRead {
+        records,
+        ..TableRead::default()
+    }
+}
+
 fn record(key: &str, value: impl Into<Bytes>) -> KeyedRecord {
     KeyedRecord {
         key: key.into(),
@@ -152,9 +159,9 @@
         let fleet = Arc::new(RelayFleet::new());
         let sink = ServerSink::new(decode_server, fleet.clone());
         let records = || vec![record("i-2", odd.clone()), record("i-1", sound.clone())];
-        sink.apply(TableChange::Snapshot(records()));
+        sink.apply(TableChange::Snapshot(read(records())));
         assert_eq!(ids(&fleet), ["i-1"], "{case}");
-        sink.apply(TableChange::Records(records()));
+        sink.apply(TableChange::Records(read(records())));
         assert_eq!(ids(&fleet), ["i-1"], "{case}");
     }
     Ok(())
@@ -165,10 +172,10 @@
 fn odd_record_that_is_written_again_is_logged_once() {
     assert_eq!(count_lines("server `i-odd`"), 0);
     let sink = ServerSink::new(decode_server, Arc::default());
-    let write = |value: Bytes| sink.apply(TableChange::Records(vec![record("i-odd", value)]));
+    let write = |value: Bytes| sink.apply(TableChange::Records(read(vec![record("i-odd", value)])));
     for _ in 0..5 {
         write(with_field("address", Some("\"10.0.0.9:70000\"")));
-        sink.apply(TableChange::Snapshot(vec![record("i-odd", "{")]));
+        sink.apply(TableChange::Snapshot(read(vec![record("i-odd", "{")])));
     }
     assert_eq!(count_lines("server `i-odd`"), 1);
     write(sound().to_string().into());
@@ -229,10 +236,10 @@
         let mut odd = encoded[..start].to_vec();
         odd.push(253);
         odd.extend([0xff; 8]);
-        registry.apply(TableChange::Snapshot(vec![
+        registry.apply(TableChange::Snapshot(read(vec![
             record("entry-1", odd),
             record("entry-2", encoded.clone()),
-        ]));
+        ])));
         let peers = registry.peers();
         assert!(peers.iter().any(|(name, _)| name == "entry-2"), "{start}");
     }
--- a/tests/relay_planner_era.rs
+++ b/tests/relay_planner_era.rs
@@ -125,6 +125,7 @@
         leaving: false,
         models: Vec::new(),
         born_ms: 1,
+        seq: 0,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
