Copy the whole list of servers after records of a restored store were ignored

Cause: a daemon ignores an older record, while the one that it copies from, which may have started since, lists the server by it. When the server writes its record again with nothing else changed, that is no change of the source's list, so it was never sent and the daemon did not list the server until it became a reader or changed its source. Change: when the time in which older records are ignored has ended and any was, the next copy is a whole list. Measured: regression/copy_of_an_earlier_era has a test of the flag and of the whole list, which passes; there was no such flag before, so it did not compile. The fetch itself is not tested. Why it works: a whole list has every server of the source, and by then its records are those that live servers have written.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -104,6 +104,9 @@
             history.clear();
             continue;
         }
+        if tables.fleet.take_resync(now) {
+            history.clear();
+        }
         let source = readers.source(history.failed_source(now), now);
         let Some(source) = source.filter(|source| history.is_due(*source, now)) else {
             continue;
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -95,6 +95,8 @@
     era: Option<StoreEra>,
     /// When the list was first read in this era, unless it is the first that is known.
     restored_at: Option<Instant>,
+    /// Whether a record was ignored since then because a newer one is known.
+    has_ignored: bool,
 }
 
 /// All backend servers. Share it in an [`Arc`].
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::StoreEra;
 use crate::relay::announcements::server_start;
-use crate::relay::fleet::{FleetState, RemovedServer, ServerState};
+use crate::relay::fleet::{FleetState, RelayFleet, RemovedServer, ServerState};
 use crate::relay::server_list::{ServerChange, ServerEntry};
 
 /// Time after an outage of the store in which servers whose records expired write them again. The same holds for records
@@ -18,7 +18,25 @@
 /// Number of removed servers kept for daemons that copy the list.
 const MAX_REMOVED: usize = 512;
 
+impl RelayFleet {
+    /// Returns true once after records were ignored because the store had been restored. A daemon that copies the list
+    /// must then copy all of it: its source may have listed the servers by those records, and their later writes are no
+    /// change to it.
+    pub fn take_resync(&self, now: Instant) -> bool {
+        let mut state = self.state();
+        if state.is_restored(now) {
+            return false;
+        }
+        std::mem::take(&mut state.has_ignored)
+    }
+}
+
 impl FleetState {
+    /// Returns whether the store was restored lately, so that its records may be older than what is known.
+    fn is_restored(&self, now: Instant) -> bool {
+        self.restored_at.is_some_and(|at| at + LAPSE_TIME > now)
+    }
+
     /// Notes that changes come from `era`. Returns false if the list is of a newer era, so that they must be ignored.
     pub(super) fn enter_era(&mut self, era: StoreEra, now: Instant) -> bool {
         match self.era {
@@ -79,8 +97,7 @@
 
     /// Lists a server with its record, unless a restored store has an older record than is known.
     fn put(&mut self, entry: ServerEntry, now: Instant) {
-        let is_restored = self.restored_at.is_some_and(|at| at + LAPSE_TIME > now);
-        if !is_restored {
+        if !self.is_restored(now) {
             self.list(entry, now);
             return;
         }
@@ -90,14 +107,16 @@
                     "record of an earlier start of server {} is ignored",
                     entry.id
                 );
-                let id = entry.id;
-                self.handle_missing(&id, now);
+                self.has_ignored = true;
+                self.handle_missing(&entry.id, now);
             }
             Some(known) if known.entry.write_order() > entry.write_order() => {
                 log::info!("older record of server {} is ignored", entry.id);
+                self.has_ignored = true;
             }
             None if self.has_removed(&entry) => {
                 log::info!("record of removed server {} is ignored", entry.id);
+                self.has_ignored = true;
             }
             _ => self.list(entry, now),
         }
--- a/tests/regression/copy_of_an_earlier_era.rs
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -94,6 +94,24 @@
     assert_eq!(tables.registry.peers().len(), 1);
 }
 
+/// Guards against a daemon that never lists a server again whose record it ignored, because the server's later writes are
+/// no change to the daemon that it copies from.
+#[test]
+fn whole_list_is_copied_after_records_were_ignored() {
+    let start = Instant::now();
+    let copier = RelayFleet::new();
+    copier.apply(list(1, &[1, 2]).into_changes(), start);
+    copier.apply(vec![ServerChange::Removed("i-1".into())], start);
+    copier.apply(list(2, &[1, 2]).into_changes(), start);
+    assert_eq!(copier.servers().len(), 1);
+    assert!(!copier.take_resync(start));
+    let later = start + Duration::from_secs(7);
+    assert!(copier.take_resync(later));
+    assert!(!copier.take_resync(later));
+    copier.apply(list(2, &[1, 2]).into_changes(), later);
+    assert_eq!(copier.servers().len(), 2);
+}
+
 /// Guards against a new era that is not announced to the daemons that copy the tables because no record has changed.
 #[test]
 fn copies_tell_the_era() {
