Refuse a copy by the era of the list of servers only

Cause: refused a whole copy if its registrations were of an earlier era. Change: a copy is refused if its list is of an earlier era. Registrations of an earlier era are ignored when they are applied, as they were. Why it works: the two tables are read at their own times, so each is compared with its own era.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -56,18 +56,17 @@
         }
     }
 
-    /// Returns `copy`, unless this daemon has tables of a newer era of the store.
+    /// Returns `copy`, unless this daemon has a list of servers from a newer era of the store. The source may read the
+    /// daemons' records seconds later than the list, so their era is compared when they are applied.
     ///
     /// # Errors
     ///
-    /// `Unavailable` if a table of the copy is of an older era.
+    /// `Unavailable` if the list in the copy is of an older era.
     pub fn check_era(&self, copy: TableCopy) -> Result<TableCopy> {
-        let (servers, daemons) = (self.fleet.era(), self.registry.era());
-        let copied = copy.daemons.as_ref().map_or(daemons, |copied| copied.era);
-        if copy.servers.era < servers || copied < daemons {
+        let (copied, known) = (copy.servers.era, self.fleet.era());
+        if copied < known {
             return Err(Error::unavailable(format!(
-                "the copy is from eras {} and {copied} of the store; this daemon is at {servers} and {daemons}",
-                copy.servers.era
+                "the copy is from era {copied} of the store; this daemon is at {known}"
             )));
         }
         Ok(copy)
