Take back the reservations that wait for the budget of loads

While the budget is empty, a model with a reservation used no copy of another engine. That this is the reason is suspected, not shown.

--- a/src/relay/layout.rs
+++ b/src/relay/layout.rs
@@ -172,16 +172,11 @@
                 round.replicas[model] += 1;
                 return true;
             };
-            if !round.may_load(model, position) {
-                // The memory is free, but the load has to wait for the budget.
-                round.replicas[model] += 1;
-                return true;
-            }
             self.memory_reservations.remove(&name);
             round.engines[position].used_mb -= size;
             // Another engine may be cheaper by now, but the replica unloaded here would then have been lost for
             // nothing.
-            if round.fits(model, position) {
+            if round.fits(model, position) && round.may_load(model, position) {
                 self.load_ordered_at.insert((engine, name), now);
                 round.push_load(model, position);
                 return true;
