Leave half of the ceiling on loads to bursts

Callers saw fewer models placed after losses of engines: a budget that fills at the store's rate leaves a burst of two loads on the users' sites, and one or two orders without an answer held all of it. Cause: of what a window may hold, all but the tolerance went to the sustained rate, which losses of engines do not need. Change: half of the ceiling fills the bucket, the other half is its burst. Any window still holds at most both. The tests of the ceiling over hand-overs and late orders pass unchanged.

--- a/src/relay/load_budget.rs
+++ b/src/relay/load_budget.rs
@@ -42,10 +42,16 @@
         rate * self.window.as_secs_f64() * self.over + self.extra
     }
 
+    /// Returns the tokens per second at a rate in loads per second: half of what a window may hold. The other half is
+    /// left for bursts, as a loss of engines needs several loads at once.
+    fn fill_rate(&self, rate: f64) -> f64 {
+        self.max_loads(rate) / 2.0 / self.window.as_secs_f64()
+    }
+
     /// Returns the burst of a planner whose predecessor may have open orders, and that of any other planner. Their sum is
-    /// what a window may hold beyond the rate. Both are at least 1, as nothing could be loaded otherwise.
+    /// what a window may hold beyond the fill rate. Both are at least 1, as nothing could be loaded otherwise.
     fn bursts(&self, rate: f64) -> (f64, f64) {
-        let sum = self.max_loads(rate) - rate * self.window.as_secs_f64();
+        let sum = self.max_loads(rate) / 2.0;
         let first = (sum / 2.0).floor().max(1.0);
         (first, (sum - first).max(1.0))
     }
@@ -107,7 +113,8 @@
             true => first,
             false => later,
         };
-        self.tokens = (self.tokens + rate * passed.as_secs_f64()).min(burst);
+        let filled = self.ceiling.fill_rate(rate) * passed.as_secs_f64();
+        self.tokens = (self.tokens + filled).min(burst);
         // A lapsed order may have begun its load unnoticed.
         let open = self.open_loads.len();
         self.open_loads
