Send no further copies of an order to a silent engine

Callers would see no model placed for as long as an engine that is listed answers nothing: each copy of its order held the reservation in the budget of loads for 13 s more. Cause: an order without an answer was sent again every 1.2 s without end. Change: a further copy is sent only once the engine has answered a report since the last one. A silent engine is asked for reports, and its reservation lapses. Measured: relay_planner passes; no test of its own.

--- a/src/relay/engine_state.rs
+++ b/src/relay/engine_state.rs
@@ -37,6 +37,8 @@
     /// When a report was last requested.
     pub(super) asked_at: Option<Instant>,
     pub(super) open_order: Option<OpenOrder>,
+    /// When the engine last answered a call.
+    pub(super) answered_at: Option<Instant>,
     /// Whether a call to the engine is in progress.
     pub(super) call_in_flight: bool,
     /// Recently loaded adapters, with the time of the load.
@@ -54,6 +56,7 @@
             no_request_before: None,
             asked_at: None,
             open_order: None,
+            answered_at: None,
             call_in_flight: false,
             recent_adapter_loads: Vec::new(),
             uncertain_loads: Vec::new(),
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -90,7 +90,12 @@
             let may_ask = engine.asked_at.is_none_or(|at| at + REPORT_INTERVAL <= now)
                 && engine.no_request_before.is_none_or(|until| until <= now);
             let order = match &mut engine.open_order {
-                Some(open) if !open.accepted && open.sent_at + RESEND_DELAY <= now => {
+                // A silent engine gets no further copy, so that the reservations of its order lapse.
+                Some(open)
+                    if !open.accepted
+                        && open.sent_at + RESEND_DELAY <= now
+                        && engine.answered_at.is_some_and(|at| at > open.sent_at) =>
+                {
                     // The expected number of orders lets only one of the copies take effect.
                     open.sent_at = now;
                     Some(SentOrder {
@@ -330,7 +335,10 @@
         };
         engine.call_in_flight = false;
         let report = match report {
-            Ok(report) => report,
+            Ok(report) => {
+                engine.answered_at = Some(Instant::now());
+                report
+            }
             Err(error) => {
                 log::debug!("report request to engine {id} failed: {error}");
                 // A stopped engine is removed from the list; any other gets its order or a report request again.
