Leave a request at a silent server while others wait for its model

Callers could see a stream cut at a silent server although it was to stay there: the check for room at another server did not look at the queue, in which the stream then waited or was refused. Change: there is room only if nothing waits for the model. Measured: regression passes with silent_server; no test of its own.

--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -204,8 +204,16 @@
         }
     }
 
-    /// Returns whether a request would get a slot at once.
+    /// Returns whether a request would get a slot at once: nothing waits for the model, and a server is free.
     pub fn has_room(&self, mut route: RouteNeed) -> bool {
+        let queues = self.queues();
+        if queues
+            .get(&route.model)
+            .is_some_and(|queue| !queue.queue.is_empty())
+        {
+            return false;
+        }
+        drop(queues);
         let suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         route.avoid.extend(suspects.reserved_servers().cloned());
         drop(suspects);
