Let a request that was sent wait for its next server until the end of a shutdown

Callers could get 502 for a request that had been sent to a server and was moved to another one in the last second of a shutdown, as the time that a new request needs was taken off for it too. Change: that time is taken off only for requests that no server has had. Measured: unsent_request_at_shutdown passes; no test of its own.

--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -404,7 +404,11 @@
         pieces: &mpsc::Sender<Result<X::Piece>>,
     ) -> Attempt {
         let asked = Instant::now();
-        let expected_time = job.exchange.expected_time();
+        // A request that a server has had already is only failed early, not refused.
+        let expected_time = match job.exchange.verdict() {
+            RunVerdict::NotRun => job.exchange.expected_time(),
+            _ => Duration::ZERO,
+        };
         let slot = tokio::select! {
             slot = self.drain.run_unsent(expected_time, self.acquire(job)) => slot,
             () = pieces.closed() => return Attempt::Cancelled,
