Serve routes with a long target latency at the start of a shutdown

Callers would get 503 from the signal on where a route's target latency is as long as the shutdown, although servers were free. Found in review; the users' sites have targets of 4 s at most. Change: the time that is kept for an answer is at most half of the shutdown. Measured: unsent_request_at_shutdown passes; no test of its own.

--- a/src/dispatch/drain.rs
+++ b/src/dispatch/drain.rs
@@ -15,19 +15,31 @@
 /// `Retry-After` of a refusal. Other daemons take requests at once.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// The end of a shutdown, by which each request must have an answer.
+/// Part of the whole time of a shutdown that the expected time of an answer may take, as a divisor. A route with a long
+/// target latency would otherwise be refused from the start.
+const MAX_WORK_DIVISOR: u32 = 2;
+
+/// A shutdown and its end, by which each request must have an answer.
+#[derive(Clone, Copy, Debug)]
+struct DrainTime {
+    end: Instant,
+    length: Duration,
+}
+
+/// Tells requests when a shutdown ends.
 #[derive(Debug, Default)]
 pub struct DrainClock {
-    end: watch::Sender<Option<Instant>>,
+    time: watch::Sender<Option<DrainTime>>,
 }
 
 impl DrainClock {
     /// Starts the shutdown; the process ends at `end`.
     pub fn start(&self, end: Instant) {
-        self.end.send_replace(Some(end));
+        let length = end.saturating_duration_since(Instant::now());
+        self.time.send_replace(Some(DrainTime { end, length }));
     }
 
-    /// Runs a step of a request that has not been sent to a server and takes `work` once it is.
+    /// Runs a step before a request is sent to a server, which takes `work` once it is.
     ///
     /// # Errors
     ///
@@ -39,7 +51,7 @@
     ) -> Result<T> {
         tokio::select! {
             biased;
-            () = self.reach(work + REFUSAL_TIME) => {
+            () = self.reach(work, REFUSAL_TIME) => {
                 let message = "the daemon is shutting down";
                 Err(Error::new(Category::ShuttingDown, message).with_retry_after(RETRY_AFTER))
             }
@@ -59,7 +71,7 @@
                 Some(piece) => return piece,
                 None => Error::internal("the request ended without an answer"),
             },
-            () = self.reach(FAILURE_TIME) => {
+            () = self.reach(Duration::ZERO, FAILURE_TIME) => {
                 let message = "the daemon shut down before the answer began";
                 Error::new(Category::ShuttingDown, message)
             }
@@ -67,17 +79,18 @@
         Err(error.with_verdict(RunVerdict::MayHaveRun))
     }
 
-    /// Resolves `lead` before the end; never unless the daemon shuts down.
-    async fn reach(&self, lead: Duration) {
-        let mut ends = self.end.subscribe();
-        let end = match ends.wait_for(Option::is_some).await {
-            Ok(end) => *end,
+    /// Resolves when `work` can no longer be done `lead` before the end; never unless the daemon shuts down.
+    async fn reach(&self, work: Duration, lead: Duration) {
+        let mut times = self.time.subscribe();
+        let time = match times.wait_for(Option::is_some).await {
+            Ok(time) => *time,
             Err(_) => None,
         };
-        let Some(end) = end else {
+        let Some(DrainTime { end, length }) = time else {
             return std::future::pending().await;
         };
-        let time = end.checked_sub(lead).unwrap_or_else(Instant::now);
-        tokio::time::sleep_until(time.into()).await;
+        let lead = lead + work.min(length / MAX_WORK_DIVISOR);
+        let latest = end.checked_sub(lead).unwrap_or_else(Instant::now);
+        tokio::time::sleep_until(latest.into()).await;
     }
 }
