Take no retry for a request whose deadline has come

Callers of other requests could find the retry budget used up: a request at a silent server that reached its deadline took a retry that it could not use. Change: a request may be sent once more only if enough time is left to send it. Measured: regression and relay pass; no test of its own.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -140,9 +140,11 @@
         (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.arrived + target)
     }
 
-    /// Returns whether the request may be sent once more.
+    /// Returns whether the request may be sent once more, and can be before its deadline.
     fn has_attempts_left(&self) -> bool {
-        self.sends < MAX_SENDS && self.attempts < self.request.route.max_attempts
+        self.sends < MAX_SENDS
+            && self.attempts < self.request.route.max_attempts
+            && Instant::now() + MIN_TIME_LEFT < self.request.deadline
     }
 
     /// Takes a retry from the budget for a request whose server is silent, if another server can take it at once.
