Write whole records of servers in the test of eras

Cause: records that lack a field that every server writes name no server since the merge, and the test's records lacked two. Change: the test's records have all fields; its checks are unchanged. Measured: it failed on the merged code and passes.

--- a/tests/regression/older_server_list.rs
+++ b/tests/regression/older_server_list.rs
@@ -155,8 +155,8 @@
 
 fn record(key: &str, state: &str, seq: u64) -> KeyedRecord {
     let record = json!({
-        "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "slots": 6, "state": state, "seq": seq,
-        "born": 1_000
+        "service": "desk", "address": "10.0.0.9:8080", "zone": "north", "version": "1", "slots": 6, "state": state,
+        "cold-left-ms": 0, "seq": seq, "born": 1_000
     });
     KeyedRecord {
         key: key.into(),
