Reject a wrong answer to a resumed stream by its head

Callers waited for the end of an answer that could not continue their stream: it was read to its end, or until its time was over, before it was rejected.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -342,12 +342,16 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
         others: &impl OtherServers,
     ) -> Attempt {
-        let is_stream = match &self.sent_type {
-            Some(sent_type) => *sent_type == StreamType::of(&answer.head),
-            None => {
-                self.request.route.kind == CallKind::Streaming && answer.head.status.is_success()
-            }
-        };
+        if let Some(sent_type) = &self.sent_type
+            && *sent_type != StreamType::of(&answer.head)
+        {
+            let status = answer.head.status;
+            let message = format!("the backend server answered {status} to a resumed stream");
+            let error = Error::new(Category::Protocol, message);
+            return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+        }
+        let is_stream =
+            self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
         if is_stream {
             self.forward_stream(slot, answer, pieces, others).await
         } else {
@@ -383,12 +387,7 @@
                 Category::Protocol,
                 format!("the backend server answered {status}"),
             );
-            self.fallback = self.sent_type.is_none().then_some(piece);
-            return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
-        }
-        if self.sent_type.is_some() {
-            let message = format!("the backend server answered {status} to a resumed stream");
-            let error = Error::new(Category::Protocol, message);
+            self.fallback = Some(piece);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
         }
         self.verdict = RunVerdict::Ran;
