Give a request head that has begun its header time

Callers on a kept connection could get no answer when the idle time ended while a request's head was arriving. Found in review, not seen. Cause: the idle time was checked also while a head was incomplete. Change: the idle time ends a connection only between requests; an incomplete head has the header time. Measured: http, unanswered and leaving pass; no test of its own.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -382,7 +382,11 @@
                 let now = self.now();
                 let head_since = self.head_since.load(Ordering::SeqCst);
                 let idle_since = self.idle_since.load(Ordering::SeqCst);
-                if head_since != 0 && now >= head_since + header || now >= idle_since + idle {
+                let end = match head_since {
+                    0 => idle_since + idle,
+                    _ => head_since + header,
+                };
+                if now >= end {
                     return;
                 }
             }
