--- a/review/standins/driver.rs
+++ b/review/standins/driver.rs
@@ -16,7 +16,7 @@
 /// Longest wait for a process to accept requests.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest silence of a connection.
-const READ_TIMEOUT: Duration = Duration::from_secs(20);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A started process. It is killed when this is dropped.
 pub struct Process {
@@ -25,6 +25,21 @@
 }
 
 impl Process {
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let words = [format!("-{name}"), self.child.id().to_string()];
+        match Command::new("kill").args(words).status() {
+            Ok(status) if status.success() => Ok(()),
+            Ok(status) => Err(format!("kill ended with {status}")),
+            Err(error) => Err(format!("cannot run kill: {error}")),
+        }
+    }
+
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -125,19 +140,30 @@
     /// Starts a daemon with the command of the deploy file and its settings template, with the values of a small
     /// deployment. Returns it with the address for clients once it is ready.
     pub fn start_daemon(&self, name: &str, zone: &str) -> Result<(Process, String), String> {
+        let addresses = self.reserve_daemon()?;
+        let process = self.start_daemon_at(name, zone, &addresses)?;
+        Ok((process, addresses[0].clone()))
+    }
+
+    /// Returns addresses for a daemon: for clients, for the readiness check, for other daemons and for administration.
+    pub fn reserve_daemon(&self) -> Result<[String; 4], String> {
+        Ok([free_address()?, free_address()?, free_address()?, free_address()?])
+    }
+
+    /// As [`Self::start_daemon`], with given addresses.
+    pub fn start_daemon_at(&self, name: &str, zone: &str, addresses: &[String; 4]) -> Result<Process, String> {
         let template = fs::read_to_string("deploy/settings.jsonc").map_err(|error| error.to_string())?;
-        let (front, ready) = (free_address()?, free_address()?);
-        let (peer, admin) = (free_address()?, free_address()?);
+        let [front, ready, peer, admin] = addresses;
         let port = |address: &str| address.rsplit(':').next().unwrap_or_default().to_owned();
         let quoted = |text: &str| format!("\"{text}\"");
         let settings = template
             .replace("{{node-name|json}}", &quoted(name))
             .replace("{{zone|json}}", &quoted(zone))
-            .replace("{{listen.front|json}}", &quoted(&front))
-            .replace("{{listen.ready-addr|json}}", &quoted(&ready))
+            .replace("{{listen.front|json}}", &quoted(front))
+            .replace("{{listen.ready-addr|json}}", &quoted(ready))
             .replace("{{ip}}", "127.0.0.1")
-            .replace("{{port-range.0}}", &port(&peer))
-            .replace("{{port-range.1}}", &port(&admin))
+            .replace("{{port-range.0}}", &port(peer))
+            .replace("{{port-range.1}}", &port(admin))
             .replace("{{platform.address|json}}", &quoted(&self.store))
             .replace("{{limits.cpu-share|json}}", "0.25")
             .replace("{{limits.link-mbps|json}}", "1000.0")
@@ -149,9 +175,9 @@
         let process = self.start(name, "target/release/foxtailhill", &["serve", "--settings", &file])?;
         wait_until("the daemon is ready", || {
             let request = format!("GET /api/ready HTTP/1.1\r\nHost: {ready}\r\n\r\n");
-            send(&ready, &request, b"").is_ok_and(|answer| answer.message.word(1) == "200")
+            send(ready, &request, b"").is_ok_and(|answer| answer.message.word(1) == "200")
         })?;
-        Ok((process, front))
+        Ok(process)
     }
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins of the platform's store, of a replica and of a client, and the drivers of the script cases. They use only
 //! the standard library. `review/build.sh` compiles them.
 
+mod adapter_slots;
 mod driver;
+mod engine;
 mod http;
 mod replica;
 mod store;
@@ -24,6 +26,8 @@
     let result = match role.as_str() {
         "store" => store::run(&options),
         "replica" => replica::run(&options),
+        "engine" => engine::run(&options),
+        "adapter-slots" => adapter_slots::run(&options).map(|code| exit(code)),
         "zero-events" => zero_events::run(&options).map(|code| exit(code)),
         _ => Err(format!("unknown role `{role}`")),
     };
