Review: end the processes of an interrupted script

The driver ended its processes only if it ran to its end; after a signal the store, the replicas and the daemon stayed. It now writes their ids to the temporary folder, and the script ends them. The stop of the daemon comes after 1.55 s of service, and the stand-ins are formatted.

--- a/review/standins/adapter_slots.rs
+++ b/review/standins/adapter_slots.rs
@@ -19,7 +19,7 @@
 const CLIENT_PAUSE: Duration = Duration::from_millis(100);
 const START_TIME: Duration = Duration::from_secs(10);
 /// Time from the start of a daemon to its stop.
-const UP_TIME: Duration = Duration::from_millis(2_000);
+const UP_TIME: Duration = Duration::from_millis(1_550);
 /// Time after which the case ends.
 const LENGTH: Duration = Duration::from_secs(105);
 /// Time until a daemon that has ended is started again.
@@ -42,7 +42,8 @@
     let started = Instant::now();
     let mut case = Case::open(options)?;
     let _store = case.start_store()?;
-    append(&case.store, "keyed.op", "config", CONFIG.as_bytes()).map_err(|error| error.to_string())?;
+    append(&case.store, "keyed.op", "config", CONFIG.as_bytes())
+        .map_err(|error| error.to_string())?;
     let mut engines = Vec::new();
     for number in 1..=ENGINES {
         engines.push(start_engine(&case, number)?);
@@ -63,7 +64,10 @@
                 // A multiplicative hash spreads the requests over the adapters.
                 let adapter = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % ADAPTERS + 1;
                 let answer = send(&front, &head(id, client, adapter), b"");
-                served.fetch_add(u64::from(answer.is_ok_and(|answer| answer.message.word(1) == "200")), Ordering::Relaxed);
+                served.fetch_add(
+                    u64::from(answer.is_ok_and(|answer| answer.message.word(1) == "200")),
+                    Ordering::Relaxed,
+                );
                 thread::sleep(CLIENT_PAUSE);
             }
         });
@@ -106,7 +110,10 @@
     /// Records the output of the engines until `end`. Returns how often an engine was ordered to load too much.
     fn watch(&mut self, end: Instant, orders: &mut u64) -> u32 {
         let mut broken = 0;
-        while let Ok(line) = self.output.recv_timeout(end.saturating_duration_since(Instant::now())) {
+        while let Ok(line) = self
+            .output
+            .recv_timeout(end.saturating_duration_since(Instant::now()))
+        {
             if !line.process.starts_with("i-") {
                 continue;
             }
@@ -120,7 +127,15 @@
 
 fn start_engine(case: &Case, number: usize) -> Result<Process, String> {
     let (name, address) = (format!("i-{number}"), free_address()?);
-    let words = ["engine", "--bind", &address, "--id", &name, "--store", &case.store];
+    let words = [
+        "engine",
+        "--bind",
+        &address,
+        "--id",
+        &name,
+        "--store",
+        &case.store,
+    ];
     let words = [&words[..], &["--service", SERVICE, "--zone", "zone-a"]].concat();
     case.start_standin(&name, &words)
 }
--- a/review/standins/driver.rs
+++ b/review/standins/driver.rs
@@ -117,11 +117,24 @@
             thread::spawn(move || {
                 for text in BufReader::new(output).lines().map_while(Result::ok) {
                     let _ = writeln!(log, "{text}");
-                    let _ = lines.send(OutputLine { process: process.clone(), text });
+                    let _ = lines.send(OutputLine {
+                        process: process.clone(),
+                        text,
+                    });
                 }
             });
         }
-        Ok(Process { name: name.into(), child })
+        // Read by the script if this driver is interrupted.
+        let pids = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("pids"));
+        pids.and_then(|mut pids| writeln!(pids, "{}", child.id()))
+            .map_err(|error| error.to_string())?;
+        Ok(Process {
+            name: name.into(),
+            child,
+        })
     }
 
     /// Starts a stand-in.
@@ -133,7 +146,9 @@
     /// Starts the store and waits until it accepts calls.
     pub fn start_store(&self) -> Result<Process, String> {
         let process = self.start_standin("store", &["store", "--bind", &self.store])?;
-        wait_until("the store accepts calls", || TcpStream::connect(&self.store).is_ok())?;
+        wait_until("the store accepts calls", || {
+            TcpStream::connect(&self.store).is_ok()
+        })?;
         Ok(process)
     }
 
@@ -147,12 +162,23 @@
 
     /// Returns addresses for a daemon: for clients, for the readiness check, for other daemons and for administration.
     pub fn reserve_daemon(&self) -> Result<[String; 4], String> {
-        Ok([free_address()?, free_address()?, free_address()?, free_address()?])
+        Ok([
+            free_address()?,
+            free_address()?,
+            free_address()?,
+            free_address()?,
+        ])
     }
 
     /// As [`Self::start_daemon`], with given addresses.
-    pub fn start_daemon_at(&self, name: &str, zone: &str, addresses: &[String; 4]) -> Result<Process, String> {
-        let template = fs::read_to_string("deploy/settings.jsonc").map_err(|error| error.to_string())?;
+    pub fn start_daemon_at(
+        &self,
+        name: &str,
+        zone: &str,
+        addresses: &[String; 4],
+    ) -> Result<Process, String> {
+        let template =
+            fs::read_to_string("deploy/settings.jsonc").map_err(|error| error.to_string())?;
         let [front, ready, peer, admin] = addresses;
         let port = |address: &str| address.rsplit(':').next().unwrap_or_default().to_owned();
         let quoted = |text: &str| format!("\"{text}\"");
@@ -172,7 +198,11 @@
         let file = self.folder.join(format!("{name}.jsonc"));
         fs::write(&file, settings).map_err(|error| error.to_string())?;
         let file = file.display().to_string();
-        let process = self.start(name, "target/release/foxtailhill", &["serve", "--settings", &file])?;
+        let process = self.start(
+            name,
+            "target/release/foxtailhill",
+            &["serve", "--settings", &file],
+        )?;
         wait_until("the daemon is ready", || {
             let request = format!("GET /api/ready HTTP/1.1\r\nHost: {ready}\r\n\r\n");
             send(ready, &request, b"").is_ok_and(|answer| answer.message.word(1) == "200")
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -57,7 +57,8 @@
 
 /// Serves orders and requests at `--bind` until the process is killed or crashes.
 pub fn run(options: &HashMap<String, String>) -> Result<(), String> {
-    let listener = TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
+    let listener =
+        TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
     let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let engine = Arc::new(Engine {
         id: option(options, "id")?.into(),
@@ -73,7 +74,12 @@
     thread::spawn(move || {
         for seq in 1.. {
             let record = writer.record(seq);
-            let _ = crate::driver::append(&writer.store, "keyed.servers", &writer.id, record.as_bytes());
+            let _ = crate::driver::append(
+                &writer.store,
+                "keyed.servers",
+                &writer.id,
+                record.as_bytes(),
+            );
             thread::sleep(HEARTBEAT_PERIOD);
         }
     });
@@ -88,13 +94,22 @@
     fn adapters(&self, coming: bool) -> Vec<&String> {
         let now = Instant::now();
         let adapters = self.adapters.iter();
-        adapters.filter(|(_, adapter)| (adapter.held_at > now) == coming).map(|(name, _)| name).collect()
+        adapters
+            .filter(|(_, adapter)| (adapter.held_at > now) == coming)
+            .map(|(name, _)| name)
+            .collect()
     }
 }
 
 impl Engine {
     fn record(&self, seq: u64) -> String {
-        let Self { service, zone, address, born_ms, .. } = self;
+        let Self {
+            service,
+            zone,
+            address,
+            born_ms,
+            ..
+        } = self;
         let models = models(&self.state());
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":64,\
@@ -105,7 +120,11 @@
 
     /// Keeps the present state for later reports.
     fn keep_report(&self, state: &mut State) {
-        let coming = state.adapters(true).iter().map(|name| format!("\"{MODEL}/{name}@1\"")).collect::<Vec<_>>();
+        let coming = state
+            .adapters(true)
+            .iter()
+            .map(|name| format!("\"{MODEL}/{name}@1\""))
+            .collect::<Vec<_>>();
         let report = format!(
             "{{\"stage\":\"both\",\"models\":{},\"busy\":false,\"seq\":{},\"queued\":0,\"running\":0,\"kv-used\":0,\
              \"kv-total\":171539,\"handles\":0,\"coming\":[{}],\"born\":{}}}",
@@ -131,7 +150,10 @@
         stream.set_nodelay(true)?;
         let mut input = BufReader::new(stream.try_clone()?);
         while let Some(request) = http::read_request(&mut input)? {
-            if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
+            if request
+                .header("expect-instance")
+                .is_some_and(|expected| expected != self.id)
+            {
                 let headers = [("Instance-Id", self.id.as_str())];
                 http::write_answer(&mut stream, "421 Misdirected Request", &headers, b"")?;
                 continue;
@@ -167,11 +189,20 @@
                 let (held, coming) = (state.adapters(false).len(), state.adapters(true).len());
                 if held + coming >= ADAPTER_SLOTS {
                     let holder = text_field(body, "holder").unwrap_or_default();
-                    println!("LIMIT {holder} orders adapter {name}, with {held} held and {coming} coming: {body}");
+                    println!(
+                        "LIMIT {holder} orders adapter {name}, with {held} held and {coming} coming: {body}"
+                    );
                     exit(3);
                 }
                 let held_at = Instant::now() + ADAPTER_LOAD_TIME;
-                state.adapters.insert(name, Adapter { held_at, runs: 0, unloading: false });
+                state.adapters.insert(
+                    name,
+                    Adapter {
+                        held_at,
+                        runs: 0,
+                        unloading: false,
+                    },
+                );
                 state.seq += 1;
                 self.keep_report(&mut state);
                 let engine = self.clone();
@@ -207,7 +238,9 @@
         if let Some(name) = &adapter {
             let mut state = self.state();
             match state.adapters.get_mut(name) {
-                Some(adapter) if adapter.held_at <= Instant::now() && !adapter.unloading => adapter.runs += 1,
+                Some(adapter) if adapter.held_at <= Instant::now() && !adapter.unloading => {
+                    adapter.runs += 1
+                }
                 _ => {
                     // An adapter that is coming or going is being worked on; any other is not present.
                     let status = match state.adapters.contains_key(name) {
@@ -255,8 +288,15 @@
 
 /// Returns the model and the adapters that have arrived, as in records and reports.
 fn models(state: &State) -> String {
-    let names: Vec<String> = state.adapters(false).iter().map(|name| format!("\"{name}\"")).collect();
-    format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", names.join(","))
+    let names: Vec<String> = state
+        .adapters(false)
+        .iter()
+        .map(|name| format!("\"{name}\""))
+        .collect();
+    format!(
+        "[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]",
+        names.join(",")
+    )
 }
 
 fn text_field(body: &str, name: &str) -> Option<String> {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -14,7 +14,10 @@
 impl Message {
     /// Returns the first header of this name.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(other, _)| other.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(other, _)| other.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -27,7 +30,10 @@
     pub fn parameter(&self, name: &str) -> Option<&str> {
         let (_, query) = self.word(1).split_once('?')?;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(other, _)| *other == name).map(|(_, value)| value).next()
+        pairs
+            .filter(|(other, _)| *other == name)
+            .map(|(_, value)| value)
+            .next()
     }
 }
 
@@ -48,7 +54,11 @@
             None => break,
         }
     }
-    Ok(Some(Message { line: line.trim_end().into(), headers, body: Vec::new() }))
+    Ok(Some(Message {
+        line: line.trim_end().into(),
+        headers,
+        body: Vec::new(),
+    }))
 }
 
 /// Reads a request with its body, which has a length or is empty.
@@ -56,7 +66,9 @@
     let Some(mut request) = read_head(input)? else {
         return Ok(None);
     };
-    let length = request.header("content-length").and_then(|text| text.parse().ok());
+    let length = request
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
     request.body = vec![0; length.unwrap_or(0)];
     input.read_exact(&mut request.body)?;
     Ok(Some(request))
@@ -75,8 +87,12 @@
 
 /// Reads the body of an answer to its end.
 pub fn read_body(input: &mut BufReader<TcpStream>, answer: &mut Message) -> BodyEnd {
-    let length = answer.header("content-length").and_then(|text| text.parse::<u64>().ok());
-    let is_chunked = answer.header("transfer-encoding").is_some_and(|text| text == "chunked");
+    let length = answer
+        .header("content-length")
+        .and_then(|text| text.parse::<u64>().ok());
+    let is_chunked = answer
+        .header("transfer-encoding")
+        .is_some_and(|text| text == "chunked");
     match (is_chunked, length) {
         (true, _) => loop {
             match read_chunk(input) {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -21,7 +21,12 @@
     let words: Vec<String> = words.collect();
     let options: HashMap<String, String> = words
         .chunks(2)
-        .filter_map(|pair| Some((pair.first()?.strip_prefix("--")?.into(), pair.get(1)?.clone())))
+        .filter_map(|pair| {
+            Some((
+                pair.first()?.strip_prefix("--")?.into(),
+                pair.get(1)?.clone(),
+            ))
+        })
         .collect();
     let result = match role.as_str() {
         "store" => store::run(&options),
@@ -39,5 +44,8 @@
 
 /// Returns a required option.
 fn option<'a>(options: &'a HashMap<String, String>, name: &str) -> Result<&'a str, String> {
-    options.get(name).map(String::as_str).ok_or_else(|| format!("option --{name} is missing"))
+    options
+        .get(name)
+        .map(String::as_str)
+        .ok_or_else(|| format!("option --{name} is missing"))
 }
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -32,7 +32,8 @@
 
 /// Serves requests at `--bind` until the process is killed. Each request is reported as a line on standard output.
 pub fn run(options: &HashMap<String, String>) -> Result<(), String> {
-    let listener = TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
+    let listener =
+        TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
     let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let replica = Arc::new(Replica {
         id: option(options, "id")?.into(),
@@ -59,7 +60,14 @@
 
 impl Replica {
     fn write_record(&self, seq: u64) -> io::Result<()> {
-        let Self { id, service, zone, address, born_ms, .. } = self;
+        let Self {
+            id,
+            service,
+            zone,
+            address,
+            born_ms,
+            ..
+        } = self;
         let record = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":32,\
              \"state\":\"ready\",\"cold-left-ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -30,7 +30,8 @@
 
 /// Serves the store at `--bind` until the process is killed.
 pub fn run(options: &HashMap<String, String>) -> Result<(), String> {
-    let listener = TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
+    let listener =
+        TcpListener::bind(option(options, "bind")?).map_err(|error| error.to_string())?;
     let log: Arc<Log> = Arc::default();
     let lapsing = log.clone();
     thread::spawn(move || {
@@ -70,9 +71,14 @@
         let mut topics = self.topics.lock().unwrap_or_else(PoisonError::into_inner);
         let topic = topics.entry(name.into()).or_default();
         let end = topic.records.len() as u64;
-        let at = request.parameter("at").and_then(|text| text.parse::<u64>().ok());
+        let at = request
+            .parameter("at")
+            .and_then(|text| text.parse::<u64>().ok());
         if at.is_some_and(|at| at != end) {
-            return ("412 Precondition Failed", format!("{{\"end\":{end}}}").into());
+            return (
+                "412 Precondition Failed",
+                format!("{{\"end\":{end}}}").into(),
+            );
         }
         let mut rest = request.body.as_slice();
         while let Some((length, after)) = rest.split_first_chunk::<4>() {
@@ -87,7 +93,11 @@
 
     fn read(&self, request: &Message) -> (&'static str, Vec<u8>) {
         let name = request.parameter("topic").unwrap_or_default();
-        let number = |name: &str| request.parameter(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .parameter(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let from = number("from").unwrap_or(0) as usize;
         let until = Instant::now() + Duration::from_millis(number("wait-ms").unwrap_or(0));
         let mut topics = self.topics.lock().unwrap_or_else(PoisonError::into_inner);
@@ -113,7 +123,10 @@
         let mut topics = self.topics.lock().unwrap_or_else(PoisonError::into_inner);
         let topic = topics.entry(name.into()).or_default();
         let items = topic.newest.iter().map(|(key, (value, offset, _))| {
-            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+            format!(
+                "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                base64(value)
+            )
         });
         let items = items.collect::<Vec<_>>().join(",");
         let end = topic.records.len();
@@ -153,7 +166,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in data.chunks(3) {
-        let bits = part.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = part
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
         let bits = bits << (8 * (3 - part.len()));
         for index in 0..4 {
             match index <= part.len() {
--- a/review/standins/zero_events.rs
+++ b/review/standins/zero_events.rs
@@ -35,7 +35,8 @@
 pub fn run(options: &HashMap<String, String>) -> Result<i32, String> {
     let mut case = Case::open(options)?;
     let _store = case.start_store()?;
-    append(&case.store, "keyed.op", "config", CONFIG.as_bytes()).map_err(|error| error.to_string())?;
+    append(&case.store, "keyed.op", "config", CONFIG.as_bytes())
+        .map_err(|error| error.to_string())?;
     let mut replicas = Vec::new();
     for number in 1..=REPLICAS {
         replicas.push(start_replica(&case, number)?);
@@ -51,12 +52,19 @@
             move || send(&front, &head(&id), b"")
         });
         let server = wait_for_line(&case, &format!("head {id}"))?;
-        case.note(&format!("{server} runs {id} and has sent the head of its answer, without a length"));
+        case.note(&format!(
+            "{server} runs {id} and has sent the head of its answer, without a length"
+        ));
         if case.trouble {
             std::thread::sleep(CRASH_DELAY);
-            replicas.iter_mut().filter(|replica| replica.name == server).for_each(Process::kill);
+            replicas
+                .iter_mut()
+                .filter(|replica| replica.name == server)
+                .for_each(Process::kill);
             replicas.retain(|replica| replica.name != server);
-            case.note(&format!("{server} crashes (SIGKILL), before its first event"));
+            case.note(&format!(
+                "{server} crashes (SIGKILL), before its first event"
+            ));
         }
         match answer.join() {
             Ok(Ok(answer)) => {
@@ -72,7 +80,9 @@
                     if is_wrong { " <- ORDER" } else { "" },
                 ));
                 if !case.trouble && (events < EVENTS || answer.end != BodyEnd::Complete) {
-                    return Err(format!("{id} was not answered though nothing was disturbed"));
+                    return Err(format!(
+                        "{id} was not answered though nothing was disturbed"
+                    ));
                 }
             }
             Ok(Err(error)) => case.note(&format!("the client gets no answer: {error}")),
@@ -83,13 +93,24 @@
             std::thread::sleep(LIST_TIME);
         }
     }
-    case.note(&format!("{broken} of {REQUESTS} answers were framed as complete and were not"));
+    case.note(&format!(
+        "{broken} of {REQUESTS} answers were framed as complete and were not"
+    ));
     Ok(i32::from(broken > 0))
 }
 
 fn start_replica(case: &Case, number: usize) -> Result<Process, String> {
     let (name, address) = (format!("i-{number}"), free_address()?);
-    let words = ["--bind", &address, "--id", &name, "--store", &case.store, "--service", SERVICE];
+    let words = [
+        "--bind",
+        &address,
+        "--id",
+        &name,
+        "--store",
+        &case.store,
+        "--service",
+        SERVICE,
+    ];
     let words = [&["replica"], &words[..], &["--zone", "zone-a"]].concat();
     case.start_standin(&name, &words)
 }
@@ -118,5 +139,7 @@
 }
 
 fn count_events(answer: &ClientAnswer) -> usize {
-    String::from_utf8_lossy(&answer.message.body).matches("\n\n").count()
+    String::from_utf8_lossy(&answer.message.body)
+        .matches("\n\n")
+        .count()
 }
