--- a/review/standins/adapter_slots.rs
+++ b/review/standins/adapter_slots.rs
@@ -1,12 +1,13 @@
 //! The daemon that gives orders is stopped with SIGTERM and started again, while requests ask for more adapters than fit.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::driver::{Case, Process, append, free_address, send};
+use crate::driver::{Case, OutputLine, Process, append, free_address, send};
 use crate::engine::MODEL;
 
 const SERVICE: &str = "scribe";
@@ -17,6 +18,8 @@
 const CLIENTS: u64 = 64;
 /// Pause of a client between two requests.
 const CLIENT_PAUSE: Duration = Duration::from_millis(100);
+/// Time until a client tries again after its connection was refused.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 const START_TIME: Duration = Duration::from_secs(10);
 /// Time from the start of a daemon to its stop.
 const UP_TIME: Duration = Duration::from_millis(1_550);
@@ -58,16 +61,29 @@
     for client in 0..CLIENTS {
         let (front, is_over) = (front.clone(), is_over.clone());
         let (next, served) = (next.clone(), served.clone());
+        let lines = case.lines();
         thread::spawn(move || {
             while !is_over.load(Ordering::Relaxed) {
                 let id = next.fetch_add(1, Ordering::Relaxed);
                 // A multiplicative hash spreads the requests over the adapters.
                 let adapter = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % ADAPTERS + 1;
                 let answer = send(&front, &head(id, client, adapter), b"");
-                served.fetch_add(
-                    u64::from(answer.is_ok_and(|answer| answer.message.word(1) == "200")),
-                    Ordering::Relaxed,
-                );
+                let answer = match answer {
+                    Ok(answer) => format!("{}, body {:?}", answer.message.word(1), answer.end),
+                    // Nothing was sent while the daemon was away.
+                    Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                        thread::sleep(RECONNECT_DELAY);
+                        continue;
+                    }
+                    Err(error) => error.to_string(),
+                };
+                served.fetch_add(u64::from(answer == "200, body Complete"), Ordering::Relaxed);
+                let text = format!("request {id:016x} for adapter a{adapter}: {answer}");
+                // The receiver is gone once the case is over.
+                let _ = lines.send(OutputLine {
+                    process: format!("client {client}"),
+                    text,
+                });
                 thread::sleep(CLIENT_PAUSE);
             }
         });
@@ -114,7 +130,7 @@
             .output
             .recv_timeout(end.saturating_duration_since(Instant::now()))
         {
-            if !line.process.starts_with("i-") {
+            if line.process.starts_with("front") {
                 continue;
             }
             *orders += u64::from(line.text.starts_with("order"));
--- a/review/standins/driver.rs
+++ b/review/standins/driver.rs
@@ -93,6 +93,11 @@
         })
     }
 
+    /// Returns a sender to [`Self::output`].
+    pub fn lines(&self) -> Sender<OutputLine> {
+        self.lines.clone()
+    }
+
     /// Adds a line to the record.
     pub fn note(&mut self, text: &str) {
         let line = format!("{:8.3} s  {text}\n", self.started.elapsed().as_secs_f64());
