List of servers: ignore a list that is older than what was read

Cause: a copy of the list was compared with nothing but the era of the store. A starting daemon asks for a copy while its own first read is on its way; the one that comes last won, also if it was the older one. Nothing read later corrects that, as the removal lies before the position of the next read.

Change: each list has a position, the era and the offset before which it contains all records of the store. One rule for all sources: what is before the list's own position is ignored. A copy of changes only is applied to the list that it was asked for; if that has moved on through a read or another source, the whole list is copied, since the source cannot know what was learned elsewhere.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -74,6 +74,7 @@
     key: SmolStr,
     /// Encoded in base64.
     value: Option<String>,
+    offset: u64,
 }
 
 impl PageItem {
@@ -311,6 +312,7 @@
     Ok(KeyedRecord {
         key: item.key,
         value: value.transpose()?.filter(|value| !value.is_empty()),
+        offset: LogOffset(item.offset),
     })
 }
 
@@ -351,7 +353,8 @@
             return Err(truncated());
         }
         let mut record = body.split_to(length);
-        read.next = read.next.next();
+        let offset = read.next;
+        read.next = offset.next();
         if record.is_empty() {
             continue;
         }
@@ -364,6 +367,7 @@
             read.records.push(KeyedRecord {
                 key: key.into(),
                 value: Some(record).filter(|value| !value.is_empty()),
+                offset,
             });
         }
     }
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -13,6 +13,7 @@
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, TableCopy,
 };
 use crate::relay::registry::DaemonRegistry;
+use crate::relay::server_list::ListPosition;
 use crate::wire;
 
 /// Time after which sources are checked again if no pulse arrives.
@@ -63,7 +64,7 @@
     ///
     /// `Unavailable` if the list in the copy is of an older era.
     pub fn check_era(&self, copy: TableCopy) -> Result<TableCopy> {
-        let (copied, known) = (copy.servers.era, self.fleet.era());
+        let (copied, known) = (copy.servers.position.era, self.fleet.era());
         if copied < known {
             return Err(Error::unavailable(format!(
                 "the copy is from era {copied} of the store; this daemon is at {known}"
@@ -72,15 +73,14 @@
         Ok(copy)
     }
 
-    fn apply(&self, copy: TableCopy) {
+    /// Applies a copy that was requested when the list of servers was at `base`. Returns whether that list was applied.
+    fn apply(&self, copy: TableCopy, base: ListPosition) -> bool {
         let now = Instant::now();
-        let changes = copy.servers.into_changes();
-        if !changes.is_empty() {
-            self.fleet.apply(changes, now);
-        }
+        let is_applied = self.fleet.apply_copy(copy.servers, base, now);
         if let Some(daemons) = copy.daemons {
             self.registry.apply_copy(daemons, now);
         }
+        is_applied
     }
 }
 
@@ -110,7 +110,8 @@
         let Some(source) = source.filter(|source| history.is_due(*source, now)) else {
             continue;
         };
-        let request = PeerRequest::FetchTables(history.request(source, now));
+        let base = tables.fleet.position();
+        let request = PeerRequest::FetchTables(history.request(source, base, now));
         let reply = client.call(source.peer, request, FETCH_TIMEOUT).await;
         let copy = reply.and_then(|reply| match reply {
             PeerReply::Tables(copy) => tables.check_era(copy),
@@ -120,7 +121,9 @@
             Ok(copy) => {
                 history.note_fetch(source, &copy, now);
                 metrics.count(&metrics.copies, "whole");
-                tables.apply(copy);
+                if !tables.apply(copy, base) {
+                    history.clear();
+                }
             }
             Err(error) => {
                 log::info!("no tables could be fetched from {}: {error}", source.peer);
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -13,11 +13,13 @@
 use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
-use crate::ids::{StoreEra, VmId};
+use crate::ids::{LogOffset, StoreEra, VmId};
 use crate::relay::announcements::{AnnouncementTable, server_start};
 use crate::relay::config::ModelConfig;
 use crate::relay::engines::{LoadItem, PlacementChange};
-use crate::relay::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry, holds_item};
+use crate::relay::server_list::{
+    HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry, holds_item,
+};
 use crate::routing::{BackendView, FleetSnapshot, ServerHandle};
 
 /// Time for which a server gets no work after a failed call; doubles with each further failure.
@@ -93,6 +95,8 @@
     reachable_since: Option<Instant>,
     /// Newest era of the store in which the list was read.
     era: Option<StoreEra>,
+    /// Offset in this era before which the list contains all records.
+    position: LogOffset,
     /// When the list was first read in this era, unless it is the first that is known.
     restored_at: Option<Instant>,
     /// Whether a record was ignored since then because a newer one is known.
@@ -152,7 +156,7 @@
         });
         ServerDelta {
             version: state.version,
-            era: state.era.unwrap_or_default(),
+            position: state.list_position(),
             is_snapshot: since.is_none(),
             changed: changed.map(|server| server.entry.clone()).collect(),
             removed: removed.map(|server| server.id.clone()).collect(),
@@ -183,18 +187,28 @@
         self.state().era.unwrap_or_default()
     }
 
-    /// Applies changes in order.
+    /// Returns how far the store's records have been read into the list.
+    pub fn position(&self) -> ListPosition {
+        self.state().list_position()
+    }
+
+    /// Applies changes in order, except for those that are older than the list.
     pub fn apply(&self, changes: Vec<ServerChange>, now: Instant) {
         let mut state = self.state();
-        for change in changes {
-            if let ServerChange::Era(era) = change
-                && !state.enter_era(era, now)
-            {
-                break;
-            }
-            state.apply(change, now);
+        state.apply_all(changes, now);
+        self.publish(&mut state, now);
+    }
+
+    /// Applies a copy that was requested when the list was at `base`. Returns `false` if the copy contains only changes
+    /// and the list has moved on: the changes may lack some that undo what it has learned from elsewhere.
+    pub fn apply_copy(&self, copy: ServerDelta, base: ListPosition, now: Instant) -> bool {
+        let mut state = self.state();
+        if !copy.is_snapshot && state.list_position() != base {
+            return false;
         }
+        state.apply_all(copy.into_changes(), now);
         self.publish(&mut state, now);
+        true
     }
 
     /// Records the number of a peer's running requests by [`server_id_hash`].
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -4,10 +4,10 @@
 
 use smol_str::SmolStr;
 
-use crate::ids::StoreEra;
+use crate::ids::{LogOffset, StoreEra};
 use crate::relay::announcements::server_start;
 use crate::relay::fleet::{FleetState, RelayFleet, RemovedServer, ServerState};
-use crate::relay::server_list::{ServerChange, ServerEntry};
+use crate::relay::server_list::{ListPosition, ServerChange, ServerEntry};
 
 /// Time after an outage of the store in which servers whose records expired write them again. The same holds for records
 /// that the store has lost.
@@ -38,7 +38,7 @@
     }
 
     /// Notes that changes come from `era`. Returns false if the list is of a newer era, so that they must be ignored.
-    pub(super) fn enter_era(&mut self, era: StoreEra, now: Instant) -> bool {
+    fn enter_era(&mut self, era: StoreEra, now: Instant) -> bool {
         match self.era {
             Some(known) if era < known => false,
             Some(known) if era > known => {
@@ -47,6 +47,8 @@
                 self.unreachable = false;
                 self.reachable_since = Some(now);
                 self.restored_at = Some(now);
+                // Offsets of the earlier era have no meaning in this one.
+                self.position = LogOffset::default();
                 // Daemons that copy the list learn of the era.
                 self.version += 1;
                 true
@@ -58,9 +60,33 @@
         }
     }
 
-    pub(super) fn apply(&mut self, change: ServerChange, now: Instant) {
+    pub(super) fn list_position(&self) -> ListPosition {
+        ListPosition {
+            era: self.era.unwrap_or_default(),
+            offset: self.position,
+        }
+    }
+
+    pub(super) fn apply_all(&mut self, changes: Vec<ServerChange>, now: Instant) {
+        let mut is_older = false;
+        for change in changes {
+            match change {
+                ServerChange::Era(era) if !self.enter_era(era, now) => return,
+                ServerChange::Era(_) => {}
+                ServerChange::Position(offset) => {
+                    is_older = offset < self.position;
+                    self.position = self.position.max(offset);
+                }
+                ServerChange::Unreachable => self.unreachable = true,
+                _ if is_older => self.note_reachable(now),
+                change => self.apply(change, now),
+            }
+        }
+    }
+
+    fn apply(&mut self, change: ServerChange, now: Instant) {
         match change {
-            ServerChange::Era(_) => {}
+            ServerChange::Era(_) | ServerChange::Position(_) | ServerChange::Unreachable => {}
             ServerChange::Snapshot(entries) => {
                 self.note_reachable(now);
                 let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -85,7 +111,6 @@
                 self.note_reachable(now);
                 self.handle_missing(&id, now);
             }
-            ServerChange::Unreachable => self.unreachable = true,
         }
     }
 
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -239,14 +239,16 @@
         }
     }
 
-    fn change(&self, record: &KeyedRecord) -> Option<ServerChange> {
-        match &record.value {
+    fn changes(&self, record: &KeyedRecord) -> [Option<ServerChange>; 2] {
+        let change = match &record.value {
             None => {
                 self.malformed().remove(&record.key);
                 Some(ServerChange::Removed(record.key.clone()))
             }
             Some(value) => self.decode_entry(&record.key, value).map(ServerChange::Put),
-        }
+        };
+        let position = ServerChange::Position(record.offset.next());
+        [Some(position), change]
     }
 
     fn malformed(&self) -> MutexGuard<'_, HashSet<SmolStr>> {
@@ -269,13 +271,16 @@
                     self.decode_entry(&record.key, value)
                 });
                 let snapshot = ServerChange::Snapshot(entries.collect());
-                vec![ServerChange::Era(read.era), snapshot]
+                let position = ServerChange::Position(read.next);
+                vec![ServerChange::Era(read.era), position, snapshot]
             }
             TableChange::Records(read) => {
-                let changes = read.records.iter();
-                let changes = changes.filter_map(|record| self.change(record));
+                let records = read.records.iter();
+                let changes = records.flat_map(|record| self.changes(record));
+                let end = ServerChange::Position(read.next);
                 std::iter::once(ServerChange::Era(read.era))
-                    .chain(changes)
+                    .chain(changes.flatten())
+                    .chain([end])
                     .collect()
             }
         };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -83,7 +83,7 @@
 };
 pub use self::request::{RelayPiece, ResponseHead};
 pub use self::server::{RelayServer, bind_readiness};
-pub use self::server_list::{HeldModel, ServerChange, ServerDelta, ServerEntry};
+pub use self::server_list::{HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry};
 pub use self::start_gate::{ConfigKnowledge, StartGate};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::upstream::{UpstreamAnswer, UpstreamPool};
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -18,7 +18,7 @@
 use crate::ids::VmId;
 use crate::relay::pulse::{Pulse, PulseSchedule};
 use crate::relay::registry::RegistryCopy;
-use crate::relay::server_list::ServerDelta;
+use crate::relay::server_list::{ListPosition, ServerDelta};
 
 /// Number of pulse intervals without a pulse after which a daemon counts as dead.
 const MISSED_PULSES: u32 = 3;
@@ -294,6 +294,7 @@
     /// Version that the source announced in its pulse.
     version: u64,
     servers_version: u64,
+    position: ListPosition,
     at: Instant,
 }
 
@@ -331,11 +332,13 @@
         })
     }
 
-    /// Returns the request for `source`, which asks only for changes since the last copy from it.
-    pub fn request(&self, source: CopySource, now: Instant) -> CopyRequest {
+    /// Returns the request for `source`. It asks only for changes since the last copy from it if this daemon's list of
+    /// servers, which is at `position`, is still that copy.
+    pub fn request(&self, source: CopySource, position: ListPosition, now: Instant) -> CopyRequest {
         let last = self.last.filter(|last| last.vm == source.vm);
+        let unchanged = last.filter(|last| last.position == position);
         CopyRequest {
-            servers_version: last.map(|last| last.servers_version),
+            servers_version: unchanged.map(|last| last.servers_version),
             daemons: last.is_none() || self.daemons_at.is_none_or(|at| at + DAEMONS_PERIOD <= now),
         }
     }
@@ -349,6 +352,7 @@
             vm: source.vm,
             version: source.version,
             servers_version: copy.servers.version,
+            position: copy.servers.position,
             at: now,
         });
     }
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -420,7 +420,7 @@
     }
 
     fn apply(&mut self, read: TableRead, now: Instant) {
-        for KeyedRecord { key, value } in read.records {
+        for KeyedRecord { key, value, .. } in read.records {
             let Some(value) = value else {
                 self.retain(|name, _| *name != key);
                 continue;
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::ids::StoreEra;
+use crate::ids::{LogOffset, StoreEra};
 use crate::relay::engines::LoadItem;
 
 /// A model in the memory of an engine.
@@ -38,11 +38,22 @@
     pub on_disk: Vec<SmolStr>,
 }
 
+/// How far the store's records have been read into a list. It orders all states of the list within an era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListPosition {
+    pub era: StoreEra,
+    /// The list contains all records before this offset.
+    pub offset: LogOffset,
+}
+
 /// A change of the list of backend servers.
 #[derive(Clone, Debug)]
 pub enum ServerChange {
     /// The changes that follow come from this era of the store; they are ignored if the list is of a newer one.
     Era(StoreEra),
+    /// The changes that follow come from a list that contains all records before this offset; they are ignored if the
+    /// list contains later ones.
+    Position(LogOffset),
     /// All servers; others were removed.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
@@ -56,8 +67,8 @@
 pub struct ServerDelta {
     /// Version of the list after these changes.
     pub version: u64,
-    /// Era of the store that the list was read from.
-    pub era: StoreEra,
+    /// Position of the list.
+    pub position: ListPosition,
     /// Whether `changed` contains all servers, so that any other server was removed.
     pub is_snapshot: bool,
     pub changed: Vec<ServerEntry>,
@@ -67,13 +78,16 @@
 impl ServerDelta {
     /// Returns the changes in the order in which they must be applied.
     pub fn into_changes(self) -> Vec<ServerChange> {
-        let era = ServerChange::Era(self.era);
+        let ListPosition { era, offset } = self.position;
+        let source = [ServerChange::Era(era), ServerChange::Position(offset)];
+        let source = source.into_iter();
         if self.is_snapshot {
-            return vec![era, ServerChange::Snapshot(self.changed)];
+            let snapshot = ServerChange::Snapshot(self.changed);
+            return source.chain([snapshot]).collect();
         }
         let removed = self.removed.into_iter().map(ServerChange::Removed);
         let changed = self.changed.into_iter().map(ServerChange::Put);
-        std::iter::once(era).chain(removed).chain(changed).collect()
+        source.chain(removed).chain(changed).collect()
     }
 }
 
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -34,6 +34,8 @@
     pub key: SmolStr,
     /// `None` removes the key.
     pub value: Option<Bytes>,
+    /// Offset at which the record was written.
+    pub offset: LogOffset,
 }
 
 /// Result of a read: records, and the offset at which the next read continues.
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -9,8 +9,8 @@
 
 use foxtailhill::ids::VmId;
 use foxtailhill::relay::{
-    CopySource, FetchHistory, ReaderElection, RegistryCopy, RelayFleet, ServerChange, ServerEntry,
-    StoreHealth, TableCopy,
+    CopySource, FetchHistory, ListPosition, ReaderElection, RegistryCopy, RelayFleet, ServerChange,
+    ServerEntry, StoreHealth, TableCopy,
 };
 use pulse_support::pulse;
 use rand::rngs::StdRng;
@@ -167,7 +167,8 @@
     };
     let now = Instant::now();
     let mut history = FetchHistory::default();
-    let first = history.request(source, now);
+    let start = ListPosition::default();
+    let first = history.request(source, start, now);
     assert_eq!((first.servers_version, first.daemons), (None, true));
     let mut copy = TableCopy {
         daemons: Some(RegistryCopy::default()),
@@ -175,15 +176,15 @@
     };
     copy.servers.version = 7;
     history.note_fetch(source, &copy, now);
-    let next = history.request(source, now);
+    let next = history.request(source, copy.servers.position, now);
     assert_eq!((next.servers_version, next.daemons), (Some(7), false));
-    let later = history.request(source, now + Duration::from_secs(2));
+    let later = history.request(source, copy.servers.position, now + Duration::from_secs(2));
     assert!(later.daemons);
     let other = CopySource {
         vm: VmId(2),
         ..source
     };
-    let moved = history.request(other, now);
+    let moved = history.request(other, copy.servers.position, now);
     assert_eq!((moved.servers_version, moved.daemons), (None, true));
 }
 
--- a/tests/regression/copy_of_an_earlier_era.rs
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxtailhill::ids::{StoreEra, VmId};
+use foxtailhill::ids::{LogOffset, StoreEra, VmId};
 use foxtailhill::relay::{
-    ConfigHolder, CopyTables, DaemonRecord, DaemonRegistry, Registration, RegistryCopy,
-    RegistrySettings, RelayFleet, ServerChange, ServerDelta, ServerEntry, TableCopy,
+    ConfigHolder, CopyTables, DaemonRecord, DaemonRegistry, ListPosition, Registration,
+    RegistryCopy, RegistrySettings, RelayFleet, ServerChange, ServerDelta, ServerEntry, TableCopy,
 };
 
 fn server(index: u64) -> ServerEntry {
@@ -29,7 +29,10 @@
 fn list(era: u64, servers: &[u64]) -> ServerDelta {
     ServerDelta {
         version: 7,
-        era: StoreEra(era),
+        position: ListPosition {
+            era: StoreEra(era),
+            offset: LogOffset(1),
+        },
         is_snapshot: true,
         changed: servers.iter().map(|index| server(*index)).collect(),
         removed: Vec::new(),
@@ -131,7 +134,7 @@
         now,
     );
     assert!(fleet.version() > version);
-    assert_eq!(fleet.changes_since(Some(version)).era, StoreEra(2));
+    assert_eq!(fleet.changes_since(Some(version)).position.era, StoreEra(2));
     let registry = open_registry();
     registry.apply_copy(daemons(1, &[0]), now);
     let version = registry.version();
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -20,6 +20,7 @@
 mod odd_server_record;
 mod offset_of_an_earlier_era;
 mod older_configuration_at_start;
+mod older_copy_of_the_list;
 mod older_server_list;
 mod prompt_part_that_crashes_servers;
 mod registration_lost_by_the_store;
--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhill::ids::VmId;
+use foxtailhill::ids::{LogOffset, VmId};
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::platform::{StoreClient, decode_server};
 use foxtailhill::relay::{
@@ -81,6 +81,7 @@
     KeyedRecord {
         key: key.into(),
         value: Some(value.into()),
+        offset: LogOffset(0),
     }
 }
 
--- a/tests/regression/offset_of_an_earlier_era.rs
+++ b/tests/regression/offset_of_an_earlier_era.rs
@@ -49,8 +49,10 @@
 
     fn write(&self, key: &str, value: Option<&'static str>) {
         let mut records = self.records();
+        let offset = LogOffset(records.len() as u64);
         records.push(KeyedRecord {
             key: key.into(),
+            offset,
             value: value.map(|value| Bytes::from_static(value.as_bytes())),
         });
         self.length.send_replace(records.len());
@@ -97,6 +99,7 @@
         let records = self.table().into_iter().map(|(key, value)| KeyedRecord {
             key,
             value: Some(value),
+            offset: LogOffset(0),
         });
         Ok(TableRead {
             records: records.collect(),
--- a/tests/regression/older_server_list.rs
+++ b/tests/regression/older_server_list.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxtailhill::ids::StoreEra;
+use foxtailhill::ids::{LogOffset, StoreEra};
 use foxtailhill::platform::decode_server;
 use foxtailhill::relay::{
     KeyedRecord, RelayFleet, ServerChange, ServerEntry, ServerSink, TableChange, TableRead,
@@ -161,6 +161,7 @@
     KeyedRecord {
         key: key.into(),
         value: Some(Bytes::from(record.to_string())),
+        offset: LogOffset(0),
     }
 }
 
--- a/tests/regression/registration_lost_by_the_store.rs
+++ b/tests/regression/registration_lost_by_the_store.rs
@@ -62,6 +62,7 @@
         records.push(KeyedRecord {
             key: format!("vm-{number}").into(),
             value: Some(value.into()),
+            offset: LogOffset(0),
         });
     }
     Ok(TableRead {
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxtailhill::ids::LogOffset;
 use foxtailhill::platform::{decode_config, decode_server};
 use foxtailhill::relay::{
     CallKind, EventSplitter, KeyedRecord, RelayFleet, ServerChange, ServerSink, TableChange,
@@ -26,6 +27,7 @@
     KeyedRecord {
         key: key.into(),
         value: Some(value),
+        offset: LogOffset(0),
     }
 }
 
--- a/tests/team_shares.rs
+++ b/tests/team_shares.rs
@@ -116,6 +116,7 @@
         records: vec![KeyedRecord {
             key: OWN.into(),
             value: Some(own.into()),
+            offset: LogOffset(0),
         }],
         era: StoreEra(1),
         ..TableRead::default()
