Readers: do not bring back servers through a reader that was turned away

Cause: a daemon that the store had turned away counted as a reader as soon as the read of any one table succeeded, and took its place back from the one that had read meanwhile, as it had been a reader for longer.

Change: a reader counts as reading again only when no table's last read has failed, and yields to any other reader of its zone while one has. A copy names the servers that are only kept; a daemon that does not list such a server leaves it out, and one that does keeps it no longer than the grace.

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -149,6 +149,12 @@
             version.filter(|since| *since >= state.forgotten_version && *since <= state.version);
         let servers = state.servers.values();
         let changed = servers.filter(|server| since.is_none_or(|since| server.changed > since));
+        let (expiring, changed): (Vec<_>, Vec<_>) =
+            changed.partition(|server| server.expires_at.is_some());
+        let entries = |servers: Vec<&ServerState>| {
+            let servers = servers.into_iter();
+            servers.map(|server| server.entry.clone()).collect()
+        };
         let removed = state.removed.iter();
         let removed = removed.filter(|server| {
             since.is_some_and(|since| server.version > since)
@@ -158,7 +164,8 @@
             version: state.version,
             position: state.list_position(),
             is_snapshot: since.is_none(),
-            changed: changed.map(|server| server.entry.clone()).collect(),
+            changed: entries(changed),
+            expiring: entries(expiring),
             removed: removed.map(|server| server.id.clone()).collect(),
         }
     }
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -87,6 +87,11 @@
     fn apply(&mut self, change: ServerChange, now: Instant) {
         match change {
             ServerChange::Era(_) | ServerChange::Position(_) | ServerChange::Unreachable => {}
+            ServerChange::Expiring(entries) => {
+                for entry in entries {
+                    self.expire_later(&entry.id, now + EXPIRY_GRACE);
+                }
+            }
             ServerChange::Snapshot(entries) => {
                 self.note_reachable(now);
                 let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -109,7 +114,11 @@
             }
             ServerChange::Removed(id) => {
                 self.note_reachable(now);
-                self.handle_missing(&id, now);
+                match self.servers.get(&id) {
+                    // The list that was copied has kept it for long enough.
+                    Some(server) if server.expires_at.is_some() => self.remove(&id),
+                    _ => self.handle_missing(&id, now),
+                }
             }
         }
     }
@@ -159,9 +168,9 @@
         let start = server_start(&entry);
         entry.leaving |= self.announcements.is_leaving(start);
         let known = self.servers.get(&entry.id);
-        if known.is_none_or(|server| server.entry.differs_from(&entry)) {
-            self.version += 1;
-        }
+        let is_changed = known
+            .is_none_or(|server| server.entry.differs_from(&entry) || server.expires_at.is_some());
+        self.version += u64::from(is_changed);
         let version = self.version;
         let server = self
             .servers
@@ -189,7 +198,7 @@
             server.suspend_until(until);
         }
         server.expires_at = None;
-        if server.entry.differs_from(&entry) {
+        if is_changed {
             server.changed = version;
         }
         server.entry = entry;
@@ -203,15 +212,29 @@
         let reachable_since = self
             .reachable_since
             .filter(|back| *back + EXPIRY_GRACE > now);
-        let server = self.servers.get_mut(id);
+        let server = self.servers.get(id);
         match (reachable_since, server) {
+            (_, Some(server)) if server.expires_at.is_some() => {}
             (Some(back), Some(server)) if server.listed_at < back => {
-                server.expires_at = Some(back + EXPIRY_GRACE);
+                self.expire_later(id, back + EXPIRY_GRACE);
             }
             _ => self.remove(id),
         }
     }
 
+    /// Keeps a server whose record is missing until `at`, unless that is decided already. Daemons that copy the list learn
+    /// of it.
+    fn expire_later(&mut self, id: &SmolStr, at: Instant) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        if server.expires_at.is_none() {
+            self.version += 1;
+            server.changed = self.version;
+            server.expires_at = Some(at);
+        }
+    }
+
     pub(super) fn remove(&mut self, id: &SmolStr) {
         if let Some(server) = self.servers.remove(id) {
             self.version += 1;
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -85,7 +85,7 @@
         }
         let on_late = || {
             log::info!("reading table {table:?} of the store is taking longer than expected");
-            health.note(false, Instant::now());
+            health.note(table, false, Instant::now());
             sink.apply(TableChange::Unreachable);
         };
         let limit = next.map_or(SNAPSHOT_LIMIT, |_| pace.wait + READ_MARGIN);
@@ -95,7 +95,7 @@
             // Another daemon reads the table now, and copies from it may be newer than this result.
             continue;
         }
-        health.note(result.is_ok(), Instant::now());
+        health.note(table, result.is_ok(), Instant::now());
         match result {
             Ok((from, change)) => {
                 if !reachable {
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -19,6 +19,7 @@
 use crate::relay::pulse::{Pulse, PulseSchedule};
 use crate::relay::registry::RegistryCopy;
 use crate::relay::server_list::{ListPosition, ServerDelta};
+use crate::relay::store::StoreTable;
 
 /// Number of pulse intervals without a pulse after which a daemon counts as dead.
 const MISSED_PULSES: u32 = 3;
@@ -56,20 +57,42 @@
 /// Whether this daemon's own reads of the store succeed.
 #[derive(Debug, Default)]
 pub struct StoreHealth {
-    /// Time of the last successful read, unless a later one failed.
-    read_at: Mutex<Option<Instant>>,
+    state: Mutex<HealthState>,
+}
+
+#[derive(Debug, Default)]
+struct HealthState {
+    /// Time of the last successful read of any table.
+    read_at: Option<Instant>,
+    /// Tables whose last read failed. Their content may be old although others can be read again.
+    failed: HashSet<StoreTable>,
 }
 
 impl StoreHealth {
-    /// Records the result of a read at `now`.
-    pub fn note(&self, succeeded: bool, now: Instant) {
-        *self.read_at.lock().unwrap_or_else(PoisonError::into_inner) = succeeded.then_some(now);
+    /// Records the result of a read of `table` at `now`.
+    pub fn note(&self, table: StoreTable, succeeded: bool, now: Instant) {
+        let mut state = self.state();
+        if succeeded {
+            state.read_at = Some(now);
+            state.failed.remove(&table);
+        } else {
+            state.failed.insert(table);
+        }
     }
 
-    /// Returns whether the store can be read.
+    /// Returns whether the store can be read: a read has succeeded lately, and no table's last read has failed.
     pub fn is_reading(&self, now: Instant) -> bool {
-        let read_at = self.read_at.lock().unwrap_or_else(PoisonError::into_inner);
-        read_at.is_some_and(|at| at + READ_VALIDITY > now)
+        let state = self.state();
+        let is_recent = state.read_at.is_some_and(|at| at + READ_VALIDITY > now);
+        is_recent && state.failed.is_empty()
+    }
+
+    fn has_failed(&self) -> bool {
+        !self.state().failed.is_empty()
+    }
+
+    fn state(&self) -> MutexGuard<'_, HealthState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -175,10 +198,12 @@
 
     /// Decides again whether this daemon reads the store. Of two readers in a zone, the one that has been reading for
     /// longer continues, because a change of reader also moves the planner's lease. If they began together, the one on
-    /// the larger VM continues.
+    /// the larger VM continues. One whose own reads fail yields to any other, also when the store serves it again: its
+    /// tables are older.
     pub fn elect(&self, now: Instant) {
         let reading = *self.reading.borrow();
         let own_time = self.reading_for(now);
+        let has_failed = self.health.has_failed();
         let peers = self.peers();
         let better = self.live(&peers, now).any(|(name, peer)| {
             let candidate = peer.zone == self.zone && peer.reads_store;
@@ -186,6 +211,7 @@
             candidate
                 && match (reading, difference > READING_TIME_TIE) {
                     (false, _) => true,
+                    _ if has_failed => true,
                     (true, true) => peer.reading_for > own_time,
                     (true, false) => (peer.weight, rank(name)) > (self.weight, rank(&self.name)),
                 }
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -54,7 +54,10 @@
     /// The changes that follow come from a list that contains all records before this offset; they are ignored if the
     /// list contains later ones.
     Position(LogOffset),
-    /// All servers; others were removed.
+    /// Servers without a record, which are kept for a while after an outage of the store. A list that has removed them
+    /// knows better.
+    Expiring(Vec<ServerEntry>),
+    /// All servers with a record; others were removed, except for those that expire.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
     Removed(SmolStr),
@@ -69,9 +72,11 @@
     pub version: u64,
     /// Position of the list.
     pub position: ListPosition,
-    /// Whether `changed` contains all servers, so that any other server was removed.
+    /// Whether `changed` and `expiring` contain all servers, so that any other server was removed.
     pub is_snapshot: bool,
     pub changed: Vec<ServerEntry>,
+    /// Servers without a record that are kept for a while; they are not in `changed`.
+    pub expiring: Vec<ServerEntry>,
     pub removed: Vec<SmolStr>,
 }
 
@@ -80,7 +85,8 @@
     pub fn into_changes(self) -> Vec<ServerChange> {
         let ListPosition { era, offset } = self.position;
         let source = [ServerChange::Era(era), ServerChange::Position(offset)];
-        let source = source.into_iter();
+        let expiring = ServerChange::Expiring(self.expiring);
+        let source = source.into_iter().chain([expiring]);
         if self.is_snapshot {
             let snapshot = ServerChange::Snapshot(self.changed);
             return source.chain([snapshot]).collect();
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -10,7 +10,7 @@
 use foxtailhill::ids::VmId;
 use foxtailhill::relay::{
     CopySource, FetchHistory, ListPosition, ReaderElection, RegistryCopy, RelayFleet, ServerChange,
-    ServerEntry, StoreHealth, TableCopy,
+    ServerEntry, StoreHealth, StoreTable, TableCopy,
 };
 use pulse_support::pulse;
 use rand::rngs::StdRng;
@@ -26,7 +26,7 @@
     let health = Arc::new(StoreHealth::default());
     let election = open(&health);
     let now = Instant::now();
-    health.note(true, now);
+    health.note(StoreTable::Servers, true, now);
     assert!(election.is_reading(now));
     election.note_pulse(&pulse(1, "south", true, Duration::from_secs(9)), now);
     assert!(
@@ -41,7 +41,7 @@
     election.note_pulse(&pulse(3, "north", true, Duration::from_secs(9)), now);
     assert!(!election.is_reading(now));
     let later = now + Duration::from_secs(5);
-    health.note(true, later);
+    health.note(StoreTable::Servers, true, later);
     election.elect(later);
     assert!(
         election.is_reading(later),
@@ -55,7 +55,7 @@
     let health = Arc::new(StoreHealth::default());
     let election = open(&health);
     let later = Instant::now() + Duration::from_secs(30);
-    health.note(true, later);
+    health.note(StoreTable::Servers, true, later);
     for index in 1..40 {
         election.note_pulse(&pulse(index, "north", true, Duration::from_secs(2)), later);
     }
@@ -70,7 +70,7 @@
     let stays = |own: usize| {
         let health = Arc::new(StoreHealth::default());
         let election = ReaderElection::new(names[own].into(), "north".into(), 250, health.clone());
-        health.note(true, now);
+        health.note(StoreTable::Servers, true, now);
         election.note_pulse(&pulse(1 - own as u16, "north", true, Duration::ZERO), now);
         election.is_reading(now)
     };
@@ -84,7 +84,7 @@
     for (own, stays) in [(500, true), (120, false)] {
         let health = Arc::new(StoreHealth::default());
         let election = ReaderElection::new("entry-0".into(), "north".into(), own, health.clone());
-        health.note(true, now);
+        health.note(StoreTable::Servers, true, now);
         for index in 1..9 {
             election.note_pulse(&pulse(index, "north", true, Duration::ZERO), now);
         }
--- a/tests/regression/copy_of_an_earlier_era.rs
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -35,6 +35,7 @@
         },
         is_snapshot: true,
         changed: servers.iter().map(|index| server(*index)).collect(),
+        expiring: Vec::new(),
         removed: Vec::new(),
     }
 }
