Shutdown: refuse a request whose answer would come after the end

Cause: a waiting request was refused only when less than its route's target latency was left.

Change: a daemon measures how long whole answers take on each route (moving average and deviation, from sending to the end), and refuses as not run, before it is passed on, what would not be complete in time. On a route without a measured answer the target latency counts as before.

Evidence: request_whose_answer_would_come_too_late_is_refused fails with the measured time taken out (trial; 200 or 502 in place of 503, and the request is at the server) and passes with it; request_whose_answer_comes_in_time_is_served_at_shutdown holds in both.

--- a/src/dispatch/drain.rs
+++ b/src/dispatch/drain.rs
@@ -15,10 +15,24 @@
 /// `Retry-After` of a refusal. Other daemons take requests at once.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Part of the whole time of a shutdown that the expected time of an answer may take, as a divisor. A route with a long
-/// target latency would otherwise be refused from the start.
+/// Part of the whole time of a shutdown that the time in which an answer is due may take, as a divisor. Answers may come
+/// long before they are due, so that a route with a long target latency would be refused for nothing.
 const MAX_WORK_DIVISOR: u32 = 2;
 
+/// How long an answer takes once its request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkTime {
+    /// The time in which the answer, or its beginning, is due. Its end is not known.
+    Due(Duration),
+    /// The time after which answers of this kind were complete.
+    Measured(Duration),
+}
+
+impl WorkTime {
+    /// No work for a server.
+    pub(crate) const NONE: Self = Self::Due(Duration::ZERO);
+}
+
 /// A shutdown and its end, by which each request must have an answer.
 #[derive(Clone, Copy, Debug)]
 struct DrainTime {
@@ -46,7 +60,7 @@
     /// Those of `step`; `ShuttingDown` once the answer would come after the end.
     pub(crate) async fn run_unsent<T>(
         &self,
-        work: Duration,
+        work: WorkTime,
         step: impl Future<Output = Result<T>>,
     ) -> Result<T> {
         tokio::select! {
@@ -71,7 +85,7 @@
                 Some(piece) => return piece,
                 None => Error::internal("the request ended without an answer"),
             },
-            () = self.reach(Duration::ZERO, FAILURE_TIME) => {
+            () = self.reach(WorkTime::NONE, FAILURE_TIME) => {
                 let message = "the daemon shut down before the answer began";
                 Error::new(Category::ShuttingDown, message)
             }
@@ -80,7 +94,7 @@
     }
 
     /// Resolves when `work` can no longer be done `lead` before the end; never unless the daemon shuts down.
-    async fn reach(&self, work: Duration, lead: Duration) {
+    async fn reach(&self, work: WorkTime, lead: Duration) {
         let mut times = self.time.subscribe();
         let time = match times.wait_for(Option::is_some).await {
             Ok(time) => *time,
@@ -89,7 +103,11 @@
         let Some(DrainTime { end, length }) = time else {
             return std::future::pending().await;
         };
-        let lead = lead + work.min(length / MAX_WORK_DIVISOR);
+        let work = match work {
+            WorkTime::Due(time) => time.min(length / MAX_WORK_DIVISOR),
+            WorkTime::Measured(time) => time,
+        };
+        let lead = lead + work;
         let latest = end.checked_sub(lead).unwrap_or_else(Instant::now);
         tokio::time::sleep_until(latest.into()).await;
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -22,7 +22,7 @@
 pub use self::access::{AccessGate, AccessGrant};
 pub use self::answer::{AnswerChecker, ChunkVerdict};
 pub use self::demand::{DemandMeter, ModelDemand};
-pub use self::drain::DrainClock;
+pub use self::drain::{DrainClock, WorkTime};
 pub use self::model::TokenStream;
 pub use self::name::ModelName;
 pub use self::request_core::{
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -17,7 +17,7 @@
     Attempt, ChargeOf, Exchange, OtherServers, RequestJob, fingerprint,
 };
 use crate::dispatch::room::{FleetSource, ModelNeed, ServerSlot};
-use crate::dispatch::{DispatchParts, ModelCall, RequestDispatcher, TokenUsage};
+use crate::dispatch::{DispatchParts, ModelCall, RequestDispatcher, TokenUsage, WorkTime};
 use crate::engine::{EngineChunk, EngineClient, EngineRequest, prefix_hashes};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::history::RequestStage;
@@ -206,8 +206,8 @@
         }
     }
 
-    fn expected_time(&self) -> Duration {
-        self.wait_entry().work
+    fn expected_time(&self) -> WorkTime {
+        WorkTime::Due(self.wait_entry().work)
     }
 
     async fn attempt<O: OtherServers>(
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::dispatch::demand::DemandMeter;
-use crate::dispatch::drain::DrainClock;
+use crate::dispatch::drain::{DrainClock, WorkTime};
 use crate::dispatch::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::history::{RequestHistory, RequestStage};
@@ -105,7 +105,7 @@
 
     /// Returns how long the answer is expected to take, or to take until it begins, once the request is sent. At shutdown
     /// a request is refused when less time is left.
-    fn expected_time(&self) -> Duration;
+    fn expected_time(&self) -> WorkTime;
 
     /// Sends the request to the server in `slot` and forwards the answer until the attempt ends. An attempt at a server
     /// that may still answer ends only if one of `others` has room.
@@ -407,7 +407,7 @@
         // A request that a server has had already is only failed early, not refused.
         let expected_time = match job.exchange.verdict() {
             RunVerdict::NotRun => job.exchange.expected_time(),
-            _ => Duration::ZERO,
+            _ => WorkTime::NONE,
         };
         let slot = tokio::select! {
             slot = self.drain.run_unsent(expected_time, self.acquire(job)) => slot,
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -10,15 +10,18 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::blame::PartId;
-use crate::dispatch::{CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, fingerprint};
+use crate::dispatch::{
+    CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, WorkTime, fingerprint,
+};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::absent::AbsentModels;
+use crate::relay::answer_times::AnswerTimes;
 use crate::relay::config::{RouteConfig, ServiceConfig, ServingConfig, TeamConfig};
 use crate::relay::crash::CrashDetector;
 use crate::relay::crash_watch::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::engines::PlacementRequest;
-use crate::relay::exchange::RelayExchange;
+use crate::relay::exchange::{ExchangeContext, RelayExchange};
 use crate::relay::fleet::{RelayFleet, routing_name};
 use crate::relay::format::{RelayFormat, RequestMetadata};
 use crate::relay::readers::ReaderElection;
@@ -88,6 +91,7 @@
 /// The request path of opaque requests.
 pub struct RelayDispatcher<P: CoreParts, F> {
     context: RelayContext<P, F>,
+    exchanges: Arc<ExchangeContext<F>>,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<SmolStr, Arc<RetryBudget>>>,
     absent: Mutex<AbsentModels>,
@@ -128,8 +132,17 @@
 impl<P: CoreParts, F: RelayFormat> RelayDispatcher<P, F> {
     /// Creates the request path.
     pub fn open(context: RelayContext<P, F>) -> Arc<Self> {
+        let exchanges = Arc::new(ExchangeContext {
+            format: context.format.clone(),
+            pool: context.pool.clone(),
+            fleet: context.fleet.clone(),
+            crashes: context.crashes.clone(),
+            watch: context.watch.clone(),
+            times: AnswerTimes::default(),
+        });
         Arc::new(Self {
             context,
+            exchanges,
             budgets: Mutex::default(),
             absent: Mutex::default(),
         })
@@ -171,7 +184,7 @@
         let caller_deadline = arrived + metadata.deadline.unwrap_or(DEFAULT_DEADLINE);
         let drain = self.context.core.drain_clock();
         let route_match = self.match_route(&head, &metadata, caller_deadline, attribution);
-        let route_match = drain.run_unsent(Duration::ZERO, route_match).await?;
+        let route_match = drain.run_unsent(WorkTime::NONE, route_match).await?;
         let RouteMatch {
             config,
             route,
@@ -203,7 +216,11 @@
                     .context
                     .core
                     .charge(&metadata.id, &team.spec.name, tokens);
-                Some(drain.run_unsent(route.target_latency, charge).await?)
+                Some(
+                    drain
+                        .run_unsent(self.exchanges.work_time(&route), charge)
+                        .await?,
+                )
             }
             _ => None,
         };
@@ -237,11 +254,7 @@
                     metadata,
                     route,
                 },
-                self.context.format.clone(),
-                self.context.pool.clone(),
-                self.context.fleet.clone(),
-                self.context.crashes.clone(),
-                self.context.watch.clone(),
+                self.exchanges.clone(),
                 budget,
             ),
             _admission: admission,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,10 +12,11 @@
 use tokio::sync::mpsc;
 
 use crate::catalog::RequestClass;
-use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot};
+use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::queue::WaitEntry;
-use crate::relay::config::CallKind;
+use crate::relay::answer_times::AnswerTimes;
+use crate::relay::config::{CallKind, RouteConfig};
 use crate::relay::crash::CrashDetector;
 use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
@@ -48,14 +49,28 @@
 /// Time that a request stays in quarantine after a second backend server died under it.
 pub(crate) const QUARANTINE_TIME: Duration = Duration::from_secs(30);
 
+/// What all exchanges of a daemon share.
+pub(super) struct ExchangeContext<F> {
+    pub(super) format: Arc<F>,
+    pub(super) pool: UpstreamPool,
+    pub(super) fleet: Arc<RelayFleet>,
+    pub(super) crashes: Arc<CrashDetector>,
+    pub(super) watch: Arc<CrashWatch>,
+    pub(super) times: AnswerTimes,
+}
+
+impl<F> ExchangeContext<F> {
+    /// Returns how long an answer on `route` takes once its request is sent.
+    pub(super) fn work_time(&self, route: &RouteConfig) -> WorkTime {
+        let measured = self.times.expected(&route.name);
+        measured.map_or(WorkTime::Due(route.target_latency), WorkTime::Measured)
+    }
+}
+
 /// A request and its progress across backend servers.
 pub struct RelayExchange<F> {
     request: RelayRequest,
-    format: Arc<F>,
-    pool: UpstreamPool,
-    fleet: Arc<RelayFleet>,
-    crashes: Arc<CrashDetector>,
-    watch: Arc<CrashWatch>,
+    context: Arc<ExchangeContext<F>>,
     /// Retry budget of the request's service.
     budget: Arc<RetryBudget>,
     verdict: RunVerdict,
@@ -82,21 +97,13 @@
 impl<F: RelayFormat> RelayExchange<F> {
     pub(super) fn new(
         request: RelayRequest,
-        format: Arc<F>,
-        pool: UpstreamPool,
-        fleet: Arc<RelayFleet>,
-        crashes: Arc<CrashDetector>,
-        watch: Arc<CrashWatch>,
+        context: Arc<ExchangeContext<F>>,
         budget: Arc<RetryBudget>,
     ) -> Self {
         Self {
             last_event: request.metadata.last_event,
             request,
-            format,
-            pool,
-            fleet,
-            crashes,
-            watch,
+            context,
             budget,
             verdict: RunVerdict::NotRun,
             sends: 0,
@@ -110,6 +117,20 @@
         }
     }
 
+    /// Notes that the current server has sent its whole answer.
+    fn finish(&mut self, slot: &ServerSlot) {
+        self.verdict = RunVerdict::Ran;
+        self.context.fleet.call_succeeded(&slot.name);
+        self.context
+            .watch
+            .note_progress(&self.request.parts, self.sent);
+        let now = Instant::now();
+        let time = now.saturating_duration_since(self.sent);
+        self.context
+            .times
+            .record(&self.request.route.name, time, now);
+    }
+
     fn is_repeatable(&self) -> bool {
         self.request.route.is_repeatable()
     }
@@ -183,7 +204,7 @@
                     "server {} is silent and no other can take the request",
                     slot.name
                 );
-                self.fleet.call_failed(&slot.name);
+                self.context.fleet.call_failed(&slot.name);
             }
             is_first = false;
             check = deadline.min(Instant::now() + STALL_CHECK_PERIOD);
@@ -203,7 +224,9 @@
             urgency: self.request.urgency,
             last_event: self.last_event,
         };
-        self.format.add_upstream_headers(&mut headers, &metadata)?;
+        self.context
+            .format
+            .add_upstream_headers(&mut headers, &metadata)?;
         let mut request = Request::new(Full::new(self.request.body.clone()));
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.target.clone();
@@ -223,7 +246,7 @@
             ));
         }
         // A part may have been blocked while the request waited for the server.
-        if let Err(error) = self.watch.check_send(&self.request.parts) {
+        if let Err(error) = self.context.watch.check_send(&self.request.parts) {
             return Attempt::Stopped(error);
         }
         let request = match self.build_request(slot) {
@@ -239,7 +262,7 @@
         self.verdict = RunVerdict::MayHaveRun;
         // An idle connection may break after the server has read the request; only a repeatable one can be sent again.
         let reuse = self.is_repeatable();
-        let pool = self.pool.clone();
+        let pool = self.context.pool.clone();
         let head = pool.send(&slot.name, slot.address, request, reuse);
         let sent = tokio::select! {
             biased;
@@ -258,11 +281,12 @@
         };
         let id = &self.request.metadata.id;
         let kind = self
+            .context
             .format
             .classify(id, &slot.name, &answer.head, answer.is_first);
         if !matches!(kind, AnswerKind::WrongInstance | AnswerKind::IdMismatch) {
-            let notice = self.format.read_notice(&answer.head);
-            self.fleet.apply_notice(&slot.name, notice);
+            let notice = self.context.format.read_notice(&answer.head);
+            self.context.fleet.apply_notice(&slot.name, notice);
         }
         match kind {
             AnswerKind::Answer => self.forward_answer(slot, answer, pieces, others).await,
@@ -272,7 +296,7 @@
                 self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
             }
             AnswerKind::Unattributed => {
-                self.fleet.note_full(&slot.name);
+                self.context.fleet.note_full(&slot.name);
                 let message = "the refusal may be that of an earlier request on the connection";
                 let error = Error::new(Category::Protocol, message);
                 self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun))
@@ -292,16 +316,16 @@
                 if let Some(model) = self.request.metadata.model.clone() {
                     let adapter = self.request.metadata.adapter.clone();
                     let item = LoadItem { model, adapter };
-                    self.fleet.note_missing(&slot.name, item);
+                    self.context.fleet.note_missing(&slot.name, item);
                 }
                 return Attempt::NotResident;
             }
             AnswerKind::WrongInstance => {
-                self.fleet.call_failed(&slot.name);
+                self.context.fleet.call_failed(&slot.name);
                 Error::unavailable("another process uses the address of the backend server")
             }
             _ => {
-                self.fleet.note_full(&slot.name);
+                self.context.fleet.note_full(&slot.name);
                 Error::new(Category::Overloaded, "the backend server is full")
             }
         };
@@ -315,7 +339,7 @@
             matches!(error.category(), Category::Unavailable | Category::Timeout);
         let now = Instant::now();
         if is_connection_error_or_timeout && now < self.request.deadline {
-            self.fleet.call_failed(&slot.name);
+            self.context.fleet.call_failed(&slot.name);
         }
         if is_connection_error_or_timeout && error.verdict() != RunVerdict::NotRun {
             log::info!(
@@ -326,7 +350,8 @@
             );
             self.broke_early = error.category() == Category::Unavailable
                 && self.attempt_events < MIN_PROGRESS_EVENTS;
-            self.crashes
+            self.context
+                .crashes
                 .record_broken(&slot.name, self.request.fingerprint, now);
         }
         if error.verdict() != RunVerdict::NotRun && !self.is_repeatable() {
@@ -366,7 +391,8 @@
     ///
     /// `Unavailable` if the answer may have been cut off.
     async fn check_answer_end(&self, answer: &UpstreamAnswer, slot: &ServerSlot) -> Result<()> {
-        if !answer.ends_with_connection || self.pool.accepts_connections(slot.address).await {
+        if !answer.ends_with_connection || self.context.pool.accepts_connections(slot.address).await
+        {
             return Ok(());
         }
         Err(broken_answer("the server ended with its answer"))
@@ -398,7 +424,7 @@
         let status = head.status;
         let piece = RelayPiece::Whole { head, body };
         if status.is_server_error() && self.is_repeatable() {
-            self.fleet.log_failure_answer(&slot.name);
+            self.context.fleet.log_failure_answer(&slot.name);
             let error = Error::new(
                 Category::Protocol,
                 format!("the backend server answered {status}"),
@@ -406,9 +432,7 @@
             self.fallback = Some(piece);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
         }
-        self.verdict = RunVerdict::Ran;
-        self.fleet.call_succeeded(&slot.name);
-        self.watch.note_progress(&self.request.parts, self.sent);
+        self.finish(slot);
         match pieces.send(Ok(piece)).await {
             Ok(()) => Attempt::Finished,
             Err(_) => Attempt::Cancelled,
@@ -431,10 +455,10 @@
         }
     }
 
-    fn expected_time(&self) -> Duration {
+    fn expected_time(&self) -> WorkTime {
         match self.sent_type {
-            Some(_) => Duration::ZERO,
-            None => self.request.route.target_latency,
+            Some(_) => WorkTime::NONE,
+            None => self.context.work_time(&self.request.route),
         }
     }
 
@@ -455,9 +479,9 @@
             parts,
             sent: self.sent,
         };
-        self.watch.examine(broken).await;
+        self.context.watch.examine(broken).await;
         match attempt {
-            Attempt::Failed { error, .. } if !self.watch.may_resend(parts) => {
+            Attempt::Failed { error, .. } if !self.context.watch.may_resend(parts) => {
                 Attempt::Stopped(error)
             }
             attempt => attempt,
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -97,9 +97,7 @@
             return Attempt::Cancelled;
         }
         answer.release(self.request.max_idle_connections);
-        self.verdict = RunVerdict::Ran;
-        self.fleet.call_succeeded(&slot.name);
-        self.watch.note_progress(&self.request.parts, self.sent);
+        self.finish(slot);
         Attempt::Finished
     }
 
@@ -145,7 +143,9 @@
             }
             self.attempt_events += 1;
             if self.attempt_events == MIN_PROGRESS_EVENTS {
-                self.watch.note_progress(&self.request.parts, self.sent);
+                self.context
+                    .watch
+                    .note_progress(&self.request.parts, self.sent);
             }
             if let Some(id) = event.id {
                 if self.last_event.is_some_and(|last| id <= last) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod absent;
 mod announcements;
+mod answer_times;
 mod config;
 mod config_copy;
 mod copies;
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use axum::Router;
 use axum::body::Body;
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::sync::mpsc;
 
-use crate::dispatch::CoreParts;
+use crate::dispatch::{CoreParts, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::http::connection::{ConnectionEnd, HttpListener};
 use crate::kernel::TaskGroup;
@@ -115,7 +115,7 @@
         let dispatcher = &context.dispatcher;
         let body = read_body(body, &context.limits);
         let drain = dispatcher.core().drain_clock();
-        let body = drain.run_unsent(Duration::ZERO, body).await?;
+        let body = drain.run_unsent(WorkTime::NONE, body).await?;
         dispatcher
             .call(head, metadata, body, arrived, trace.attribution_mut())
             .await
--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -209,6 +209,11 @@
     )
 }
 
+/// Builds a call that may not be repeated, after which its connection is closed.
+fn last_call(id: &str) -> String {
+    call("/confirm/1", id, 0).replacen("\r\n", "\r\nConnection: close\r\n", 1)
+}
+
 fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("none")
 }
@@ -261,6 +266,56 @@
     Ok(())
 }
 
+/// Guards against a request that is sent to a server although its answer would come after the end of the process, which
+/// cuts it. How long answers take is known from earlier ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_answer_would_come_too_late_is_refused() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let answer = [
+        (String::new(), Duration::from_millis(1_300)),
+        (whole("200 OK", "done"), Duration::from_millis(50)),
+    ];
+    let server = ScriptedServer::bind(&group, "i-0", [Script::Paced(answer.into())]).await?;
+    let store = TableStore::bind(&group, &server).await?;
+    let mut daemon = DaemonProcess::start(&store, "1s").await?;
+    for index in 0..2 {
+        let answer = daemon.send(&last_call(&format!("s{index}"))).await?.await?;
+        ensure!(status(&answer) == "200", "{answer:?}");
+    }
+    daemon.terminate()?;
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let late = daemon.send(&last_call("late")).await?.await?;
+    ensure!(status(&late) == "503", "{late:?}");
+    ensure!(header(&late, "retry-after").is_some(), "{late:?}");
+    ensure!(server.requests().len() == 2, "a late request was sent");
+    daemon.wait_exit().await?;
+    group.shutdown().await;
+    Ok(())
+}
+
+/// Guards against refusing requests from the signal on although their answers come long before the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_answer_comes_in_time_is_served_at_shutdown() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let answer = [
+        (String::new(), Duration::from_millis(200)),
+        (whole("200 OK", "done"), Duration::from_millis(50)),
+    ];
+    let server = ScriptedServer::bind(&group, "i-0", [Script::Paced(answer.into())]).await?;
+    let store = TableStore::bind(&group, &server).await?;
+    let mut daemon = DaemonProcess::start(&store, "9s").await?;
+    for index in 0..3 {
+        if index == 2 {
+            daemon.terminate()?;
+        }
+        let answer = daemon.send(&last_call(&format!("s{index}"))).await?.await?;
+        ensure!(status(&answer) == "200", "{answer:?}");
+    }
+    daemon.wait_exit().await?;
+    group.shutdown().await;
+    Ok(())
+}
+
 /// Sends requests on kept connections until none can be opened. Returns the ids of those that got no answer and crossed
 /// the close of their connection.
 async fn use_connections(
