Answers: bound what faulty servers make a daemon hold

Cause: each answer, refusal and event had a bound of its own and their sum had none. Interim answers (1xx) were read until the deadline.

Answers and reports of engines are read to 64 KiB, as all engines are asked at once. - A server that does so is avoided for 10 s.

--- a/src/platform/engines.rs
+++ b/src/platform/engines.rs
@@ -17,7 +17,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time limit of a call; an engine answers an order before it executes it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
-const ANSWER_LIMIT: usize = 1 << 20;
+/// Maximum size of an answer in bytes. All engines are asked at once, so it also bounds what faulty ones make this daemon
+/// hold.
+const ANSWER_LIMIT: usize = 64 << 10;
 
 /// Client for the control interface of engines.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/relay/answer_memory.rs
@@ -0,0 +1,88 @@
+//! Memory for answers of backend servers that are held until they can be passed on.
+//!
+//! A faulty server may send bytes without end on every connection. What all answers of a daemon may hold is bounded, and
+//! each server has a share of it, so that a faulty one does not take the memory of others.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use smol_str::SmolStr;
+
+/// Bytes that all answers together may hold.
+const TOTAL_BYTES: usize = 32 << 20;
+/// Bytes that the answers of one server may hold.
+const SERVER_BYTES: usize = TOTAL_BYTES / 8;
+/// Bytes of each answer that are not counted: nearly all answers and events are smaller.
+const FREE_BYTES: usize = 16 << 10;
+
+#[derive(Debug, Default)]
+struct MemoryUse {
+    total: usize,
+    /// Servers that hold any.
+    servers: HashMap<SmolStr, usize>,
+}
+
+/// The memory for answers of one daemon. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerMemory {
+    state: Arc<Mutex<MemoryUse>>,
+}
+
+/// Memory that one answer holds. It is returned when this is dropped.
+#[derive(Debug)]
+pub struct MemoryLease {
+    memory: AnswerMemory,
+    server: SmolStr,
+    bytes: usize,
+}
+
+impl AnswerMemory {
+    /// Returns a lease for an answer of `server`, which holds nothing yet.
+    pub fn lease(&self, server: &SmolStr) -> MemoryLease {
+        MemoryLease {
+            memory: self.clone(),
+            server: server.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Returns the bytes that all answers hold, without the first 16 KiB of each.
+    pub fn used(&self) -> usize {
+        self.state().total
+    }
+
+    fn state(&self) -> MutexGuard<'_, MemoryUse> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl MemoryLease {
+    /// Changes what the answer holds to `bytes`. Returns `false`, and changes nothing, if its server or all answers would
+    /// hold too much.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        let bytes = bytes.saturating_sub(FREE_BYTES);
+        if bytes == self.bytes {
+            return true;
+        }
+        let mut state = self.memory.state();
+        let server = state.servers.get(&self.server).copied().unwrap_or(0);
+        let server = server - self.bytes + bytes;
+        let total = state.total - self.bytes + bytes;
+        if bytes > self.bytes && (server > SERVER_BYTES || total > TOTAL_BYTES) {
+            return false;
+        }
+        state.total = total;
+        match server {
+            0 => state.servers.remove(&self.server),
+            _ => state.servers.insert(self.server.clone(), server),
+        };
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for MemoryLease {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -15,6 +15,7 @@
 };
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::absent::AbsentModels;
+use crate::relay::answer_memory::AnswerMemory;
 use crate::relay::answer_times::AnswerTimes;
 use crate::relay::config::{RouteConfig, ServiceConfig, ServingConfig, TeamConfig};
 use crate::relay::crash::CrashDetector;
@@ -139,6 +140,7 @@
             crashes: context.crashes.clone(),
             watch: context.watch.clone(),
             times: AnswerTimes::default(),
+            memory: AnswerMemory::default(),
         });
         Arc::new(Self {
             context,
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -29,6 +29,16 @@
         self.buffer.len() <= MAX_EVENT_BYTES || self.find_end().is_some()
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns whether no bytes are buffered.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Takes the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let Some(end) = self.find_end() else {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends an opaque request to one backend server after another and forwards the answer.
 
 mod stream;
+mod whole;
 
 use std::future::Future;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::queue::WaitEntry;
+use crate::relay::answer_memory::AnswerMemory;
 use crate::relay::answer_times::AnswerTimes;
 use crate::relay::config::{CallKind, RouteConfig};
 use crate::relay::crash::CrashDetector;
@@ -40,8 +42,8 @@
 const STALL_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Multiple of the target latency after which an idempotent request may be sent to another server.
 const RETRY_LATENCY_FACTOR: u32 = 4;
-/// Maximum size of the body of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of the body of a refusal that is read to its end.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// Maximum time to read a refusal to its end, which allows its connection to be reused.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
 /// Events after which an answer has certainly been begun. A server that crashes as it begins to write may have sent one.
@@ -57,6 +59,7 @@
     pub(super) crashes: Arc<CrashDetector>,
     pub(super) watch: Arc<CrashWatch>,
     pub(super) times: AnswerTimes,
+    pub(super) memory: AnswerMemory,
 }
 
 impl<F> ExchangeContext<F> {
@@ -272,6 +275,9 @@
         let answer = match sent {
             Some(Ok(answer)) => answer,
             Some(Err(error)) => {
+                if error.category() == Category::Protocol {
+                    self.context.fleet.note_faulty(&slot.name);
+                }
                 if error.verdict() == RunVerdict::NotRun {
                     (self.verdict, self.attempts) = previous;
                 }
@@ -398,45 +404,11 @@
         Err(broken_answer("the server ended with its answer"))
     }
 
-    async fn forward_whole(
-        &mut self,
-        slot: &ServerSlot,
-        mut answer: UpstreamAnswer,
-        pieces: &mpsc::Sender<Result<RelayPiece>>,
-        others: &impl OtherServers,
-    ) -> Attempt {
-        let body = Limited::new(&mut answer.body, MAX_ANSWER_BYTES).collect();
-        let body = tokio::select! {
-            biased;
-            () = pieces.closed() => return Attempt::Cancelled,
-            body = self.wait_for_server(slot, others, body) => body,
-        };
-        let body = match body {
-            Some(Ok(body)) => body.to_bytes(),
-            Some(Err(error)) => return self.failed_attempt(slot, unreadable_answer(&*error)),
-            None => return self.failed_attempt(slot, answer_timeout()),
-        };
-        if let Err(error) = self.check_answer_end(&answer, slot).await {
-            return self.failed_attempt(slot, error);
-        }
-        let head = response_head(&answer);
-        answer.release(self.request.max_idle_connections);
-        let status = head.status;
-        let piece = RelayPiece::Whole { head, body };
-        if status.is_server_error() && self.is_repeatable() {
-            self.context.fleet.log_failure_answer(&slot.name);
-            let error = Error::new(
-                Category::Protocol,
-                format!("the backend server answered {status}"),
-            );
-            self.fallback = Some(piece);
-            return self.failed_attempt(slot, error.with_verdict(RunVerdict::Ran));
-        }
-        self.finish(slot);
-        match pieces.send(Ok(piece)).await {
-            Ok(()) => Attempt::Finished,
-            Err(_) => Attempt::Cancelled,
-        }
+    /// Notes that a server sends what no caller can be given, so that it is avoided for a while, and returns the error.
+    fn faulty_answer(&self, slot: &ServerSlot, what: &str) -> Error {
+        self.context.fleet.note_faulty(&slot.name);
+        let message = format!("the backend server sent {what}");
+        Error::new(Category::Protocol, message).with_verdict(RunVerdict::MayHaveRun)
     }
 }
 
@@ -516,7 +488,7 @@
 
 /// Reads the body of a refusal to its end, so that its connection can be reused.
 async fn read_refusal_to_end(mut answer: UpstreamAnswer, max_idle_connections: usize) {
-    let body = Limited::new(&mut answer.body, MAX_ANSWER_BYTES).collect();
+    let body = Limited::new(&mut answer.body, MAX_REFUSAL_BYTES).collect();
     if let Ok(Ok(_)) = tokio::time::timeout(REFUSAL_READ_TIMEOUT, body).await {
         answer.release(max_idle_connections);
     }
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::{Attempt, OtherServers, ServerSlot};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::relay::events::{self, EventSplitter};
+use crate::relay::exchange::whole::send_data;
 use crate::relay::exchange::{
     MIN_PROGRESS_EVENTS, RelayExchange, answer_timeout, broken_answer, response_head,
     unreadable_answer,
@@ -50,6 +51,7 @@
         others: &impl OtherServers,
     ) -> Attempt {
         let mut splitter = EventSplitter::default();
+        let mut lease = self.context.memory.lease(&slot.name);
         let is_resumed = self.sent_type.is_some();
         loop {
             let frame = answer.body.frame();
@@ -66,12 +68,9 @@
                 Some(None) => break,
                 None => return self.failed_attempt(slot, answer_timeout()),
             };
-            if !splitter.push(&data) {
-                let error = Error::new(
-                    Category::Protocol,
-                    "the backend server sent an event that is longer than 1 MiB",
-                );
-                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            if !splitter.push(&data) || !lease.resize(splitter.len()) {
+                let error = self.faulty_answer(slot, "an event that is too long to be held");
+                return self.failed_attempt(slot, error);
             }
             let NewEvents {
                 bytes,
@@ -181,6 +180,6 @@
                 return false;
             }
         }
-        bytes.is_empty() || pieces.send(Ok(RelayPiece::Data(bytes))).await.is_ok()
+        send_data(pieces, bytes).await
     }
 }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -28,6 +28,8 @@
 const MAX_SUSPECT_TIME: Duration = Duration::from_secs(4);
 /// Failures after which the time no longer doubles.
 const MAX_DOUBLINGS: u32 = 3;
+/// Time for which a server that sends what is no answer, or an endless one, gets no work.
+const FAULTY_TIME: Duration = Duration::from_secs(10);
 /// Time for which a server that refused a request as full gets no more.
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
 /// Age up to which a peer's report of its running requests is used.
@@ -257,6 +259,12 @@
         self.suspect(id, |_| FULL_BACKOFF);
     }
 
+    /// Notes that a server sent what is no answer, or an endless one.
+    pub fn note_faulty(&self, id: &str) {
+        log::warn!("server {id} sends what is no answer and is avoided for {FAULTY_TIME:?}");
+        self.suspect(id, |_| FAULTY_TIME);
+    }
+
     /// Notes that a server does not hold an item that its record names.
     pub fn note_missing(&self, id: &str, item: LoadItem) {
         let now = Instant::now();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod absent;
 mod announcements;
+mod answer_memory;
 mod answer_times;
 mod config;
 mod config_copy;
@@ -41,6 +42,7 @@
 mod upstream;
 
 pub use self::absent::AbsentModels;
+pub use self::answer_memory::AnswerMemory;
 pub use self::config::{
     CallKind, EngineConfig, ModelConfig, RouteConfig, ServiceConfig, ServingConfig, TeamConfig,
 };
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::error::{Error, Result, RunVerdict};
+use crate::error::{Category, Error, Result, RunVerdict};
 use crate::kernel::TaskGroup;
 use crate::wire;
 
@@ -33,6 +34,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections per server.
 const MAX_IDLE: usize = 16;
+/// Maximum number of interim answers (1xx) to one request.
+const MAX_INTERIM_ANSWERS: usize = 16;
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -94,6 +97,25 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: bool,
+    ) -> Result<UpstreamAnswer> {
+        let interim = InterimAnswers::watch(&mut request);
+        let answer = self.send_watched(server, address, request, reuse);
+        tokio::select! {
+            answer = answer => answer,
+            () = interim.excess() => {
+                let message = "the server sent interim answers without end";
+                let error = Error::new(Category::Protocol, message);
+                Err(error.with_verdict(RunVerdict::MayHaveRun))
+            }
+        }
+    }
+
+    async fn send_watched(
+        &self,
+        server: &SmolStr,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        reuse: bool,
     ) -> Result<UpstreamAnswer> {
         while reuse && let Some(mut connection) = self.take_idle(server) {
             match connection.sender.try_send_request(request).await {
@@ -179,7 +201,9 @@
         // Avoids delays for small requests. The connection also works if the option cannot be set.
         let _ = stream.set_nodelay(true);
         wire::reset_on_close(&stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(wire::READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(&error))?;
         let stop = CancellationToken::new();
@@ -227,6 +251,29 @@
     }
 }
 
+/// Counts the interim answers (1xx) to a request. A server may send a few before its answer.
+struct InterimAnswers {
+    excess: CancellationToken,
+}
+
+impl InterimAnswers {
+    fn watch(request: &mut Request<Full<Bytes>>) -> Self {
+        let excess = CancellationToken::new();
+        let (count, token) = (AtomicUsize::new(0), excess.clone());
+        hyper::ext::on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_ANSWERS {
+                token.cancel();
+            }
+        });
+        Self { excess }
+    }
+
+    /// Resolves when there are too many.
+    async fn excess(&self) {
+        self.excess.cancelled().await;
+    }
+}
+
 impl std::fmt::Debug for Connection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Connection")
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -22,6 +22,9 @@
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = usize::MAX;
 
+/// Maximum size of the head of an answer, and of what a connection reads ahead of a body's consumer, in bytes.
+pub(crate) const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Client for HTTP/1.1 calls to socket addresses. It sends each request at most once.
 #[derive(Clone, Debug)]
 pub(crate) struct HttpClient {
@@ -99,6 +102,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_CONNECTION_TIME)
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(READ_BUFFER_BYTES)
             .build(MapResponse::new(
                 connector,
                 with_reset as fn(TcpIo) -> TcpIo,
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -13,6 +13,7 @@
 mod demand_tracker_deadlock;
 mod earlier_answer_to_order;
 mod earlier_refusal_on_kept_connection;
+mod endless_answer;
 mod error_inside_resumed_stream;
 mod hangup;
 mod key_in_debug_form;
--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -26,13 +26,22 @@
 /// Time after its last byte within which a request may cross the close of its connection.
 const CROSSING_TIME: Duration = Duration::from_millis(200);
 
-/// A store that holds one configuration and one server.
-struct TableStore {
+/// A store that holds one configuration and some servers.
+pub(super) struct TableStore {
     address: SocketAddr,
 }
 
 impl TableStore {
     async fn bind(group: &TaskGroup, server: &ScriptedServer) -> eyre::Result<Self> {
+        Self::bind_with(group, std::slice::from_ref(server), 4).await
+    }
+
+    /// Starts a store whose servers have `slots` slots each.
+    pub(super) async fn bind_with(
+        group: &TaskGroup,
+        servers: &[ScriptedServer],
+        slots: u32,
+    ) -> eyre::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let route = |name: &str, kind: &str| {
@@ -47,13 +56,16 @@
             "services": [{"name": "desk", "health-path": "/health", "max-conns": 100}],
             "tenants": [{"name": "south", "api-keys": [KEY], "rate-per-s": 0, "burst": 0}],
         });
-        let record = json!({
-            "service": "desk", "address": server.address.to_string(), "zone": "north",
-            "version": "v1", "slots": 4, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1
-        });
+        let record = |server: &ScriptedServer| {
+            json!({
+                "service": "desk", "address": server.address.to_string(), "zone": "north",
+                "version": "v1", "slots": slots, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1
+            })
+        };
+        let records = servers.iter().map(|server| (&*server.id, record(server)));
         let tables = Arc::new([
-            ("keyed.op", page("config", &config)),
-            ("keyed.servers", page(&server.id, &record)),
+            ("keyed.op", page([("config", config)])),
+            ("keyed.servers", page(records)),
         ]);
         let connections = group.clone();
         group.spawn_cancellable(async move {
@@ -69,10 +81,14 @@
     }
 }
 
-fn page(key: &str, value: &Value) -> String {
-    let value = STANDARD.encode(value.to_string());
-    let items = [json!({"key": key, "value": value, "offset": 0})];
-    json!({"items": items, "has-more": false, "end": 1}).to_string()
+fn page<'a>(records: impl IntoIterator<Item = (&'a str, Value)>) -> String {
+    let records = records.into_iter().enumerate();
+    let items = records.map(|(offset, (key, value))| {
+        let value = STANDARD.encode(value.to_string());
+        json!({"key": key, "value": value, "offset": offset})
+    });
+    let items: Vec<Value> = items.collect();
+    json!({"items": items, "has-more": false, "end": items.len()}).to_string()
 }
 
 async fn serve_tables(mut stream: TcpStream, tables: &[(&str, String)]) -> eyre::Result<()> {
@@ -102,9 +118,9 @@
 }
 
 /// A daemon process, which is killed when it is dropped.
-struct DaemonProcess {
+pub(super) struct DaemonProcess {
     child: Child,
-    caller: SocketAddr,
+    pub(super) caller: SocketAddr,
 }
 
 impl Drop for DaemonProcess {
@@ -116,7 +132,7 @@
 }
 
 impl DaemonProcess {
-    async fn start(store: &TableStore, drain: &str) -> eyre::Result<Self> {
+    pub(super) async fn start(store: &TableStore, drain: &str) -> eyre::Result<Self> {
         let mut ports = Vec::new();
         for _ in 0..2 {
             ports.push(TcpListener::bind("127.0.0.1:0").await?);
@@ -158,6 +174,10 @@
         Ok(daemon)
     }
 
+    pub(super) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn terminate(&self) -> eyre::Result<()> {
         let command = format!("kill -TERM {}", self.child.id());
         let status = Command::new("sh").args(["-c", &command]).status()?;
@@ -202,7 +222,7 @@
     asked.await.unwrap_or(false)
 }
 
-fn call(path: &str, id: &str, length: usize) -> String {
+pub(super) fn call(path: &str, id: &str, length: usize) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 20000\r\n\
          Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n"
@@ -214,7 +234,7 @@
     call("/confirm/1", id, 0).replacen("\r\n", "\r\nConnection: close\r\n", 1)
 }
 
-fn status(answer: &str) -> &str {
+pub(super) fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("none")
 }
 
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -57,6 +57,13 @@
     Early(String),
     /// Writes bytes and then nothing more, with the connection open.
     Stall(String),
+    /// Writes `head` and then `part` without end if the request contains `trigger`, otherwise `answer`.
+    EndlessOn {
+        trigger: String,
+        head: String,
+        part: Vec<u8>,
+        answer: String,
+    },
     /// Crashes if the request contains `trigger`: no connection is accepted any more and this one is reset. Otherwise
     /// writes `answer`.
     CrashOn { trigger: String, answer: String },
@@ -199,6 +206,18 @@
                 crash.cancel();
                 return stream.set_zero_linger();
             }
+            Script::EndlessOn {
+                trigger,
+                head,
+                part,
+                ..
+            } if text.contains(&trigger) => {
+                stream.write_all(&bytes(&head)).await?;
+                loop {
+                    stream.write_all(&part).await?;
+                }
+            }
+            Script::EndlessOn { answer, .. } => stream.write_all(&bytes(&answer)).await?,
             Script::CrashOn { answer, .. } => stream.write_all(&bytes(&answer)).await?,
             Script::Stall(text) => {
                 stream.write_all(&bytes(&text)).await?;
