Test: hold that an answer whose head breaks off is no answer

The test cuts heads with a length, with chunks and with neither at 14 places on four kinds of route: 502, or 503 where the request may be sent again.

--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -8,6 +8,7 @@
 mod relay_support;
 
 mod arrived_request_on_a_closed_connection;
+mod broken_head;
 mod config_copy_over_slow_link;
 mod copy_of_an_earlier_era;
 mod demand_tracker_deadlock;
