Planner: count adapters in transit, and give the lease up for good at SIGTERM

Cause: a planner without state takes the first report of an engine for all that it holds. The list of adapters in transit was not read, while the number of orders in the report includes theirs, so that the engine accepts the order. A daemon that had released the lease at SIGTERM also took it back within a second, as the record names its own VM, and planned until it ended.

Change: the adapters in transit take their places in the planner's view, and a daemon that shuts down neither renews nor takes the lease.

Evidence: new_planner_counts_adapters_that_are_being_loaded and released_lease_is_not_taken_back.

--- a/src/platform/engines.rs
+++ b/src/platform/engines.rs
@@ -7,11 +7,14 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 use crate::error::{Error, Result};
 use crate::platform::headers::EXPECT_INSTANCE;
 use crate::platform::servers::ModelRecord;
-use crate::relay::{EngineControl, EngineReport, OrderAnswer, OrderContext, ReplicaOrder};
+use crate::relay::{
+    EngineControl, EngineReport, LoadItem, OrderAnswer, OrderContext, ReplicaOrder,
+};
 use crate::wire::{self, HttpClient};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -52,6 +55,9 @@
     busy: bool,
     #[serde(default)]
     models: Vec<ModelRecord>,
+    /// Adapters in transit, each as `MODEL/NAME@VERSION`.
+    #[serde(default)]
+    coming: Vec<SmolStr>,
 }
 
 impl EngineClient {
@@ -64,6 +70,16 @@
     }
 }
 
+/// Reads `MODEL/NAME@VERSION`. The version may be missing.
+fn adapter_item(text: &str) -> Option<LoadItem> {
+    let (model, adapter) = text.split_once('/')?;
+    let name = adapter.rsplit_once('@').map_or(adapter, |(name, _)| name);
+    Some(LoadItem {
+        model: model.into(),
+        adapter: Some(name.into()),
+    })
+}
+
 /// Sends a request that only `server` may carry out.
 async fn call(
     client: &HttpClient,
@@ -122,6 +138,11 @@
             accepted_orders: report.seq,
             busy: report.busy,
             models: report.models.into_iter().map(Into::into).collect(),
+            coming: report
+                .coming
+                .iter()
+                .filter_map(|name| adapter_item(name))
+                .collect(),
         })
     }
 }
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -100,6 +100,8 @@
     /// Whether a model is being loaded or unloaded.
     pub busy: bool,
     pub models: Vec<HeldModel>,
+    /// Adapters that are being loaded. They take their places already, and their orders are counted.
+    pub coming: Vec<LoadItem>,
 }
 
 /// Client of engines for the planner.
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -11,6 +11,7 @@
 //! write excludes that continues at once, with a new number; all others wait as for a silent holder.
 
 use std::future::Future;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -304,6 +305,8 @@
     candidate: Mutex<LeaseCandidate>,
     /// Monotonic and wall clock, read together to detect a suspension of the VM.
     clocks: Mutex<(Instant, SystemTime)>,
+    /// Set when the daemon shuts down, after which it does not hold the lease.
+    stopped: AtomicBool,
 }
 
 impl LeaseManager {
@@ -317,6 +320,7 @@
         let manager = Arc::new(Self {
             candidate: Mutex::new(candidate),
             clocks: Mutex::new((Instant::now(), SystemTime::now())),
+            stopped: AtomicBool::new(false),
         });
         group.spawn_cancellable(run(manager.clone(), store, eligible));
         manager
@@ -324,6 +328,9 @@
 
     /// Returns the fencing number if this daemon may give orders now.
     pub fn fence(&self) -> Option<u64> {
+        if self.stopped.load(Ordering::SeqCst) {
+            return None;
+        }
         self.note_suspension();
         self.with(|candidate| candidate.fence(Instant::now()))
     }
@@ -348,8 +355,9 @@
         }
     }
 
-    /// Releases the lease, so that another daemon can take it before it expires.
+    /// Releases the lease for good, so that another daemon can take it before it expires.
     pub async fn release<L: LeaseStore>(&self, store: &L) {
+        self.stopped.store(true, Ordering::SeqCst);
         let now = Instant::now();
         let LeaseStep::Write(mut write) = self.with(|candidate| candidate.next_step(now)) else {
             return;
@@ -384,7 +392,7 @@
     let started = Instant::now();
     let mut held = None;
     let mut known = false;
-    loop {
+    while !manager.stopped.load(Ordering::SeqCst) {
         if known
             && !manager.with(|candidate| candidate.names_own_vm())
             && !*eligible.borrow_and_update()
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -364,6 +364,14 @@
         }
         engine.accepted_orders = Some(report.accepted_orders);
         engine.models = report.models;
+        for item in report.coming {
+            let placement = PlacementChange {
+                server: id.clone(),
+                item,
+                present: true,
+            };
+            placement.apply(&mut engine.models);
+        }
         let Some(open) = engine.open_order.take() else {
             return Vec::new();
         };
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -56,6 +56,8 @@
     models: Vec<HeldModel>,
     /// The order that is being carried out, and when it ends.
     busy: Option<(Instant, ReplicaOrder)>,
+    /// Adapters that reports show as coming.
+    coming: Vec<LoadItem>,
     /// Whether the order is complete as soon as the engine has reported that it is not.
     ends_after_report: bool,
 }
@@ -196,11 +198,20 @@
         let mut engines = lock(&self.engines);
         let engine = engines.entry(server.into()).or_default();
         engine.finish_due_order(Instant::now());
+        let mut models = engine.models.clone();
+        for held in &mut models {
+            let coming = |adapter: &SmolStr| {
+                let mut coming = engine.coming.iter();
+                coming.any(|item| item.model == held.name && item.adapter.as_ref() == Some(adapter))
+            };
+            held.adapters.retain(|adapter| !coming(adapter));
+        }
         let report = EngineReport {
             born_ms: 1,
             accepted_orders: engine.orders,
             busy: engine.busy.is_some(),
-            models: engine.models.clone(),
+            models,
+            coming: engine.coming.clone(),
         };
         if engine.ends_after_report
             && let Some((_, order)) = engine.busy.take()
@@ -467,6 +478,7 @@
             models: vec![held(0), held(1)],
             busy: Some((Instant::now() + Duration::from_secs(3_600), load)),
             ends_after_report: true,
+            ..SimulatedEngine::default()
         };
         lock(&rig.control.engines).insert(format!("e{index}").into(), engine);
     }
@@ -480,6 +492,61 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
+/// Guards against a planner that has no state yet and takes the place of an adapter that is being loaded for free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_planner_counts_adapters_that_are_being_loaded() {
+    let rig = open(5, 0.0);
+    let item = |adapter: &str| LoadItem {
+        model: "m0".into(),
+        adapter: Some(adapter.into()),
+    };
+    for index in 0..ENGINES {
+        let engine = SimulatedEngine {
+            orders: 3,
+            models: vec![HeldModel {
+                name: "m0".into(),
+                adapters: vec!["a1".into(), "a2".into()],
+                ..HeldModel::default()
+            }],
+            coming: vec![item("a2")],
+            ..SimulatedEngine::default()
+        };
+        lock(&rig.control.engines).insert(format!("e{index}").into(), engine);
+    }
+    let request = PlacementRequest {
+        service: "drafter".into(),
+        item: item("a3"),
+    };
+    let placed = tokio::time::timeout(Duration::from_secs(10), rig.planner.place(request)).await;
+    let violations = lock(&rig.control.violations).clone();
+    rig.group.shutdown().await;
+    assert!(violations.is_empty(), "{violations:?}");
+    assert!(placed.is_ok(), "the adapter was not placed");
+}
+
+/// Guards against a daemon that shuts down, takes the lease that it has released back, and goes on planning until it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn released_lease_is_not_taken_back() {
+    let group = TaskGroup::new();
+    let store = Arc::new(FreeLease::default());
+    let (_eligible, eligible) = watch::channel(true);
+    let candidate = LeaseCandidate::new("entry-1".into(), VmId::random(), Duration::ZERO);
+    let lease = LeaseManager::spawn(&group, store.clone(), candidate, eligible);
+    let end = Instant::now() + Duration::from_secs(20);
+    while lease.fence().is_none() {
+        assert!(Instant::now() < end, "the lease was not taken");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    lease.release(&*store).await;
+    for _ in 0..30 {
+        assert_eq!(lease.fence(), None);
+        let record = lock(&store.0).record.clone();
+        assert!(record.is_some_and(|record| record.released));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    group.shutdown().await;
+}
+
 /// Guards against a model that stays without a replica, or one in demand that gets no more replicas.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_model_gets_a_replica_and_busy_models_get_more() {
