Answers: count held answers until their callers have read them

An answer of up to 256 KiB that waited for a slow caller, or for another server's answer in its place, had returned its memory before it was read, so that the bound of all answers did not hold for it. The lease is tied to the bytes now and returned with their last copy; each_server_has_a_share_of_the_memory checks it.

--- a/src/relay/answer_memory.rs
+++ b/src/relay/answer_memory.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use smol_str::SmolStr;
 
 /// Bytes that all answers together may hold.
@@ -79,6 +80,26 @@
         self.bytes = bytes;
         true
     }
+
+    /// Ties the lease to `bytes`, which may wait for a slow caller.
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _lease: self,
+        })
+    }
+}
+
+/// Bytes that return their memory with their last copy.
+struct HeldBytes {
+    bytes: Bytes,
+    _lease: MemoryLease,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for MemoryLease {
--- a/src/relay/exchange/whole.rs
+++ b/src/relay/exchange/whole.rs
@@ -19,8 +19,10 @@
 const MAX_HELD_BYTES: usize = 256 << 10;
 /// Maximum size of an answer that does not state its length, which may have no end.
 const MAX_UNSIZED_BYTES: usize = 8 << 20;
+/// Size up to which pieces of an answer may wait for a slow caller.
+const MAX_QUEUED_BYTES: usize = 1 << 10;
 
-/// The begin of a body.
+/// The beginning of a body.
 struct BodyStart {
     bytes: Bytes,
     is_whole: bool,
@@ -46,18 +48,17 @@
             Some(Err(error)) => return self.failed_attempt(slot, unreadable_answer(&error)),
             None => return self.failed_attempt(slot, answer_timeout()),
         };
+        let body = lease.hold(start.bytes);
         let status = answer.head.status;
         let is_retryable = status.is_server_error() && self.is_repeatable();
         if !start.is_whole && !is_retryable {
-            drop(lease);
-            return self.forward_rest(slot, answer, start.bytes, pieces).await;
+            return self.forward_rest(slot, answer, body, pieces).await;
         }
         if start.is_whole
             && let Err(error) = self.check_answer_end(&answer, slot).await
         {
             return self.failed_attempt(slot, error);
         }
-        let body = start.bytes;
         let head = response_head(&answer);
         let piece = RelayPiece::Whole { head, body };
         if start.is_whole {
@@ -159,9 +160,6 @@
     Ok(BodyStart { bytes, is_whole })
 }
 
-/// Size up to which pieces of an answer may wait for a slow caller.
-const MAX_QUEUED_BYTES: usize = 1 << 10;
-
 /// Sends a part of an answer. A large part waits until the caller has read all before it, so that a slow caller does not
 /// make the daemon hold much. Returns `false` if the caller has closed the connection.
 pub(super) async fn send_data(pieces: &mpsc::Sender<Result<RelayPiece>>, data: Bytes) -> bool {
--- a/tests/regression/endless_answer.rs
+++ b/tests/regression/endless_answer.rs
@@ -183,6 +183,10 @@
     leases.clear();
     assert!(memory.used() < 128 << 10);
     assert!(memory.lease(&faulty).resize(256 << 10));
-    drop(other);
+    let body = other.hold("whole".into());
+    let copy = body.clone();
+    drop(body);
+    assert!(memory.used() > 0, "the body waits for its caller");
+    drop(copy);
     assert_eq!(memory.used(), 0);
 }
