--- a/tests/regression/reader_that_was_turned_away.rs
+++ b/tests/regression/reader_that_was_turned_away.rs
@@ -1,17 +1,18 @@
 //! The store turned a reader away and served it again. Its list was older than those of the others, which copied it: they
 //! listed servers again that had gone.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxtailhill::ids::{LogOffset, VmId};
+use foxtailhill::ids::LogOffset;
 use foxtailhill::relay::{
-    ListPosition, Pulse, ReaderElection, RelayFleet, ServerChange, ServerDelta, ServerEntry,
-    StoreHealth, StoreTable,
+    ListPosition, ReaderElection, RelayFleet, ServerChange, ServerDelta, ServerEntry, StoreHealth,
+    StoreTable,
 };
 
+use crate::pulse_support::pulse;
+
 fn server(index: u64) -> ServerEntry {
     ServerEntry {
         id: format!("i-{index}").into(),
@@ -135,27 +136,6 @@
     assert_eq!(ids(&fleet), ["i-1"]);
 }
 
-fn pulse(name: u16, zone: &str, reading_for: Duration) -> Pulse {
-    Pulse {
-        vm: VmId(name.into()),
-        name: format!("entry-{name}").into(),
-        zone: zone.into(),
-        peer: SocketAddr::from(([127, 0, 0, 1], name)),
-        config_version: 1,
-        reads_store: true,
-        reading_for,
-        weight: 250,
-        tables_version: 1,
-        in_flight: HashMap::new(),
-        spare: Vec::new(),
-        demand: Vec::new(),
-        fence: None,
-        placements: Vec::new(),
-        suspects: Vec::new(),
-        parts: Vec::new(),
-    }
-}
-
 /// Guards against a daemon that counts as a reader as soon as one table can be read, while its list of servers is old.
 #[test]
 fn daemon_reads_again_when_all_tables_were_read() {
@@ -183,12 +163,12 @@
     let mut reading = election.subscribe();
     let later = Instant::now() + Duration::from_secs(30);
     health.note(StoreTable::Servers, false, later);
-    election.note_pulse(&pulse(1, "south", Duration::from_secs(1)), later);
+    election.note_pulse(&pulse(1, "south", true, Duration::from_secs(1)), later);
     assert!(
         *reading.borrow_and_update(),
         "no other daemon of its zone reads"
     );
-    election.note_pulse(&pulse(2, "north", Duration::from_secs(1)), later);
+    election.note_pulse(&pulse(2, "north", true, Duration::from_secs(1)), later);
     assert!(!*reading.borrow_and_update());
     election.elect(later + Duration::from_secs(5));
     assert!(*reading.borrow_and_update(), "the other sends no pulses");
