Streams: do not avoid a server because the daemon lacks memory

Found when the change was read again. An event for which there is no memory counted as a fault of its server, which was then avoided for 10 s, also if other servers had taken the memory or many sound streams of one server held large events at once.

Change: only an event over 1 MiB is the server's fault. One without memory fails its attempt, as before, and says so.

Evidence: server_is_not_avoided_because_memory_is_short fails when the blame is put back (trial) and passes without it.

--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -68,10 +68,16 @@
                 Some(None) => break,
                 None => return self.failed_attempt(slot, answer_timeout()),
             };
-            if !splitter.push(&data) || !lease.resize(splitter.len()) {
-                let error = self.faulty_answer(slot, "an event that is too long to be held");
+            if !splitter.push(&data) {
+                let error = self.faulty_answer(slot, "an event that is longer than 1 MiB");
                 return self.failed_attempt(slot, error);
             }
+            if !lease.resize(splitter.len()) {
+                // Other answers may have taken the memory, so the server is not to blame.
+                let message = "there is no memory for an event of the backend server";
+                let error = Error::new(Category::Overloaded, message);
+                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            }
             let NewEvents {
                 bytes,
                 has_unplaced,
