--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -18,6 +18,7 @@
 mod error_inside_resumed_stream;
 mod hangup;
 mod key_in_debug_form;
+mod lease_taken_back_at_shutdown;
 mod name_in_header;
 mod odd_server_record;
 mod offset_of_an_earlier_era;
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -534,29 +534,6 @@
     assert!(violations.is_empty(), "{violations:?}");
 }
 
-/// Guards against a daemon that shuts down, takes the lease that it has released back, and goes on planning until it ends.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn released_lease_is_not_taken_back() {
-    let group = TaskGroup::new();
-    let store = Arc::new(FreeLease::default());
-    let (_eligible, eligible) = watch::channel(true);
-    let candidate = LeaseCandidate::new("entry-1".into(), VmId::random(), Duration::ZERO);
-    let lease = LeaseManager::spawn(&group, store.clone(), candidate, eligible);
-    let end = Instant::now() + Duration::from_secs(20);
-    while lease.fence().is_none() {
-        assert!(Instant::now() < end, "the lease was not taken");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    lease.release(&*store).await;
-    for _ in 0..30 {
-        assert_eq!(lease.fence(), None);
-        let record = lock(&store.0).record.clone();
-        assert!(record.is_some_and(|record| record.released));
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-    group.shutdown().await;
-}
-
 /// Guards against a model that stays without a replica, or one in demand that gets no more replicas.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_model_gets_a_replica_and_busy_models_get_more() {
