--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    fn expected_time(&self) -> WorkTime {
+    fn work_time(&self) -> WorkTime {
         WorkTime::Due(self.wait_entry().work)
     }
 
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -105,7 +105,7 @@
 
     /// Returns how long the answer is expected to take, or to take until it begins, once the request is sent. At shutdown
     /// a request is refused when less time is left.
-    fn expected_time(&self) -> WorkTime;
+    fn work_time(&self) -> WorkTime;
 
     /// Sends the request to the server in `slot` and forwards the answer until the attempt ends. An attempt at a server
     /// that may still answer ends only if one of `others` has room.
@@ -405,12 +405,12 @@
     ) -> Attempt {
         let asked = Instant::now();
         // A request that a server has had already is only failed early, not refused.
-        let expected_time = match job.exchange.verdict() {
-            RunVerdict::NotRun => job.exchange.expected_time(),
+        let work_time = match job.exchange.verdict() {
+            RunVerdict::NotRun => job.exchange.work_time(),
             _ => WorkTime::NONE,
         };
         let slot = tokio::select! {
-            slot = self.drain.run_unsent(expected_time, self.acquire(job)) => slot,
+            slot = self.drain.run_unsent(work_time, self.acquire(job)) => slot,
             () = pieces.closed() => return Attempt::Cancelled,
         };
         self.note_stage(&job.id, RequestStage::Queue, asked);
--- a/src/relay/answer_times.rs
+++ b/src/relay/answer_times.rs
@@ -24,8 +24,7 @@
     at: Instant,
 }
 
-/// Measured times from sending a request to a backend server to the end of its answer, by route. Share it in an
-/// [`Arc`](std::sync::Arc).
+/// Measured times from sending a request to a backend server to the end of its answer, by route.
 #[derive(Debug, Default)]
 pub struct AnswerTimes {
     routes: Mutex<HashMap<SmolStr, RouteTime>>,
@@ -47,6 +46,7 @@
             routes.retain(|_, known| known.at + KEEP_TIME > now);
         }
         if routes.len() < MAX_ROUTES {
+            // Until more is known, an answer may take twice as long as the first one.
             let first = RouteTime {
                 time,
                 deviation: time / DEVIATIONS,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -404,7 +404,8 @@
         Err(broken_answer("the server ended with its answer"))
     }
 
-    /// Notes that a server sends what no caller can be given, so that it is avoided for a while, and returns the error.
+    /// Returns the error of an attempt whose server sent `what`, which cannot be passed on. The server is avoided for a
+    /// while.
     fn faulty_answer(&self, slot: &ServerSlot, what: &str) -> Error {
         self.context.fleet.note_faulty(&slot.name);
         let message = format!("the backend server sent {what}");
@@ -427,7 +428,7 @@
         }
     }
 
-    fn expected_time(&self) -> WorkTime {
+    fn work_time(&self) -> WorkTime {
         match self.sent_type {
             Some(_) => WorkTime::NONE,
             None => self.context.work_time(&self.request.route),
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -153,10 +153,6 @@
         let changed = servers.filter(|server| since.is_none_or(|since| server.changed > since));
         let (expiring, changed): (Vec<_>, Vec<_>) =
             changed.partition(|server| server.expires_at.is_some());
-        let entries = |servers: Vec<&ServerState>| {
-            let servers = servers.into_iter();
-            servers.map(|server| server.entry.clone()).collect()
-        };
         let removed = state.removed.iter();
         let removed = removed.filter(|server| {
             since.is_some_and(|since| server.version > since)
@@ -166,8 +162,14 @@
             version: state.version,
             position: state.list_position(),
             is_snapshot: since.is_none(),
-            changed: entries(changed),
-            expiring: entries(expiring),
+            changed: changed
+                .into_iter()
+                .map(|server| server.entry.clone())
+                .collect(),
+            expiring: expiring
+                .into_iter()
+                .map(|server| server.entry.id.clone())
+                .collect(),
             removed: removed.map(|server| server.id.clone()).collect(),
         }
     }
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -60,6 +60,7 @@
         }
     }
 
+    /// Returns how far the store's records have been read into the list.
     pub(super) fn list_position(&self) -> ListPosition {
         ListPosition {
             era: self.era.unwrap_or_default(),
@@ -67,6 +68,7 @@
         }
     }
 
+    /// Applies changes in order, except for those of an earlier era or position than the list's.
     pub(super) fn apply_all(&mut self, changes: Vec<ServerChange>, now: Instant) {
         let mut is_older = false;
         for change in changes {
@@ -84,12 +86,14 @@
         }
     }
 
+    /// Applies a change that is not older than the list.
     fn apply(&mut self, change: ServerChange, now: Instant) {
         match change {
+            // These say where the changes come from, and were handled with them.
             ServerChange::Era(_) | ServerChange::Position(_) | ServerChange::Unreachable => {}
-            ServerChange::Expiring(entries) => {
-                for entry in entries {
-                    self.expire_later(&entry.id, now + EXPIRY_GRACE);
+            ServerChange::Expiring(ids) => {
+                for id in ids {
+                    self.expire_later(&id, now + EXPIRY_GRACE);
                 }
             }
             ServerChange::Snapshot(entries) => {
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -239,6 +239,7 @@
         }
     }
 
+    /// Returns the position after a record and, if the record can be decoded, its change.
     fn changes(&self, record: &KeyedRecord) -> [Option<ServerChange>; 2] {
         let change = match &record.value {
             None => {
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -54,9 +54,9 @@
     /// The changes that follow come from a list that contains all records before this offset; they are ignored if the
     /// list contains later ones.
     Position(LogOffset),
-    /// Servers without a record, which are kept for a while after an outage of the store. A list that has removed them
-    /// knows better.
-    Expiring(Vec<ServerEntry>),
+    /// Servers without a record, which are kept for a while after an outage of the store. They are not listed where they
+    /// are not yet, as a list without them may have read their removal.
+    Expiring(Vec<SmolStr>),
     /// All servers with a record; others were removed, except for those that expire.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
@@ -76,7 +76,7 @@
     pub is_snapshot: bool,
     pub changed: Vec<ServerEntry>,
     /// Servers without a record that are kept for a while; they are not in `changed`.
-    pub expiring: Vec<ServerEntry>,
+    pub expiring: Vec<SmolStr>,
     pub removed: Vec<SmolStr>,
 }
 
