Suspects: a request with a prompt is recognised by its prompt as well

Any two crashes under requests of a team with one path and no body locked that path for the team.

Cause: a request was recognised by team, path and body alone. On routes with prompts the prompt is named in the headers (PROTOCOL.md, `Prompt-Prefix`: "The last part belongs to the request itself or to its session"), so requests that differ only there counted as one that comes again.

Change: model, adapter and all prompt parts belong to what a request is recognised by. PROTOCOL.md says of a crashing request that it comes again with the same path, caller and body and does not name its headers; team, path and body therefore count as a part before the first prompt part, which is blocked, and tried again, by the same rules as any part. Answers to other requests clear it, unlike a quarantine.

--- a/src/blame/messages.rs
+++ b/src/blame/messages.rs
@@ -5,11 +5,20 @@
 use serde::{Deserialize, Serialize};
 
 use crate::blame::trial::TrialNotice;
+use crate::ids::KeyDigest;
 
-/// Id of a prompt part.
+/// Id of a prompt part, or of the team, path and body of a request, which count as a part before the first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u64);
 
+impl PartId {
+    /// Returns the id for the digest of a request's team, path and body.
+    pub fn of_call(digest: &KeyDigest) -> Self {
+        let [a, b, c, d, e, f, g, h, ..] = digest.0;
+        Self(u64::from_le_bytes([a, b, c, d, e, f, g, h]))
+    }
+}
+
 /// One start of a backend server, as a hash of its id and its time of start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServerStart(pub u64);
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -14,6 +14,7 @@
     CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, WorkTime, fingerprint,
 };
 use crate::error::{Category, Error, Result, RunVerdict};
+use crate::ids::KeyDigest;
 use crate::relay::absent::AbsentModels;
 use crate::relay::answer_memory::AnswerMemory;
 use crate::relay::answer_times::AnswerTimes;
@@ -194,9 +195,10 @@
         } = route_match;
         let admission = self.context.core.admit()?;
         let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let fingerprint = fingerprint(attribution.team.as_ref(), target, &body);
+        let call_digest = fingerprint(attribution.team.as_ref(), target, &body);
+        let fingerprint = prompt_fingerprint(call_digest, &metadata);
         self.context.core.check_suspect(&fingerprint)?;
-        let parts = shared_parts(&metadata);
+        let parts = shared_parts(&call_digest, &metadata);
         self.context.watch.check_new(&parts)?;
         let service = self.select_service(&config, &route)?;
         let model_need = self.model_need(service, &metadata)?;
@@ -522,13 +524,32 @@
     })
 }
 
-/// Returns the prompt parts that other requests may share: all but the last, which belongs to the request or its session.
-fn shared_parts(metadata: &RequestMetadata) -> Vec<PartId> {
-    let shared = metadata
-        .prompt
-        .split_last()
-        .map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| PartId(part.id)).collect()
+/// Returns the digest by which a repetition of a request is recognised. A prompt that is named in the headers belongs to
+/// it, as requests with other prompts may have the same team, path and body.
+fn prompt_fingerprint(call_digest: KeyDigest, metadata: &RequestMetadata) -> KeyDigest {
+    if metadata.prompt.is_empty() {
+        return call_digest;
+    }
+    let mut bytes = call_digest.0.to_vec();
+    for name in [&metadata.model, &metadata.adapter] {
+        bytes.extend_from_slice(name.as_deref().unwrap_or_default().as_bytes());
+        bytes.push(0);
+    }
+    for part in &metadata.prompt {
+        bytes.extend_from_slice(&part.id.to_le_bytes());
+    }
+    KeyDigest::of(&bytes)
+}
+
+/// Returns what a request with a prompt may share with other requests: its team, path and body, then all prompt parts
+/// but the last, which belongs to the request or its session.
+fn shared_parts(call_digest: &KeyDigest, metadata: &RequestMetadata) -> Vec<PartId> {
+    let Some((_, shared)) = metadata.prompt.split_last() else {
+        return Vec::new();
+    };
+    let call = std::iter::once(PartId::of_call(call_digest));
+    call.chain(shared.iter().map(|part| PartId(part.id)))
+        .collect()
 }
 
 fn tokens_to_charge(team: Option<&TeamConfig>, metadata: &RequestMetadata) -> u64 {
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -42,7 +42,7 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// Prompt parts that other requests may share.
+    /// Prompt parts that other requests may share, after the part that stands for team, path and body.
     pub(super) parts: Vec<PartId>,
     /// Identifies repetitions of the same request, for the detection of requests that crash their servers.
     pub(super) fingerprint: KeyDigest,
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -26,6 +26,7 @@
 mod older_copy_of_the_list;
 mod older_server_list;
 mod prompt_part_that_crashes_servers;
+mod prompts_that_differ_in_their_last_part;
 mod reader_that_was_turned_away;
 mod registration_lost_by_the_store;
 mod server_that_ends_with_its_answer;
