Shutdown: compare a waiting request with the time left by what is known now

Callers saw: in a planned stop, requests that had come 4 s before SIGTERM waited, were passed on late and got a 502 although they had run.

Cause: how long an answer takes was read once, when a request began to wait. Requests that came before the first answer of their route was complete had only the target latency of the route, and kept it: with answers after 3 s and a target of 0.1 s they were passed on until 0.35 s before the end.

Change: the time that an answer takes is read at each poll while the daemon shuts down, the last time just before a place is taken.

No request may be cut, or be refused though it has run.

--- a/src/dispatch/drain.rs
+++ b/src/dispatch/drain.rs
@@ -1,6 +1,7 @@
 //! Until when a daemon that shuts down can still answer requests.
 
 use std::future::Future;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
@@ -12,6 +13,8 @@
 /// Time before the end in which the failures of requests without an answer are written. It is shorter, so that a request
 /// that has not been sent is refused.
 const FAILURE_TIME: Duration = Duration::from_millis(125);
+/// Period in which a request that waits is compared with the time left.
+const CHECK_PERIOD: Duration = Duration::from_millis(20);
 /// `Retry-After` of a refusal. Other daemons take requests at once.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -53,17 +56,19 @@
         self.time.send_replace(Some(DrainTime { end, length }));
     }
 
-    /// Runs a step before a request is sent to a server, which takes `work` once it is.
+    /// Runs a step before a request is sent to a server, whose answer then takes `work`. What is known of that may change
+    /// while the request waits.
     ///
     /// # Errors
     ///
     /// Those of `step`; `ShuttingDown` once the answer would come after the end.
     pub(crate) async fn run_unsent<T>(
         &self,
-        work: WorkTime,
+        work: impl Fn() -> WorkTime,
         step: impl Future<Output = Result<T>>,
     ) -> Result<T> {
         tokio::select! {
+            // The work is compared with the time left at each poll, so also just before the step is taken as done.
             biased;
             () = self.reach(work, REFUSAL_TIME) => {
                 let message = "the daemon is shutting down";
@@ -85,7 +90,7 @@
                 Some(piece) => return piece,
                 None => Error::internal("the request ended without an answer"),
             },
-            () = self.reach(WorkTime::NONE, FAILURE_TIME) => {
+            () = self.reach(|| WorkTime::NONE, FAILURE_TIME) => {
                 let message = "the daemon shut down before the answer began";
                 Error::new(Category::ShuttingDown, message)
             }
@@ -94,21 +99,34 @@
     }
 
     /// Resolves when `work` can no longer be done `lead` before the end; never unless the daemon shuts down.
-    async fn reach(&self, work: WorkTime, lead: Duration) {
+    async fn reach(&self, work: impl Fn() -> WorkTime, lead: Duration) {
         let mut times = self.time.subscribe();
         let time = match times.wait_for(Option::is_some).await {
             Ok(time) => *time,
             Err(_) => None,
         };
-        let Some(DrainTime { end, length }) = time else {
+        let Some(time) = time else {
             return std::future::pending().await;
         };
+        let mut checks = tokio::time::interval(CHECK_PERIOD);
+        std::future::poll_fn(|context| {
+            while checks.poll_tick(context).is_ready() {}
+            match time.is_reached(work(), lead) {
+                true => Poll::Ready(()),
+                false => Poll::Pending,
+            }
+        })
+        .await;
+    }
+}
+
+impl DrainTime {
+    /// Returns whether `work` can no longer be done `lead` before the end.
+    fn is_reached(self, work: WorkTime, lead: Duration) -> bool {
         let work = match work {
-            WorkTime::Due(time) => time.min(length / MAX_WORK_DIVISOR),
+            WorkTime::Due(time) => time.min(self.length / MAX_WORK_DIVISOR),
             WorkTime::Measured(time) => time,
         };
-        let lead = lead + work;
-        let latest = end.checked_sub(lead).unwrap_or_else(Instant::now);
-        tokio::time::sleep_until(latest.into()).await;
+        Instant::now() + work + lead >= self.end
     }
 }
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -96,7 +96,7 @@
 }
 
 /// An admitted request in its caller's protocol, which sends it to backend servers and forwards the answer.
-pub trait Exchange: Send + 'static {
+pub trait Exchange: Send + Sync + 'static {
     /// Part of the answer that goes to the caller.
     type Piece: Send + 'static;
 
@@ -404,13 +404,15 @@
         pieces: &mpsc::Sender<Result<X::Piece>>,
     ) -> Attempt {
         let asked = Instant::now();
+        let exchange = &job.exchange;
         // A request that a server has had already is only failed early, not refused.
-        let work_time = match job.exchange.verdict() {
-            RunVerdict::NotRun => job.exchange.work_time(),
+        let work_time = || match exchange.verdict() {
+            RunVerdict::NotRun => exchange.work_time(),
             _ => WorkTime::NONE,
         };
+        let slot = self.acquire(&mut job.need, exchange);
         let slot = tokio::select! {
-            slot = self.drain.run_unsent(work_time, self.acquire(job)) => slot,
+            slot = self.drain.run_unsent(work_time, slot) => slot,
             () = pieces.closed() => return Attempt::Cancelled,
         };
         self.note_stage(&job.id, RequestStage::Queue, asked);
@@ -444,21 +446,16 @@
     }
 
     /// Waits for a slot on a backend server, for [`AVOID_TIME`] only on those that have not failed this request.
-    async fn acquire<X: Exchange>(
-        &self,
-        job: &mut RequestJob<ChargeOf<P>, X>,
-    ) -> Result<ServerSlot> {
-        if !job.need.route.avoid.is_empty() {
-            let other = self
-                .queues
-                .acquire(job.need.clone(), job.exchange.wait_entry());
+    async fn acquire<X: Exchange>(&self, need: &mut ModelNeed, exchange: &X) -> Result<ServerSlot> {
+        if !need.route.avoid.is_empty() {
+            let other = self.queues.acquire(need.clone(), exchange.wait_entry());
             if let Ok(slot) = tokio::time::timeout(AVOID_TIME, other).await {
                 return slot;
             }
-            job.need.route.avoid.clear();
+            need.route.avoid.clear();
         }
         self.queues
-            .acquire(job.need.clone(), job.exchange.wait_entry())
+            .acquire(need.clone(), exchange.wait_entry())
             .await
     }
 
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -187,7 +187,7 @@
         let caller_deadline = arrived + metadata.deadline.unwrap_or(DEFAULT_DEADLINE);
         let drain = self.context.core.drain_clock();
         let route_match = self.match_route(&head, &metadata, caller_deadline, attribution);
-        let route_match = drain.run_unsent(WorkTime::NONE, route_match).await?;
+        let route_match = drain.run_unsent(|| WorkTime::NONE, route_match).await?;
         let RouteMatch {
             config,
             route,
@@ -222,7 +222,7 @@
                     .charge(&metadata.id, &team.spec.name, tokens);
                 Some(
                     drain
-                        .run_unsent(self.exchanges.work_time(&route), charge)
+                        .run_unsent(|| self.exchanges.work_time(&route), charge)
                         .await?,
                 )
             }
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -115,7 +115,7 @@
         let dispatcher = &context.dispatcher;
         let body = read_body(body, &context.limits);
         let drain = dispatcher.core().drain_clock();
-        let body = drain.run_unsent(WorkTime::NONE, body).await?;
+        let body = drain.run_unsent(|| WorkTime::NONE, body).await?;
         dispatcher
             .call(head, metadata, body, arrived, trace.attribution_mut())
             .await
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -25,6 +25,7 @@
 mod older_configuration_at_start;
 mod older_copy_of_the_list;
 mod older_server_list;
+mod planned_stop_beside_long_answers;
 mod prompt_part_that_crashes_servers;
 mod prompts_that_differ_in_their_last_part;
 mod reader_that_was_turned_away;
--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -178,14 +178,14 @@
         self.child.id()
     }
 
-    fn terminate(&self) -> eyre::Result<()> {
+    pub(super) fn terminate(&self) -> eyre::Result<()> {
         let command = format!("kill -TERM {}", self.child.id());
         let status = Command::new("sh").args(["-c", &command]).status()?;
         ensure!(status.success(), "`{command}` failed");
         Ok(())
     }
 
-    async fn wait_exit(&mut self) -> eyre::Result<()> {
+    pub(super) async fn wait_exit(&mut self) -> eyre::Result<()> {
         let end = Instant::now() + WAIT_TIMEOUT;
         loop {
             if let Some(status) = self.child.try_wait()? {
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -54,6 +54,8 @@
     Reset(String),
     /// Writes bytes with a pause after each part, and resets the connection.
     Paced(Vec<(String, Duration)>),
+    /// Waits for a time and then writes an answer.
+    AnswerAfter(Duration, String),
     /// Writes bytes as soon as the head is read, then reads the rest of the body.
     Early(String),
     /// Writes bytes and then nothing more, with the connection open.
@@ -196,6 +198,10 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 return stream.set_zero_linger();
             }
+            Script::AnswerAfter(time, text) => {
+                tokio::time::sleep(time).await;
+                stream.write_all(&bytes(&text)).await?;
+            }
             Script::Paced(parts) => {
                 for (text, pause) in parts {
                     stream.write_all(&bytes(&text)).await?;
