Answer times: expect some deviation where there was none so far

Cause: where all answers of a route take the same time, the average deviation falls to zero, so in a planned stop a request was passed on as long as the average alone fitted. Nothing was left for a server that is fuller by then.

Change: the deviation counts as a sixteenth of the time at least.

Tests: `equal_answers_leave_a_margin_for_slower_ones` fails without the least deviation: 3.0 s are expected after a hundred answers of 3 s, and the test asks for 3.3 s.

--- a/src/relay/answer_times.rs
+++ b/src/relay/answer_times.rs
@@ -12,6 +12,9 @@
 const DEVIATION_WEIGHT: f64 = 0.25;
 /// Number of average deviations by which an answer may be late and still be expected.
 const DEVIATIONS: f64 = 2.0;
+/// Least average deviation, as a part of the time. Answers that have all taken the same time say nothing of servers that are
+/// fuller.
+const MIN_DEVIATION: f64 = 1.0 / 16.0;
 /// Maximum number of routes. Beyond it, those that were not used for [`KEEP_TIME`] are forgotten.
 const MAX_ROUTES: usize = 4_096;
 const KEEP_TIME: Duration = Duration::from_secs(600);
@@ -60,9 +63,8 @@
     pub fn expected(&self, route: &str) -> Option<Duration> {
         let routes = self.routes();
         let known = routes.get(route)?;
-        Some(Duration::from_secs_f64(
-            known.time + DEVIATIONS * known.deviation,
-        ))
+        let deviation = known.deviation.max(MIN_DEVIATION * known.time);
+        Some(Duration::from_secs_f64(known.time + DEVIATIONS * deviation))
     }
 
     fn routes(&self) -> MutexGuard<'_, HashMap<SmolStr, RouteTime>> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -43,6 +43,7 @@
 
 pub use self::absent::AbsentModels;
 pub use self::answer_memory::AnswerMemory;
+pub use self::answer_times::AnswerTimes;
 pub use self::config::{
     CallKind, EngineConfig, ModelConfig, RouteConfig, ServiceConfig, ServingConfig, TeamConfig,
 };
--- a/tests/regression/planned_stop_beside_long_answers.rs
+++ b/tests/regression/planned_stop_beside_long_answers.rs
@@ -8,6 +8,7 @@
 
 use eyre::ensure;
 use foxtailhill::kernel::TaskGroup;
+use foxtailhill::relay::AnswerTimes;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
@@ -132,3 +133,16 @@
     group.shutdown().await;
     Ok(())
 }
+
+/// Guards against an expected time without any margin where all answers so far took the same time.
+#[test]
+fn equal_answers_leave_a_margin_for_slower_ones() {
+    let (times, route) = (AnswerTimes::default(), "batch".into());
+    let now = Instant::now();
+    for _ in 0..100 {
+        times.record(&route, Duration::from_secs(3), now);
+    }
+    let expected = times.expected(&route).expect("a measured time");
+    assert!(expected >= Duration::from_millis(3_300), "{expected:?}");
+    assert!(expected <= Duration::from_secs(4), "{expected:?}");
+}
