Retries: a chat request whose engine died needs no retry budget

Cause: a death fails all requests of an engine at once, and each took a retry from a budget of 10% of the requests and three. The crashing request and the neighbours of the first death used it up.

Change: the retry after a death is not taken from the budget, which is there against retries that amplify an overload; these requests were admitted once already. A second death puts a request into quarantine, so each has one such retry.

Tests: `all_requests_of_an_engine_that_dies_are_served_by_others` failed before (the first of 24 requests had no answer) and passes.

--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -224,6 +224,12 @@
         self.failures < MAX_ATTEMPTS && self.dispatcher.core.try_retry()
     }
 
+    fn may_retry_after_death(&mut self, _error: &Error) -> bool {
+        // Not taken from the budget, which one death could use up: the server's requests were admitted once already.
+        self.failures += 1;
+        self.failures < MAX_ATTEMPTS
+    }
+
     fn verdict(&self) -> RunVerdict {
         self.verdict
     }
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -120,6 +120,12 @@
     /// failed attempt.
     fn may_retry(&mut self, error: &Error) -> bool;
 
+    /// Like [`Exchange::may_retry`], after a server that died under the request. The number of these retries is limited by
+    /// the quarantine, which follows the second death.
+    fn may_retry_after_death(&mut self, error: &Error) -> bool {
+        self.may_retry(error)
+    }
+
     /// Like [`Exchange::may_retry`], after a server that does not hold the model and ran nothing.
     fn may_retry_not_resident(&mut self) -> bool {
         true
@@ -354,7 +360,11 @@
                     if died && let Err(error) = self.mark_suspect(&mut job) {
                         break Some(error);
                     }
-                    if !job.exchange.may_retry(&error) {
+                    let may_retry = match died {
+                        true => job.exchange.may_retry_after_death(&error),
+                        false => job.exchange.may_retry(&error),
+                    };
+                    if !may_retry {
                         break Some(error);
                     }
                     log::info!(
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -15,6 +15,7 @@
 mod earlier_answer_to_order;
 mod earlier_refusal_on_kept_connection;
 mod endless_answer;
+mod engine_that_dies_under_many_requests;
 mod error_inside_resumed_stream;
 mod hangup;
 mod key_in_debug_form;
