Cold servers: divide the requests that a cold server bears among the daemons

Cause: the time for which a server is cold was read and dropped, so nothing bounded the requests that all daemons together send to it.

Warm servers go first.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use smol_str::SmolStr;
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
@@ -29,11 +30,12 @@
     ConfigHolder, ConfigKnowledge, CopyTables, CrashDetector, CrashWatch, DaemonRecord,
     DaemonRegistry, EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink,
     PlannerContext, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
-    RelayServer, ReplicaPlanner, RetryLimits, ServerSink, StartGate, StoreHealth, StoreTable,
-    UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_pulses,
+    RelayServer, ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth,
+    StoreTable, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
+    spawn_pulses,
 };
 use crate::retry::RetryBudget;
-use crate::routing::{ExpectedTimePolicy, PrefixIndex};
+use crate::routing::{ColdBound, ExpectedTimePolicy, PrefixIndex};
 use crate::settings::RelaySettings;
 use crate::suspect::SuspectTable;
 use crate::timer::TimerService;
@@ -108,6 +110,7 @@
     pub(super) readers: Arc<ReaderElection>,
     pub(super) health: Arc<StoreHealth>,
     pub(super) lease: Arc<LeaseManager>,
+    pub(super) cold_bound: ColdBound,
 }
 
 impl RelayServices {
@@ -335,6 +338,7 @@
         configs,
         fleet: fleet.clone(),
         crashes: Arc::default(),
+        cold_bound: settings.cold.bound(),
         watch: CrashWatch::open(DaemonKey::of(&settings.vm), fleet, pool.clone()),
         registry,
         limits,
@@ -410,9 +414,15 @@
     let (fleet, crashes) = (services.fleet.clone(), services.crashes.clone());
     let (watch, registry) = (services.watch.clone(), services.registry.clone());
     let core = services.core.clone();
+    let (configs, bound) = (services.configs.subscribe(), services.cold_bound);
     group.spawn_cancellable(async move {
         while let Some(now) = ticks.next().await {
             fleet.tick(now);
+            let cold = fleet.cold_servers();
+            if cold > 0 {
+                update_cold_shares(&fleet, &registry, configs.borrow().as_deref(), bound, now);
+            }
+            core.metrics().cold_servers.set(cold as i64);
             crashes.report(&fleet, &core, now);
             watch.expire(now, || {
                 let peers = registry.peers().into_iter();
@@ -439,6 +449,23 @@
     });
 }
 
+/// Sets this daemon's shares of the requests to cold servers.
+fn update_cold_shares(
+    fleet: &RelayFleet,
+    registry: &DaemonRegistry,
+    config: Option<&ServingConfig>,
+    bound: ColdBound,
+    now: Instant,
+) {
+    // A registration that is renewed extends the shares at the next tick.
+    let (_, until) = registry.cold_share(&SmolStr::default(), 0, now);
+    fleet.set_cold_shares(until, |service, id| {
+        let service = config.and_then(|config| config.service(service))?;
+        let requests = bound.shared_requests(service.cold_rate)?;
+        Some(registry.cold_share(id, requests, now).0)
+    });
+}
+
 /// Readiness and state dump of a daemon on the platform.
 struct RelayState {
     configs: Arc<ConfigHolder>,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -115,6 +115,8 @@
     /// Suspects and what is refused by kind (`suspect` and `quarantined` requests, `suspect_parts` and `blocked_parts` of
     /// prompts).
     pub suspects: Family<KindLabels, Gauge>,
+    /// Backend servers that are cold.
+    pub cold_servers: Gauge,
     /// Evacuated zones (`zones`), and requests that run on their servers (`running`).
     pub evacuations: Family<KindLabels, Gauge>,
     /// Backend servers by kind (`usable`, `leaving`, `down`).
@@ -152,6 +154,7 @@
             config_versions: Family::default(),
             copies: Family::default(),
             suspects: Family::default(),
+            cold_servers: Gauge::default(),
             evacuations: Family::default(),
             backends: Family::default(),
         };
@@ -192,6 +195,11 @@
         );
         registry.register("retries", "Retries", self.retries.clone());
         registry.register("suspects", "Suspect requests", self.suspects.clone());
+        registry.register(
+            "cold_servers",
+            "Backend servers that are cold",
+            self.cold_servers.clone(),
+        );
         registry.register(
             "evacuations",
             "Evacuated zones and requests on their servers",
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -71,6 +71,9 @@
     /// Connections that one server accepts from all callers together.
     #[serde(default)]
     max_conns: u32,
+    /// Requests per second that a cold server bears; 0 for no bound.
+    #[serde(default)]
+    cold_per_s: f64,
     engine: Option<EngineRecord>,
 }
 
@@ -191,6 +194,7 @@
         Self {
             name: record.name,
             max_connections: record.max_conns,
+            cold_rate: record.cold_per_s,
             engine: record.engine.map(EngineConfig::from),
         }
     }
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -1,6 +1,7 @@
 //! Decoding of the records that backend servers write about themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::HeaderValue;
 use serde::Deserialize;
@@ -21,8 +22,8 @@
     _version: SmolStr,
     slots: u32,
     state: StateRecord,
-    #[serde(rename = "cold-left-ms")]
-    _cold_left_ms: f64,
+    /// How much longer the server is slow after its start.
+    cold_left_ms: f64,
     /// Number of writes of the record since the start. In a report a field of this name counts orders.
     seq: u64,
     /// Unix time of the start, in milliseconds.
@@ -82,6 +83,7 @@
         models: server.models.into_iter().map(HeldModel::from).collect(),
         born_ms: server.born,
         seq: server.seq,
+        cold_left: Duration::try_from_secs_f64(server.cold_left_ms / 1_000.0).unwrap_or_default(),
         in_host_memory: model_names(&server.at_hand, "in-memory"),
         on_disk: model_names(&server.at_hand, "on-disk"),
     })
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -157,6 +157,8 @@
     pub name: SmolStr,
     /// Connections that one backend server accepts from all daemons together; 0 if it is not stated.
     pub max_connections: u32,
+    /// Requests per second that one cold backend server bears; 0 if it has no bound.
+    pub cold_rate: f64,
     /// `None` for a plain service.
     pub engine: Option<EngineConfig>,
 }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -479,6 +479,15 @@
         }
     }
 
+    /// Notes how long the server stays cold according to a new record.
+    fn note_cold(&self, entry: &ServerEntry, now: Instant) {
+        let is_cold = !entry.cold_left.is_zero();
+        if is_cold && !self.handle.is_cold() {
+            log::info!("server {} is cold for {:?}", entry.id, entry.cold_left);
+        }
+        self.handle.set_cold(is_cold.then(|| now + entry.cold_left));
+    }
+
     /// Returns whether the server is not leaving and its zone not evacuated.
     fn may_be_sent_to(&self) -> bool {
         !self.entry.leaving && self.handle.availability() != Availability::Closed
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -202,6 +202,9 @@
             server.suspend_until(until);
         }
         server.expires_at = None;
+        if entry.write_order() != server.entry.write_order() || server.listed_at == now {
+            server.note_cold(&entry, now);
+        }
         if is_changed {
             server.changed = version;
         }
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -31,6 +31,7 @@
 use crate::peer::PeerCaller;
 use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
+use crate::routing::divide_requests;
 use crate::timer::TimerService;
 
 /// Time between two renewals. It is less than half of the usual term, so that one renewal may be lost.
@@ -218,6 +219,26 @@
         shares.collect()
     }
 
+    /// Returns how many of `requests` to the cold server `id` this daemon may send in any second, and until when. The
+    /// shares of all daemons add up to at most `requests`, as those of a team do.
+    pub fn cold_share(&self, id: &SmolStr, requests: u32, now: Instant) -> (u32, Instant) {
+        let state = self.state();
+        let Some(until) = state.term_end(&self.settings, now) else {
+            return (0, now);
+        };
+        let own = (&self.settings.name, &self.settings.record.zone);
+        let members = state.members.iter();
+        let members = members.map(|(name, member)| (name, &member.record.zone));
+        let members = members.filter(|(name, _)| *name != own.0).chain([own]);
+        let members: Vec<_> = members.collect();
+        let (share, holders) = divide_requests(requests, members.len() as u32);
+        let homes = ranked_homes(id, holders as usize, &members);
+        match homes.contains(&own.0) {
+            true => (share, until),
+            false => (0, until),
+        }
+    }
+
     /// Returns a number that increases with each change of the registered daemons.
     pub fn version(&self) -> u64 {
         self.state().version
@@ -361,13 +382,22 @@
     }
 }
 
-/// Returns the homes of a team. Daemons are ranked by a hash of the names of team and daemon; the first of each zone
-/// goes before the rest.
+/// Returns the homes of a team. Daemons are ranked by a hash of the names of team and daemon.
 fn homes<'a>(team: &TeamSpec, members: &[(&'a SmolStr, &'a SmolStr)]) -> Vec<&'a SmolStr> {
     let wanted = (team.burst / BURST_PER_HOME) as usize;
     let wanted = wanted.max(MIN_HOMES).min(members.len());
+    ranked_homes(&team.name, wanted, members)
+}
+
+/// Returns the `wanted` daemons that come first in the order that `key` gives them. The first of each zone goes before the
+/// rest.
+fn ranked_homes<'a>(
+    key: &SmolStr,
+    wanted: usize,
+    members: &[(&'a SmolStr, &'a SmolStr)],
+) -> Vec<&'a SmolStr> {
     let mut ranked = members.to_vec();
-    ranked.sort_by_cached_key(|(name, _)| xxh3_64(format!("{}\0{name}", team.name).as_bytes()));
+    ranked.sort_by_cached_key(|(name, _)| xxh3_64(format!("{key}\0{name}").as_bytes()));
     let mut zones = HashSet::new();
     let (first, rest): (Vec<_>, Vec<_>) = ranked
         .into_iter()
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -1,6 +1,7 @@
 //! The list of backend servers and its changes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -32,6 +33,8 @@
     pub born_ms: u64,
     /// Number of writes of its record since its start.
     pub seq: u64,
+    /// How long it stays cold, that is slow and easily overloaded, as of the write of its record.
+    pub cold_left: Duration,
     /// Models whose weights are in its host memory.
     pub in_host_memory: Vec<SmolStr>,
     /// Models whose weights are on its disk.
@@ -103,12 +106,16 @@
         (self.born_ms, self.seq)
     }
 
-    /// Returns whether two records of the same server differ in more than the number of writes.
+    /// Returns whether two records of the same server differ in more than the number of writes and the rest of the time
+    /// for which it is cold.
     pub(super) fn differs_from(&self, other: &Self) -> bool {
-        Self {
+        let is_cold = |entry: &Self| !entry.cold_left.is_zero();
+        let adjusted = Self {
             seq: other.seq,
+            cold_left: other.cold_left,
             ..self.clone()
-        } != *other
+        };
+        adjusted != *other || is_cold(self) != is_cold(other)
     }
 
     /// Returns whether the record lists the model and, if the item has one, its adapter.
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -2,11 +2,12 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
+use crate::routing::cold::ColdGate;
 use crate::routing::prefix::{ServerHash, server_hash};
 use crate::routing::{BackendView, RouteNeed};
 
@@ -43,6 +44,9 @@
     leaving: AtomicBool,
     /// An [`Availability`].
     availability: AtomicU8,
+    /// Whether `cold_gate` holds a gate.
+    is_cold: AtomicBool,
+    cold_gate: Mutex<Option<ColdGate>>,
 }
 
 /// Counters read before a report is requested.
@@ -57,6 +61,11 @@
     pub fn begin(self: &Arc<Self>) -> DispatchGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent.fetch_add(1, Ordering::Relaxed);
+        if self.is_cold()
+            && let Some(gate) = &mut *self.cold_gate()
+        {
+            gate.note_sent(Instant::now());
+        }
         DispatchGuard(self.clone())
     }
 
@@ -95,6 +104,63 @@
         }
     }
 
+    /// Returns whether a request may be sent to the server at `now`: a cold server is the last resort while this daemon's
+    /// share of its requests lasts.
+    pub fn availability_at(&self, now: Instant) -> Availability {
+        let availability = self.availability();
+        if !self.is_cold() {
+            return availability;
+        }
+        let mut gate = self.cold_gate();
+        let cold = gate.as_mut().map_or(Availability::Open, |gate| {
+            match (gate.is_cold(now), gate.may_send(now)) {
+                (false, _) => Availability::Open,
+                (true, true) => Availability::LastResort,
+                (true, false) => Availability::Closed,
+            }
+        });
+        availability.max(cold)
+    }
+
+    /// Returns whether the server is cold, or was until a moment ago.
+    pub fn is_cold(&self) -> bool {
+        self.is_cold.load(Ordering::Relaxed)
+    }
+
+    /// Notes until when the server is cold; `None` if it is warm.
+    pub(crate) fn set_cold(&self, until: Option<Instant>) {
+        let mut gate = self.cold_gate();
+        match (until, &mut *gate) {
+            (Some(until), Some(gate)) => gate.set_until(until),
+            (Some(until), gate) => *gate = Some(ColdGate::new(until)),
+            (None, gate) => *gate = None,
+        }
+        self.is_cold.store(gate.is_some(), Ordering::Relaxed);
+    }
+
+    /// Sets this daemon's share of the requests to the server while it is cold: `requests` in any second, valid until
+    /// `until`.
+    pub(crate) fn set_cold_share(&self, requests: u32, until: Instant) {
+        if let Some(gate) = &mut *self.cold_gate() {
+            gate.set_share(requests, until);
+        }
+    }
+
+    /// Notes that the server refused the latest request in a way that does not count against its bound.
+    pub(crate) fn note_uncounted(&self) {
+        if self.is_cold()
+            && let Some(gate) = &mut *self.cold_gate()
+        {
+            gate.note_refused();
+        }
+    }
+
+    fn cold_gate(&self) -> MutexGuard<'_, Option<ColdGate>> {
+        self.cold_gate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets whether requests may be sent to the server. Returns whether that changes.
     pub(crate) fn set_availability(&self, availability: Availability) -> bool {
         let previous = self
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Selection of the backend server for a request.
 
+mod cold;
 mod fleet;
 mod policy;
 mod prefix;
@@ -9,6 +10,7 @@
 
 use smol_str::SmolStr;
 
+pub use self::cold::{ColdBound, ColdGate, divide_requests};
 pub(crate) use self::fleet::ReportBaseline;
 pub use self::fleet::{Availability, DispatchGuard, FleetSnapshot, ServerHandle, UnroutableReason};
 pub use self::policy::{ExpectedTimePolicy, RoundRobinPolicy};
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -125,10 +125,10 @@
         self.rank(need, candidates)
     }
 
-    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, now: Instant) -> Option<usize> {
         let availabilities = [Availability::Open, Availability::LastResort];
         availabilities.into_iter().find_map(|availability| {
-            let candidates = || indexed_candidates(need, fleet, availability);
+            let candidates = || indexed_candidates(need, fleet, availability, now);
             let choice = self.rank(need, candidates())?;
             if can_serve(&fleet.views()[choice], need) {
                 return Some(choice);
@@ -148,6 +148,7 @@
     need: &'a RouteNeed,
     fleet: &'a FleetSnapshot,
     availability: Availability,
+    now: Instant,
 ) -> impl Iterator<Item = Candidate<'a>> {
     let model = fleet.model(&need.model, &need.version);
     let adapter = need.adapter.as_ref();
@@ -162,7 +163,10 @@
         }
         let position = *index as usize;
         let handle = fleet.handle(position);
-        if handle.is_leaving() || handle.is_suspected() || handle.availability() != availability {
+        if handle.is_leaving()
+            || handle.is_suspected()
+            || handle.availability_at(now) != availability
+        {
             return None;
         }
         let view = &fleet.views()[position];
@@ -279,13 +283,13 @@
         })
     }
 
-    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, now: Instant) -> Option<usize> {
         let holders = fleet.holders(&need.model, &need.version);
         let choice = self.next_usable(holders.len(), |index| {
             let position = holders[index] as usize;
             let handle = fleet.handle(position);
             let view = &fleet.views()[position];
-            let is_closed = handle.availability() == Availability::Closed;
+            let is_closed = handle.availability_at(now) == Availability::Closed;
             let usable = !handle.is_leaving() && !handle.is_suspected() && !is_closed;
             usable && can_serve(view, need) && !need.avoid.contains(&view.name)
         })?;
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::error::Result;
+use crate::routing::ColdBound;
 use crate::settings::{LimitSettings, LogSettings, parse, parse_text, read_text};
 
 /// All settings of one daemon that reads its configuration and backend servers from the platform's store.
@@ -27,6 +28,8 @@
     #[serde(default)]
     pub retries: RetrySettings,
     #[serde(default)]
+    pub cold: ColdSettings,
+    #[serde(default)]
     pub log: LogSettings,
     #[serde(default)]
     pub limits: LimitSettings,
@@ -100,6 +103,37 @@
     pub extra: u32,
 }
 
+/// Bound on the requests in a second that one cold server gets from all daemons, in addition to the rate that its service
+/// states.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdSettings {
+    /// Factor on the rate; default 1, above 0 and up to 1,000,000.
+    #[serde(deserialize_with = "parse::amount")]
+    pub over: f64,
+    /// Requests beyond the rate times that factor; default 0.
+    pub slack: u32,
+}
+
+impl Default for ColdSettings {
+    fn default() -> Self {
+        Self {
+            over: 1.0,
+            slack: 0,
+        }
+    }
+}
+
+impl ColdSettings {
+    /// Returns the bound as a function of the rate.
+    pub fn bound(self) -> ColdBound {
+        ColdBound {
+            over: self.over,
+            slack: f64::from(self.slack),
+        }
+    }
+}
+
 /// Periods, terms and waits.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/tests/fleet_shares.rs
+++ b/tests/fleet_shares.rs
@@ -10,6 +10,7 @@
     let service = ServiceConfig {
         name: "desk".into(),
         max_connections: 430,
+        cold_rate: 0.0,
         engine: None,
     };
     for daemons in [1, 7, 62, 320] {
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -199,6 +199,7 @@
         models: Vec::new(),
         born_ms,
         seq: 0,
+        cold_left: Duration::ZERO,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
--- a/tests/regression/reader_that_was_turned_away.rs
+++ b/tests/regression/reader_that_was_turned_away.rs
@@ -24,6 +24,7 @@
         models: Vec::new(),
         born_ms: 1_000,
         seq: 1,
+        cold_left: Duration::ZERO,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -266,11 +266,13 @@
     let service = ServiceConfig {
         name: "drafter".into(),
         max_connections: 0,
+        cold_rate: 0.0,
         engine: Some(engine),
     };
     let desk = ServiceConfig {
         name: "desk".into(),
         max_connections: 0,
+        cold_rate: 0.0,
         engine: None,
     };
     ServingConfig::new(1, Vec::new(), vec![service, desk], Vec::new())
@@ -288,6 +290,7 @@
         models: Vec::new(),
         born_ms: 1,
         seq: 0,
+        cold_left: Duration::ZERO,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
--- a/tests/relay_planner_era.rs
+++ b/tests/relay_planner_era.rs
@@ -110,6 +110,7 @@
     let service = ServiceConfig {
         name: "drafter".into(),
         max_connections: 0,
+        cold_rate: 0.0,
         engine: Some(engine),
     };
     ServingConfig::new(1, Vec::new(), vec![service], Vec::new())
@@ -126,6 +127,7 @@
         models: Vec::new(),
         born_ms: 1,
         seq: 0,
+        cold_left: Duration::ZERO,
         in_host_memory: Vec::new(),
         on_disk: Vec::new(),
     }
