Routing: choose backend servers by expected finish

The relay ranked servers by the number of requests, as if all servers had the same speed and all requests the same size. It now estimates the cost of each request and the pace of each server, counts the remaining work at each server and takes the better of two servers drawn in proportion to their paces. Daemons tell each other the work and the paces in their pulses.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -49,6 +49,7 @@
         sent_since_report: 0,
         suspected_down: false,
         leaving: false,
+        load: Default::default(),
     }
 }
 
@@ -71,6 +72,7 @@
                 zone: "zone-3".into(),
                 avoid: Vec::new(),
                 late: false,
+                cost: Default::default(),
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -33,7 +33,7 @@
     UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_pulses,
 };
 use crate::retry::RetryBudget;
-use crate::routing::{ExpectedTimePolicy, PrefixIndex};
+use crate::routing::ExpectedFinishPolicy;
 use crate::settings::RelaySettings;
 use crate::suspect::SuspectTable;
 use crate::timer::TimerService;
@@ -77,7 +77,7 @@
 
 impl CoreParts for RelayParts {
     type Limiter = LimitService<PeerClient>;
-    type Routing = ExpectedTimePolicy;
+    type Routing = ExpectedFinishPolicy;
     type Queue = WaitQueue<Waiter>;
     type Fleet = Arc<RelayFleet>;
 }
@@ -277,7 +277,7 @@
     let limits = LimitService::open(configs.teams(), peer_table.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
     let queues = ModelQueues::new(
-        ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), rand::random()),
+        ExpectedFinishPolicy::new(fleet.read_parts().index().clone(), rand::random()),
         fleet.clone(),
         suspects.clone(),
         settings.limits.queue,
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -212,6 +212,7 @@
         let waiting = waiting.map(|(model, count)| (model, count.interactive as u32));
         let demand = self.core.demand().take(&waiting.collect::<Vec<_>>());
         self.demand.record(record.peer, &demand, now);
+        let in_flight = self.fleet.own_in_flight();
         Pulse {
             vm: record.vm,
             name: name.clone(),
@@ -222,7 +223,8 @@
             reading_for: self.readers.reading_for(now),
             weight: self.readers.weight(),
             tables_version: self.fleet.version() + self.registry.version(),
-            in_flight: self.fleet.own_in_flight(),
+            work: self.fleet.own_work(&in_flight),
+            in_flight,
             spare: self.spare(),
             demand,
             fence: self.planner.fence(),
@@ -230,6 +232,7 @@
             suspects: self.notices.update(self.core.take_notices(), now),
             parts: self.watch.notices(now),
             evacuations: self.fleet.evacuation_notices(now),
+            paces: self.fleet.take_pace_news(now),
         }
     }
 
@@ -265,8 +268,11 @@
 
     fn handle_pulse(&self, pulse: Pulse, now: Instant) {
         self.readers.note_pulse(&pulse, now);
+        self.fleet
+            .record_peer_work(pulse.vm, &pulse.in_flight, &pulse.work);
         self.fleet
             .record_peer_in_flight(pulse.vm, pulse.in_flight, now);
+        self.fleet.apply_pace_news(&pulse.paces, now);
         self.demand.record(pulse.peer, &pulse.demand, now);
         self.fleet.note_placements(&pulse.placements, now);
         self.fleet.apply_evacuation_notices(&pulse.evacuations, now);
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -173,6 +173,7 @@
             zone: self.zone.clone(),
             avoid: Vec::new(),
             late: false,
+            cost: Default::default(),
         };
         ModelNeed {
             route,
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -53,10 +53,17 @@
     pub version: SmolStr,
     /// Incarnation of the engine as last reported.
     pub incarnation: u64,
-    _guard: DispatchGuard,
+    guard: DispatchGuard,
     _suspect: Option<SuspectGuard>,
 }
 
+impl ServerSlot {
+    /// Returns the request's share in the outstanding work of the server.
+    pub fn work(&self) -> &DispatchGuard {
+        &self.guard
+    }
+}
+
 /// Reserves a server for one suspect request until it is dropped, however the request ends.
 #[derive(Debug)]
 struct SuspectGuard {
@@ -300,7 +307,11 @@
             address: view.address,
             version: route.version,
             incarnation: view.report.incarnation,
-            _guard: fleet.handle(position).begin(),
+            guard: fleet.handle(position).begin_work(self.routing.cost_us(
+                &need.route,
+                &fleet,
+                position,
+            )),
             _suspect: suspect,
         })
     }
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -23,7 +23,7 @@
 use crate::relay::crash_watch::CrashWatch;
 use crate::relay::engines::LoadItem;
 use crate::relay::engines::PlacementRequest;
-use crate::relay::exchange::{ExchangeContext, RelayExchange};
+use crate::relay::exchange::{ExchangeContext, OutputMemory, RelayExchange, RequestWork};
 use crate::relay::fleet::{RelayFleet, routing_name};
 use crate::relay::format::{RelayFormat, RequestMetadata};
 use crate::relay::readers::ReaderElection;
@@ -142,6 +142,7 @@
             watch: context.watch.clone(),
             times: AnswerTimes::default(),
             memory: AnswerMemory::default(),
+            outputs: OutputMemory::default(),
         });
         Arc::new(Self {
             context,
@@ -201,7 +202,10 @@
         let parts = shared_parts(&call_digest, &metadata);
         self.context.watch.check_new(&parts)?;
         let service = self.select_service(&config, &route)?;
-        let model_need = self.model_need(service, &metadata)?;
+        let work =
+            self.exchanges
+                .estimate_work(&service.name, &route.name, &metadata, Instant::now());
+        let model_need = self.model_need(service, &metadata, &work)?;
         self.request_adapter(service, &metadata);
         let daemons = *self.context.daemons.borrow();
         let budget = self.retry_budget(&service.name, daemons);
@@ -251,6 +255,7 @@
                     arrived,
                     caller_deadline,
                     deadline,
+                    work,
                     tokens,
                     priority,
                     urgency: URGENCY,
@@ -442,7 +447,12 @@
 
     /// Returns the model, adapter and prefixes that a request needs. Suspect requests are not given a server of their
     /// own: a crash makes all requests that ran on the server suspect, which is too many for one server each.
-    fn model_need(&self, service: &ServiceConfig, metadata: &RequestMetadata) -> Result<ModelNeed> {
+    fn model_need(
+        &self,
+        service: &ServiceConfig,
+        metadata: &RequestMetadata,
+        work: &RequestWork,
+    ) -> Result<ModelNeed> {
         let model = match (&service.engine, &metadata.model) {
             (None, _) => None,
             (Some(_), None) => return Err(Error::invalid("the request names no model")),
@@ -455,15 +465,15 @@
                     })?,
             ),
         };
-        let prefixes = metadata.prompt.iter().map(|part| part.id).collect();
         let route = RouteNeed {
             model: routing_name(&service.name, model),
             version: SmolStr::default(),
             adapter: model.and(metadata.adapter.clone()),
-            prefixes,
+            prefixes: work.prefixes.clone(),
             zone: self.context.zone.clone(),
             avoid: Vec::new(),
             late: false,
+            cost: work.cost.clone(),
         };
         Ok(ModelNeed {
             route,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends an opaque request to one backend server after another and forwards the answer.
 
 mod stream;
+mod timing;
 mod whole;
 
 use std::future::Future;
@@ -23,6 +24,8 @@
 use crate::relay::crash_watch::{BrokenAttempt, CrashWatch};
 use crate::relay::engines::LoadItem;
 use crate::relay::exchange::stream::StreamType;
+use crate::relay::exchange::timing::AttemptTiming;
+pub(super) use crate::relay::exchange::timing::{OutputMemory, RequestWork};
 use crate::relay::fleet::RelayFleet;
 use crate::relay::format::{AnswerKind, RelayFormat, UpstreamMetadata};
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
@@ -60,6 +63,7 @@
     pub(super) watch: Arc<CrashWatch>,
     pub(super) times: AnswerTimes,
     pub(super) memory: AnswerMemory,
+    pub(super) outputs: OutputMemory,
 }
 
 impl<F> ExchangeContext<F> {
@@ -89,6 +93,7 @@
     attempt_events: u32,
     /// When the request was sent to the current server.
     sent: Instant,
+    timing: AttemptTiming,
     /// Whether the connection to the current server broke before the server had begun the answer.
     broke_early: bool,
     /// Whether a retry was taken from the budget before the attempt ended.
@@ -114,6 +119,7 @@
             sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
+            timing: AttemptTiming::default(),
             broke_early: false,
             retry_reserved: false,
             fallback: None,
@@ -128,6 +134,7 @@
             .watch
             .note_progress(&self.request.parts, self.sent);
         let now = Instant::now();
+        self.note_end(slot, now);
         let time = now.saturating_duration_since(self.sent);
         self.context
             .times
@@ -381,6 +388,7 @@
             let error = Error::new(Category::Protocol, message);
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
         }
+        self.note_accepted(slot, &answer);
         let is_stream =
             self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
         if is_stream {
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -1,5 +1,7 @@
 //! Forwards the answer to a streaming request event by event.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, StatusCode, response};
@@ -78,19 +80,24 @@
                 let error = Error::new(Category::Overloaded, message);
                 return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
             }
+            let events = self.attempt_events;
             let NewEvents {
                 bytes,
                 has_unplaced,
             } = self.new_events(&mut splitter, is_resumed);
+            let arrived = Instant::now();
+            self.note_events(slot, self.attempt_events - events, arrived);
             if !bytes.is_empty() && !self.send_events(&answer, bytes, pieces).await {
                 return Attempt::Cancelled;
             }
+            self.note_caller_wait(arrived.elapsed());
             if has_unplaced {
                 let message = "the backend server sent an event without an id in a resumed stream";
                 let error = Error::new(Category::Protocol, message);
                 return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
             }
         }
+        self.record_last_gaps(slot);
         let rest = splitter.take_rest();
         if let Err(error) = self.check_stream_end(&answer, &rest, slot).await {
             // The incomplete event is dropped, as the next server sends it again.
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod notices;
 mod records;
+mod work;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -23,7 +24,9 @@
 use crate::relay::server_list::{
     HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry, holds_item,
 };
-use crate::routing::{Availability, BackendView, FleetSnapshot, ServerHandle};
+use crate::routing::{
+    Availability, BackendView, FleetSnapshot, PaceTable, ReadParts, ServerHandle, ServerLoad,
+};
 
 /// Time for which a server gets no work after a failed call; doubles with each further failure.
 const BASE_SUSPECT_TIME: Duration = Duration::from_millis(500);
@@ -83,6 +86,10 @@
     peer_in_flight: HashMap<VmId, (Instant, HashMap<u32, u32>)>,
     /// Sum of `peer_in_flight` over all peers by server, as last published.
     peer_totals: HashMap<u32, u32>,
+    /// Remaining work of each peer's requests by [`server_id_hash`], in microseconds of a server of pace 1.
+    peer_work: HashMap<VmId, HashMap<u32, u64>>,
+    /// Sum of `peer_work` over all peers by server, as last published.
+    peer_work_totals: HashMap<u32, u64>,
     unreachable: bool,
     /// Grows with each change of the records.
     version: u64,
@@ -116,6 +123,8 @@
     snapshot: RwLock<Arc<FleetSnapshot>>,
     changes: watch::Sender<u64>,
     departures: watch::Sender<u64>,
+    paces: Mutex<PaceTable>,
+    read_parts: ReadParts,
 }
 
 /// Returns the name under which routing knows what serves a request: a plain service, or a model of a service.
@@ -243,6 +252,7 @@
 
     /// Removes expired servers and placement changes, ends elapsed suspicions and publishes the view.
     pub fn tick(&self, now: Instant) {
+        self.read_parts.expire(now);
         let mut state = self.state();
         state.expire(now);
         self.publish(&mut state, now);
@@ -251,7 +261,9 @@
     /// Takes the servers that have restarted, or were removed without having announced that they leave, since the last
     /// call.
     pub fn take_crashed(&self) -> Vec<SmolStr> {
-        std::mem::take(&mut self.state().crashed)
+        let crashed = std::mem::take(&mut self.state().crashed);
+        self.forget_parts(&crashed);
+        crashed
     }
 
     /// Notes that a server answered a call to its end.
@@ -383,13 +395,21 @@
 
     fn publish(&self, state: &mut FleetState, now: Instant) {
         state.sum_peers(now);
+        state.sum_peer_work();
         state.update_availability(now);
+        let paces = self.paces();
         let servers = state.servers.values().map(|server| {
             let hash = server_id_hash(&server.entry.id);
             let peer_requests = state.peer_totals.get(&hash).copied().unwrap_or(0);
-            (server.view(peer_requests), server.handle.clone(), None)
+            let load = state.load(server, &paces, now);
+            (
+                server.view(peer_requests, load),
+                server.handle.clone(),
+                None,
+            )
         });
         let snapshot = Arc::new(FleetSnapshot::new(servers));
+        drop(paces);
         *self
             .snapshot
             .write()
@@ -508,7 +528,7 @@
         }
     }
 
-    fn view(&self, peer_requests: u32) -> BackendView {
+    fn view(&self, peer_requests: u32, load: ServerLoad) -> BackendView {
         let entry = &self.entry;
         let item = |model, adapter: Option<&SmolStr>| ResidentItem {
             model: routing_name(&entry.service, model),
@@ -541,6 +561,7 @@
             sent_since_report: 0,
             suspected_down: self.handle.is_suspected(),
             leaving: entry.leaving,
+            load,
         }
     }
 }
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -71,6 +71,12 @@
     pub parts: Vec<PartNotice>,
     /// Zones that are or were evacuated.
     pub evacuations: Vec<ZoneNotice>,
+    /// Encoded remaining work of its running requests on each server of `in_flight`, in ascending order of the hashes
+    /// (see [`encode_work`](crate::routing::encode_work)).
+    pub work: Vec<u8>,
+    /// Encoded paces of servers that it measured lately, by hash of the server's id (see
+    /// [`PaceTable`](crate::routing::PaceTable)).
+    pub paces: Vec<(u32, u8)>,
 }
 
 /// Builds this daemon's pulses and handles those of peers.
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -10,6 +10,7 @@
 use crate::blame::PartId;
 use crate::ids::KeyDigest;
 use crate::relay::config::RouteConfig;
+use crate::relay::exchange::RequestWork;
 use crate::relay::format::RequestMetadata;
 
 /// Status and headers of an answer as the backend server sent them.
@@ -51,6 +52,8 @@
     pub(super) caller_deadline: Instant,
     /// Time by which the answer must be complete.
     pub(super) deadline: Instant,
+    /// Estimated work.
+    pub(super) work: RequestWork,
     /// Number of tokens charged.
     pub(super) tokens: u64,
     /// Rank of the request's team, or of its route; 0 is the highest.
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -1,7 +1,7 @@
 //! Snapshot of all backend servers with an index by model and live counters.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct ServerHandle {
     in_flight: AtomicU32,
+    /// Remaining work of the requests in flight, in microseconds of a server of pace 1.
+    work_us: AtomicU64,
     /// Requests sent so far, wrapping on overflow.
     sent: AtomicU32,
     /// Value of `sent` when the latest report was requested.
@@ -55,9 +57,23 @@
 impl ServerHandle {
     /// Counts a request as sent, and as in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> DispatchGuard {
+        self.begin_work(0)
+    }
+
+    /// Same as [`Self::begin`] for a request of `work_us` microseconds of work.
+    pub fn begin_work(self: &Arc<Self>, work_us: u32) -> DispatchGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent.fetch_add(1, Ordering::Relaxed);
-        DispatchGuard(self.clone())
+        self.work_us.fetch_add(work_us.into(), Ordering::Relaxed);
+        DispatchGuard {
+            handle: self.clone(),
+            remaining_us: AtomicU32::new(work_us),
+        }
+    }
+
+    /// Returns the remaining work of this daemon's requests on the server, in microseconds of a server of pace 1.
+    pub fn work_us(&self) -> u64 {
+        self.work_us.load(Ordering::Relaxed)
     }
 
     /// Returns the number of requests that this daemon has in flight on the server.
@@ -142,13 +158,36 @@
     }
 }
 
-/// Counts a request as in flight on a backend server until it is dropped.
+/// Counts a request as in flight, and its remaining work, on a backend server until it is dropped.
 #[derive(Debug)]
-pub struct DispatchGuard(Arc<ServerHandle>);
+pub struct DispatchGuard {
+    handle: Arc<ServerHandle>,
+    remaining_us: AtomicU32,
+}
+
+impl DispatchGuard {
+    /// Returns the remaining work of the request, in microseconds of a server of pace 1.
+    pub fn remaining_us(&self) -> u32 {
+        self.remaining_us.load(Ordering::Relaxed)
+    }
+
+    /// Lowers the remaining work of the request; a greater value has no effect. Only one task may call this.
+    pub fn lower_remaining(&self, remaining_us: u32) {
+        let previous = self.remaining_us.fetch_min(remaining_us, Ordering::Relaxed);
+        let done = previous.saturating_sub(remaining_us);
+        self.handle
+            .work_us
+            .fetch_sub(done.into(), Ordering::Relaxed);
+    }
+}
 
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.handle.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let remaining = self.remaining_us();
+        self.handle
+            .work_us
+            .fetch_sub(remaining.into(), Ordering::Relaxed);
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,8 @@
 //! Selection of the backend server for a request.
 
+mod cost;
 mod fleet;
+mod pace;
 mod policy;
 mod prefix;
 
@@ -9,9 +11,16 @@
 
 use smol_str::SmolStr;
 
+pub use self::cost::{
+    OutputTable, ReadParts, RequestCost, RequestKind, RequestShape, decode_work, encode_work,
+    part_prefixes, request_cost,
+};
 pub(crate) use self::fleet::ReportBaseline;
 pub use self::fleet::{Availability, DispatchGuard, FleetSnapshot, ServerHandle, UnroutableReason};
-pub use self::policy::{ExpectedTimePolicy, RoundRobinPolicy};
+pub use self::pace::{MAX_PACE, MIN_PACE, PaceTable, TimingKey, TimingKind};
+pub use self::policy::{
+    ExpectedFinishPolicy, ExpectedTimePolicy, FinishSelection, RoundRobinPolicy,
+};
 pub use self::prefix::PrefixIndex;
 use crate::engine::LoadReport;
 
@@ -36,6 +45,28 @@
     pub suspected_down: bool,
     /// Whether any source says that the server is leaving.
     pub leaving: bool,
+    pub load: ServerLoad,
+}
+
+/// Pace and outstanding work of a server, where they are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Pace relative to the service, in thousandths.
+    pub pace_permille: u32,
+    /// Work of this daemon's requests when the view was built, in microseconds of a server of pace 1.
+    pub own_work_us: u64,
+    /// Work of the requests of peers, as last reported; `None` if they report none.
+    pub peer_work_us: Option<u64>,
+}
+
+impl Default for ServerLoad {
+    fn default() -> Self {
+        Self {
+            pace_permille: 1_000,
+            own_work_us: 0,
+            peer_work_us: None,
+        }
+    }
 }
 
 /// Requirements of a request for its backend server.
@@ -54,6 +85,8 @@
     pub avoid: Vec<SmolStr>,
     /// Whether the answer will be late. Such a request takes only places that others do not need.
     pub late: bool,
+    /// Estimated cost; zero if it is not known.
+    pub cost: RequestCost,
 }
 
 /// Chooses a backend server for each request.
@@ -63,4 +96,9 @@
 
     /// Same as [`RoutingPolicy::choose`] on the views of `fleet`, but uses its index and live counters.
     fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, now: Instant) -> Option<usize>;
+
+    /// Returns the work of a request on the server at `position`, in microseconds of a server of pace 1.
+    fn cost_us(&self, need: &RouteNeed, _fleet: &FleetSnapshot, _position: usize) -> u32 {
+        need.cost.after_read(0)
+    }
 }
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -27,6 +27,8 @@
 /// Candidates are near-equal if their expected time exceeds the best by at most an eighth plus this time, in
 /// microseconds. The lag of load reports hides smaller differences.
 const NEAR_EQUAL_US: u64 = 500;
+/// Assumed work of a running request of which only the number is known, in microseconds of a server of pace 1.
+const REQUEST_WORK_US: u64 = 100_000;
 
 /// A usable server with the values that determine its rank.
 struct Candidate<'a> {
@@ -37,6 +39,8 @@
     outstanding: u64,
     /// Increase in this daemon's own requests since the latest report.
     own_increase: u64,
+    /// Remaining work of this daemon's requests, in microseconds of a server of pace 1.
+    own_work_us: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -46,6 +50,16 @@
     own_zone: bool,
 }
 
+/// Selects one of the candidates that have capacity.
+trait CandidateRanking {
+    /// Returns the position of the chosen candidate.
+    fn rank<'a>(
+        &self,
+        need: &RouteNeed,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+    ) -> Option<usize>;
+}
+
 /// Ranks backend servers by expected time to the first token.
 #[derive(Debug)]
 pub struct ExpectedTimePolicy {
@@ -62,20 +76,20 @@
         }
     }
 
-    fn rank<'a>(
+    /// Ranks the candidates that have capacity and are not avoided.
+    fn ranked<'a, R>(
         &self,
         need: &RouteNeed,
         candidates: impl Iterator<Item = Candidate<'a>>,
-    ) -> Option<usize> {
+        rank: impl Fn(&RouteNeed, &Candidate<'_>, &PrefixHolders<'_>) -> R,
+    ) -> Vec<R> {
         let table = self.prefixes.read();
         let holders = table.holders(&need.prefixes);
-        let ranked: Vec<_> = candidates
+        candidates
             .filter(|candidate| has_capacity(candidate, need.late))
             .filter(|candidate| !need.avoid.contains(&candidate.view.name))
-            .map(|candidate| Ranked::new(need, &candidate, &holders))
-            .collect();
-        drop(table);
-        self.pick(&ranked).map(|choice| choice.position)
+            .map(|candidate| rank(need, &candidate, &holders))
+            .collect()
     }
 
     /// Returns the better of two random choices among the near-equal candidates. Servers in another zone are among them
@@ -108,38 +122,196 @@
     }
 }
 
+impl CandidateRanking for ExpectedTimePolicy {
+    fn rank<'a>(
+        &self,
+        need: &RouteNeed,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+    ) -> Option<usize> {
+        let ranked = self.ranked(need, candidates, Ranked::new);
+        self.pick(&ranked).map(|choice| choice.position)
+    }
+}
+
 impl RoutingPolicy for ExpectedTimePolicy {
     fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
-        let usable = views.iter().enumerate().filter(|(_, view)| is_usable(view));
-        let resident = usable.filter(|(_, view)| can_serve(view, need));
-        let candidates = resident.map(|(position, view)| Candidate {
-            position,
-            view,
-            name: server_hash(&view.name),
-            // Requests that were sent since the report and have ended do not count.
-            outstanding: u64::from(view.report.running)
-                + u64::from(view.report.waiting)
-                + u64::from(view.sent_since_report.min(view.in_flight)),
-            own_increase: view.sent_since_report.min(view.in_flight).into(),
-        });
-        self.rank(need, candidates)
+        choose_by(self, need, views)
     }
 
     fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
-        let availabilities = [Availability::Open, Availability::LastResort];
-        availabilities.into_iter().find_map(|availability| {
-            let candidates = || indexed_candidates(need, fleet, availability);
-            let choice = self.rank(need, candidates())?;
-            if can_serve(&fleet.views()[choice], need) {
-                return Some(choice);
+        choose_in_by(self, need, fleet)
+    }
+}
+
+/// How [`ExpectedFinishPolicy`] selects among the ranked servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FinishSelection {
+    /// The better of two random servers, drawn in proportion to their paces. Daemons with the same old views then
+    /// choose different servers.
+    #[default]
+    TwoChoices,
+    /// The server with the earliest expected finish: join the shortest expected work. It is a baseline.
+    Earliest,
+}
+
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChoiceReason {
+    /// It was the only one with capacity.
+    Only,
+    /// It finishes earlier than the other one that was drawn.
+    BetterOfTwo,
+    /// It finishes earliest.
+    Earliest,
+}
+
+/// Ranks backend servers by the expected finish of the request: the outstanding work and the request's own cost, by the
+/// server's pace.
+#[derive(Debug)]
+pub struct ExpectedFinishPolicy {
+    base: ExpectedTimePolicy,
+    selection: FinishSelection,
+}
+
+impl ExpectedFinishPolicy {
+    /// Creates a policy whose random choices are determined by `seed`.
+    pub fn new(prefixes: Arc<PrefixIndex>, seed: u64) -> Self {
+        Self::with_selection(prefixes, seed, FinishSelection::default())
+    }
+
+    /// Same as [`Self::new`] with another selection.
+    pub fn with_selection(
+        prefixes: Arc<PrefixIndex>,
+        seed: u64,
+        selection: FinishSelection,
+    ) -> Self {
+        Self {
+            base: ExpectedTimePolicy::new(prefixes, seed),
+            selection,
+        }
+    }
+
+    fn select(&self, ranked: &[FinishRank]) -> Option<(FinishRank, ChoiceReason)> {
+        let earliest = || ranked.iter().min_by_key(|entry| entry.finish_us);
+        match (ranked, self.selection) {
+            ([], _) => None,
+            ([only], _) => Some((*only, ChoiceReason::Only)),
+            (_, FinishSelection::Earliest) => {
+                earliest().map(|entry| (*entry, ChoiceReason::Earliest))
             }
-            // The index is older than the views, so the chosen server may have unloaded an item that others still hold.
-            let holders = candidates().filter(|one| can_serve(one.view, need));
-            self.rank(need, holders)
-        })
+            (_, FinishSelection::TwoChoices) => {
+                Some((self.better_of_two(ranked), ChoiceReason::BetterOfTwo))
+            }
+        }
+    }
+
+    /// Returns the better of two different entries, drawn in proportion to their paces.
+    fn better_of_two(&self, ranked: &[FinishRank]) -> FinishRank {
+        let total: u64 = ranked.iter().map(|entry| entry.pace_permille).sum();
+        let random = self.base.random();
+        // The halves of one random number give two draws.
+        let first = draw(ranked, total, random >> 32, None);
+        let rest = total - ranked[first].pace_permille;
+        let second = draw(ranked, rest, random & u64::from(u32::MAX), Some(first));
+        let (first, second) = (ranked[first], ranked[second]);
+        match second.finish_us < first.finish_us {
+            true => second,
+            false => first,
+        }
+    }
+}
+
+/// Returns the index of the entry at the fraction `half` / 2^32 of the sum of the paces without that of `skipped`.
+fn draw(ranked: &[FinishRank], total: u64, half: u64, skipped: Option<usize>) -> usize {
+    let mut left = (half * total) >> 32;
+    let entries = ranked.iter().enumerate();
+    let mut entries = entries.filter(|(index, _)| Some(*index) != skipped);
+    let found = entries.find(|(_, entry)| {
+        let is_here = left < entry.pace_permille;
+        left = left.saturating_sub(entry.pace_permille);
+        is_here
+    });
+    found.map_or(0, |(index, _)| index)
+}
+
+impl CandidateRanking for ExpectedFinishPolicy {
+    fn rank<'a>(
+        &self,
+        need: &RouteNeed,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+    ) -> Option<usize> {
+        let ranked = self.base.ranked(need, candidates, FinishRank::new);
+        let (choice, reason) = self.select(&ranked)?;
+        log::debug!(
+            "chose the server at {} of {} for `{}`: {reason:?}, cost {} us of {} us, expected finish in {} us at pace \
+             0.001 x {}",
+            choice.position,
+            ranked.len(),
+            need.model,
+            choice.cost_us,
+            need.cost.after_read(0),
+            choice.finish_us,
+            choice.pace_permille,
+        );
+        Some(choice.position)
+    }
+}
+
+impl RoutingPolicy for ExpectedFinishPolicy {
+    fn choose(&self, need: &RouteNeed, views: &[BackendView], _now: Instant) -> Option<usize> {
+        choose_by(self, need, views)
+    }
+
+    fn choose_in(&self, need: &RouteNeed, fleet: &FleetSnapshot, _now: Instant) -> Option<usize> {
+        choose_in_by(self, need, fleet)
+    }
+
+    fn cost_us(&self, need: &RouteNeed, fleet: &FleetSnapshot, position: usize) -> u32 {
+        let table = self.base.prefixes.read();
+        let holders = table.holders(&need.prefixes);
+        need.cost.after_read(holders.held(fleet.hash(position)))
     }
 }
 
+fn choose_by(
+    ranking: &impl CandidateRanking,
+    need: &RouteNeed,
+    views: &[BackendView],
+) -> Option<usize> {
+    let usable = views.iter().enumerate().filter(|(_, view)| is_usable(view));
+    let resident = usable.filter(|(_, view)| can_serve(view, need));
+    let candidates = resident.map(|(position, view)| Candidate {
+        position,
+        view,
+        name: server_hash(&view.name),
+        // Requests that were sent since the report and have ended do not count.
+        outstanding: u64::from(view.report.running)
+            + u64::from(view.report.waiting)
+            + u64::from(view.sent_since_report.min(view.in_flight)),
+        own_increase: view.sent_since_report.min(view.in_flight).into(),
+        own_work_us: view.load.own_work_us,
+    });
+    ranking.rank(need, candidates)
+}
+
+fn choose_in_by(
+    ranking: &impl CandidateRanking,
+    need: &RouteNeed,
+    fleet: &FleetSnapshot,
+) -> Option<usize> {
+    let availabilities = [Availability::Open, Availability::LastResort];
+    availabilities.into_iter().find_map(|availability| {
+        let candidates = || indexed_candidates(need, fleet, availability);
+        let choice = ranking.rank(need, candidates())?;
+        if can_serve(&fleet.views()[choice], need) {
+            return Some(choice);
+        }
+        // The index is older than the views, so the chosen server may have unloaded an item that others still hold.
+        let holders = candidates().filter(|one| can_serve(one.view, need));
+        ranking.rank(need, holders)
+    })
+}
+
 /// Returns the usable servers of an availability that hold the model and the adapter according to the index.
 ///
 /// An engine refuses a request for an adapter that it does not hold, so such a request waits until the planner has
@@ -177,6 +349,7 @@
                 .in_flight()
                 .saturating_sub(handle.own_at_report())
                 .into(),
+            own_work_us: handle.work_us(),
         })
     })
 }
@@ -223,6 +396,38 @@
     }
 }
 
+/// A server with the expected finish of a request.
+#[derive(Clone, Copy)]
+struct FinishRank {
+    position: usize,
+    finish_us: u64,
+    /// Work of the request on this server, in microseconds of a server of pace 1.
+    cost_us: u32,
+    pace_permille: u64,
+}
+
+impl FinishRank {
+    fn new(need: &RouteNeed, candidate: &Candidate<'_>, holders: &PrefixHolders<'_>) -> Self {
+        let view = candidate.view;
+        let pace_permille = u64::from(view.load.pace_permille.max(1));
+        let cost_us = need.cost.after_read(holders.held(candidate.name));
+        let ahead_us = match view.load.peer_work_us {
+            Some(peer_work_us) => peer_work_us + candidate.own_work_us,
+            None => candidate.outstanding * REQUEST_WORK_US,
+        };
+        let zone_us = match view.zone == need.zone {
+            true => 0,
+            false => OTHER_ZONE_US,
+        };
+        Self {
+            position: candidate.position,
+            finish_us: (ahead_us + u64::from(cost_us)) * 1_000 / pace_permille + zone_us,
+            cost_us,
+            pace_permille,
+        }
+    }
+}
+
 /// Estimates the time that a request waits to join the engine's batch, in microseconds.
 fn wait_us(view: &BackendView, outstanding: u64) -> u64 {
     let slots = u64::from(view.slots.max(1));
--- a/src/routing/prefix.rs
+++ b/src/routing/prefix.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Removes a prefix that was recorded as sent to `server`.
+    pub(super) fn remove_sent(&self, server: &SmolStr, prefix: u64) {
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        table.remove(server_hash(server), prefix);
+    }
+
     /// Removes a server that restarted or is gone.
     pub fn forget(&self, server: &SmolStr) {
         let server = server_hash(server);
--- a/src/watch/server.rs
+++ b/src/watch/server.rs
@@ -235,6 +235,7 @@
             sent_since_report: self.handle.sent_since_report(),
             suspected_down: self.suspected_at.is_some(),
             leaving: self.is_leaving(),
+            load: Default::default(),
         }
     }
 }
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -36,6 +36,7 @@
             sent_since_report: 0,
             suspected_down: false,
             leaving: false,
+            load: Default::default(),
         };
         let servers = [(Arc::new(view), Arc::default(), None)];
         Self(Arc::new(FleetSnapshot::new(servers)))
@@ -60,6 +61,7 @@
             zone: "north".into(),
             avoid: Vec::new(),
             late: false,
+            cost: Default::default(),
         },
         fallbacks: Vec::new(),
         suspect: Some(KeyDigest::of(fingerprint)),
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -27,7 +27,7 @@
     RelayFleet, RelayServer, RetryLimits, ServerChange, UpstreamPool,
 };
 use foxtailhill::retry::RetryBudget;
-use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
+use foxtailhill::routing::ExpectedFinishPolicy;
 use foxtailhill::settings::LimitSettings;
 use foxtailhill::suspect::SuspectTable;
 use serde_json::{Value, json};
@@ -321,7 +321,7 @@
         limits.adopt_share(Some(grant), now);
         let suspects = Arc::new(Mutex::new(SuspectTable::new(100)));
         let queues = ModelQueues::new(
-            ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), 1),
+            ExpectedFinishPolicy::new(fleet.read_parts().index().clone(), 1),
             fleet.clone(),
             suspects.clone(),
             1_000,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -37,6 +37,7 @@
         sent_since_report: 0,
         suspected_down: false,
         leaving: false,
+        load: Default::default(),
     }
 }
 
@@ -49,6 +50,7 @@
         zone: "z0".into(),
         avoid: Vec::new(),
         late: false,
+        cost: Default::default(),
     }
 }
 
