--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -7,7 +7,8 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use foxtailhill::engine::{LoadReport, ResidentItem};
 use foxtailhill::routing::{
-    BackendView, ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RouteNeed, RoutingPolicy,
+    BackendView, ExpectedFinishPolicy, ExpectedTimePolicy, FleetSnapshot, PrefixIndex,
+    RequestShape, RouteNeed, RoutingPolicy, ServerLoad, request_cost,
 };
 use smol_str::SmolStr;
 
@@ -49,7 +50,11 @@
         sent_since_report: 0,
         suspected_down: false,
         leaving: false,
-        load: Default::default(),
+        load: ServerLoad {
+            pace_permille: 700 + (server as u32 * 37 % 1_000),
+            own_work_us: 0,
+            peer_work_us: Some(server as u64 * 7_919 % 900_000),
+        },
     }
 }
 
@@ -62,6 +67,7 @@
         for server in (0..SERVERS).step_by(5) {
             prefixes.record_sent(&format!("server-{server}").into(), &PREFIXES);
         }
+        let finish = ExpectedFinishPolicy::new(prefixes.clone(), 1);
         let policy = ExpectedTimePolicy::new(prefixes, 1);
         for (kind, prefixes) in [("plain", vec![]), ("prefixes", PREFIXES.to_vec())] {
             let need = RouteNeed {
@@ -72,13 +78,21 @@
                 zone: "zone-3".into(),
                 avoid: Vec::new(),
                 late: false,
-                cost: Default::default(),
+                cost: request_cost(RequestShape {
+                    prompt: 1_000,
+                    parts: &[200; 4],
+                    output: 200,
+                }),
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
             group.bench_function(BenchmarkId::new(kind, models), |bencher| {
                 bencher.iter(|| policy.choose_in(black_box(&need), &fleet, now));
             });
+            let id = BenchmarkId::new(format!("finish-{kind}"), models);
+            group.bench_function(id, |bencher| {
+                bencher.iter(|| finish.choose_in(black_box(&need), &fleet, now));
+            });
         }
     }
     group.finish();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -45,7 +45,7 @@
 use crate::timer::TimerService;
 use crate::watch::WatchSettings;
 
-pub use self::parts::{EvenSplitParts, NaiveParts, PolicyParts, StandardParts};
+pub use self::parts::{EvenSplitParts, FinishParts, NaiveParts, PolicyParts, StandardParts};
 pub use self::relay::{RelayDaemon, RelayParts, open_relay};
 
 /// Names under which services register.
--- a/src/daemon/parts.rs
+++ b/src/daemon/parts.rs
@@ -17,7 +17,9 @@
 use crate::placement::{GreedyPolicy, LruPolicy, OrderService, OrderSettings, PlacementPolicy};
 use crate::queue::{FifoQueue, WaitQueue};
 use crate::replica::CatalogReplica;
-use crate::routing::{ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy};
+use crate::routing::{
+    ExpectedFinishPolicy, ExpectedTimePolicy, FleetSnapshot, PrefixIndex, RoundRobinPolicy,
+};
 use crate::settings::DaemonSettings;
 use crate::watch::FleetWatch;
 
@@ -65,6 +67,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct EvenSplitParts;
 
+/// The standard policies, except that requests are routed by expected finish, as the relay does.
+#[derive(Clone, Copy, Debug)]
+pub struct FinishParts;
+
 /// Defines the associated types that all sets share.
 macro_rules! fixed_parts {
     () => {
@@ -129,6 +135,33 @@
     }
 }
 
+impl DispatchParts for FinishParts {
+    fixed_parts!();
+    type Limiter = LimitService<PeerClient>;
+    type Routing = ExpectedFinishPolicy;
+    type Queue = WaitQueue<Waiter>;
+}
+
+impl PolicyParts for FinishParts {
+    type Placement = GreedyPolicy;
+
+    fn routing(prefixes: Arc<PrefixIndex>) -> Self::Routing {
+        ExpectedFinishPolicy::new(prefixes, rand::random())
+    }
+
+    fn queue(capacity: usize) -> Self::Queue {
+        StandardParts::queue(capacity)
+    }
+
+    fn placement() -> Self::Placement {
+        StandardParts::placement()
+    }
+
+    fn limiter(limits: &Arc<LimitService<PeerClient>>) -> Arc<Self::Limiter> {
+        limits.clone()
+    }
+}
+
 impl DispatchParts for NaiveParts {
     fixed_parts!();
     type Limiter = LimitService<PeerClient>;
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -428,6 +428,7 @@
             let gauges = &core.metrics().evacuations;
             core.metrics().set(gauges, "zones", evacuated.len() as i64);
             core.metrics().set(gauges, "running", i64::from(running));
+            set_routing_metrics(&fleet, core.metrics(), now);
         }
     });
     let mut changes = services.fleet.subscribe();
@@ -439,6 +440,23 @@
     });
 }
 
+/// Copies what routing knows of the servers into the metrics.
+fn set_routing_metrics(fleet: &RelayFleet, metrics: &DaemonMetrics, now: Instant) {
+    let permille = |pace: f64| (pace * 1_000.0).round() as i64;
+    if let Some((least, greatest)) = fleet.pace_spread(now) {
+        metrics.set(&metrics.paces, "least", permille(least));
+        metrics.set(&metrics.paces, "greatest", permille(greatest));
+    }
+    let (own, peers) = fleet.outstanding_work();
+    let millis = |micros: u64| i64::try_from(micros / 1_000).unwrap_or(i64::MAX);
+    metrics.set(&metrics.outstanding, "own", millis(own));
+    metrics.set(&metrics.outstanding, "peers", millis(peers));
+    for (kind, count) in fleet.take_choices() {
+        let choices = metrics.choices.get_or_create(&KindLabels { kind });
+        choices.inc_by(count);
+    }
+}
+
 /// Readiness and state dump of a daemon on the platform.
 struct RelayState {
     configs: Arc<ConfigHolder>,
@@ -475,6 +493,7 @@
         let now = Instant::now();
         let servers = self.fleet.servers();
         let servers = servers.iter().map(|server| {
+            let load = self.fleet.server_load(&server.id, now);
             json!({
                 "id": server.id,
                 "service": server.service,
@@ -482,6 +501,9 @@
                 "zone": server.zone,
                 "leaving": server.leaving,
                 "models": server.models.iter().map(|model| &model.name).collect::<Vec<_>>(),
+                "pace": load.map(|load| f64::from(load.pace_permille) / 1_000.0),
+                "own_work_us": load.map(|load| load.own_work_us),
+                "peer_work_us": load.and_then(|load| load.peer_work_us),
             })
         });
         let evacuated = self.fleet.evacuated_zones();
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -23,12 +23,14 @@
 use crate::history::RequestStage;
 use crate::ids::KeyDigest;
 use crate::queue::WaitEntry;
-use crate::routing::RouteNeed;
+use crate::routing::{RequestCost, RequestShape, RouteNeed, request_cost};
 
 /// Maximum number of backend servers that one request tries.
 const MAX_ATTEMPTS: usize = 4;
 /// Bytes of prompt text that are charged as one token.
 const BYTES_PER_TOKEN: usize = 4;
+/// Part of a call's maximum output that is expected. Nothing is learned of calls, and few reach the maximum.
+const OUTPUT_DIVISOR: u64 = 2;
 /// Deadline of interactive requests that state none.
 const INTERACTIVE_DEADLINE: Duration = Duration::from_secs(30);
 /// Deadline of overnight requests that state none.
@@ -124,7 +126,14 @@
             id: call.id.clone(),
             team: grant.team().cloned(),
             charge,
-            need: self.model_need(&catalog, model, &name, &call.messages, suspect),
+            need: self.model_need(
+                &catalog,
+                model,
+                &name,
+                &call.messages,
+                call.max_tokens,
+                suspect,
+            ),
             fingerprint,
             deadline,
             estimate,
@@ -153,6 +162,7 @@
         model: &ModelSpec,
         name: &ModelName,
         messages: &[u8],
+        max_tokens: u32,
         suspect: Option<KeyDigest>,
     ) -> ModelNeed {
         let version = name
@@ -160,6 +170,7 @@
             .clone()
             .unwrap_or_else(|| model.version.clone());
         let prefixes = prefix_hashes(&model.name, &version, name.adapter.as_ref(), messages);
+        let prefix_count = prefixes.len();
         // A call that names a version is never served by another one.
         let fallbacks = match name.version {
             Some(_) => Vec::new(),
@@ -173,7 +184,7 @@
             zone: self.zone.clone(),
             avoid: Vec::new(),
             late: false,
-            cost: Default::default(),
+            cost: model_cost(messages.len(), max_tokens, prefix_count),
         };
         ModelNeed {
             route,
@@ -183,6 +194,17 @@
     }
 }
 
+/// Estimates the cost of a call, whose prefixes are taken to be equally long.
+fn model_cost(message_bytes: usize, max_tokens: u32, prefixes: usize) -> RequestCost {
+    let prompt = u64::from(estimate_tokens(message_bytes));
+    let parts = vec![prompt / prefixes.max(1) as u64; prefixes];
+    request_cost(RequestShape {
+        prompt,
+        parts: &parts,
+        output: u64::from(max_tokens) / OUTPUT_DIVISOR,
+    })
+}
+
 impl<P: DispatchParts> Exchange for ChatExchange<P> {
     type Piece = EngineChunk;
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -119,6 +119,12 @@
     pub evacuations: Family<KindLabels, Gauge>,
     /// Backend servers by kind (`usable`, `leaving`, `down`).
     pub backends: Family<KindLabels, Gauge>,
+    /// Least and greatest pace of the backend servers in thousandths (`least`, `greatest`).
+    pub paces: Family<KindLabels, Gauge>,
+    /// Remaining work at the backend servers in milliseconds (`own`, `peers`).
+    pub outstanding: Family<KindLabels, Gauge>,
+    /// Requests that backend servers accepted, by the pace of the server (`slow`, `usual`, `fast`).
+    pub choices: Family<KindLabels, Counter>,
 }
 
 impl Default for DaemonMetrics {
@@ -154,6 +160,9 @@
             suspects: Family::default(),
             evacuations: Family::default(),
             backends: Family::default(),
+            paces: Family::default(),
+            outstanding: Family::default(),
+            choices: Family::default(),
         };
         metrics.register_requests();
         metrics.register_control();
@@ -232,6 +241,21 @@
         );
         registry.register("copies", "Copies of tables", self.copies.clone());
         registry.register("backends", "Backend servers", self.backends.clone());
+        registry.register(
+            "paces_permille",
+            "Paces of backend servers",
+            self.paces.clone(),
+        );
+        registry.register(
+            "outstanding_work_ms",
+            "Remaining work at backend servers",
+            self.outstanding.clone(),
+        );
+        registry.register(
+            "choices",
+            "Accepted requests by the pace of their server",
+            self.choices.clone(),
+        );
     }
 
     /// Counts a finished request; `error` is `None` if it succeeded.
--- a/src/relay/exchange/timing.rs
+++ b/src/relay/exchange/timing.rs
@@ -111,7 +111,9 @@
     pub(super) fn note_accepted(&mut self, slot: &ServerSlot, answer: &UpstreamAnswer) {
         let work = &self.request.work;
         let parts = self.context.fleet.read_parts();
-        parts.record(&slot.name, &work.prefixes, Instant::now());
+        let now = Instant::now();
+        parts.record(&slot.name, &work.prefixes, now);
+        self.context.fleet.count_choice(&slot.name, now);
         self.timing = AttemptTiming {
             is_success: answer.head.status.is_success(),
             prompt_us: slot
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 pub use self::evacuations::{EvacuatedZone, EvacuationSink, PairSink};
+use self::work::ChoiceCounts;
 use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
@@ -125,6 +126,7 @@
     departures: watch::Sender<u64>,
     paces: Mutex<PaceTable>,
     read_parts: ReadParts,
+    choices: ChoiceCounts,
 }
 
 /// Returns the name under which routing knows what serves a request: a plain service, or a model of a service.
--- a/src/relay/fleet/work.rs
+++ b/src/relay/fleet/work.rs
@@ -1,6 +1,7 @@
 //! Pace and outstanding work of the servers, from this daemon's calls and the pulses of peers.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,47 @@
 /// Work of each request of a peer that did not report its work, in microseconds of a server of pace 1.
 const UNKNOWN_WORK_US: u64 = 100_000;
 
+/// A server of a pace below this counts as slow; one above the inverse as fast.
+const SLOW_PACE: f64 = 0.8;
+
+/// Accepted requests by the pace of the server, since they were last taken.
+#[derive(Debug, Default)]
+pub(super) struct ChoiceCounts {
+    slow: AtomicU64,
+    usual: AtomicU64,
+    fast: AtomicU64,
+}
+
 impl RelayFleet {
+    /// Counts a request that a server accepted.
+    pub fn count_choice(&self, id: &str, now: Instant) {
+        let pace = self.paces().pace(server_id_hash(id), now);
+        let count = match pace {
+            slow if slow < SLOW_PACE => &self.choices.slow,
+            fast if fast > 1.0 / SLOW_PACE => &self.choices.fast,
+            _ => &self.choices.usual,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes the numbers of requests that slow, usual and fast servers accepted since the last call.
+    pub fn take_choices(&self) -> [(&'static str, u64); 3] {
+        let counts = &self.choices;
+        let counts = [
+            ("slow", &counts.slow),
+            ("usual", &counts.usual),
+            ("fast", &counts.fast),
+        ];
+        counts.map(|(kind, count)| (kind, count.swap(0, Ordering::Relaxed)))
+    }
+
+    /// Returns the remaining work of this daemon's requests and, as last published, of those of peers, in microseconds.
+    pub fn outstanding_work(&self) -> (u64, u64) {
+        let state = self.state();
+        let own = state.servers.values().map(|server| server.handle.work_us());
+        (own.sum(), state.peer_work_totals.values().sum())
+    }
+
     /// Returns the prompt parts that this daemon lately sent to the servers.
     pub fn read_parts(&self) -> &ReadParts {
         &self.read_parts
--- a/standins/src/bin/foxtailhill-load.rs
+++ b/standins/src/bin/foxtailhill-load.rs
@@ -176,7 +176,7 @@
     length: Duration,
 }
 
-/// Compares the standard with the naive policies on fleets in this process.
+/// Compares the standard policies, the naive ones and routing by expected finish on fleets in this process.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "compare")]
 struct CompareArguments {
@@ -276,7 +276,7 @@
     }
     let mut policies = vec![PolicyKind::Standard];
     if !arguments.standard_only {
-        policies.push(PolicyKind::Naive);
+        policies.extend([PolicyKind::Naive, PolicyKind::Finish]);
     }
     let options = CompareOptions {
         seeds,
--- a/standins/src/compare/mod.rs
+++ b/standins/src/compare/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use foxtailhill::daemon::{NaiveParts, PolicyParts, StandardParts};
+use foxtailhill::daemon::{FinishParts, NaiveParts, PolicyParts, StandardParts};
 use foxtailhill::engine::{OrderAction, OrderReply};
 use smol_str::SmolStr;
 
@@ -31,6 +31,8 @@
 pub enum PolicyKind {
     Standard,
     Naive,
+    /// The standard policies with routing by expected finish.
+    Finish,
 }
 
 /// Options of [`compare`].
@@ -91,8 +93,9 @@
     let fleet = match policy {
         PolicyKind::Standard => open::<StandardParts>(scenario, per_zone, store).await?,
         PolicyKind::Naive => open::<NaiveParts>(scenario, per_zone, store).await?,
+        PolicyKind::Finish => open::<FinishParts>(scenario, per_zone, store).await?,
     };
-    if policy == PolicyKind::Standard {
+    if policy != PolicyKind::Naive {
         fleet.wait_for_replicas(scenario, LOAD_WAIT).await?;
     }
     let warm_up = shape(options, seed + WARM_UP_SEED, options.warm_up, false);
--- a/standins/src/compare/plot.rs
+++ b/standins/src/compare/plot.rs
@@ -8,7 +8,11 @@
 use crate::compare::{CompareReport, PolicyKind};
 
 const SIZE: (u32, u32) = (760, 420);
-const COLOURS: [RGBColor; 2] = [RGBColor(40, 110, 180), RGBColor(200, 110, 40)];
+const COLOURS: [RGBColor; 3] = [
+    RGBColor(40, 110, 180),
+    RGBColor(200, 110, 40),
+    RGBColor(60, 150, 80),
+];
 
 /// Draws the attainment of each class and team: one bar per policy, with a line from the lowest to the highest run.
 pub fn plot(report: &CompareReport, path: &Path) -> eyre::Result<()> {
@@ -65,6 +69,7 @@
         let name = match summary.policy {
             PolicyKind::Standard => "standard",
             PolicyKind::Naive => "naive",
+            PolicyKind::Finish => "finish",
         };
         chart
             .draw_series(shapes)?
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -189,3 +189,15 @@
     assert!(table.sizes().0 >= 1);
     assert!(table.pace(1, later) != 1.0, "room for new servers is made");
 }
+
+/// Guards against reports in pulses that grow beyond their share of the traffic between daemons.
+#[test]
+fn report_is_small() {
+    let news: Vec<(u32, u8)> = vec![(u32::MAX, 255); 4];
+    let mut table = PaceTable::default();
+    let now = warm_up(&mut table, |_| 40.0, 2, Instant::now());
+    assert_eq!(table.take_news(now).len(), news.len());
+    let config = bincode::config::standard();
+    let size = bincode::serde::encode_to_vec(&news, config).map(|data| data.len());
+    assert!(size.is_ok_and(|size| size <= 25));
+}
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -199,7 +199,9 @@
                 // A daemon gets every third pulse of a peer.
                 let turn = self.tick / VIEW_PERIOD_TICKS;
                 for (receiver, daemon) in self.daemons.iter_mut().enumerate() {
-                    if receiver != sender && (receiver as u64 + sender as u64 + turn) % 3 == 0 {
+                    if receiver != sender
+                        && (receiver as u64 + sender as u64 + turn).is_multiple_of(3)
+                    {
                         daemon.paces.apply_news(news, now);
                     }
                 }
