--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -11,7 +11,8 @@
     DaemonRecord, DaemonRegistry, RegistrySettings, RelayFleet, ServerChange,
 };
 use foxtailhill::routing::{
-    ColdBound, ColdGate, ExpectedTimePolicy, PrefixIndex, RouteNeed, RoutingPolicy, divide_requests,
+    ColdBound, ColdGate, ExpectedTimePolicy, PrefixIndex, RequestCost, RouteNeed, RoutingPolicy,
+    divide_requests,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -180,6 +181,7 @@
         zone: "north".into(),
         avoid: Vec::new(),
         late: false,
+        cost: RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
     let mut running = Vec::new();
