Relay: move unsent requests without a charge, and leave out servers that refuse connections

A connection that could not be opened no longer counts against the retry budget, MAX_SENDS or max-attempts; 8 of them bound a request. A server that refused a connection gets no requests until it accepts one or starts anew.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -30,7 +30,8 @@
     DaemonRegistry, EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink,
     PlannerContext, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
     RelayServer, ReplicaPlanner, RetryLimits, ServerSink, StartGate, StoreHealth, StoreTable,
-    UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_pulses,
+    UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_probes,
+    spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
@@ -428,8 +429,12 @@
             let gauges = &core.metrics().evacuations;
             core.metrics().set(gauges, "zones", evacuated.len() as i64);
             core.metrics().set(gauges, "running", i64::from(running));
+            let refusing = fleet.refusing_servers().len();
+            let gauges = &core.metrics().backends;
+            core.metrics().set(gauges, "refusing", refusing as i64);
         }
     });
+    spawn_probes(&services.fleet, &services.pool, &services.timer, group);
     let mut changes = services.fleet.subscribe();
     let core = services.core.clone();
     group.spawn_cancellable(async move {
@@ -496,6 +501,7 @@
             "plan_version": self.configs.version(),
             "servers": servers.collect::<Vec<_>>(),
             "evacuated_zones": evacuated.collect::<Vec<_>>(),
+            "refusing_servers": self.fleet.refusing_servers(),
             "peers": self.registry.peers(),
             "share_ppm": self.registry.share(now).ppm,
             "limits": self.limits.dump(),
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -14,13 +14,14 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerTable;
+use crate::metrics::KindLabels;
 use crate::peer::{
     PeerCaller, PeerClient, PeerHandler, PeerReply, PeerRequest, PeerStatus, SuspectNotice,
 };
 use crate::placement::DemandTracker;
 use crate::relay::{
     ConfigHolder, CopyTables, CrashWatch, DaemonRegistry, PlacementChange, PlacementRequest, Pulse,
-    PulseHandler, QUARANTINE_TIME, ReaderElection, RelayFleet,
+    PulseHandler, QUARANTINE_TIME, ReaderElection, RefusalReport, RelayFleet,
 };
 
 /// Time limit of one placement request to the planner.
@@ -230,6 +231,7 @@
             suspects: self.notices.update(self.core.take_notices(), now),
             parts: self.watch.notices(now),
             evacuations: self.fleet.evacuation_notices(now),
+            refusals: self.fleet.refusal_reports(now),
         }
     }
 
@@ -263,6 +265,17 @@
         }
     }
 
+    async fn take_refusals(&self) -> Vec<RefusalReport> {
+        self.fleet.take_refusal_reports().await
+    }
+
+    fn handle_refusals(&self, reports: Vec<RefusalReport>, now: Instant) {
+        let used = self.fleet.apply_refusal_reports(&reports, now);
+        let metrics = self.core.metrics();
+        let label = KindLabels { kind: "reported" };
+        metrics.connects.get_or_create(&label).inc_by(used as u64);
+    }
+
     fn handle_pulse(&self, pulse: Pulse, now: Instant) {
         self.readers.note_pulse(&pulse, now);
         self.fleet
@@ -270,6 +283,7 @@
         self.demand.record(pulse.peer, &pulse.demand, now);
         self.fleet.note_placements(&pulse.placements, now);
         self.fleet.apply_evacuation_notices(&pulse.evacuations, now);
+        self.handle_refusals(pulse.refusals, now);
         self.core.apply_notices(&pulse.suspects, QUARANTINE_TIME);
         self.watch.apply_notices(&pulse.parts, now);
         if let Some(fence) = pulse.fence {
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -66,6 +66,9 @@
     Stopped(Error),
     /// The backend server refused because the model or adapter is not in its memory; the view of it was outdated.
     NotResident,
+    /// No byte of the request was sent, because the backend server could not be connected to. The view of the fleet
+    /// leaves the server out until it may be connected to again.
+    Unsent(Error),
     /// The backend server failed; another one may be tried.
     Failed {
         error: Error,
@@ -131,6 +134,11 @@
         true
     }
 
+    /// Like [`Exchange::may_retry`], after a server that could not be connected to.
+    fn may_retry_unsent(&mut self, error: &Error) -> bool {
+        self.may_retry(error)
+    }
+
     /// Returns whether a backend server may have run the request so far.
     fn verdict(&self) -> RunVerdict;
 
@@ -356,6 +364,14 @@
                 Attempt::NotResident
                     if Instant::now() < job.deadline && job.exchange.may_retry_not_resident() => {}
                 Attempt::NotResident => break Some(not_loaded()),
+                Attempt::Unsent(error) => {
+                    if !job.exchange.may_retry_unsent(&error) {
+                        break Some(error);
+                    }
+                    log::info!(
+                        "the request was not sent; another backend server may take it: {error}"
+                    );
+                }
                 Attempt::Failed { error, died } => {
                     if died && let Err(error) = self.mark_suspect(&mut job) {
                         break Some(error);
@@ -448,13 +464,24 @@
             Attempt::Failed { .. } | Attempt::NotResident => {
                 job.need.route.avoid.push(slot.name.clone());
             }
-            Attempt::Cancelled | Attempt::Stopped(_) => {}
+            // Those that failed the request may be the only ones left. It must not wait for others then.
+            Attempt::Unsent(_) if !self.has_other_server(&job.need) => {
+                job.need.route.avoid.clear();
+            }
+            Attempt::Cancelled | Attempt::Stopped(_) | Attempt::Unsent(_) => {}
         }
         drop(slot);
         self.queues.grant_slots();
         result
     }
 
+    /// Returns whether a usable server, full or not, has not failed the request.
+    fn has_other_server(&self, need: &ModelNeed) -> bool {
+        let fleet = self.queues.fleet().snapshot();
+        let route = &need.route;
+        fleet.has_usable_server_besides(&route.model, &route.version, &route.avoid)
+    }
+
     /// Waits for a slot on a backend server, for [`AVOID_TIME`] only on those that have not failed this request.
     async fn acquire<X: Exchange>(&self, need: &mut ModelNeed, exchange: &X) -> Result<ServerSlot> {
         if !need.route.avoid.is_empty() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -98,6 +98,10 @@
     pub loans: Family<KindLabels, Counter>,
     /// Retries by kind (`sent`, `over_budget`).
     pub retries: Family<KindLabels, Counter>,
+    /// Connections to backend servers for requests, by kind: `new` and `kept` ones with an answer, `refused` and `failed`
+    /// ones on which nothing was sent, `moved` for requests that another server took then, and `reported` for servers that
+    /// are not used because of a peer's report.
+    pub connects: Family<KindLabels, Counter>,
     /// Claims by kind (`granted`, `recorded`, `conflict`, `released`, `unavailable`).
     pub claims: Family<KindLabels, Counter>,
     /// Orders to engines by kind (`sent`, `done`, `refused`, `fenced`, `repeated`).
@@ -117,7 +121,7 @@
     pub suspects: Family<KindLabels, Gauge>,
     /// Evacuated zones (`zones`), and requests that run on their servers (`running`).
     pub evacuations: Family<KindLabels, Gauge>,
-    /// Backend servers by kind (`usable`, `leaving`, `down`).
+    /// Backend servers by kind (`usable`, `leaving`, `down`, `refusing`).
     pub backends: Family<KindLabels, Gauge>,
 }
 
@@ -144,6 +148,7 @@
             tokens: Family::default(),
             loans: Family::default(),
             retries: Family::default(),
+            connects: Family::default(),
             claims: Family::default(),
             orders: Family::default(),
             currency_age: RatioGauge::default(),
@@ -191,6 +196,11 @@
             self.queue_time.clone(),
         );
         registry.register("retries", "Retries", self.retries.clone());
+        registry.register(
+            "server_connects",
+            "Connections to backend servers for requests",
+            self.connects.clone(),
+        );
         registry.register("suspects", "Suspect requests", self.suspects.clone());
         registry.register(
             "evacuations",
--- a/src/relay/crash_watch.rs
+++ b/src/relay/crash_watch.rs
@@ -101,6 +101,8 @@
             return;
         }
         let now = Instant::now();
+        self.fleet
+            .connect_refused(attempt.server, attempt.address, now);
         log::info!(
             "server {} crashed before it answered a request with the prompt parts {:x?}",
             attempt.server,
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -142,6 +142,7 @@
             watch: context.watch.clone(),
             times: AnswerTimes::default(),
             memory: AnswerMemory::default(),
+            metrics: context.core.metrics().clone(),
         });
         Arc::new(Self {
             context,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -15,6 +15,7 @@
 use crate::catalog::RequestClass;
 use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
+use crate::metrics::DaemonMetrics;
 use crate::queue::WaitEntry;
 use crate::relay::answer_memory::AnswerMemory;
 use crate::relay::answer_times::AnswerTimes;
@@ -26,12 +27,16 @@
 use crate::relay::fleet::RelayFleet;
 use crate::relay::format::{AnswerKind, RelayFormat, UpstreamMetadata};
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
-use crate::relay::upstream::{UpstreamAnswer, UpstreamPool};
+use crate::relay::upstream::{SendError, UpstreamAnswer, UpstreamPool};
 use crate::retry::RetryBudget;
 use crate::wire;
 
-/// Maximum number of times that a request is sent to a backend server, including sends that are refused.
+/// Maximum number of times that a request is sent to a backend server, including sends that are refused. A connection
+/// that could not be opened is no send.
 const MAX_SENDS: usize = 5;
+/// Maximum number of connections that could not be opened for one request. After the loss of a quarter of the servers of
+/// a service, the chance that as many in a row are among them is below 1 in 50,000.
+const MAX_FAILED_CONNECTS: usize = 8;
 /// A request with less time left is not sent because its answer would be too late.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 /// Subtracted from the time that a backend server is given, for the transfer of its answer.
@@ -60,6 +65,7 @@
     pub(super) watch: Arc<CrashWatch>,
     pub(super) times: AnswerTimes,
     pub(super) memory: AnswerMemory,
+    pub(super) metrics: Arc<DaemonMetrics>,
 }
 
 impl<F> ExchangeContext<F> {
@@ -81,6 +87,8 @@
     sends: usize,
     /// Sends after which the server may have run the request; limited by the route's `max_attempts`.
     attempts: usize,
+    /// Connections that could not be opened for the request.
+    failed_connects: usize,
     /// Id of the last event that was forwarded, or that the caller stated in its request.
     last_event: Option<u64>,
     /// Type of the stream whose head was sent to the caller.
@@ -111,6 +119,7 @@
             verdict: RunVerdict::NotRun,
             sends: 0,
             attempts: 0,
+            failed_connects: 0,
             sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
@@ -257,6 +266,7 @@
             Err(error) => return Attempt::Stopped(error),
         };
         let previous = (self.verdict, self.attempts);
+        let previous_sends = self.sends;
         self.sends += 1;
         self.attempts += 1;
         self.attempt_events = 0;
@@ -274,17 +284,20 @@
         };
         let answer = match sent {
             Some(Ok(answer)) => answer,
-            Some(Err(error)) => {
+            Some(Err(failure)) if failure.error.verdict() == RunVerdict::NotRun => {
+                (self.verdict, self.attempts) = previous;
+                self.sends = previous_sends;
+                return self.unsent_attempt(slot, failure);
+            }
+            Some(Err(SendError { error, .. })) => {
                 if error.category() == Category::Protocol {
                     self.context.fleet.note_faulty(&slot.name);
                 }
-                if error.verdict() == RunVerdict::NotRun {
-                    (self.verdict, self.attempts) = previous;
-                }
                 return self.failed_attempt(slot, error);
             }
             None => return self.failed_attempt(slot, answer_timeout()),
         };
+        self.note_connection(slot, &answer);
         let id = &self.request.metadata.id;
         let kind = self
             .context
@@ -315,6 +328,35 @@
         }
     }
 
+    /// Notes whether an answer came on a new connection, which shows that the server accepts connections.
+    fn note_connection(&self, slot: &ServerSlot, answer: &UpstreamAnswer) {
+        let kind = if answer.is_first { "new" } else { "kept" };
+        self.count_connect(kind);
+        if answer.is_first {
+            self.context.fleet.connect_accepted(&slot.name, self.sent);
+        }
+    }
+
+    /// Handles a server that could not be connected to, so that no byte of the request was sent.
+    fn unsent_attempt(&mut self, slot: &ServerSlot, failure: SendError) -> Attempt {
+        let SendError { error, is_refused } = failure;
+        let fleet = &self.context.fleet;
+        self.failed_connects += 1;
+        if is_refused {
+            self.count_connect("refused");
+            fleet.connect_refused(&slot.name, slot.address, Instant::now());
+        } else {
+            self.count_connect("failed");
+            fleet.call_failed(&slot.name);
+        }
+        Attempt::Unsent(error)
+    }
+
+    fn count_connect(&self, kind: &'static str) {
+        let metrics = &self.context.metrics;
+        metrics.count(&metrics.connects, kind);
+    }
+
     /// Handles a server that did not run the request.
     fn refused_attempt(&self, slot: &ServerSlot, kind: AnswerKind) -> Attempt {
         let error = match kind {
@@ -470,6 +512,15 @@
         self.sends < MAX_SENDS && self.budget.try_retry()
     }
 
+    fn may_retry_unsent(&mut self, _error: &Error) -> bool {
+        let may_retry = self.failed_connects < MAX_FAILED_CONNECTS
+            && Instant::now() + MIN_TIME_LEFT < self.request.deadline;
+        if may_retry {
+            self.count_connect("moved");
+        }
+        may_retry
+    }
+
     fn verdict(&self) -> RunVerdict {
         self.verdict
     }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -3,15 +3,17 @@
 mod evacuations;
 mod notices;
 mod records;
+mod refusals;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use smol_str::{SmolStr, format_smolstr};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 pub use self::evacuations::{EvacuatedZone, EvacuationSink, PairSink};
+pub use self::refusals::ServerProbe;
 use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
 use crate::engine::{LoadReport, ResidentItem};
@@ -20,6 +22,7 @@
 use crate::relay::config::ModelConfig;
 use crate::relay::engines::{LoadItem, PlacementChange};
 use crate::relay::evacuation::EvacuationTable;
+use crate::relay::refusing::RefusalTable;
 use crate::relay::server_list::{
     HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry, holds_item,
 };
@@ -50,6 +53,8 @@
 
 struct ServerState {
     entry: ServerEntry,
+    /// The start that the entry belongs to.
+    start: ServerStart,
     /// Version of the list in which the entry changed last.
     changed: u64,
     /// When the server was first listed.
@@ -63,6 +68,8 @@
     /// Calls that failed since the last one that succeeded.
     failures: u32,
     suspected_until: Option<Instant>,
+    /// Whether it gets no requests because it refuses connections.
+    is_refusing: bool,
     /// When the server is removed unless it rewrites its record, which expired around an outage of the store.
     expires_at: Option<Instant>,
 }
@@ -97,6 +104,7 @@
     crashed: Vec<SmolStr>,
     announcements: AnnouncementTable,
     evacuations: EvacuationTable,
+    refusals: RefusalTable,
     /// When the list could be read again after an outage, or was first read in a new era of the store.
     reachable_since: Option<Instant>,
     /// Newest era of the store in which the list was read.
@@ -116,6 +124,8 @@
     snapshot: RwLock<Arc<FleetSnapshot>>,
     changes: watch::Sender<u64>,
     departures: watch::Sender<u64>,
+    /// Notified when a server was found to refuse connections.
+    refusal_found: Notify,
 }
 
 /// Returns the name under which routing knows what serves a request: a plain service, or a model of a service.
@@ -344,8 +354,8 @@
     /// Returns the start of a listed server; `None` if the server is leaving or is not listed.
     pub fn server_start(&self, id: &str) -> Option<ServerStart> {
         let state = self.state();
-        let entry = &state.servers.get(id)?.entry;
-        (!entry.leaving).then(|| server_start(entry))
+        let server = state.servers.get(id)?;
+        (!server.entry.leaving).then_some(server.start)
     }
 
     /// Returns whether calls to a server failed lately.
@@ -445,9 +455,9 @@
             }
             if server.suspected_until.is_some_and(|until| until <= now) {
                 server.suspected_until = None;
-                server.handle.set_suspected(false);
             }
         }
+        self.expire_refusals(now);
     }
 
     /// Sums the requests of all peers by server.
@@ -468,6 +478,7 @@
         log::info!("server {} of {} is listed", entry.id, entry.service);
         Self {
             models: entry.models.clone(),
+            start: server_start(&entry),
             placements: Vec::new(),
             changed: version,
             listed_at: now,
@@ -475,6 +486,7 @@
             handle: Arc::default(),
             failures: 0,
             suspected_until: None,
+            is_refusing: false,
             expires_at: None,
         }
     }
@@ -487,7 +499,13 @@
     /// Gives the server no work until `until`.
     fn suspend_until(&mut self, until: Instant) {
         self.suspected_until = self.suspected_until.max(Some(until));
-        self.handle.set_suspected(true);
+        self.update_suspected();
+    }
+
+    /// Sets whether routing leaves the server out.
+    fn update_suspected(&self) {
+        let is_suspected = self.is_refusing || self.suspected_until.is_some();
+        self.handle.set_suspected(is_suspected);
     }
 
     /// Derives the models from the record and the placement changes that it does not show yet.
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -185,7 +185,9 @@
             server.suspected_until = None;
             server.failures = 0;
             server.placements.clear();
-            server.handle.set_suspected(false);
+            server.is_refusing = false;
+            server.update_suspected();
+            self.refusals.forget(start);
             self.crashed.push(entry.id.clone());
         }
         if server.entry.leaving != entry.leaving {
@@ -205,6 +207,7 @@
         if is_changed {
             server.changed = version;
         }
+        server.start = start;
         server.entry = entry;
         server.update_models(now);
     }
@@ -243,6 +246,7 @@
         if let Some(server) = self.servers.remove(id) {
             self.version += 1;
             self.departures += 1;
+            self.refusals.forget(server.start);
             self.removed.push_back(RemovedServer {
                 id: id.clone(),
                 version: self.version,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,8 +31,10 @@
 mod load_budget;
 mod planner;
 mod planner_state;
+mod probes;
 mod pulse;
 mod readers;
+mod refusing;
 mod registry;
 mod request;
 mod server;
@@ -67,7 +69,9 @@
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE_TIME;
 pub use self::exchange::RelayExchange;
-pub use self::fleet::{EvacuatedZone, EvacuationSink, PairSink, RelayFleet, routing_name};
+pub use self::fleet::{
+    EvacuatedZone, EvacuationSink, PairSink, RelayFleet, ServerProbe, routing_name,
+};
 pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
 pub use self::format::{
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
@@ -80,10 +84,12 @@
 };
 pub use self::load_budget::{LoadBudget, LoadCeiling, OrderKey};
 pub use self::planner::{PlannerContext, ReplicaPlanner};
+pub use self::probes::spawn_probes;
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
 pub use self::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
+pub use self::refusing::{ProbeOutcome, RefusalReport, RefusalTable};
 pub use self::registry::{
     DaemonRecord, DaemonRegistry, Registration, RegistryCopy, RegistrySettings,
 };
@@ -92,4 +98,4 @@
 pub use self::server_list::{HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry};
 pub use self::start_gate::{ConfigKnowledge, StartGate};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
-pub use self::upstream::{UpstreamAnswer, UpstreamPool};
+pub use self::upstream::{SendError, UpstreamAnswer, UpstreamPool};
--- /dev/null
+++ b/src/relay/probes.rs
@@ -0,0 +1,36 @@
+//! Opens connections to backend servers that refuse them, to find out when they accept them again.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::kernel::TaskGroup;
+use crate::relay::fleet::RelayFleet;
+use crate::relay::upstream::UpstreamPool;
+use crate::timer::TimerService;
+
+/// Period in which due probes are begun, a fraction of the shortest pause between two probes.
+const PROBE_PERIOD: Duration = Duration::from_millis(100);
+
+/// Spawns the task that probes the servers of `fleet`. A probe is a connection on which nothing is sent.
+pub fn spawn_probes(
+    fleet: &Arc<RelayFleet>,
+    pool: &UpstreamPool,
+    timer: &TimerService,
+    group: &TaskGroup,
+) {
+    let mut ticks = timer.every(PROBE_PERIOD);
+    let (fleet, pool, parent) = (fleet.clone(), pool.clone(), group.clone());
+    group.spawn_cancellable(async move {
+        while let Some(now) = ticks.next().await {
+            for probe in fleet.take_probes(now) {
+                let (fleet, pool) = (fleet.clone(), pool.clone());
+                parent.spawn_cancellable(async move {
+                    let begun = Instant::now();
+                    let outcome = pool.probe(probe.address).await;
+                    log::debug!("probe of server {}: {outcome:?}", probe.id);
+                    fleet.end_probe(&probe, outcome, begun);
+                });
+            }
+        }
+    });
+}
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -21,6 +21,7 @@
 use crate::relay::demand_log::{DemandLog, PeriodId};
 use crate::relay::engines::PlacementChange;
 use crate::relay::evacuation::ZoneNotice;
+use crate::relay::refusing::RefusalReport;
 use crate::relay::registry::{DaemonRecord, DaemonRegistry};
 use crate::timer::TimerService;
 
@@ -71,6 +72,8 @@
     pub parts: Vec<PartNotice>,
     /// Zones that are or were evacuated.
     pub evacuations: Vec<ZoneNotice>,
+    /// Servers that have refused its connections.
+    pub refusals: Vec<RefusalReport>,
 }
 
 /// Builds this daemon's pulses and handles those of peers.
@@ -87,11 +90,18 @@
     /// Waits for messages about crashes, which are sent to all peers immediately, and takes them.
     fn take_blame(&self) -> impl Future<Output = Vec<BlameMessage>> + Send;
 
+    /// Waits for servers that are found to refuse connections, which all peers are told immediately, and takes them. May
+    /// be cancelled without loss.
+    fn take_refusals(&self) -> impl Future<Output = Vec<RefusalReport>> + Send;
+
     /// Handles the pulse of a peer.
     fn handle_pulse(&self, pulse: Pulse, now: Instant);
 
     /// Handles messages of a peer about crashes.
     fn handle_blame(&self, messages: Vec<BlameMessage>, now: Instant);
+
+    /// Handles a peer's reports of servers that refuse connections.
+    fn handle_refusals(&self, reports: Vec<RefusalReport>, now: Instant);
 }
 
 /// Spawns tasks in `group` that send and receive pulses at `address`.
@@ -131,6 +141,10 @@
                     sender.send_blame(messages).await;
                     continue;
                 }
+                reports = sender.handler.take_refusals() => {
+                    sender.send_to_all(DatagramKind::Refusals, &reports).await;
+                    continue;
+                }
             };
             sender.send(urgent).await;
         }
@@ -211,15 +225,19 @@
 
     /// Sends messages about crashes to all peers.
     async fn send_blame(&self, messages: Vec<BlameMessage>) {
-        let peers = self.registry.peers();
         for part in messages.chunks(MAX_BLAME_MESSAGES) {
-            let Some(data) = encode(DatagramKind::Blame, &part) else {
-                continue;
-            };
-            for (name, record) in &peers {
-                if let Err(error) = self.socket.send_to(&data, record.pulse).await {
-                    log::debug!("messages about crashes were not sent to {name}: {error}");
-                }
+            self.send_to_all(DatagramKind::Blame, &part).await;
+        }
+    }
+
+    /// Sends one datagram to all peers.
+    async fn send_to_all<T: Serialize>(&self, kind: DatagramKind, content: &T) {
+        let Some(data) = encode(kind, content) else {
+            return;
+        };
+        for (name, record) in &self.registry.peers() {
+            if let Err(error) = self.socket.send_to(&data, record.pulse).await {
+                log::debug!("a {kind:?} datagram was not sent to {name}: {error}");
             }
         }
     }
@@ -255,6 +273,7 @@
 enum DatagramKind {
     Pulse = 0,
     Blame = 1,
+    Refusals = 2,
 }
 
 /// Encodes the content of a datagram, or returns `None` if that is impossible, which is logged.
@@ -305,6 +324,8 @@
         decode(content).map(|pulse| handler.handle_pulse(pulse, now))
     } else if *kind == DatagramKind::Blame as u8 {
         decode(content).map(|messages| handler.handle_blame(messages, now))
+    } else if *kind == DatagramKind::Refusals as u8 {
+        decode(content).map(|reports| handler.handle_refusals(reports, now))
     } else {
         Err(Error::invalid(format!("unknown kind {kind}")))
     };
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -20,8 +20,9 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::error::{Category, Error, Result, RunVerdict};
+use crate::error::{Category, Error, RunVerdict};
 use crate::kernel::TaskGroup;
+use crate::relay::refusing::ProbeOutcome;
 use crate::wire;
 
 /// Covers a few round trips within a region. A server that is cut off does not answer at all.
@@ -57,6 +58,26 @@
     idle: Arc<Mutex<IdleMap>>,
 }
 
+/// Why a request got no answer.
+#[derive(Debug)]
+pub struct SendError {
+    /// Its verdict is `NotRun` if no byte of the request was sent.
+    pub error: Error,
+    /// Whether the server's host refused the connection, so that no process listens at the address.
+    pub is_refused: bool,
+}
+
+impl From<Error> for SendError {
+    fn from(error: Error) -> Self {
+        Self {
+            error,
+            is_refused: false,
+        }
+    }
+}
+
+type SendResult<T> = std::result::Result<T, SendError>;
+
 /// An answer whose body has not been read yet.
 pub struct UpstreamAnswer {
     pub head: response::Parts,
@@ -97,7 +118,7 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: bool,
-    ) -> Result<UpstreamAnswer> {
+    ) -> SendResult<UpstreamAnswer> {
         let interim = InterimAnswers::watch(&mut request);
         let answer = self.send_watched(server, address, request, reuse);
         tokio::select! {
@@ -105,7 +126,7 @@
             () = interim.excess() => {
                 let message = "the server sent interim answers without end";
                 let error = Error::new(Category::Protocol, message);
-                Err(error.with_verdict(RunVerdict::MayHaveRun))
+                Err(error.with_verdict(RunVerdict::MayHaveRun).into())
             }
         }
     }
@@ -116,45 +137,58 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: bool,
-    ) -> Result<UpstreamAnswer> {
+    ) -> SendResult<UpstreamAnswer> {
         while reuse && let Some(mut connection) = self.take_idle(server) {
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return Ok(self.answer(server, connection, answer, false)),
                 Err(mut failure) => match failure.take_message() {
                     // The server closed the connection before the request was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(connection_broken(&failure.into_error())),
+                    None => return Err(connection_broken(&failure.into_error()).into()),
                 },
             }
         }
         let mut connection = self.connect(address).await?;
         match connection.sender.send_request(request).await {
             Ok(answer) => Ok(self.answer(server, connection, answer, true)),
-            Err(error) if error.is_canceled() => Err(Error::unavailable(
-                "the server closed the connection before the request was sent",
-            )),
-            Err(error) => Err(connection_broken(&error)),
+            Err(error) if error.is_canceled() => {
+                let message = "the server closed the connection before the request was sent";
+                Err(Error::unavailable(message).into())
+            }
+            Err(error) => Err(connection_broken(&error).into()),
         }
     }
 
     /// Returns whether `address` refuses connections, which shows that its server has ended. A server behind a cut link
     /// does not answer.
     pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let is_refusal = |error: std::io::Error| {
-            let kind = error.kind();
-            matches!(
-                kind,
-                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-            )
-        };
-        connect.is_ok_and(|connected| connected.err().is_some_and(is_refusal))
+        self.probe(address).await == ProbeOutcome::Refused
     }
 
     /// Returns whether a server still listens at `address`.
     pub async fn accepts_connections(&self, address: SocketAddr) -> bool {
+        self.probe(address).await == ProbeOutcome::Accepted
+    }
+
+    /// Opens a connection to find out whether a server accepts connections, and closes it.
+    pub async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        matches!(connect, Ok(Ok(_)))
+        match connect {
+            Ok(Ok(_)) => ProbeOutcome::Accepted,
+            Ok(Err(error)) if is_refusal(&error) => ProbeOutcome::Refused,
+            Ok(Err(_)) | Err(_) => ProbeOutcome::Unknown,
+        }
+    }
+
+    /// Returns whether there is an idle connection to `server`.
+    pub fn has_idle(&self, server: &str) -> bool {
+        let now = Instant::now();
+        let idle = self.idle();
+        let connections = idle.get(server);
+        connections.is_some_and(|connections| {
+            let mut connections = connections.iter();
+            connections.any(|idle| idle.expires > now && idle.connection.sender.is_ready())
+        })
     }
 
     /// Closes idle connections that have expired.
@@ -190,14 +224,17 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection> {
+    async fn connect(&self, address: SocketAddr) -> SendResult<Connection> {
         let failed = |error: &dyn std::fmt::Display| {
             Error::unavailable(format!("cannot connect to {address}: {error}"))
         };
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| failed(&"connect timed out"))?
-            .map_err(|error| failed(&error))?;
+            .map_err(|error| SendError {
+                error: failed(&error),
+                is_refused: is_refusal(&error),
+            })?;
         // Avoids delays for small requests. The connection also works if the option cannot be set.
         let _ = stream.set_nodelay(true);
         wire::reset_on_close(&stream);
@@ -283,6 +320,14 @@
     }
 }
 
+/// Returns whether a connect ended with an answer of the server's host that nothing listens at the address.
+fn is_refusal(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
+
 /// Returns how long the connection may stay idle after this answer; zero if it must be closed.
 fn keep_alive_time(head: &response::Parts) -> Duration {
     let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -283,10 +283,20 @@
 
     /// Returns whether a server that is neither leaving nor suspected holds a version of a model.
     pub fn has_usable_server(&self, model: &SmolStr, version: &SmolStr) -> bool {
-        let holders = self.holders(model, version);
+        self.has_usable_server_besides(model, version, &[])
+    }
+
+    /// Like [`Self::has_usable_server`], for servers other than those in `avoid`.
+    pub fn has_usable_server_besides(
+        &self,
+        model: &SmolStr,
+        version: &SmolStr,
+        avoid: &[SmolStr],
+    ) -> bool {
+        let holders = self.holders(model, version).iter();
+        let mut holders = holders.map(|position| *position as usize);
         holders
-            .iter()
-            .any(|position| self.is_usable(*position as usize))
+            .any(|position| self.is_usable(position) && !avoid.contains(&self.views[position].name))
     }
 
     /// Returns why no server can take a request, given that routing found none.
--- a/tests/pulse_support/mod.rs
+++ b/tests/pulse_support/mod.rs
@@ -26,5 +26,6 @@
         suspects: Vec::new(),
         parts: Vec::new(),
         evacuations: Vec::new(),
+        refusals: Vec::new(),
     }
 }
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -24,12 +24,13 @@
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
     ConfigHolder, CrashDetector, CrashWatch, ReaderElection, RelayContext, RelayDispatcher,
-    RelayFleet, RelayServer, RetryLimits, ServerChange, UpstreamPool,
+    RelayFleet, RelayServer, RetryLimits, ServerChange, UpstreamPool, spawn_probes,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::{ExpectedTimePolicy, PrefixIndex};
 use foxtailhill::settings::LimitSettings;
 use foxtailhill::suspect::SuspectTable;
+use foxtailhill::timer::TimerService;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -286,6 +287,8 @@
     pub dispatcher: Arc<RelayDispatcher<RelayParts, PlatformFormat>>,
     pub draining: Arc<AtomicBool>,
     version: u64,
+    /// Its task ends when the last handle is dropped.
+    _timer: TimerService,
 }
 
 impl RelayRig {
@@ -340,6 +343,8 @@
         });
         let crashes = Arc::new(CrashDetector::new());
         let pool = UpstreamPool::open(&group);
+        let timer = TimerService::spawn(&group);
+        spawn_probes(&fleet, &pool, &timer, &group);
         let watch = CrashWatch::open(DaemonKey::of("entry-0"), fleet.clone(), pool.clone());
         let health = Arc::default();
         let readers = ReaderElection::new("entry-0".into(), "north".into(), 250, health);
@@ -395,6 +400,7 @@
             dispatcher,
             draining,
             version: 0,
+            _timer: timer,
         })
     }
 
--- a/tests/unsent.rs
+++ b/tests/unsent.rs
@@ -4,10 +4,12 @@
 
 use std::time::Instant;
 
+use foxtailhill::metrics::KindLabels;
 use foxtailhill::relay::{RetryLimits, ServerChange};
 use foxtailhill::settings::LimitSettings;
-use relay_support::{RelayRig, Script, ScriptedServer, request, whole};
-use tokio::net::TcpSocket;
+use relay_support::{RelayRig, Script, ScriptedServer, header, request, until, whole};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
 
 const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const MODEL_MISSING: &str =
@@ -131,3 +133,48 @@
     rig.shutdown().await;
     Ok(())
 }
+
+/// Answers one request on each connection.
+async fn answer_each(listener: TcpListener) -> std::io::Result<()> {
+    loop {
+        let (mut stream, _) = listener.accept().await?;
+        let mut bytes = Vec::new();
+        // A probe ends without a byte.
+        while !bytes.ends_with(b"\r\n\r\n") && stream.read_buf(&mut bytes).await? > 0 {}
+        let id = header(&String::from_utf8_lossy(&bytes), "request-id").unwrap_or_default();
+        let answer = whole("200 OK", "yes").replace("{id}", &id);
+        if !bytes.is_empty() {
+            stream.write_all(answer.as_bytes()).await?;
+        }
+    }
+}
+
+/// Guards against connections of further requests to a server that refuses them, and against leaving it out for good if it
+/// accepts connections again without a new record.
+#[tokio::test]
+async fn refusing_server_gets_requests_again_after_a_probe() -> eyre::Result<()> {
+    let rig = rig_with_one_retry().await?;
+    let socket = list_refusing(&rig, "i-0").await?;
+    let metrics = rig.dispatcher.core().metrics().clone();
+    let count = |kind| metrics.connects.get_or_create(&KindLabels { kind }).get();
+    for id in ["r1", "r2", "r3"] {
+        let call = request("GET", "/check/1", id, "", "").replace("3000", "200");
+        let answer = rig.send(&call).await?;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{id}: {answer}");
+    }
+    assert_eq!((count("refused"), count("moved")), (1, 1));
+    assert_eq!(rig.fleet.refusing_servers(), ["i-0"]);
+    let listener = socket.listen(16)?;
+    rig.group.spawn_cancellable(async move {
+        // The test fails if the server ends.
+        let _ = answer_each(listener).await;
+    });
+    until("the end of the finding", || {
+        rig.fleet.refusing_servers().is_empty()
+    })
+    .await?;
+    let answer = rig.send(&request("GET", "/check/1", "r4", "", "")).await?;
+    assert!(is_served(&answer), "{answer}");
+    rig.shutdown().await;
+    Ok(())
+}
