--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -143,6 +143,7 @@
             times: AnswerTimes::default(),
             memory: AnswerMemory::default(),
             outputs: OutputMemory::default(),
+            metrics: context.core.metrics().clone(),
         });
         Arc::new(Self {
             context,
--- a/tests/pulse_support/mod.rs
+++ b/tests/pulse_support/mod.rs
@@ -28,5 +28,6 @@
         evacuations: Vec::new(),
         work: Vec::new(),
         paces: Vec::new(),
+        refusals: Vec::new(),
     }
 }
