--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -170,6 +170,7 @@
         zone: "north".into(),
         avoid: Vec::new(),
         late: false,
+        cost: foxtailhill::routing::RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
     policy.choose_in(&need, &snapshot, Instant::now()).is_some()
