Answers: refuse statuses outside 200 to 599 from servers

600, 999 and 101 reached callers on all routes and on the product's own edge. They count as no answer now: the request is repeated if it may be, otherwise its caller gets 502, and the connection to the server is not used again.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -285,6 +285,14 @@
             }
             None => return self.failed_attempt(slot, answer_timeout()),
         };
+        if !wire::is_answer_status(answer.head.status) {
+            // The connection is closed with the answer, as what follows it is unknown.
+            let status = answer.head.status.as_u16();
+            log::warn!("server {} sent the invalid status {status}", slot.name);
+            let message = format!("the backend server sent the invalid status {status}");
+            let error = Error::new(Category::Protocol, message);
+            return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+        }
         let id = &self.request.metadata.id;
         let kind = self
             .context
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -115,10 +115,22 @@
     /// The verdict is `NotRun` only if no connection could be opened.
     pub(crate) async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Response<Incoming>> {
+        let connection = capture_connection(&mut request);
         match tokio::time::timeout(wait, self.client.request(request)).await {
+            Ok(Ok(response)) if !is_answer_status(response.status()) => {
+                if let Some(connection) = &*connection.connection_metadata() {
+                    // What follows the answer on the connection is unknown.
+                    connection.poison();
+                }
+                let status = response.status();
+                Err(protocol(format!(
+                    "the server sent the invalid status {}",
+                    status.as_u16()
+                )))
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Error::unavailable(format!(
                 "cannot connect: {}",
@@ -254,6 +266,11 @@
     }
 }
 
+/// Returns whether `status` may end a request. Interim and undefined statuses must not reach callers.
+pub(crate) fn is_answer_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Creates an error for an answer that violates the protocol; the request may have run.
 pub(crate) fn protocol(message: impl Into<String>) -> Error {
     Error::new(Category::Protocol, message).with_verdict(RunVerdict::MayHaveRun)
