Memory: bound what callers make a daemon hold

Request bodies and held answers take leases from an account of the process. A body that has no room is refused with 503 before it is read, chunks are copied into one buffer, and stalled bodies are evicted or end after limits.body_pause. The number of connections follows the process's open files. The floods stay under their bounds with an account of 16 MiB.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a daemon: creates all services of an entry VM and connects them.
 
+mod descriptors;
 mod dump;
 mod facts;
 mod gauges;
@@ -17,6 +18,7 @@
 use crate::admin::{AdminServer, AdminSources};
 use crate::claim::{ClaimService, ClaimSettings};
 use crate::currency::ViewCurrency;
+use crate::daemon::descriptors::open_files_limit;
 use crate::daemon::dump::DaemonState;
 use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
 use crate::daemon::peers::{DaemonPeerHandler, DaemonStatus};
@@ -224,7 +226,7 @@
     )
     .await?;
     let caller_settings = CallerSettings {
-        limits: settings.limits.clone(),
+        limits: settings.limits.for_capacity(None, open_files_limit()),
         history,
         metrics,
     };
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
+use crate::daemon::descriptors::open_files_limit;
 use crate::daemon::relay_peers::{
     KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
 };
@@ -20,6 +21,7 @@
 use crate::kernel::TaskGroup;
 use crate::limit::LimitService;
 use crate::member::PeerTable;
+use crate::memory::MemoryAccount;
 use crate::metrics::{DaemonMetrics, KindLabels};
 use crate::peer::{PeerClient, PeerServer};
 use crate::placement::DemandTracker;
@@ -34,7 +36,7 @@
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ExpectedTimePolicy, PrefixIndex};
-use crate::settings::RelaySettings;
+use crate::settings::{LimitSettings, RelaySettings};
 use crate::suspect::SuspectTable;
 use crate::timer::TimerService;
 
@@ -64,6 +66,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(5_500);
 /// Period of updates of the view of the fleet.
 const FLEET_PERIOD: Duration = Duration::from_millis(100);
+/// Connections of the balancer, and of operators, which have own listeners.
+const SIDE_CONNECTIONS: usize = 64;
 /// Period in which idle connections are checked for expiry.
 const POOL_PERIOD: Duration = Duration::from_secs(1);
 
@@ -158,6 +162,14 @@
     request_tasks: &TaskGroup,
 ) -> Result<RelayDaemon> {
     let services = open_services(settings, service_tasks, request_tasks);
+    let limits = caller_limits(settings);
+    let memory = MemoryAccount::new(limits.held());
+    log::info!(
+        "callers may use {} bytes of memory and {} connections",
+        limits.held(),
+        limits.connections
+    );
+    show_memory(&services, memory.clone(), service_tasks);
     let draining = Arc::new(AtomicBool::new(false));
     spawn_tasks(&services, service_tasks);
     let handler = Arc::new(RelayPeerHandler {
@@ -186,6 +198,7 @@
         crashes: services.crashes.clone(),
         watch: services.watch.clone(),
         pool: services.pool.clone(),
+        memory: memory.clone(),
         format: Arc::new(PlatformFormat),
         retries: RetryLimits {
             percent: settings.retries.percent,
@@ -195,7 +208,11 @@
         placement_requests: spawn_placement_requests(&services, service_tasks),
     });
     let listen = &settings.listen;
-    let limits = &settings.limits;
+    let limits = &limits;
+    let side_limits = &LimitSettings {
+        connections: limits.connections.min(SIDE_CONNECTIONS),
+        ..limits.clone()
+    };
     let caller = RelayServer::bind(
         request_tasks,
         listen.caller,
@@ -219,7 +236,7 @@
         service_tasks,
         listen.ready,
         platform::READY_PATH,
-        limits,
+        side_limits,
         ready,
     )
     .await?;
@@ -228,7 +245,7 @@
         metrics: services.core.metrics().clone(),
         history: services.core.history().clone(),
     };
-    let admin = AdminServer::bind(service_tasks, listen.admin, limits, sources).await?;
+    let admin = AdminServer::bind(service_tasks, listen.admin, side_limits, sources).await?;
     log::info!(
         "daemon {} of zone {} is serving at {}",
         settings.vm,
@@ -249,6 +266,27 @@
     })
 }
 
+/// Returns the limits on callers within the memory and the descriptors of the VM.
+fn caller_limits(settings: &RelaySettings) -> LimitSettings {
+    let capacity = settings.capacity;
+    let own = open_files_limit();
+    let descriptors = capacity.descriptors.into_iter().chain(own).min();
+    let limits = &settings.limits;
+    limits.for_capacity(capacity.memory_mb, descriptors)
+}
+
+/// Updates the gauge of the memory that callers use.
+fn show_memory(services: &RelayServices, memory: MemoryAccount, group: &TaskGroup) {
+    let mut ticks = services.timer.every(POOL_PERIOD);
+    let metrics = services.core.metrics().clone();
+    group.spawn_cancellable(async move {
+        while ticks.next().await.is_some() {
+            let used = i64::try_from(memory.used()).unwrap_or(i64::MAX);
+            metrics.held_bytes.set(used);
+        }
+    });
+}
+
 fn open_services(
     settings: &RelaySettings,
     service_tasks: &TaskGroup,
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -236,6 +236,7 @@
         exchange.complete();
         return Body::from(body);
     }
+    let body = exchange.account.hold_answer(body);
     let (sender, receiver) = mpsc::channel(1);
     group.spawn_cancellable(send_pieces(exchange, body, sender, write_time));
     Body::new(ChannelBody(receiver))
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -41,6 +41,9 @@
 const MAX_STREAMS: u32 = 1_000;
 /// Answer data that one HTTP/2 stream buffers for its caller, in bytes.
 const STREAM_BUFFER_BYTES: usize = 64 << 10;
+/// Body data that one HTTP/2 stream, and all streams of a connection, may send before it is read, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
 
 /// A bound listener whose connections are tasks of a group.
 pub(crate) struct HttpListener {
@@ -299,6 +302,8 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_send_buf_size(STREAM_BUFFER_BYTES)
         .keep_alive_interval(limits.idle_time)
         .keep_alive_timeout(limits.write_time);
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -9,7 +9,9 @@
 use crate::error::{Category, Error};
 use crate::history::{RequestHistory, RequestRecord, RequestStage};
 use crate::http::CallerSettings;
+use crate::http::body::BodyReader;
 use crate::kernel::TaskGroup;
+use crate::memory::MemoryAccount;
 use crate::metrics::{DaemonMetrics, RouteKind};
 use crate::settings::LimitSettings;
 
@@ -21,6 +23,7 @@
     pub(super) dispatcher: Arc<D>,
     pub(super) limits: LimitSettings,
     pub(super) group: TaskGroup,
+    account: MemoryAccount,
     history: Arc<RequestHistory>,
     metrics: Arc<DaemonMetrics>,
     admission: Arc<Semaphore>,
@@ -31,6 +34,8 @@
     pub(super) id: SmolStr,
     pub(super) arrived: Instant,
     pub(super) metrics: Arc<DaemonMetrics>,
+    /// Counts what waits for a slow reader.
+    pub(super) account: MemoryAccount,
     route: RouteKind,
     history: Arc<RequestHistory>,
     permit: Option<OwnedSemaphorePermit>,
@@ -42,6 +47,7 @@
         Self {
             dispatcher,
             admission: Arc::new(Semaphore::new(settings.limits.in_flight)),
+            account: MemoryAccount::new(settings.limits.held()),
             limits: settings.limits,
             group: group.clone(),
             history: settings.history,
@@ -49,6 +55,15 @@
         }
     }
 
+    /// Returns by what request bodies are read.
+    pub(super) fn reader(&self) -> BodyReader<'_> {
+        BodyReader {
+            limits: &self.limits,
+            account: &self.account,
+            metrics: &self.metrics,
+        }
+    }
+
     /// Starts the record of a request.
     pub(super) fn begin(&self, route: RouteKind, target: &str) -> Exchange {
         let id = SmolStr::from(format!("{:016x}", rand::random::<u64>()));
@@ -58,6 +73,7 @@
             id,
             arrived: Instant::now(),
             metrics: self.metrics.clone(),
+            account: self.account.clone(),
             route,
             history: self.history.clone(),
             permit: None,
--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use axum::body::Body;
-use bytes::{Bytes, BytesMut};
-use http::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT};
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
 use http::{HeaderMap, StatusCode, Uri};
-use http_body_util::BodyExt;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
@@ -15,6 +13,7 @@
 use crate::catalog::RequestClass;
 use crate::dispatch::ModelCall;
 use crate::error::{Category, Error};
+use crate::http::body::{BodyFault, no_memory};
 use crate::http::refusal::Refusal;
 use crate::ids::CallerKey;
 use crate::settings::LimitSettings;
@@ -36,10 +35,6 @@
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 /// Engines parse messages recursively; deeper ones could exhaust their stack.
 const MAX_NESTING_DEPTH: usize = 32;
-/// The rest of a refused body is read up to these limits. Closing a socket with unread data resets it, and the
-/// caller might not receive the refusal.
-const MAX_DISCARD_BYTES: usize = 4 << 20;
-const DISCARD_TIME: Duration = Duration::from_millis(500);
 
 #[derive(Deserialize)]
 struct ChatBody {
@@ -74,62 +69,14 @@
     pub(super) include_usage: bool,
 }
 
-/// Reads a complete body within the limits on size and time.
-pub(super) async fn read_body(
-    headers: &HeaderMap,
-    mut body: Body,
-    limits: &LimitSettings,
-) -> Result<Bytes, Refusal> {
-    let length = headers.get(CONTENT_LENGTH);
-    let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    let result = if length.is_some_and(|length| length > limits.body_bytes) {
-        Err(too_large(limits))
-    } else {
-        let read = collect(&mut body, limits);
-        match tokio::time::timeout(limits.body_time, read).await {
-            Ok(result) => result,
-            Err(_) => return Err(too_slow(limits)),
-        }
-    };
-    if result.is_err() && !headers.contains_key(EXPECT) {
-        let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
-    }
-    result
-}
-
-async fn collect(body: &mut Body, limits: &LimitSettings) -> Result<Bytes, Refusal> {
-    let mut whole = Bytes::new();
-    let mut joined = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Error::invalid("body is truncated or malformed"))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + joined.len() + data.len() > limits.body_bytes {
-            return Err(too_large(limits));
-        }
-        if whole.is_empty() && joined.is_empty() {
-            whole = data;
-            continue;
-        }
-        joined.extend_from_slice(&std::mem::take(&mut whole));
-        joined.extend_from_slice(&data);
-    }
-    Ok(if joined.is_empty() {
-        whole
-    } else {
-        joined.freeze()
-    })
-}
-
-async fn discard(body: &mut Body) {
-    let mut left = MAX_DISCARD_BYTES;
-    while let Some(Ok(frame)) = body.frame().await {
-        let size = frame.data_ref().map_or(0, Bytes::len);
-        match left.checked_sub(size) {
-            Some(rest) => left = rest,
-            None => return,
-        }
+/// Returns the refusal of a request whose body was not received.
+pub(super) fn refuse_body(fault: BodyFault, limits: &LimitSettings) -> Refusal {
+    match fault {
+        BodyFault::TooLarge => too_large(limits),
+        BodyFault::TooSlow => too_slow(limits),
+        BodyFault::Stalled => stalled(limits),
+        BodyFault::NoMemory => no_memory().into(),
+        BodyFault::Unreadable(_) => Error::invalid("body is truncated or malformed").into(),
     }
 }
 
@@ -145,6 +92,13 @@
     Refusal::new(StatusCode::REQUEST_TIMEOUT, error)
 }
 
+fn stalled(limits: &LimitSettings) -> Refusal {
+    let pause = humantime::format_duration(limits.body_pause);
+    let message = format!("no byte of the body arrived for {pause}");
+    let error = Error::new(Category::Timeout, message);
+    Refusal::new(StatusCode::REQUEST_TIMEOUT, error)
+}
+
 /// Removes the key from `Authorization: Bearer` and returns it. Refuses keys in other places.
 pub(super) fn take_key(headers: &mut HeaderMap, uri: &Uri) -> Result<Option<CallerKey>, Error> {
     refuse_misplaced_keys(headers, uri)?;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! plain service. Each refusal carries a category and says whether the request may have run.
 
 mod answer;
+pub(crate) mod body;
 pub(crate) mod connection;
 mod exchange;
 pub(crate) mod input;
@@ -175,9 +176,9 @@
 ) -> std::result::Result<bytes::Bytes, Refusal> {
     edge.admit(exchange)?;
     let started = Instant::now();
-    let result = input::read_body(&parts.headers, body, &edge.limits).await;
+    let result = body::read_body(&parts.headers, body, &edge.reader()).await;
     exchange.add_stage(RequestStage::Receive, started);
-    result
+    result.map_err(|fault| input::refuse_body(fault, &edge.limits))
 }
 
 async fn models<D: CallDispatcher>(State(edge): State<Edge<D>>, request: Request) -> Response {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod limit;
 pub mod logging;
 pub mod member;
+pub mod memory;
 pub mod metrics;
 pub mod op;
 pub mod operator;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -84,6 +84,10 @@
     pub inter_token: Histogram,
     /// Requests in progress, including waiting ones.
     pub in_flight: Gauge,
+    /// Bytes of request bodies and answers that the process holds.
+    pub held_bytes: Gauge,
+    /// Requests that were refused because there was no memory for their bodies.
+    pub memory_refusals: Counter,
     /// Open connections of callers.
     pub connections: Gauge,
     /// Waiting requests by class (`interactive`, `overnight`).
@@ -137,6 +141,8 @@
             first_token: Histogram::new(exponential_buckets(0.005, 1.6, 18)),
             inter_token: Histogram::new(exponential_buckets(0.001, 1.6, 14)),
             in_flight: Gauge::default(),
+            held_bytes: Gauge::default(),
+            memory_refusals: Counter::default(),
             connections: Gauge::default(),
             queue_length: Family::default(),
             queue_time: Histogram::new(exponential_buckets(0.000_1, 4.0, 12)),
@@ -179,6 +185,16 @@
             self.inter_token.clone(),
         );
         registry.register("in_flight", "Admitted requests", self.in_flight.clone());
+        registry.register(
+            "held_bytes",
+            "Bytes of request bodies and answers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_refusals",
+            "Requests refused for lack of memory",
+            self.memory_refusals.clone(),
+        );
         registry.register("connections", "Open connections", self.connections.clone());
         registry.register(
             "queue_length",
--- a/src/relay/answer_memory.rs
+++ b/src/relay/answer_memory.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use crate::memory::{self, MemoryAccount};
+
 /// Bytes that all answers together may hold.
 const TOTAL_BYTES: usize = 32 << 20;
 /// Bytes that the answers of one server may hold.
@@ -27,6 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AnswerMemory {
     state: Arc<Mutex<MemoryUse>>,
+    /// The memory of the process, of which answers take a part.
+    account: MemoryAccount,
 }
 
 /// Memory that one answer holds. It is returned when this is dropped.
@@ -35,15 +39,26 @@
     memory: AnswerMemory,
     server: SmolStr,
     bytes: usize,
+    /// The same bytes in the account of the process.
+    held: memory::MemoryLease,
 }
 
 impl AnswerMemory {
+    /// Creates the memory of a daemon, which is a part of `account`.
+    pub fn new(account: &MemoryAccount) -> Self {
+        Self {
+            state: Arc::default(),
+            account: account.clone(),
+        }
+    }
+
     /// Returns a lease for an answer of `server`, which holds nothing yet.
     pub fn lease(&self, server: &SmolStr) -> MemoryLease {
         MemoryLease {
             memory: self.clone(),
             server: server.clone(),
             bytes: 0,
+            held: self.account.lease_answer(),
         }
     }
 
@@ -72,6 +87,9 @@
         if bytes > self.bytes && (server > SERVER_BYTES || total > TOTAL_BYTES) {
             return false;
         }
+        if !self.held.resize(bytes) {
+            return false;
+        }
         state.total = total;
         match server {
             0 => state.servers.remove(&self.server),
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -15,6 +15,7 @@
 };
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::ids::KeyDigest;
+use crate::memory::MemoryAccount;
 use crate::relay::absent::AbsentModels;
 use crate::relay::answer_memory::AnswerMemory;
 use crate::relay::answer_times::AnswerTimes;
@@ -64,6 +65,8 @@
     pub crashes: Arc<CrashDetector>,
     pub watch: Arc<CrashWatch>,
     pub pool: UpstreamPool,
+    /// Memory for request bodies and answers.
+    pub memory: MemoryAccount,
     pub format: Arc<F>,
     /// Limits on the retries that all daemons together send to one service.
     pub retries: RetryLimits,
@@ -141,7 +144,7 @@
             crashes: context.crashes.clone(),
             watch: context.watch.clone(),
             times: AnswerTimes::default(),
-            memory: AnswerMemory::default(),
+            memory: AnswerMemory::new(&context.memory),
         });
         Arc::new(Self {
             context,
@@ -156,6 +159,11 @@
         &self.context.core
     }
 
+    /// Returns the memory for request bodies and answers.
+    pub(super) fn memory(&self) -> &MemoryAccount {
+        &self.context.memory
+    }
+
     /// Subscribes to the configuration in force.
     pub(super) fn configs(&self) -> ConfigReceiver {
         self.context.configs.clone()
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -13,13 +13,13 @@
 use axum::response::Response;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use http_body::Frame;
-use http_body_util::{BodyExt, Limited};
 use tokio::sync::mpsc;
 
 use crate::dispatch::{CoreParts, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
+use crate::http::body::{self, BodyFault, BodyReader};
 use crate::http::connection::{ConnectionEnd, HttpListener};
 use crate::kernel::TaskGroup;
 use crate::logging;
@@ -113,7 +113,12 @@
     );
     let call = async {
         let dispatcher = &context.dispatcher;
-        let body = read_body(body, &context.limits);
+        let reader = BodyReader {
+            limits: &context.limits,
+            account: dispatcher.memory(),
+            metrics: dispatcher.core().metrics(),
+        };
+        let body = receive_body(&head.headers, body, &reader);
         let drain = dispatcher.core().drain_clock();
         let body = drain.run_unsent(|| WorkTime::NONE, body).await?;
         dispatcher
@@ -131,26 +136,26 @@
     }
 }
 
-async fn read_body(body: Body, limits: &LimitSettings) -> Result<Bytes> {
-    let read = Limited::new(body, limits.body_bytes).collect();
-    let read = tokio::time::timeout(limits.body_time, read).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Error::new(
+async fn receive_body(headers: &HeaderMap, body: Body, reader: &BodyReader<'_>) -> Result<Bytes> {
+    let limit = reader.limits.body_bytes;
+    let received = body::read_body(headers, body, reader).await;
+    received.map_err(|fault| match fault {
+        BodyFault::TooLarge => Error::new(
             Category::TooLarge,
-            format!(
-                "the request body is longer than {} bytes",
-                limits.body_bytes
-            ),
-        )),
-        Ok(Err(error)) => Err(Error::invalid(format!(
-            "the request body cannot be read: {error}"
-        ))),
-        Err(_) => Err(Error::new(
-            Category::Timeout,
-            "the request body did not arrive in time",
-        )),
-    }
+            format!("the request body is longer than {limit} bytes"),
+        ),
+        BodyFault::NoMemory => body::no_memory(),
+        BodyFault::TooSlow => {
+            Error::new(Category::Timeout, "the request body did not arrive in time")
+        }
+        BodyFault::Stalled => {
+            let message = "no byte of the request body arrived for too long";
+            Error::new(Category::Timeout, message)
+        }
+        BodyFault::Unreadable(error) => {
+            Error::invalid(format!("the request body cannot be read: {error}"))
+        }
+    })
 }
 
 fn forwarded_response(answer: RelayAnswer, mut trace: RequestTrace) -> Response {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -29,6 +29,14 @@
 pub use self::relay::{RelayListen, RelaySettings, RelayTiming, RetrySettings, StoreSettings};
 use crate::error::{Error, Result};
 use crate::ids::KeyDigest;
+use crate::memory::DEFAULT_CAPACITY;
+
+/// Part of a VM's memory that request bodies and answers may take: the rest is the daemon's own state and the allocator's
+/// fragments.
+const HELD_DIVISOR: usize = 4;
+/// Descriptors that callers leave to backend servers, peers and the store; a quarter of the descriptors if that is more,
+/// as each running request needs a connection to a server.
+const RESERVED_DESCRIPTORS: usize = 200;
 
 /// All settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -169,6 +177,13 @@
     /// Maximum time from the end of the headers to the end of the body; default 20 s, 10 ms to 10 min.
     #[serde(deserialize_with = "parse::positive_wait")]
     pub body_time: Duration,
+    /// Maximum time without a byte of the body; default 5 s, 10 ms to 10 min. Callers that stall return their memory then.
+    #[serde(deserialize_with = "parse::positive_wait")]
+    pub body_pause: Duration,
+    /// Memory for request bodies and answers of the process, 1 MiB to 64 GiB; default a quarter of `capacity.memory_mb`, or
+    /// 64 MiB where that is not stated.
+    #[serde(deserialize_with = "parse::memory_size")]
+    pub held_bytes: Option<usize>,
     /// Maximum idle time of a connection without a request; default 60 s, 10 ms to 10 min.
     #[serde(deserialize_with = "parse::positive_wait")]
     pub idle_time: Duration,
@@ -223,6 +238,8 @@
             header_bytes: 16 << 10,
             header_time: Duration::from_secs(5),
             body_time: Duration::from_secs(20),
+            body_pause: Duration::from_secs(5),
+            held_bytes: None,
             idle_time: Duration::from_secs(60),
             write_time: Duration::from_secs(10),
             queue: 2_048,
@@ -230,6 +247,27 @@
     }
 }
 
+impl LimitSettings {
+    /// Returns the memory for request bodies and answers in bytes.
+    pub fn held(&self) -> usize {
+        self.held_bytes.unwrap_or(DEFAULT_CAPACITY)
+    }
+
+    /// Returns the limits of a process that may open `descriptors` files and of a VM with `memory_mb` MB, where these are
+    /// known.
+    pub fn for_capacity(&self, memory_mb: Option<usize>, descriptors: Option<usize>) -> Self {
+        let mut limits = self.clone();
+        if limits.held_bytes.is_none() {
+            limits.held_bytes = memory_mb.map(|memory| (memory << 20) / HELD_DIVISOR);
+        }
+        if let Some(descriptors) = descriptors {
+            let reserve = (descriptors / 4).max(RESERVED_DESCRIPTORS.min(descriptors / 2));
+            limits.connections = limits.connections.min(descriptors - reserve).max(1);
+        }
+        limits
+    }
+}
+
 impl Default for TimingSettings {
     fn default() -> Self {
         Self {
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -16,6 +16,7 @@
 const MAX_WAIT: Duration = Duration::from_secs(600);
 const MAX_TERM: Duration = Duration::from_secs(7 * 24 * 3600);
 const MAX_NAME: usize = 64;
+const MAX_CAPACITY: f64 = 10_000_000.0;
 
 type Parsed<T> = std::result::Result<T, String>;
 
@@ -150,6 +151,26 @@
     size(d, 1 << 10, 64 << 20)
 }
 
+/// A size from 1 MiB to 64 GiB.
+pub(super) fn memory_size<'de, D: Deserializer<'de>>(
+    d: D,
+) -> std::result::Result<Option<usize>, D::Error> {
+    size(d, 1 << 20, 64 << 30).map(Some)
+}
+
+/// A number from 1 to 10,000,000, whose fraction is dropped.
+pub(super) fn capacity<'de, D: Deserializer<'de>>(
+    d: D,
+) -> std::result::Result<Option<usize>, D::Error> {
+    let number = f64::deserialize(d)?;
+    match (1.0..=MAX_CAPACITY).contains(&number) {
+        true => Ok(Some(number as usize)),
+        false => Err(D::Error::custom(format!(
+            "{number} is outside 1 to {MAX_CAPACITY}"
+        ))),
+    }
+}
+
 /// A size from 8 KiB to 1 MiB.
 pub(super) fn header_size<'de, D: Deserializer<'de>>(d: D) -> std::result::Result<usize, D::Error> {
     size(d, 8 << 10, 1 << 20)
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -44,6 +44,12 @@
     /// Bandwidth of the VM's link in Mbit/s; default 1000, above 0 and up to 1,000,000.
     #[serde(deserialize_with = "parse::amount")]
     pub link_mbps: f64,
+    /// Memory of the VM in MB, 1 to 10,000,000. Unless `limits.held_bytes` is set, callers may use a quarter of it.
+    #[serde(deserialize_with = "parse::capacity")]
+    pub memory_mb: Option<usize>,
+    /// Files that the process may open, 1 to 10,000,000; if the process's own limit is lower, that counts.
+    #[serde(deserialize_with = "parse::capacity")]
+    pub descriptors: Option<usize>,
 }
 
 impl Default for VmCapacity {
@@ -51,6 +57,8 @@
         Self {
             cores: 1.0,
             link_mbps: 1_000.0,
+            memory_mb: None,
+            descriptors: None,
         }
     }
 }
--- a/tests/body_floods.rs
+++ b/tests/body_floods.rs
@@ -44,8 +44,9 @@
 /// The tests run one at a time, as each measures a process under load.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
+/// A small account, so that a small crowd exceeds it.
 fn limits() -> Value {
-    json!({})
+    json!({"held_bytes": "16MiB"})
 }
 
 /// Runs a flood of `count` callers and checks that the daemon survives it within the bounds and serves afterwards.
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -207,6 +207,8 @@
         ("platform.address|json", "\"10.0.0.9:8225\""),
         ("limits.cpu-share|json", "0.25"),
         ("limits.link-mbps|json", "10.0"),
+        ("limits.memory-mb", "120"),
+        ("limits.max-fds", "3075"),
         ("bounds.budget-extra", "54"),
         ("bounds.lease-ms", "3000"),
     ];
@@ -219,9 +221,14 @@
     assert_eq!(settings.retries.extra, 54);
     assert_eq!(settings.capacity.weight(), 25);
     assert_eq!(settings.timing.lease, Duration::from_secs(3));
+    assert_eq!(settings.capacity.memory_mb, Some(120));
+    assert_eq!(settings.capacity.descriptors, Some(3_075));
     let broken = rendered.replace("\"10.0.0.9:8225\"", "\"store:8225\"");
     let error = RelaySettings::parse("settings", &broken).unwrap_err();
     assert!(error.message().starts_with("settings:"), "{error}");
+    let broken = rendered.replace("\"memory_mb\": 120", "\"memory_mb\": 0");
+    let error = RelaySettings::parse("settings", &broken).unwrap_err();
+    assert!(error.message().contains("outside 1 to"), "{error}");
     let broken = rendered.replace("\"cores\": 0.25", "\"cores\": 0");
     let error = RelaySettings::parse("settings", &broken).unwrap_err();
     assert!(error.message().contains("not above 0"), "{error}");
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -18,6 +18,7 @@
 use foxtailhill::kernel::TaskGroup;
 use foxtailhill::limit::LimitService;
 use foxtailhill::member::{PeerTable, ShareGrant, ShareSink, WHOLE_PPM};
+use foxtailhill::memory::MemoryAccount;
 use foxtailhill::metrics::DaemonMetrics;
 use foxtailhill::peer::PeerClient;
 use foxtailhill::platform::{self, PlatformFormat};
@@ -354,6 +355,7 @@
             crashes: crashes.clone(),
             watch,
             pool,
+            memory: MemoryAccount::new(caller_limits.held()),
             format: Arc::new(PlatformFormat),
             retries,
             daemons: watch::channel(1).1,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use foxtailhill::settings::DaemonSettings;
+use foxtailhill::settings::{DaemonSettings, LimitSettings};
 
 const VALID: &str = r#"{
   // entry VM
@@ -226,3 +226,22 @@
             }
         });
 }
+
+/// Guards against callers that take the descriptors or the memory which the daemon itself needs.
+#[test]
+fn limits_on_callers_follow_the_capacity_of_the_vm() {
+    let limits = LimitSettings::default();
+    assert_eq!(limits.held(), 64 << 20);
+    let smallest = limits.for_capacity(Some(120), Some(3_075));
+    assert_eq!(smallest.held(), 30 << 20);
+    assert_eq!(smallest.connections, 3_075 - 768);
+    let largest = limits.for_capacity(Some(512), Some(100_000));
+    assert_eq!(largest.connections, limits.connections);
+    assert_eq!(limits.for_capacity(None, Some(500)).connections, 300);
+    assert_eq!(limits.for_capacity(None, Some(100)).connections, 50);
+    let set = LimitSettings {
+        held_bytes: Some(8 << 20),
+        ..LimitSettings::default()
+    };
+    assert_eq!(set.for_capacity(Some(120), None), set);
+}
