Queue: deferrable requests yield to urgent ones of their service

Routes of one service with targets far apart shared its servers alike, so that requests that could wait took slots from those that were due within some hundred milliseconds.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -71,6 +71,7 @@
                 zone: "zone-3".into(),
                 avoid: Vec::new(),
                 late: false,
+                deferred: false,
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -276,13 +276,15 @@
     let peer_table = Arc::new(PeerTable::new());
     let limits = LimitService::open(configs.teams(), peer_table.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
+    let metrics = Arc::new(DaemonMetrics::new());
     let queues = ModelQueues::new(
         ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), rand::random()),
         fleet.clone(),
         suspects.clone(),
         settings.limits.queue,
         WaitQueue::new,
-    );
+    )
+    .with_metrics(metrics.clone());
     let limits = Arc::new(limits);
     let core = RequestCore::open(CoreContext {
         group: request_tasks.clone(),
@@ -292,7 +294,7 @@
         demand: Arc::new(DemandMeter::new()),
         retries: RetryBudget::new(),
         history: Arc::new(RequestHistory::new(HISTORY_SIZE)),
-        metrics: Arc::new(DaemonMetrics::new()),
+        metrics,
         admission_limit: settings.limits.in_flight,
     });
     let demand = Arc::new(DemandTracker::with_window(DEMAND_WINDOW));
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -173,6 +173,7 @@
             zone: self.zone.clone(),
             avoid: Vec::new(),
             late: false,
+            deferred: false,
         };
         ModelNeed {
             route,
@@ -201,6 +202,7 @@
             deadline: self.deadline,
             work,
             target: None,
+            yield_until: None,
             priority: 0,
             tokens: u64::from(self.prompt_tokens) + u64::from(self.call.max_tokens),
         }
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,10 +10,12 @@
 use tokio::sync::oneshot;
 
 use crate::catalog::RequestClass;
+use crate::deferral::ScarcityTable;
 use crate::error::{Category, Error, Result};
 use crate::ids::KeyDigest;
-use crate::queue::{QueuePolicy, WaitEntry, WaitId};
-use crate::routing::{DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy};
+use crate::metrics::DaemonMetrics;
+use crate::queue::{QueuePolicy, Standing, WaitEntry, WaitId, standing};
+use crate::routing::{DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy, UnroutableReason};
 use crate::suspect::SuspectTable;
 
 /// Weight of the newest interval in the moving average of the time between two granted slots.
@@ -77,6 +80,8 @@
     need: ModelNeed,
     /// Time until which the answer is on time.
     target: Option<Instant>,
+    /// Time at which a deferrable request is promoted.
+    yield_until: Option<Instant>,
     grant: oneshot::Sender<ServerSlot>,
 }
 
@@ -95,6 +100,31 @@
     capacity: usize,
     new_queue: fn(usize) -> Q,
     queues: Mutex<HashMap<SmolStr, ModelQueue<Q>>>,
+    scarcity: Mutex<ScarcityTable>,
+    /// Whether any request was deferrable so far.
+    has_deferrable: AtomicBool,
+    metrics: Option<Arc<DaemonMetrics>>,
+}
+
+/// What a waiting request means for deferrable ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitKind {
+    /// It has a target and yields to none.
+    Urgent,
+    /// It yields to urgent ones.
+    Deferred,
+    Other,
+}
+
+impl WaitKind {
+    fn of(entry: &WaitEntry, now: Instant) -> Self {
+        let is_interactive = entry.class == RequestClass::Interactive;
+        match entry.yield_until {
+            Some(_) if entry.standing(now) == Standing::Deferred => Self::Deferred,
+            None if is_interactive && entry.target.is_some() => Self::Urgent,
+            _ => Self::Other,
+        }
+    }
 }
 
 /// Number of waiting requests by class.
@@ -120,9 +150,18 @@
             capacity,
             new_queue,
             queues: Mutex::default(),
+            scarcity: Mutex::default(),
+            has_deferrable: AtomicBool::new(false),
+            metrics: None,
         }
     }
 
+    /// Counts deferrals and refusals in `metrics`.
+    pub fn with_metrics(mut self, metrics: Arc<DaemonMetrics>) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Returns the source of snapshots.
     pub fn fleet(&self) -> &F {
         &self.fleet
@@ -137,39 +176,70 @@
     pub async fn acquire(&self, need: ModelNeed, entry: WaitEntry) -> Result<ServerSlot> {
         let model = need.route.model.clone();
         let deadline = entry.deadline;
-        let (id, granted, asked, reason) = {
+        let promotion = entry.yield_until.filter(|time| *time < deadline);
+        let (id, granted, asked, reason, standing) = {
             let mut queues = self.queues();
             let queue = self.queue(&mut queues, &model);
             let now = Instant::now();
-            if queue.queue.is_empty()
-                && let Some(slot) = self.choose(&need, entry.target, now)
-            {
+            let standing = entry.standing(now);
+            if entry.yield_until.is_some() {
+                self.has_deferrable.store(true, Ordering::Relaxed);
+            }
+            let is_first = queue.queue.is_empty();
+            if is_first && let Some(slot) = self.choose(&need, standing, now) {
                 queue.queue.adjust_served(&entry.team, entry.tokens as i64);
                 queue.granted_at = now;
                 return Ok(slot);
             }
             let reason = self.fleet.snapshot().unroutable_reason(&need.route);
+            let kind = WaitKind::of(&entry, now);
             queue
                 .check_wait(&entry, now)
+                .inspect_err(|_| self.note_wait(&model, kind, reason, now))
                 .map_err(|error| error.with_context(reason))?;
             let (grant, granted) = oneshot::channel();
             let waiter = Waiter {
                 need,
                 target: entry.target,
+                yield_until: entry.yield_until,
                 grant,
             };
             let id = queue
                 .queue
                 .push(entry, waiter)
                 .map_err(|_| overloaded("the queue is full"))?;
-            (id, granted, now, reason)
+            // Those that wait already may yield to the new request, or need servers that are fuller.
+            while !is_first && self.grant_next(queue, now) {}
+            if granted.is_empty() {
+                self.note_wait(&model, kind, reason, now);
+            }
+            (id, granted, now, reason, standing)
         };
         let mut guard = WaitGuard {
             queues: self,
             model: &model,
             id: Some(id),
         };
-        let result = tokio::time::timeout_at(deadline.into(), granted).await;
+        let mut granted = std::pin::pin!(granted);
+        let before_promotion = match promotion {
+            Some(time) if standing == Standing::Deferred => {
+                let result = tokio::time::timeout_at(time.into(), granted.as_mut()).await;
+                if result.is_err() {
+                    self.count_deferral("promoted");
+                    log::debug!(
+                        "promoted after {:?} behind urgent requests: {reason}",
+                        asked.elapsed()
+                    );
+                    self.grant_slots();
+                }
+                result.ok()
+            }
+            _ => None,
+        };
+        let result = match before_promotion {
+            Some(result) => Ok(result),
+            None => tokio::time::timeout_at(deadline.into(), granted).await,
+        };
         match result {
             Ok(Ok(slot)) => {
                 guard.id = None;
@@ -248,7 +318,8 @@
     fn grant_next(&self, queue: &mut ModelQueue<Q>, now: Instant) -> bool {
         let mut slot = None;
         let popped = queue.queue.pop_next(now, |waiter| {
-            slot = self.choose(&waiter.need, waiter.target, now);
+            let standing = standing(waiter.target, waiter.yield_until, now);
+            slot = self.choose(&waiter.need, standing, now);
             slot.is_some()
         });
         let (Some((_, waiter)), Some(slot)) = (popped, slot) else {
@@ -260,15 +331,39 @@
         true
     }
 
-    fn choose(
-        &self,
-        need: &ModelNeed,
-        target: Option<Instant>,
-        now: Instant,
-    ) -> Option<ServerSlot> {
+    /// Notes a request that found no free slot.
+    fn note_wait(&self, model: &SmolStr, kind: WaitKind, reason: UnroutableReason, now: Instant) {
+        match kind {
+            WaitKind::Deferred => self.count_deferral("deferred"),
+            WaitKind::Urgent if reason == UnroutableReason::NoCapacity => {
+                let service = service_of(model);
+                let begins = self.scarcity().note(service, now);
+                if begins && self.has_deferrable.load(Ordering::Relaxed) {
+                    log::info!(
+                        "urgent requests of `{service}` wait for servers; deferrable ones yield"
+                    );
+                }
+            }
+            WaitKind::Urgent | WaitKind::Other => {}
+        }
+    }
+
+    fn scarcity(&self) -> MutexGuard<'_, ScarcityTable> {
+        self.scarcity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count_deferral(&self, kind: &'static str) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count(&metrics.deferrals, kind);
+        }
+    }
+
+    fn choose(&self, need: &ModelNeed, standing: Standing, now: Instant) -> Option<ServerSlot> {
         let fleet = self.fleet.snapshot();
         let mut route = need.route.clone();
-        route.late = target.is_some_and(|target| target < now);
+        route.late = matches!(standing, Standing::Late | Standing::Deferred);
+        route.deferred = standing == Standing::Deferred
+            && self.scarcity().is_scarce(service_of(&route.model), now);
         if !fleet.has_usable_server(&route.model, &route.version) {
             let other = need
                 .fallbacks
@@ -366,6 +461,11 @@
     }
 }
 
+/// Returns the service in a routing name, which is the name itself for a service without models.
+fn service_of(model: &str) -> &str {
+    model.split('/').next().unwrap_or(model)
+}
+
 fn overloaded(message: &str) -> Error {
     Error::new(Category::Overloaded, message).with_retry_after(RETRY_AFTER)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod currency;
 pub mod daemon;
 pub mod declaration;
+pub mod deferral;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -88,6 +88,10 @@
     pub connections: Gauge,
     /// Waiting requests by class (`interactive`, `overnight`).
     pub queue_length: Family<KindLabels, Gauge>,
+    /// Deferrable requests that found no slot they may take (`deferred`), and those whose slack ran out (`promoted`).
+    pub deferrals: Family<KindLabels, Counter>,
+    /// Requests that the queue refused, by reason (`full`, `no_chance` at arrival, `expired` while they waited).
+    pub queue_refusals: Family<KindLabels, Counter>,
     /// Time that a request waited for a backend server, in seconds.
     pub queue_time: Histogram,
     /// Share of each team's rate that this daemon holds, from 0 to 1.
@@ -139,6 +143,8 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             queue_length: Family::default(),
+            deferrals: Family::default(),
+            queue_refusals: Family::default(),
             queue_time: Histogram::new(exponential_buckets(0.000_1, 4.0, 12)),
             share: Family::default(),
             tokens: Family::default(),
@@ -185,6 +191,16 @@
             "Waiting requests",
             self.queue_length.clone(),
         );
+        registry.register(
+            "deferrals",
+            "Deferrable requests that waited",
+            self.deferrals.clone(),
+        );
+        registry.register(
+            "queue_refusals",
+            "Requests refused by the queue",
+            self.queue_refusals.clone(),
+        );
         registry.register(
             "queue_seconds",
             "Time waited for a backend server",
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -4,6 +4,10 @@
 //! with the least time left. A request that has missed its target, so that its answer will be late, yields to all that
 //! can still meet theirs; of late requests, those of the highest priority go first.
 //!
+//! A deferrable request ([`crate::deferral`]) goes after all others, late ones included, until it is promoted. A promoted
+//! one goes after those that can still meet their targets and before late ones, and after [`PROMOTED_TURN`] requests have
+//! gone before promoted ones it goes first.
+//!
 //! Overnight requests, which are batch requests with a deadline, use the capacity that interactive ones leave, the one
 //! with the least slack to its deadline first. They are promoted to the interactive requests of their team when the
 //! slack runs out.
@@ -18,6 +22,10 @@
 /// Slack below which an overnight request is promoted to the interactive ones.
 pub const PROMOTION_SLACK: Duration = Duration::from_secs(60);
 
+/// Number of requests on time that go before a promoted deferrable one. Without a limit, urgent requests beyond the capacity
+/// would keep deferrable ones waiting until their callers give up.
+pub const PROMOTED_TURN: u32 = 8;
+
 /// Identifies a waiting request, in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitId(pub u64);
@@ -33,6 +41,8 @@
     pub work: Duration,
     /// Time until which the answer is on time; `None` if it is as good at any time before the deadline.
     pub target: Option<Instant>,
+    /// Time at which a deferrable request is promoted; `None` for an urgent one.
+    pub yield_until: Option<Instant>,
     /// Rank among late requests; 0 goes first.
     pub priority: u32,
     /// Tokens charged to the team's counter when the request is popped, unless it is popped as an overnight
@@ -53,9 +63,38 @@
         self.target.unwrap_or_else(|| self.latest_start())
     }
 
-    /// Returns whether the answer will be late, also if the request is sent now.
-    fn is_late(&self, now: Instant) -> bool {
-        self.target.is_some_and(|target| target < now)
+    /// Returns the standing of the request among those that wait.
+    pub fn standing(&self, now: Instant) -> Standing {
+        standing(self.target, self.yield_until, now)
+    }
+}
+
+/// Standing of a request among those that wait, in the usual order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Standing {
+    /// Urgent, and can still be on time.
+    OnTime,
+    /// Deferrable, and late unless it goes soon.
+    Promoted,
+    /// The answer will be late, also if the request is sent now.
+    Late,
+    /// Deferrable, and can wait.
+    Deferred,
+}
+
+/// Returns the standing of a request that is on time until `target` and yields until `yield_until`.
+pub(crate) fn standing(
+    target: Option<Instant>,
+    yield_until: Option<Instant>,
+    now: Instant,
+) -> Standing {
+    if target.is_some_and(|target| target < now) {
+        return Standing::Late;
+    }
+    match yield_until {
+        None => Standing::OnTime,
+        Some(promoted) if promoted <= now => Standing::Promoted,
+        Some(_) => Standing::Deferred,
     }
 }
 
@@ -77,6 +116,10 @@
     /// Adds `tokens` to a team's counter: the tokens used less those charged when the request was popped.
     fn adjust_served(&mut self, team: &SmolStr, tokens: i64);
 
+    /// Returns the number of waiting requests that would go before a new one. Those of other teams count as if all teams
+    /// had been served alike.
+    fn ahead_of(&self, entry: &WaitEntry, now: Instant) -> usize;
+
     /// Returns the number of waiting requests of a class, as their callers declared it.
     fn len(&self, class: RequestClass) -> usize;
 
@@ -116,6 +159,10 @@
     /// One entry for each team of the catalog that has ever had a waiting request.
     teams: BTreeMap<SmolStr, TeamQueue>,
     overnight: BTreeSet<WaitKey>,
+    /// Deferrable requests by the time at which they are promoted.
+    deferrable: BTreeSet<WaitKey>,
+    /// Requests on time that went before promoted ones since the last promoted one.
+    passed_over: u32,
     /// Highest counter at which a team was served. A team is raised to it when it joins and no team waits, so that it
     /// cannot save up service while it sends nothing.
     counter_floor: i64,
@@ -131,6 +178,8 @@
             waiting: HashMap::new(),
             teams: BTreeMap::new(),
             overnight: BTreeSet::new(),
+            deferrable: BTreeSet::new(),
+            passed_over: 0,
             counter_floor: 0,
             declared_overnight: 0,
         }
@@ -185,19 +234,41 @@
             .map(|(team, queue)| (queue.counter, team, &queue.waiting))
             .collect();
         teams.sort_by_key(|(counter, team, _)| (*counter, *team));
-        let mut late = Vec::new();
+        let promoted_first = self.passed_over >= PROMOTED_TURN && self.has_promoted(now);
+        let mut others = Vec::new();
         for (_, id) in teams.iter().flat_map(|(_, _, keys)| keys.iter()) {
             let waiting = &self.waiting[id];
-            if waiting.entry.is_late(now) {
-                late.push((waiting.entry.priority, *id));
-            } else if admissible(&waiting.item) {
-                return Some(*id);
+            match waiting.entry.standing(now) {
+                Standing::OnTime if !promoted_first => {
+                    if admissible(&waiting.item) {
+                        return Some(*id);
+                    }
+                }
+                Standing::Late => others.push((Some(Standing::Late), waiting.entry.priority, *id)),
+                Standing::Promoted if promoted_first => others.push((None, 0, *id)),
+                standing => others.push((Some(standing), 0, *id)),
             }
         }
-        // The sort is stable: within a priority, the order of teams and of their requests stays.
-        late.sort_by_key(|(priority, _)| *priority);
-        let mut late = late.into_iter().map(|(_, id)| id);
-        late.find(|id| admissible(&self.waiting[id].item))
+        // The sort is stable: within a standing and priority, the order of teams and of their requests stays.
+        others.sort_by_key(|(standing, priority, _)| (*standing, *priority));
+        let mut others = others.into_iter().map(|(_, _, id)| id);
+        others.find(|id| admissible(&self.waiting[id].item))
+    }
+
+    /// Returns whether a deferrable request was promoted.
+    fn has_promoted(&self, now: Instant) -> bool {
+        self.deferrable
+            .first()
+            .is_some_and(|(time, _)| *time <= now)
+    }
+
+    /// Counts how often promoted requests were passed over.
+    fn count_turn(&mut self, standing: Standing, now: Instant) {
+        match standing {
+            Standing::Promoted => self.passed_over = 0,
+            Standing::OnTime if self.has_promoted(now) => self.passed_over += 1,
+            _ => {}
+        }
     }
 
     fn first_overnight(&self, admissible: &mut impl FnMut(&T) -> bool) -> Option<WaitId> {
@@ -208,6 +279,9 @@
 
     fn take(&mut self, id: WaitId) -> Option<Waiting<T>> {
         let waiting = self.waiting.remove(&id)?;
+        if let Some(time) = waiting.entry.yield_until {
+            self.deferrable.remove(&(time, id));
+        }
         match waiting.index_key {
             IndexKey::Overnight(key) => {
                 self.overnight.remove(&key);
@@ -251,6 +325,9 @@
                 IndexKey::Overnight(key)
             }
         };
+        if let Some(time) = entry.yield_until {
+            self.deferrable.insert((time, id));
+        }
         self.waiting.insert(
             id,
             Waiting {
@@ -269,6 +346,8 @@
     ) -> Option<(WaitId, T)> {
         self.promote(now);
         if let Some(id) = self.first_interactive(now, &mut admissible) {
+            let standing = self.waiting[&id].entry.standing(now);
+            self.count_turn(standing, now);
             let waiting = self.take(id)?;
             self.charge(&waiting.entry.team, waiting.entry.tokens);
             return Some((id, waiting.item));
@@ -299,6 +378,22 @@
             .collect()
     }
 
+    fn ahead_of(&self, entry: &WaitEntry, now: Instant) -> usize {
+        let key = |entry: &WaitEntry| {
+            let standing = entry.standing(now);
+            let priority = match standing {
+                Standing::Late => entry.priority,
+                _ => 0,
+            };
+            (standing, priority, entry.order_time())
+        };
+        let new = key(entry);
+        let entries = self.waiting.values().map(|waiting| &waiting.entry);
+        entries
+            .filter(|waiting| waiting.class == RequestClass::Interactive && key(waiting) <= new)
+            .count()
+    }
+
     fn adjust_served(&mut self, team: &SmolStr, tokens: i64) {
         let queue = self.teams.entry(team.clone()).or_default();
         queue.counter = queue.counter.saturating_add(tokens);
@@ -379,6 +474,10 @@
 
     fn adjust_served(&mut self, _team: &SmolStr, _tokens: i64) {}
 
+    fn ahead_of(&self, _entry: &WaitEntry, _now: Instant) -> usize {
+        self.waiting.len()
+    }
+
     fn len(&self, class: RequestClass) -> usize {
         let entries = self.waiting.iter();
         entries.filter(|entry| entry.1.class == class).count()
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::catalog::TeamSpec;
+use crate::deferral::RouteTerms;
 use crate::ids::KeyDigest;
 
 /// Shortest silence after which callers abandon a stream, from the platform's description of its clients.
@@ -82,6 +83,15 @@
         }
     }
 
+    /// Returns the properties that decide whether requests of the route are deferrable.
+    pub fn terms(&self) -> RouteTerms {
+        RouteTerms {
+            target: self.target_latency,
+            timeout: self.timeout,
+            priority: self.priority,
+        }
+    }
+
     /// Picks a service at random by weight; `draw` is a uniform random number in `0..1`.
     pub fn pick_service(&self, draw: f64) -> Option<&SmolStr> {
         let total: u32 = self.services.iter().map(|(_, weight)| *weight).sum();
@@ -191,6 +201,8 @@
     pub version: u64,
     routes: HashMap<SmolStr, Vec<Arc<RouteConfig>>>,
     services: HashMap<SmolStr, ServiceConfig>,
+    /// Streaming route with the smallest target of each service that has any.
+    urgent: HashMap<SmolStr, RouteTerms>,
     teams: Vec<Arc<TeamConfig>>,
     keys: HashMap<KeyDigest, usize>,
 }
@@ -204,6 +216,7 @@
         teams: Vec<(TeamConfig, Vec<KeyDigest>)>,
     ) -> Self {
         let mut by_host: HashMap<SmolStr, Vec<Arc<RouteConfig>>> = HashMap::new();
+        let urgent = urgent_terms(&routes);
         for route in routes {
             by_host
                 .entry(route.host.clone())
@@ -216,6 +229,7 @@
         let mut config = Self {
             version,
             routes: by_host,
+            urgent,
             services: services
                 .into_iter()
                 .map(|service| (service.name.clone(), service))
@@ -248,6 +262,12 @@
         self.services.get(name)
     }
 
+    /// Returns whether requests of `route` wait behind others of a service while its servers are scarce.
+    pub fn is_deferrable(&self, route: &RouteConfig, service: &str) -> bool {
+        let urgent = self.urgent.get(service);
+        urgent.is_some_and(|urgent| route.terms().is_deferrable(*urgent))
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceConfig> {
         self.services.values()
@@ -264,3 +284,21 @@
         self.teams.get(*index)
     }
 }
+
+/// Returns the streaming route with the smallest target of each service; of equal ones, that of the highest priority.
+fn urgent_terms(routes: &[RouteConfig]) -> HashMap<SmolStr, RouteTerms> {
+    let mut urgent: HashMap<SmolStr, RouteTerms> = HashMap::new();
+    let streaming = routes
+        .iter()
+        .filter(|route| route.kind == CallKind::Streaming && !route.target_latency.is_zero());
+    for route in streaming {
+        let terms = route.terms();
+        for (service, _) in &route.services {
+            let known = urgent.entry(service.clone()).or_insert(terms);
+            if (terms.target, terms.priority) < (known.target, known.priority) {
+                *known = terms;
+            }
+        }
+    }
+    urgent
+}
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -231,6 +231,7 @@
         let deadline = (caller_deadline - CALLER_DEADLINE_MARGIN).min(arrived + route.timeout);
         let team_priority = team.as_ref().and_then(|team| team.priority);
         let priority = team_priority.unwrap_or(route.priority);
+        let deferrable = config.is_deferrable(&route, &service.name);
         let job = RequestJob {
             id: metadata.id.clone(),
             team: attribution.team.clone(),
@@ -253,6 +254,7 @@
                     deadline,
                     tokens,
                     priority,
+                    deferrable,
                     urgency: URGENCY,
                     max_idle_connections: service.max_idle_connections(daemons),
                     metadata,
@@ -464,6 +466,7 @@
             zone: self.context.zone.clone(),
             avoid: Vec::new(),
             late: false,
+            deferred: false,
         };
         Ok(ModelNeed {
             route,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::catalog::RequestClass;
+use crate::deferral::promotion_time;
 use crate::dispatch::{Attempt, Exchange, FleetSource, OtherServers, ServerSlot, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::queue::WaitEntry;
@@ -164,6 +165,18 @@
         (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.arrived + target)
     }
 
+    /// Returns until when a deferrable request yields to urgent ones; `None` for an urgent one.
+    fn yield_until(&self) -> Option<Instant> {
+        if !self.request.deferrable || self.sent_type.is_some() {
+            return None;
+        }
+        let route = &self.request.route;
+        let work = self.context.times.expected(&route.name);
+        let limit = self.queue_deadline();
+        let target = route.target_latency;
+        Some(promotion_time(self.request.arrived, target, limit, work))
+    }
+
     /// Returns whether the request may be sent once more, and can be before its deadline.
     fn has_attempts_left(&self) -> bool {
         self.sends < MAX_SENDS
@@ -423,6 +436,7 @@
             deadline: self.queue_deadline(),
             work: Duration::ZERO,
             target: self.latency_target(),
+            yield_until: self.yield_until(),
             priority: self.request.priority,
             tokens: self.request.tokens,
         }
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -55,6 +55,8 @@
     pub(super) tokens: u64,
     /// Rank of the request's team, or of its route; 0 is the highest.
     pub(super) priority: u32,
+    /// Whether the request waits behind urgent ones of its service while servers are scarce.
+    pub(super) deferrable: bool,
     /// From 0 to 9; a lower value is more urgent.
     pub(super) urgency: u8,
     /// Maximum number of idle connections that are kept to one server.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -54,6 +54,9 @@
     pub avoid: Vec<SmolStr>,
     /// Whether the answer will be late. Such a request takes only places that others do not need.
     pub late: bool,
+    /// Whether the request is deferrable and urgent ones of its service are short of servers. Such a request leaves more
+    /// places to others than a late one does.
+    pub deferred: bool,
 }
 
 /// Chooses a backend server for each request.
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -24,6 +24,9 @@
 const FREE_SHARE_DIVISOR: u64 = 2;
 /// Share of the places of a server that late requests leave to others, which may come to another daemon, in percent.
 const LATE_RESERVE_PERCENT: u64 = 25;
+/// Share of the places of a server that deferrable requests leave to others while urgent ones are short of servers, in
+/// percent. It exceeds [`LATE_RESERVE_PERCENT`], so that late urgent requests of other daemons go before them.
+const DEFERRED_RESERVE_PERCENT: u64 = 50;
 /// Candidates are near-equal if their expected time exceeds the best by at most an eighth plus this time, in
 /// microseconds. The lag of load reports hides smaller differences.
 const NEAR_EQUAL_US: u64 = 500;
@@ -70,7 +73,7 @@
         let table = self.prefixes.read();
         let holders = table.holders(&need.prefixes);
         let ranked: Vec<_> = candidates
-            .filter(|candidate| has_capacity(candidate, need.late))
+            .filter(|candidate| has_capacity(candidate, need))
             .filter(|candidate| !need.avoid.contains(&candidate.view.name))
             .map(|candidate| Ranked::new(need, &candidate, &holders))
             .collect();
@@ -185,13 +188,15 @@
 ///
 /// The excess over the slots keeps the batch full until the next report arrives. Further requests wait in this daemon,
 /// whose queue is fair. Late requests do not fill the batch: the queues of other daemons, which this one does not know,
-/// may hold requests that can still be on time.
-fn dispatch_limit(view: &BackendView, late: bool) -> u64 {
+/// may hold requests that can still be on time. Deferrable requests leave even more while urgent ones are short of servers.
+fn dispatch_limit(view: &BackendView, need: &RouteNeed) -> u64 {
     let slots = u64::from(view.slots);
-    match late {
-        false => slots + slots / 8 + 1,
-        true => (slots - slots * LATE_RESERVE_PERCENT / 100).max(1),
-    }
+    let reserve_percent = match (need.deferred, need.late) {
+        (true, _) => DEFERRED_RESERVE_PERCENT,
+        (false, true) => LATE_RESERVE_PERCENT,
+        (false, false) => return slots + slots / 8 + 1,
+    };
+    (slots - slots * reserve_percent / 100).max(1)
 }
 
 /// Returns whether this daemon may send one more request to a server.
@@ -199,8 +204,8 @@
 /// Several daemons see the same free capacity until the next report, so each uses only a share of it. Otherwise each
 /// daemon alone would fill a free server, and requests would wait in the engine. Capacity that an ended request of this
 /// daemon has freed may be used again at once, as no other daemon knows of it.
-fn has_capacity(candidate: &Candidate<'_>, late: bool) -> bool {
-    let limit = dispatch_limit(candidate.view, late);
+fn has_capacity(candidate: &Candidate<'_>, need: &RouteNeed) -> bool {
+    let limit = dispatch_limit(candidate.view, need);
     let reported = candidate.outstanding.saturating_sub(candidate.own_increase);
     let share = limit.saturating_sub(reported).div_ceil(FREE_SHARE_DIVISOR);
     candidate.outstanding < limit && candidate.own_increase < share.max(1)
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -173,6 +173,7 @@
         zone: zone(),
         avoid: Vec::new(),
         late: false,
+        deferred: false,
     }
 }
 
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -7,7 +7,9 @@
 
 use bolero::{TypeGenerator, check};
 use foxtailhill::catalog::RequestClass::{self, Interactive, Overnight};
-use foxtailhill::queue::{FifoQueue, PROMOTION_SLACK, QueuePolicy, WaitEntry, WaitId, WaitQueue};
+use foxtailhill::queue::{
+    FifoQueue, PROMOTED_TURN, PROMOTION_SLACK, QueuePolicy, Standing, WaitEntry, WaitId, WaitQueue,
+};
 use smol_str::SmolStr;
 
 const CAPACITY: usize = 12;
@@ -21,6 +23,7 @@
         deadline_s: u8,
         work_s: u8,
         target_s: Option<u8>,
+        yield_s: Option<u8>,
         priority: u8,
         tokens: u8,
     },
@@ -55,6 +58,7 @@
     entries: Vec<ReferenceEntry>,
     counters: HashMap<SmolStr, i64>,
     counter_floor: i64,
+    passed_over: u32,
 }
 
 impl ReferenceQueue {
@@ -62,7 +66,8 @@
         (entry.entry.deadline - entry.entry.work, entry.id)
     }
 
-    /// Late requests by priority after all others; each group by team and time.
+    /// Requests on time, promoted ones, late ones by priority, deferred ones; each group by team and time. Promoted ones go
+    /// first when their turn has come.
     fn order(&self, entry: &ReferenceEntry, now: Instant) -> impl Ord + use<> {
         let WaitEntry {
             team,
@@ -71,16 +76,23 @@
             ..
         } = &entry.entry;
         if !entry.in_team {
-            return (2, 0, None, Self::latest_start(entry));
+            return (5, 0, None, Self::latest_start(entry));
         }
         let late = target.is_some_and(|target| target < now);
         let rank = if late { *priority } else { 0 };
+        let group = match entry.entry.yield_until {
+            _ if late => 3,
+            Some(time) if now < time => 4,
+            Some(_) if self.passed_over >= PROMOTED_TURN => 0,
+            Some(_) => 2,
+            None => 1,
+        };
         let time = match (entry.entry.class, target) {
             (Interactive, Some(target)) => (*target, entry.id),
             _ => Self::latest_start(entry),
         };
         let team = Some((self.counter(team), team.clone()));
-        (u8::from(late), rank, team, time)
+        (group, rank, team, time)
     }
 
     fn counter(&self, team: &SmolStr) -> i64 {
@@ -136,6 +148,14 @@
         let allowed = self.entries.iter().filter(|e| admissible(e.item));
         let first = allowed.min_by_key(|e| self.order(e, now))?;
         let (id, team, charged) = (first.id, first.entry.team.clone(), first.in_team);
+        if charged {
+            let mut times = self.entries.iter().filter_map(|e| e.entry.yield_until);
+            match first.entry.standing(now) {
+                Standing::Promoted => self.passed_over = 0,
+                Standing::OnTime if times.any(|time| time <= now) => self.passed_over += 1,
+                _ => {}
+            }
+        }
         let taken = self.take(id)?;
         if charged {
             let counter = self.counter(&team);
@@ -186,6 +206,7 @@
                     deadline_s,
                     work_s,
                     target_s,
+                    yield_s,
                     priority,
                     tokens,
                 } => {
@@ -195,6 +216,7 @@
                         deadline: now + Duration::from_secs(deadline_s.into()),
                         work: Duration::from_secs(work_s.into()),
                         target: target_s.map(|target| now + Duration::from_secs(target.into())),
+                        yield_until: yield_s.map(|time| now + Duration::from_secs(time.into())),
                         priority: u32::from(priority % 3),
                         tokens: tokens.into(),
                     };
@@ -242,6 +264,7 @@
         deadline,
         work: Duration::from_secs(1),
         target: None,
+        yield_until: None,
         priority: 0,
         tokens: 100,
     }
@@ -300,6 +323,68 @@
     assert_eq!(order, ["on time", "late, urgent", "late, can wait"]);
 }
 
+/// A deferrable request that is promoted at `promoted`.
+fn deferrable(team: &str, promoted: Instant, target: Instant) -> WaitEntry {
+    WaitEntry {
+        yield_until: Some(promoted),
+        ..targeted(team, 2, target)
+    }
+}
+
+/// Guards against a deferrable request that goes before an urgent one, also a late one, while it can wait, and against one
+/// that misses its target behind late ones.
+#[test]
+fn deferrable_requests_yield_until_their_slack_runs_out() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let second = Duration::from_secs(1);
+    for (at, expected) in [
+        (3, ["on time", "late", "deferrable"]),
+        (7, ["on time", "deferrable", "late"]),
+        (13, ["on time", "late", "deferrable"]),
+    ] {
+        let mut queue = WaitQueue::new(10);
+        let later = now + second * at;
+        for (entry, name) in [
+            (
+                deferrable("a", now + second * 6, now + second * 12),
+                "deferrable",
+            ),
+            (targeted("b", 0, later - second), "late"),
+            (targeted("c", 0, later + second), "on time"),
+        ] {
+            assert!(queue.push(entry, name).is_ok());
+        }
+        let order = [(); 3].map(|()| queue.pop_next(later, |_| true).unwrap().1);
+        assert_eq!(order, expected, "{at} s");
+    }
+}
+
+/// Pattern: urgent requests on time beyond the capacity. Guards against deferrable requests that are never served, and
+/// against ones that take more than their turns.
+#[test]
+fn promoted_requests_get_their_turns() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(7);
+    let target = now + Duration::from_secs(12);
+    let mut queue = WaitQueue::new(1_000);
+    for index in 0..20 {
+        let entry = deferrable(["a", "b"][index % 2], now + Duration::from_secs(6), target);
+        assert!(queue.push(entry, "deferrable").is_ok());
+    }
+    let turns = PROMOTED_TURN as usize + 1;
+    for _ in 0..10 * turns {
+        assert!(queue.push(targeted("a", 0, target), "urgent").is_ok());
+    }
+    let popped: Vec<_> = (0..10 * turns)
+        .map(|_| queue.pop_next(later, |_| true).unwrap().1)
+        .collect();
+    for (index, name) in popped.iter().enumerate() {
+        let is_turn = index % turns == turns - 1;
+        let expected = if is_turn { "deferrable" } else { "urgent" };
+        assert_eq!(*name, expected, "request {index}");
+    }
+}
+
 /// Guards against a team that starves others because it sends five times as much, or because it sent nothing before.
 #[test]
 fn teams_share_equally_under_contention() {
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -60,6 +60,7 @@
             zone: "north".into(),
             avoid: Vec::new(),
             late: false,
+            deferred: false,
         },
         fallbacks: Vec::new(),
         suspect: Some(KeyDigest::of(fingerprint)),
@@ -73,6 +74,7 @@
         deadline: Instant::now() + Duration::from_millis(200),
         work: Duration::ZERO,
         target: None,
+        yield_until: None,
         priority: 0,
         tokens: 1,
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -49,6 +49,7 @@
         zone: "z0".into(),
         avoid: Vec::new(),
         late: false,
+        deferred: false,
     }
 }
 
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -182,6 +182,7 @@
             zone: "z".into(),
             avoid: Vec::new(),
             late: false,
+            deferred: false,
         };
         let fleet = self.watch.snapshot();
         let policy = ExpectedTimePolicy::new(self.prefixes.clone(), 1);
