Queue: admit by the rate of grants and recognise returning requests

After an overload, requests that came back after a refusal took places as if they were new, so first attempts stayed late. They now count from their first attempt. A request with hardly any chance of a slot is refused at arrival, by the grants per time in which requests waited: the interval between two grants also contained idle time, so that rare grants refused requests that had a chance. Retry-After follows the same rate, with jitter.

--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::admission::GrantRate;
 use crate::catalog::RequestClass;
 use crate::deferral::ScarcityTable;
 use crate::error::{Category, Error, Result};
@@ -18,11 +19,6 @@
 use crate::routing::{DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy, UnroutableReason};
 use crate::suspect::SuspectTable;
 
-/// Weight of the newest interval in the moving average of the time between two granted slots.
-const GRANT_WEIGHT: f64 = 0.1;
-/// `Retry-After` of requests that are refused because the queue is full or too long.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Source of the latest view of all backend servers.
 pub trait FleetSource: Send + Sync + 'static {
     /// Returns the latest snapshot.
@@ -87,9 +83,8 @@
 
 struct ModelQueue<Q> {
     queue: Q,
-    granted_at: Instant,
-    /// Moving average of the time between two granted slots while requests waited.
-    interval: Duration,
+    /// Grants while requests waited that can be on time.
+    rate: GrantRate,
 }
 
 /// The queues of all models on this VM.
@@ -188,15 +183,12 @@
             let is_first = queue.queue.is_empty();
             if is_first && let Some(slot) = self.choose(&need, standing, now) {
                 queue.queue.adjust_served(&entry.team, entry.tokens as i64);
-                queue.granted_at = now;
                 return Ok(slot);
             }
             let reason = self.fleet.snapshot().unroutable_reason(&need.route);
             let kind = WaitKind::of(&entry, now);
-            queue
-                .check_wait(&entry, now)
-                .inspect_err(|_| self.note_wait(&model, kind, reason, now))
-                .map_err(|error| error.with_context(reason))?;
+            // The rate of free slots says nothing of when a missing model or adapter is loaded.
+            let may_wait = reason != UnroutableReason::NoCapacity || queue.may_wait(&entry, now);
             let (grant, granted) = oneshot::channel();
             let waiter = Waiter {
                 need,
@@ -204,14 +196,22 @@
                 yield_until: entry.yield_until,
                 grant,
             };
-            let id = queue
-                .queue
-                .push(entry, waiter)
-                .map_err(|_| overloaded("the queue is full"))?;
+            let Ok(id) = queue.queue.push(entry, waiter) else {
+                self.note_wait(&model, kind, reason, now);
+                return Err(self.refuse(queue, Refusal::Full, now));
+            };
+            queue.note_waiting(now);
             // Those that wait already may yield to the new request, or need servers that are fuller.
             while !is_first && self.grant_next(queue, now) {}
+            queue.note_waiting(now);
             if granted.is_empty() {
                 self.note_wait(&model, kind, reason, now);
+                if !may_wait {
+                    queue.queue.remove(id);
+                    queue.note_waiting(now);
+                    let error = self.refuse(queue, Refusal::NoChance, now);
+                    return Err(error.with_context(reason));
+                }
             }
             (id, granted, now, reason, standing)
         };
@@ -252,12 +252,15 @@
             // The sender is dropped when the request is removed as expired.
             Ok(Err(_)) => {
                 guard.id = None;
-                Err(overloaded("the deadline passed in the queue").with_context(reason))
+                let error = self.refuse_expired(&model);
+                Err(error.with_context(reason))
+            }
+            Err(_) => {
+                let wait = self.refuse_expired(&model).retry_after();
+                let error = Error::new(Category::Timeout, "no backend server was free in time");
+                let error = wait.into_iter().fold(error, Error::with_retry_after);
+                Err(error.with_context(reason))
             }
-            Err(_) => Err(
-                Error::new(Category::Timeout, "no backend server was free in time")
-                    .with_context(reason),
-            ),
         }
     }
 
@@ -271,6 +274,7 @@
             }
             drop(queue.queue.expire(now, |_| Duration::ZERO));
             while self.grant_next(queue, now) {}
+            queue.note_waiting(now);
         }
     }
 
@@ -325,7 +329,7 @@
         let (Some((_, waiter)), Some(slot)) = (popped, slot) else {
             return false;
         };
-        queue.update_interval(now);
+        queue.rate.granted(now);
         // If the caller has gone away, the slot is dropped here, which frees it.
         let _ = waiter.grant.send(slot);
         true
@@ -407,8 +411,7 @@
     ) -> &'a mut ModelQueue<Q> {
         queues.entry(model.clone()).or_insert_with(|| ModelQueue {
             queue: (self.new_queue)(self.capacity),
-            granted_at: Instant::now(),
-            interval: Duration::ZERO,
+            rate: GrantRate::new(Instant::now()),
         })
     }
 
@@ -419,30 +422,72 @@
     fn remove(&self, model: &SmolStr, id: WaitId) {
         if let Some(queue) = self.queues().get_mut(model) {
             queue.queue.remove(id);
+            queue.note_waiting(Instant::now());
         }
     }
+
+    /// Returns the error of a request whose time to wait has passed.
+    fn refuse_expired(&self, model: &SmolStr) -> Error {
+        let mut queues = self.queues();
+        let queue = self.queue(&mut queues, model);
+        self.refuse(queue, Refusal::Expired, Instant::now())
+    }
+
+    /// Returns the error of a refused request, and counts the refusal.
+    fn refuse(&self, queue: &mut ModelQueue<Q>, refusal: Refusal, now: Instant) -> Error {
+        let waiting = queue.queue.len(RequestClass::Interactive);
+        let wait = queue.rate.retry_after(waiting, rand::random(), now);
+        queue.rate.refused(now);
+        if let Some(metrics) = &self.metrics {
+            metrics.count(&metrics.queue_refusals, refusal.as_str());
+        }
+        Error::new(Category::Overloaded, refusal.message()).with_retry_after(wait)
+    }
 }
 
-impl<Q: QueuePolicy<Waiter>> ModelQueue<Q> {
-    /// Refuses an interactive request whose deadline would pass before its turn comes.
-    fn check_wait(&self, entry: &WaitEntry, now: Instant) -> Result<()> {
-        if entry.class == RequestClass::Overnight {
-            return Ok(());
+/// Why the queue refuses a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    Full,
+    /// It would hardly get a slot in the time that it may wait.
+    NoChance,
+    Expired,
+}
+
+impl Refusal {
+    /// Returns the name used in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::NoChance => "no_chance",
+            Self::Expired => "expired",
+        }
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Self::Full => "the queue is full",
+            Self::NoChance => "the queue is longer than the deadline allows",
+            Self::Expired => "the deadline passed in the queue",
         }
-        let ahead = self.queue.len(RequestClass::Interactive);
-        let wait = self
-            .interval
-            .saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX));
-        if now + wait + entry.work > entry.deadline {
-            return Err(overloaded("the queue is longer than the deadline allows"));
+    }
+}
+
+impl<Q: QueuePolicy<Waiter>> ModelQueue<Q> {
+    /// Returns whether an urgent request has a chance of a slot before its deadline. Others wait until then.
+    fn may_wait(&mut self, entry: &WaitEntry, now: Instant) -> bool {
+        if entry.class == RequestClass::Overnight || entry.yield_until.is_some() {
+            return true;
         }
-        Ok(())
+        let ahead = self.queue.ahead_of(entry, now);
+        let limit = entry.deadline.saturating_duration_since(now + entry.work);
+        self.rate.may_wait(ahead, limit, now)
     }
 
-    fn update_interval(&mut self, now: Instant) {
-        let last = now.saturating_duration_since(self.granted_at);
-        self.interval = self.interval.mul_f64(1.0 - GRANT_WEIGHT) + last.mul_f64(GRANT_WEIGHT);
-        self.granted_at = now;
+    /// Notes whether a request waits that the next free slot could go to.
+    fn note_waiting(&mut self, now: Instant) {
+        let is_waiting = self.queue.has_on_time(now);
+        self.rate.set_waiting(is_waiting, now);
     }
 }
 
@@ -465,7 +510,3 @@
 fn service_of(model: &str) -> &str {
     model.split('/').next().unwrap_or(model)
 }
-
-fn overloaded(message: &str) -> Error {
-    Error::new(Category::Overloaded, message).with_retry_after(RETRY_AFTER)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 //! sent to a backend server, or if the backend server itself refused the request.
 
 pub mod admin;
+pub mod admission;
 pub mod blame;
 pub mod catalog;
 pub mod claim;
@@ -86,6 +87,7 @@
 pub mod relay;
 pub mod replica;
 pub mod retry;
+pub mod returns;
 pub mod routing;
 pub mod settings;
 pub mod suspect;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -88,7 +88,8 @@
     pub connections: Gauge,
     /// Waiting requests by class (`interactive`, `overnight`).
     pub queue_length: Family<KindLabels, Gauge>,
-    /// Deferrable requests that found no slot they may take (`deferred`), and those whose slack ran out (`promoted`).
+    /// Deferrable requests that found no slot they may take (`deferred`), those whose slack ran out (`promoted`),
+    /// and requests that came back after a refusal (`returned`), which are late by the time since their first attempt.
     pub deferrals: Family<KindLabels, Counter>,
     /// Requests that the queue refused, by reason (`full`, `no_chance` at arrival, `expired` while they waited).
     pub queue_refusals: Family<KindLabels, Counter>,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -116,10 +116,12 @@
     /// Adds `tokens` to a team's counter: the tokens used less those charged when the request was popped.
     fn adjust_served(&mut self, team: &SmolStr, tokens: i64);
 
-    /// Returns the number of waiting requests that would go before a new one. Those of other teams count as if all teams
-    /// had been served alike.
+    /// Returns the number of waiting requests that would go before a new one. All teams count as served alike so far.
     fn ahead_of(&self, entry: &WaitEntry, now: Instant) -> usize;
 
+    /// Returns whether a request waits that can still be on time and yields to no other.
+    fn has_on_time(&self, now: Instant) -> bool;
+
     /// Returns the number of waiting requests of a class, as their callers declared it.
     fn len(&self, class: RequestClass) -> usize;
 
@@ -389,9 +391,25 @@
         };
         let new = key(entry);
         let entries = self.waiting.values().map(|waiting| &waiting.entry);
-        entries
-            .filter(|waiting| waiting.class == RequestClass::Interactive && key(waiting) <= new)
-            .count()
+        let ahead = entries
+            .filter(|waiting| waiting.class == RequestClass::Interactive && key(waiting) <= new);
+        let mut teams: HashMap<&SmolStr, usize> = HashMap::new();
+        for waiting in ahead {
+            *teams.entry(&waiting.team).or_default() += 1;
+        }
+        // Teams take turns, so that no other team has more requests before the new one than its own team.
+        let own = teams.get(&entry.team).copied().unwrap_or(0);
+        let turns = own + 1;
+        let others = teams.iter().filter(|(team, _)| **team != &entry.team);
+        own + others.map(|(_, count)| (*count).min(turns)).sum::<usize>()
+    }
+
+    fn has_on_time(&self, now: Instant) -> bool {
+        let mut entries = self.waiting.values().map(|waiting| &waiting.entry);
+        entries.any(|entry| {
+            let is_interactive = entry.class == RequestClass::Interactive;
+            is_interactive && entry.standing(now) == Standing::OnTime
+        })
     }
 
     fn adjust_served(&mut self, team: &SmolStr, tokens: i64) {
@@ -478,6 +496,10 @@
         self.waiting.len()
     }
 
+    fn has_on_time(&self, _now: Instant) -> bool {
+        !self.waiting.is_empty()
+    }
+
     fn len(&self, class: RequestClass) -> usize {
         let entries = self.waiting.iter();
         entries.filter(|entry| entry.1.class == class).count()
--- a/src/relay/answer_times.rs
+++ b/src/relay/answer_times.rs
@@ -67,6 +67,14 @@
         Some(Duration::from_secs_f64(known.time + DEVIATIONS * deviation))
     }
 
+    /// Returns the time that nearly all answers of `route` take at least; `None` if none was measured.
+    pub fn shortest(&self, route: &str) -> Option<Duration> {
+        let routes = self.routes();
+        let known = routes.get(route)?;
+        let shortest = known.time - DEVIATIONS * known.deviation;
+        Some(Duration::from_secs_f64(shortest.max(0.0)))
+    }
+
     fn routes(&self) -> MutexGuard<'_, HashMap<SmolStr, RouteTime>> {
         self.routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
+use crate::admission::spread_return;
 use crate::blame::PartId;
 use crate::dispatch::{
     CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, WorkTime, fingerprint,
@@ -30,6 +31,7 @@
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
+use crate::returns::TimeLeftLog;
 use crate::routing::RouteNeed;
 
 /// Subtracted from the caller's deadline for the transfer of the answer to the caller.
@@ -97,6 +99,8 @@
     /// Retry budgets by service.
     budgets: Mutex<HashMap<SmolStr, Arc<RetryBudget>>>,
     absent: Mutex<AbsentModels>,
+    /// Times that callers stated, by route.
+    time_logs: Mutex<HashMap<SmolStr, TimeLeftLog>>,
 }
 
 /// An answer whose head has arrived.
@@ -148,6 +152,7 @@
             exchanges,
             budgets: Mutex::default(),
             absent: Mutex::default(),
+            time_logs: Mutex::default(),
         })
     }
 
@@ -231,6 +236,7 @@
         let deadline = (caller_deadline - CALLER_DEADLINE_MARGIN).min(arrived + route.timeout);
         let team_priority = team.as_ref().and_then(|team| team.priority);
         let priority = team_priority.unwrap_or(route.priority);
+        let used = self.used_time(&route.name, metadata.deadline);
         let deferrable = config.is_deferrable(&route, &service.name);
         let job = RequestJob {
             id: metadata.id.clone(),
@@ -250,6 +256,7 @@
                     parts,
                     fingerprint,
                     arrived,
+                    first_arrived: arrived.checked_sub(used).unwrap_or(arrived),
                     caller_deadline,
                     deadline,
                     tokens,
@@ -266,7 +273,8 @@
             _admission: admission,
         };
         let mut pieces = self.context.core.start(job);
-        match drain.first_piece(&mut pieces).await? {
+        let first = drain.first_piece(&mut pieces).await;
+        match first.map_err(|error| spread_refusal(error, caller_deadline))? {
             RelayPiece::Whole { head, body } => Ok(RelayAnswer {
                 head,
                 body: RelayBody::Whole(body),
@@ -442,6 +450,24 @@
         Ok(service)
     }
 
+    /// Returns how long ago the first attempt of a request arrived, by the time that its caller states.
+    fn used_time(&self, route: &SmolStr, left: Option<Duration>) -> Duration {
+        let Some(left) = left else {
+            return Duration::ZERO;
+        };
+        let mut logs = self
+            .time_logs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let used = logs.entry(route.clone()).or_default().note(left);
+        drop(logs);
+        if !used.is_zero() {
+            let metrics = self.context.core.metrics();
+            metrics.count(&metrics.deferrals, "returned");
+        }
+        used
+    }
+
     /// Returns the model, adapter and prefixes that a request needs. Suspect requests are not given a server of their
     /// own: a crash makes all requests that ran on the server suspect, which is too many for one server each.
     fn model_need(&self, service: &ServiceConfig, metadata: &RequestMetadata) -> Result<ModelNeed> {
@@ -476,6 +502,17 @@
     }
 }
 
+/// Limits the `Retry-After` of a request that got no server to what its caller honours.
+fn spread_refusal(error: Error, caller_deadline: Instant) -> Error {
+    let is_refusal = matches!(error.category(), Category::Overloaded | Category::Timeout);
+    let wait = error.retry_after().unwrap_or(NO_SERVER_RETRY_AFTER);
+    if !is_refusal || error.verdict() != RunVerdict::NotRun {
+        return error;
+    }
+    let left = caller_deadline.saturating_duration_since(Instant::now());
+    error.with_retry_after(spread_return(wait, left, rand::random()))
+}
+
 /// Finds the route and the team of a request in `config` and records them in `attribution`.
 fn match_in_config(
     config: Arc<ServingConfig>,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -148,21 +148,31 @@
         }
     }
 
-    /// Returns until when the request may wait for a free slot.
+    /// Returns until when the request may wait for a free slot. A whole answer must also be complete before the deadline,
+    /// so that its request is refused as soon as even a short answer would be too late. At least half of the time remains for
+    /// the wait: if a route's answers were slow and none is sent any more, nothing shows that they are faster now.
     fn queue_deadline(&self) -> Instant {
+        let route = &self.request.route;
+        let work = match route.kind {
+            CallKind::Streaming => Duration::ZERO,
+            _ => self.context.times.shortest(&route.name).unwrap_or_default(),
+        };
+        let deadline = self.request.deadline;
+        let whole = deadline.saturating_duration_since(self.request.arrived);
+        let latest = deadline - work.min(whole / 2);
         let last_activity = match self.sent_type {
             Some(_) => Instant::now(),
             None => self.request.arrived,
         };
         let limit = last_activity + self.request.route.wait_limit();
-        self.request.deadline.min(limit)
+        latest.min(limit)
     }
 
     /// Returns until when the answer, or the first event of a stream, is on time. A stream that goes on at another
     /// server has no target, and so never yields to requests that have not begun.
     fn latency_target(&self) -> Option<Instant> {
         let target = self.request.route.target_latency;
-        (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.arrived + target)
+        (self.sent_type.is_none() && !target.is_zero()).then(|| self.request.first_arrived + target)
     }
 
     /// Returns until when a deferrable request yields to urgent ones; `None` for an urgent one.
@@ -174,7 +184,12 @@
         let work = self.context.times.expected(&route.name);
         let limit = self.queue_deadline();
         let target = route.target_latency;
-        Some(promotion_time(self.request.arrived, target, limit, work))
+        Some(promotion_time(
+            self.request.first_arrived,
+            target,
+            limit,
+            work,
+        ))
     }
 
     /// Returns whether the request may be sent once more, and can be before its deadline.
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -47,6 +47,8 @@
     /// Identifies repetitions of the same request, for the detection of requests that crash their servers.
     pub(super) fingerprint: KeyDigest,
     pub(super) arrived: Instant,
+    /// When the first attempt of the request arrived, if this one came back after a refusal; else `arrived`.
+    pub(super) first_arrived: Instant,
     /// Time until which the caller waits for the answer.
     pub(super) caller_deadline: Instant,
     /// Time by which the answer must be complete.
