--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -83,6 +83,7 @@
                     parts: &[200; 4],
                     output: 200,
                 }),
+                deferred: false,
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -185,6 +185,7 @@
             avoid: Vec::new(),
             late: false,
             cost: model_cost(messages.len(), max_tokens, prefix_count),
+            deferred: false,
         };
         ModelNeed {
             route,
@@ -224,6 +225,7 @@
             deadline: self.deadline,
             work,
             target: None,
+            yield_until: None,
             priority: 0,
             tokens: u64::from(self.prompt_tokens) + u64::from(self.call.max_tokens),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,12 +55,14 @@
 //! sent to a backend server, or if the backend server itself refused the request.
 
 pub mod admin;
+pub mod admission;
 pub mod blame;
 pub mod catalog;
 pub mod claim;
 pub mod currency;
 pub mod daemon;
 pub mod declaration;
+pub mod deferral;
 pub mod dispatch;
 pub mod engine;
 pub mod error;
@@ -86,6 +88,7 @@
 pub mod relay;
 pub mod replica;
 pub mod retry;
+pub mod returns;
 pub mod routing;
 pub mod settings;
 pub mod suspect;
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -48,6 +48,8 @@
     /// Identifies repetitions of the same request, for the detection of requests that crash their servers.
     pub(super) fingerprint: KeyDigest,
     pub(super) arrived: Instant,
+    /// When the first attempt of the request arrived, if this one came back after a refusal; else `arrived`.
+    pub(super) first_arrived: Instant,
     /// Time until which the caller waits for the answer.
     pub(super) caller_deadline: Instant,
     /// Time by which the answer must be complete.
@@ -58,6 +60,8 @@
     pub(super) tokens: u64,
     /// Rank of the request's team, or of its route; 0 is the highest.
     pub(super) priority: u32,
+    /// Whether the request waits behind urgent ones of its service while servers are scarce.
+    pub(super) deferrable: bool,
     /// From 0 to 9; a lower value is more urgent.
     pub(super) urgency: u8,
     /// Maximum number of idle connections that are kept to one server.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -89,6 +89,9 @@
     pub late: bool,
     /// Estimated cost; zero if it is not known.
     pub cost: RequestCost,
+    /// Whether the request is deferrable and urgent ones of its service are short of servers. Such a request leaves more
+    /// places to others than a late one does.
+    pub deferred: bool,
 }
 
 /// Chooses a backend server for each request.
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -181,6 +181,7 @@
         zone: "north".into(),
         avoid: Vec::new(),
         late: false,
+        deferred: false,
         cost: RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
--- a/tests/cost.rs
+++ b/tests/cost.rs
@@ -161,6 +161,7 @@
         zone: "z".into(),
         avoid: Vec::new(),
         late: false,
+        deferred: false,
         cost,
     };
     let costs = || [0, 1].map(|server| policy.cost_us(&need, &fleet, server));
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -174,6 +174,7 @@
         avoid: Vec::new(),
         late: false,
         cost: Default::default(),
+        deferred: false,
     }
 }
 
--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -170,6 +170,7 @@
         zone: "north".into(),
         avoid: Vec::new(),
         late: false,
+        deferred: false,
         cost: foxtailhill::routing::RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -62,6 +62,7 @@
             avoid: Vec::new(),
             late: false,
             cost: Default::default(),
+            deferred: false,
         },
         fallbacks: Vec::new(),
         suspect: Some(KeyDigest::of(fingerprint)),
@@ -75,6 +76,7 @@
         deadline: Instant::now() + Duration::from_millis(200),
         work: Duration::ZERO,
         target: None,
+        yield_until: None,
         priority: 0,
         tokens: 1,
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -51,6 +51,7 @@
         avoid: Vec::new(),
         late: false,
         cost: Default::default(),
+        deferred: false,
     }
 }
 
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -297,6 +297,7 @@
                 zone: "z".into(),
                 avoid: Vec::new(),
                 late: false,
+                deferred: false,
                 cost,
             };
             let Some(server) = daemon.policy.choose_in(&need, &daemon.fleet, now) else {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -183,6 +183,7 @@
             avoid: Vec::new(),
             late: false,
             cost: Default::default(),
+            deferred: false,
         };
         let fleet = self.watch.snapshot();
         let policy = ExpectedTimePolicy::new(self.prefixes.clone(), 1);
