--- a/src/admission.rs
+++ b/src/admission.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::error::{Category, Error, RunVerdict};
+
 /// Time after which a grant, a refusal or a wait has half its weight. It covers several grants of a queue that gets one slot
 /// a second, and forgets an overload soon after it has ended.
 const HALF_LIFE: Duration = Duration::from_secs(5);
@@ -106,6 +108,18 @@
     }
 }
 
+/// Limits the `Retry-After` of a request that got no server to what its caller honours; `left` is the time until the caller's
+/// deadline. Refusals by servers state none and get the shortest mean time.
+pub(crate) fn spread_refusal(error: Error, left: Duration, draw: f64) -> Error {
+    let is_refusal = matches!(error.category(), Category::Overloaded | Category::Timeout);
+    if !is_refusal || error.verdict() != RunVerdict::NotRun {
+        return error;
+    }
+    let shortest = MIN_RETURN.mul_f64(0.5 + draw);
+    let wait = error.retry_after().unwrap_or(shortest);
+    error.with_retry_after(spread_return(wait, left, draw))
+}
+
 /// Returns the probability of more than `count` events if `expected` occur on average, independently of each other.
 fn chance_of_more(expected: f64, count: usize) -> f64 {
     // With this many expected, the distribution is so narrow that the mean decides.
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
-use crate::admission::spread_return;
+use crate::admission::spread_refusal;
 use crate::blame::PartId;
 use crate::dispatch::{
     CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, WorkTime, fingerprint,
@@ -274,7 +274,10 @@
         };
         let mut pieces = self.context.core.start(job);
         let first = drain.first_piece(&mut pieces).await;
-        match first.map_err(|error| spread_refusal(error, caller_deadline))? {
+        match first.map_err(|error| {
+            let left = caller_deadline.saturating_duration_since(Instant::now());
+            spread_refusal(error, left, rand::random())
+        })? {
             RelayPiece::Whole { head, body } => Ok(RelayAnswer {
                 head,
                 body: RelayBody::Whole(body),
@@ -502,17 +505,6 @@
     }
 }
 
-/// Limits the `Retry-After` of a request that got no server to what its caller honours.
-fn spread_refusal(error: Error, caller_deadline: Instant) -> Error {
-    let is_refusal = matches!(error.category(), Category::Overloaded | Category::Timeout);
-    let wait = error.retry_after().unwrap_or(NO_SERVER_RETRY_AFTER);
-    if !is_refusal || error.verdict() != RunVerdict::NotRun {
-        return error;
-    }
-    let left = caller_deadline.saturating_duration_since(Instant::now());
-    error.with_retry_after(spread_return(wait, left, rand::random()))
-}
-
 /// Finds the route and the team of a request in `config` and records them in `attribution`.
 fn match_in_config(
     config: Arc<ServingConfig>,
--- a/tests/overload_recovery.rs
+++ b/tests/overload_recovery.rs
@@ -446,13 +446,19 @@
     let start = Instant::now();
     let limit = Duration::from_millis(WAIT_LIMIT_MS);
     let mut rate = GrantRate::new(start);
+    let mut interval = 0.0;
     for second in 0..30 {
+        interval = interval * 0.9 + 0.1;
         let now = start + Duration::from_secs(second);
         rate.set_waiting(true, now);
         let later = now + Duration::from_millis(50);
         rate.granted(later);
         rate.set_waiting(false, later);
     }
+    println!(
+        "10 requests need {:.1} s by the mean interval between grants",
+        interval * 10.0
+    );
     let now = start + Duration::from_secs(30);
     assert!(
         rate.may_wait(10, limit, now),
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -385,6 +385,27 @@
     }
 }
 
+/// Guards against requests that are refused because another team has many waiting, and against late or deferrable ones that
+/// count as ahead of a request that goes before them.
+#[test]
+fn requests_ahead_are_those_that_go_first() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let second = Duration::from_secs(1);
+    let mut queue = WaitQueue::new(1_000);
+    for _ in 0..50 {
+        let waiting = targeted("loud", 0, now + second);
+        assert!(queue.push(waiting, ()).is_ok());
+    }
+    assert!(queue.push(targeted("b", 0, now - second), ()).is_ok());
+    let entry = deferrable("b", now + second * 6, now + second * 12);
+    assert!(queue.push(entry, ()).is_ok());
+    let new = |team| targeted(team, 0, now + second * 2);
+    assert_eq!(queue.ahead_of(&new("loud"), now), 50);
+    assert_eq!(queue.ahead_of(&new("b"), now), 1);
+    assert!(queue.has_on_time(now));
+    assert!(!queue.has_on_time(now + second * 2));
+}
+
 /// Guards against a team that starves others because it sends five times as much, or because it sent nothing before.
 #[test]
 fn teams_share_equally_under_contention() {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -164,6 +164,28 @@
     }
 }
 
+/// Pattern: urgent requests of a service are short of servers. Guards against deferrable requests that take more than half of
+/// a server, and against ones that no server with a single slot takes.
+#[test]
+fn deferred_requests_take_half_of_a_server() {
+    let deferred = RouteNeed {
+        late: true,
+        deferred: true,
+        ..need(1)
+    };
+    for (slots, running, expected) in [(8, 3, true), (8, 4, false), (1, 0, true), (1, 1, false)] {
+        let mut busy = view(0, "z0", 1);
+        busy.slots = slots;
+        busy.report.running = running;
+        let choice = policy(1).choose(&deferred, &[busy], Instant::now());
+        assert_eq!(
+            choice.is_some(),
+            expected,
+            "{running} of {slots} slots taken"
+        );
+    }
+}
+
 /// Guards against late requests that no server ever takes because it has a single slot.
 #[test]
 fn server_with_one_slot_takes_late_requests() {
