Relay: probe a server when a connection with a request breaks

A crash under many streams is then found, and told to peers, by a plain connection and not by the next request.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -396,8 +396,11 @@
                 self.attempt_events,
                 self.request.metadata.prompt,
             );
-            self.broke_early = error.category() == Category::Unavailable
-                && self.attempt_events < MIN_PROGRESS_EVENTS;
+            let is_broken = error.category() == Category::Unavailable;
+            self.broke_early = is_broken && self.attempt_events < MIN_PROGRESS_EVENTS;
+            if is_broken {
+                self.context.fleet.connection_broke(&slot.name, now);
+            }
             self.context
                 .crashes
                 .record_broken(&slot.name, self.request.fingerprint, now);
--- a/src/relay/fleet/refusals.rs
+++ b/src/relay/fleet/refusals.rs
@@ -11,7 +11,7 @@
 use crate::relay::refusing::{ProbeOutcome, RefusalReport};
 
 /// Maximum number of probes that begin at a time.
-const MAX_PROBES: usize = 16;
+const MAX_PROBES: usize = 64;
 
 /// A server to which a connection is to be opened, to find out whether it accepts connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,14 +34,20 @@
         }
         let start = server.start;
         if state.refusals.note_refused(start, now) {
-            log::warn!(
-                "server {id} refuses connections and gets no requests until it accepts one or starts anew"
-            );
+            log_refusing(id);
             state.update_refusing(now);
             self.refusal_found.notify_one();
         }
     }
 
+    /// Notes that a connection to a server broke. The server is probed, as it may have crashed.
+    pub fn connection_broke(&self, id: &str, now: Instant) {
+        let mut state = self.state();
+        if let Some(start) = state.servers.get(id).map(|server| server.start) {
+            state.refusals.note_broken(start, now);
+        }
+    }
+
     /// Notes that a server accepted a connection that was opened at `at`.
     pub fn connect_accepted(&self, id: &str, at: Instant) {
         let now = Instant::now();
@@ -130,9 +136,15 @@
     pub fn end_probe(&self, probe: &ServerProbe, outcome: ProbeOutcome, begun: Instant) {
         let now = Instant::now();
         let mut state = self.state();
-        if state.refusals.end_probe(probe.start, outcome, begun, now) {
+        if !state.refusals.end_probe(probe.start, outcome, begun, now) {
+            return;
+        }
+        state.update_refusing(now);
+        if state.refusals.is_refusing(probe.start, now) {
+            log_refusing(&probe.id);
+            self.refusal_found.notify_one();
+        } else {
             log::info!("server {} accepts connections again", probe.id);
-            state.update_refusing(now);
             self.publish(&mut state, now);
         }
     }
@@ -162,3 +174,9 @@
         self.update_refusing(now);
     }
 }
+
+fn log_refusing(id: &str) {
+    log::warn!(
+        "server {id} refuses connections and gets no requests until it accepts one or starts anew"
+    );
+}
--- a/src/relay/refusing.rs
+++ b/src/relay/refusing.rs
@@ -3,7 +3,7 @@
 //! Such a server gets no request until it accepts a connection or starts anew. Only refused connections count: they are
 //! an answer of the server's host. A time-out may be the fault of this daemon's own link.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -58,7 +58,6 @@
     /// Probes that were not accepted.
     probes: u32,
     next_probe: Instant,
-    is_probing: bool,
 }
 
 /// Servers that refuse connections, by start.
@@ -67,6 +66,10 @@
     refusals: HashMap<ServerStart, Refusal>,
     /// When each server accepted a connection of this daemon last.
     accepted: HashMap<ServerStart, Instant>,
+    /// Servers whose connections broke, to be probed now.
+    wanted: HashSet<ServerStart>,
+    /// Servers with a probe under way.
+    probing: HashSet<ServerStart>,
     /// Own findings that peers have not been told.
     untold: Vec<ServerStart>,
     /// When the oldest of them was found.
@@ -133,6 +136,15 @@
     pub fn forget(&mut self, server: ServerStart) {
         self.refusals.remove(&server);
         self.accepted.remove(&server);
+        self.wanted.remove(&server);
+    }
+
+    /// Records that a connection to a server broke, which may have crashed. It is probed now, so that it is not a request
+    /// that finds out.
+    pub fn note_broken(&mut self, server: ServerStart, now: Instant) {
+        if !self.is_refusing(server, now) {
+            self.wanted.insert(server);
+        }
     }
 
     /// Forgets servers that are not listed, and peers' reports that were not repeated.
@@ -145,17 +157,21 @@
     /// Takes up to `max` servers that are to be probed now. Each has one probe at a time, whose outcome must be passed to
     /// [`Self::end_probe`].
     pub fn take_probes(&mut self, max: usize, now: Instant) -> Vec<ServerStart> {
-        let due = self.refusals.iter_mut();
-        let due = due.filter(|(_, refusal)| !refusal.is_probing && refusal.next_probe <= now);
-        let taken = due.take(max).map(|(server, refusal)| {
-            refusal.is_probing = true;
-            *server
-        });
-        taken.collect()
+        let due = self.refusals.iter();
+        let due = due.filter(|(_, refusal)| refusal.next_probe <= now);
+        let due = due.map(|(server, _)| server).chain(&self.wanted);
+        let due = due.filter(|server| !self.probing.contains(*server));
+        let due: HashSet<ServerStart> = due.copied().collect();
+        let taken: Vec<ServerStart> = due.into_iter().take(max).collect();
+        for server in &taken {
+            self.wanted.remove(server);
+            self.probing.insert(*server);
+        }
+        taken
     }
 
-    /// Records the outcome of a probe that was begun at `begun`. Returns whether the server counted as refusing and no
-    /// longer does.
+    /// Records the outcome of a probe that was begun at `begun`. Returns whether that changes whether the server counts as
+    /// refusing.
     pub fn end_probe(
         &mut self,
         server: ServerStart,
@@ -163,17 +179,15 @@
         begun: Instant,
         now: Instant,
     ) -> bool {
-        if outcome == ProbeOutcome::Accepted && self.note_accepted(server, begun) {
-            return true;
-        }
-        let Some(refusal) = self.refusals.get_mut(&server) else {
-            return false;
+        self.probing.remove(&server);
+        let is_changed = match outcome {
+            ProbeOutcome::Accepted => self.note_accepted(server, begun),
+            ProbeOutcome::Refused => self.note_refused(server, now),
+            ProbeOutcome::Unknown => false,
+        };
+        let Some(refusal) = self.refusals.get_mut(&server).filter(|_| !is_changed) else {
+            return is_changed;
         };
-        refusal.is_probing = false;
-        if outcome == ProbeOutcome::Refused {
-            refusal.own = Some(now);
-            refusal.found = refusal.found.max(now);
-        }
         refusal.probes += 1;
         let doublings = refusal.probes.min(MAX_DOUBLINGS);
         refusal.next_probe = now + (FIRST_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE);
@@ -236,7 +250,6 @@
             reported_until: None,
             probes: 0,
             next_probe: now + FIRST_PAUSE,
-            is_probing: false,
         })
     }
 }
--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -70,6 +70,29 @@
     assert!(table.take_probes(9, now + REPORT_LIFETIME).is_empty());
 }
 
+/// Guards against a crashed server that only a request finds to refuse connections, and against leaving out a server whose
+/// connection broke for another reason.
+#[test]
+fn server_whose_connection_broke_is_probed_at_once() {
+    let now = Instant::now();
+    for (outcome, is_closed) in [
+        (ProbeOutcome::Refused, true),
+        (ProbeOutcome::Accepted, false),
+        (ProbeOutcome::Unknown, false),
+    ] {
+        let mut table = RefusalTable::default();
+        table.note_broken(SERVER, now);
+        assert!(!table.is_refusing(SERVER, now));
+        table.expire(now, |_| true);
+        assert_eq!(table.take_probes(9, now), [SERVER]);
+        table.note_broken(SERVER, now);
+        assert!(table.take_probes(9, now).is_empty(), "two probes at a time");
+        assert_eq!(table.end_probe(SERVER, outcome, now, now), is_closed);
+        assert_eq!(table.is_refusing(SERVER, now), is_closed, "{outcome:?}");
+        assert_eq!(table.untold_due().is_some(), is_closed, "{outcome:?}");
+    }
+}
+
 /// Guards against a peer's report that holds for longer than it may, and against one that is told on as an own finding.
 #[test]
 fn report_of_a_peer_ends_unless_it_is_repeated() {
