--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -272,8 +272,7 @@
 /// Returns the limits on callers within the memory and the descriptors of the VM.
 fn caller_limits(settings: &RelaySettings) -> LimitSettings {
     let capacity = settings.capacity;
-    let own = open_files_limit();
-    let descriptors = capacity.descriptors.into_iter().chain(own).min();
+    let descriptors = capacity.open_files(open_files_limit());
     let limits = &settings.limits;
     limits.for_capacity(capacity.memory_mb, descriptors)
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -26,7 +26,9 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
-pub use self::relay::{RelayListen, RelaySettings, RelayTiming, RetrySettings, StoreSettings};
+pub use self::relay::{
+    RelayListen, RelaySettings, RelayTiming, RetrySettings, StoreSettings, VmCapacity,
+};
 use crate::error::{Error, Result};
 use crate::ids::KeyDigest;
 use crate::memory::DEFAULT_CAPACITY;
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -50,7 +50,7 @@
     /// Memory of the VM in MB, 1 to 10,000,000. Unless `limits.held_bytes` is set, callers may use a quarter of it.
     #[serde(deserialize_with = "parse::capacity")]
     pub memory_mb: Option<usize>,
-    /// Files that the process may open, 1 to 10,000,000; if the process's own limit is lower, that counts.
+    /// Files that the process may open, 1 to 10,000,000; the process's own limit counts if this is not set.
     #[serde(deserialize_with = "parse::capacity")]
     pub descriptors: Option<usize>,
 }
@@ -75,6 +75,12 @@
         let cores = self.cores.min(self.link_mbps / MBPS_PER_CORE);
         (cores * 1_000.0) as u32
     }
+
+    /// Returns how many files the process may open, given the limit that the system shows. A platform that gives sockets
+    /// descriptors of their own shows a limit on files alone, so the stated number goes first.
+    pub fn open_files(&self, shown: Option<usize>) -> Option<usize> {
+        self.descriptors.or(shown)
+    }
 }
 
 /// Addresses that the daemon binds.
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use foxtailhill::settings::{DaemonSettings, LimitSettings};
+use foxtailhill::settings::{DaemonSettings, LimitSettings, VmCapacity};
 
 const VALID: &str = r#"{
   // entry VM
@@ -237,6 +237,13 @@
     assert_eq!(smallest.connections, 3_075 - 768);
     let largest = limits.for_capacity(Some(512), Some(100_000));
     assert_eq!(largest.connections, limits.connections);
+    let capacity = VmCapacity {
+        descriptors: Some(4_100),
+        ..VmCapacity::default()
+    };
+    // A platform showed a limit of 200 files beside sockets, which left room for 100 callers.
+    assert_eq!(capacity.open_files(Some(200)), Some(4_100));
+    assert_eq!(VmCapacity::default().open_files(Some(200)), Some(200));
     assert_eq!(limits.for_capacity(None, Some(500)).connections, 300);
     assert_eq!(limits.for_capacity(None, Some(100)).connections, 50);
     let set = LimitSettings {
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -508,4 +508,5 @@
         *sums.entry("two").or_default() += two.busiest;
     }
     assert!(sums["two"] < sums["round robin"], "{sums:?}");
+    assert!(sums["two"] < sums["earliest"], "{sums:?}");
 }
