--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -212,12 +212,25 @@
         ("bounds.budget-extra", "54"),
         ("bounds.lease-ms", "3000"),
     ];
-    let rendered = fields
-        .iter()
-        .fold(template.to_owned(), |text, (name, value)| {
-            text.replace(&format!("{{{{{name}}}}}"), value)
-        });
+    let render = |template: &str| {
+        fields
+            .iter()
+            .fold(template.to_owned(), |text, (name, value)| {
+                text.replace(&format!("{{{{{name}}}}}"), value)
+            })
+    };
+    // A section is rendered only for a platform that states its field.
+    let (begin, end) = ("{{#bounds.cold-over}}", "{{/bounds.cold-over}}");
+    let (before, rest) = template.split_once(begin).unwrap();
+    let (section, after) = rest.split_once(end).unwrap();
+    let with_cold = render(&format!("{before}{section}{after}"));
+    let with_cold = with_cold.replace("{{bounds.cold-over}}", "1.5");
+    let with_cold = with_cold.replace("{{bounds.cold-slack}}", "5");
+    let settings = RelaySettings::parse("settings", &with_cold)?;
+    assert_eq!((settings.cold.over, settings.cold.slack), (1.5, 5));
+    let rendered = render(&format!("{before}{after}"));
     let settings = RelaySettings::parse("settings", &rendered)?;
+    assert_eq!((settings.cold.over, settings.cold.slack), (1.0, 0));
     assert_eq!(settings.retries.extra, 54);
     assert_eq!(settings.capacity.weight(), 25);
     assert_eq!(settings.timing.lease, Duration::from_secs(3));
