Cold servers: give back the part of the refused request and of no other

Cause: a refusal that does not count for the server removed the latest request from the window, so a later one that counts was forgotten and its part could be used twice within a second. A refusal of a request from before the server was cold removed one as well. Change: the oldest counted request is given back if it was sent no later than the refused one.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -403,7 +403,7 @@
     /// Handles a server that did not run the request.
     fn refused_attempt(&self, slot: &ServerSlot, kind: AnswerKind) -> Attempt {
         if matches!(kind, AnswerKind::ModelMissing | AnswerKind::WrongInstance) {
-            self.context.fleet.note_uncounted(&slot.name);
+            self.context.fleet.note_uncounted(&slot.name, self.sent);
         }
         let error = match kind {
             AnswerKind::ModelMissing => {
--- a/src/relay/fleet/evacuations.rs
+++ b/src/relay/fleet/evacuations.rs
@@ -82,10 +82,11 @@
         servers.filter(|server| server.handle.is_cold()).count()
     }
 
-    /// Notes that a server refused the latest request in a way that does not count against its bound while it is cold.
-    pub fn note_uncounted(&self, id: &str) {
+    /// Notes that a server refused a request that was sent at `sent` in a way that does not count against its bound while it
+    /// is cold.
+    pub fn note_uncounted(&self, id: &str, sent: Instant) {
         if let Some(server) = self.state().servers.get(id) {
-            server.handle.note_uncounted();
+            server.handle.note_uncounted(sent);
         }
     }
 }
--- a/src/routing/cold.rs
+++ b/src/routing/cold.rs
@@ -105,8 +105,13 @@
         self.sent.push_back(now);
     }
 
-    /// Notes that the server refused the latest request in a way that does not count against its bound.
-    pub fn note_refused(&mut self) {
-        self.sent.pop_back();
+    /// Notes that the server refused a request that was sent at `sent` in a way that does not count against its bound.
+    ///
+    /// The oldest request that is counted is given back, as it was sent no later. One that was sent before the server was
+    /// cold was not counted and gives nothing back.
+    pub fn note_refused(&mut self, sent: Instant) {
+        if self.sent.front().is_some_and(|first| *first <= sent) {
+            self.sent.pop_front();
+        }
     }
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -162,12 +162,12 @@
         }
     }
 
-    /// Notes that the server refused the latest request in a way that does not count against its bound.
-    pub(crate) fn note_uncounted(&self) {
+    /// Notes that the server refused a request that was sent at `sent` in a way that does not count against its bound.
+    pub(crate) fn note_uncounted(&self, sent: Instant) {
         if self.is_cold()
             && let Some(gate) = &mut *self.cold_gate()
         {
-            gate.note_refused();
+            gate.note_refused(sent);
         }
     }
 
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -156,10 +156,38 @@
     gate.set_share(1, now + SECOND * 3);
     gate.note_sent(now);
     assert!(!gate.may_send(now));
-    gate.note_refused();
+    gate.note_refused(now);
     assert!(gate.may_send(now));
 }
 
+/// Guards against the refusal of an earlier request that makes a later one, which counts, forgotten.
+#[test]
+fn refusal_of_an_earlier_request_keeps_the_later_one_counted() {
+    let now = Instant::now();
+    let half = SECOND / 2;
+    let mut gate = ColdGate::new(now + SECOND * 9);
+    gate.set_share(2, now + SECOND * 9);
+    gate.note_sent(now);
+    gate.note_sent(now + half);
+    gate.note_refused(now);
+    assert!(gate.may_send(now + half));
+    gate.note_sent(now + half);
+    // Two requests that count were sent in the last second.
+    assert!(!gate.may_send(now + half + SECOND * 9 / 10));
+}
+
+/// Guards against the refusal of a request from before the server was cold, which gives back what another one used.
+#[test]
+fn refusal_of_a_request_that_used_no_part_gives_none_back() {
+    let now = Instant::now();
+    let sent = now + SECOND;
+    let mut gate = ColdGate::new(now + SECOND * 9);
+    gate.set_share(1, now + SECOND * 9);
+    gate.note_sent(sent);
+    gate.note_refused(now);
+    assert!(!gate.may_send(sent));
+}
+
 fn put(id: &str, seq: u64, cold_left_ms: u64) -> eyre::Result<ServerChange> {
     let record = json!({
         "service": "drafter", "address": "10.0.0.9:8080", "zone": "north", "version": "v1", "slots": 4,
