--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -180,17 +180,6 @@
         }
     }
 
-    /// Returns whether there is an idle connection to `server`.
-    pub fn has_idle(&self, server: &str) -> bool {
-        let now = Instant::now();
-        let idle = self.idle();
-        let connections = idle.get(server);
-        connections.is_some_and(|connections| {
-            let mut connections = connections.iter();
-            connections.any(|idle| idle.expires > now && idle.connection.sender.is_ready())
-        })
-    }
-
     /// Closes idle connections that have expired.
     pub fn expire(&self, now: Instant) {
         self.idle().retain(|_, connections| {
