--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod relay;
 mod relay_peers;
+mod relay_state;
 mod tasks;
 
 use std::net::SocketAddr;
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -4,19 +4,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
-use smol_str::SmolStr;
-
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
 use crate::daemon::descriptors::open_files_limit;
 use crate::daemon::relay_peers::{
     KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
 };
+use crate::daemon::relay_state::RelayState;
 use crate::dispatch::{
     CoreContext, CoreParts, DemandMeter, DrainClock, ModelQueues, RequestCore, Waiter,
 };
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::history::RequestHistory;
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
@@ -29,12 +27,12 @@
 use crate::platform::{self, EngineClient, PlatformFormat, StoreClient};
 use crate::queue::WaitQueue;
 use crate::relay::{
-    ConfigHolder, ConfigKnowledge, CopyTables, CrashDetector, CrashWatch, DaemonRecord,
-    DaemonRegistry, EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink,
-    PlannerContext, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
-    RelayServer, ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth,
-    StoreTable, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
-    spawn_probes, spawn_pulses,
+    ConfigHolder, CopyTables, CrashDetector, CrashWatch, DaemonRecord, DaemonRegistry,
+    EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink, PlannerContext,
+    ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
+    ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth, StoreTable,
+    UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_probes,
+    spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ColdBound, ExpectedFinishPolicy};
@@ -501,12 +499,10 @@
     bound: ColdBound,
     now: Instant,
 ) {
-    // A registration that is renewed extends the shares at the next tick.
-    let (_, until) = registry.cold_share(&SmolStr::default(), 0, now);
-    fleet.set_cold_shares(until, |service, id| {
+    fleet.set_cold_shares(|service, id| {
         let service = config.and_then(|config| config.service(service))?;
         let requests = bound.shared_requests(service.cold_rate)?;
-        Some(registry.cold_share(id, requests, now).0)
+        Some(registry.cold_share(id, requests, now))
     });
 }
 
@@ -527,75 +523,6 @@
     }
 }
 
-/// Readiness and state dump of a daemon on the platform.
-struct RelayState {
-    configs: Arc<ConfigHolder>,
-    fleet: Arc<RelayFleet>,
-    registry: Arc<DaemonRegistry>,
-    limits: Arc<LimitService<PeerClient>>,
-    readers: Arc<ReaderElection>,
-    gate: StartGate,
-    draining: Arc<AtomicBool>,
-}
-
-impl StateDump for RelayState {
-    fn ready(&self) -> Result<()> {
-        if self.draining.load(Ordering::Relaxed) {
-            return Err(Error::unavailable("the daemon is shutting down"));
-        }
-        if self.configs.version() == 0 {
-            return Err(Error::unavailable("the configuration is not loaded yet"));
-        }
-        if self.fleet.servers().is_empty() {
-            return Err(Error::unavailable("no backend server is known yet"));
-        }
-        let now = Instant::now();
-        let known = ConfigKnowledge {
-            in_force: self.configs.version(),
-            newest: self.readers.newest_config_version(now),
-            has_peers: !self.registry.peers().is_empty(),
-            hears_peers: !self.readers.live_peers(now).is_empty(),
-        };
-        self.gate.check(known, now)
-    }
-
-    fn dump(&self) -> Value {
-        let now = Instant::now();
-        let servers = self.fleet.servers();
-        let servers = servers.iter().map(|server| {
-            let load = self.fleet.server_load(&server.id, now);
-            json!({
-                "id": server.id,
-                "service": server.service,
-                "address": server.address.to_string(),
-                "zone": server.zone,
-                "leaving": server.leaving,
-                "models": server.models.iter().map(|model| &model.name).collect::<Vec<_>>(),
-                "pace": load.map(|load| f64::from(load.pace_permille) / 1_000.0),
-                "own_work_us": load.map(|load| load.own_work_us),
-                "peer_work_us": load.and_then(|load| load.peer_work_us),
-            })
-        });
-        let evacuated = self.fleet.evacuated_zones();
-        let evacuated = evacuated.iter().map(|zone| {
-            json!({
-                "zone": zone.zone,
-                "for_s": now.saturating_duration_since(zone.since).as_secs_f64(),
-                "running": zone.running,
-            })
-        });
-        json!({
-            "plan_version": self.configs.version(),
-            "servers": servers.collect::<Vec<_>>(),
-            "evacuated_zones": evacuated.collect::<Vec<_>>(),
-            "refusing_servers": self.fleet.refusing_servers(),
-            "peers": self.registry.peers(),
-            "share_ppm": self.registry.share(now).ppm,
-            "limits": self.limits.dump(),
-        })
-    }
-}
-
 impl RelayDaemon {
     /// Shuts down without interrupting requests.
     ///
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -10,12 +10,10 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::admission::spread_refusal;
-use crate::blame::PartId;
 use crate::dispatch::{
     CoreParts, FleetSource, ModelNeed, RequestCore, RequestJob, WorkTime, fingerprint,
 };
 use crate::error::{Category, Error, Result, RunVerdict};
-use crate::ids::KeyDigest;
 use crate::memory::MemoryAccount;
 use crate::relay::absent::AbsentModels;
 use crate::relay::answer_memory::AnswerMemory;
@@ -28,6 +26,7 @@
 use crate::relay::exchange::{ExchangeContext, OutputMemory, RelayExchange, RequestWork};
 use crate::relay::fleet::{RelayFleet, routing_name};
 use crate::relay::format::{RelayFormat, RequestMetadata};
+use crate::relay::prompt::{prompt_fingerprint, shared_parts};
 use crate::relay::readers::ReaderElection;
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
 use crate::relay::upstream::UpstreamPool;
@@ -575,34 +574,6 @@
     })
 }
 
-/// Returns the digest by which a repetition of a request is recognised. A prompt that is named in the headers belongs to
-/// it, as requests with other prompts may have the same team, path and body.
-fn prompt_fingerprint(call_digest: KeyDigest, metadata: &RequestMetadata) -> KeyDigest {
-    if metadata.prompt.is_empty() {
-        return call_digest;
-    }
-    let mut bytes = call_digest.0.to_vec();
-    for name in [&metadata.model, &metadata.adapter] {
-        bytes.extend_from_slice(name.as_deref().unwrap_or_default().as_bytes());
-        bytes.push(0);
-    }
-    for part in &metadata.prompt {
-        bytes.extend_from_slice(&part.id.to_le_bytes());
-    }
-    KeyDigest::of(&bytes)
-}
-
-/// Returns what a request with a prompt may share with other requests: its team, path and body, then all prompt parts
-/// but the last, which belongs to the request or its session.
-fn shared_parts(call_digest: &KeyDigest, metadata: &RequestMetadata) -> Vec<PartId> {
-    let Some((_, shared)) = metadata.prompt.split_last() else {
-        return Vec::new();
-    };
-    let call = std::iter::once(PartId::of_call(call_digest));
-    call.chain(shared.iter().map(|part| PartId(part.id)))
-        .collect()
-}
-
 fn tokens_to_charge(team: Option<&TeamConfig>, metadata: &RequestMetadata) -> u64 {
     match metadata.tokens {
         Some((prompt, output)) => prompt.saturating_add(output),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends an opaque request to one backend server after another and forwards the answer.
 
+mod connect;
 mod stream;
 mod timing;
 mod whole;
@@ -371,35 +372,6 @@
         }
     }
 
-    /// Notes whether an answer came on a new connection, which shows that the server accepts connections.
-    fn note_connection(&self, slot: &ServerSlot, answer: &UpstreamAnswer) {
-        let kind = if answer.is_first { "new" } else { "kept" };
-        self.count_connect(kind);
-        if answer.is_first {
-            self.context.fleet.connect_accepted(&slot.name, self.sent);
-        }
-    }
-
-    /// Handles a server that could not be connected to, so that no byte of the request was sent.
-    fn unsent_attempt(&mut self, slot: &ServerSlot, failure: SendError) -> Attempt {
-        let SendError { error, is_refused } = failure;
-        let fleet = &self.context.fleet;
-        self.failed_connects += 1;
-        if is_refused {
-            self.count_connect("refused");
-            fleet.connect_refused(&slot.name, slot.address, Instant::now());
-        } else {
-            self.count_connect("failed");
-            fleet.call_failed(&slot.name);
-        }
-        Attempt::Unsent(error)
-    }
-
-    fn count_connect(&self, kind: &'static str) {
-        let metrics = &self.context.metrics;
-        metrics.count(&metrics.connects, kind);
-    }
-
     /// Handles a server that did not run the request.
     fn refused_attempt(&self, slot: &ServerSlot, kind: AnswerKind) -> Attempt {
         if matches!(kind, AnswerKind::ModelMissing | AnswerKind::WrongInstance) {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -1,5 +1,6 @@
 //! The view of the backend servers, from their records in the store and from the outcomes of calls to them.
 
+mod cold;
 mod evacuations;
 mod notices;
 mod records;
@@ -13,7 +14,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::{Notify, watch};
 
-pub use self::evacuations::{EvacuatedZone, EvacuationSink, PairSink};
+pub use self::evacuations::{EvacuatedZone, EvacuationSink};
 pub use self::refusals::ServerProbe;
 use self::work::ChoiceCounts;
 use crate::blame::ServerStart;
--- a/src/relay/fleet/evacuations.rs
+++ b/src/relay/fleet/evacuations.rs
@@ -57,40 +57,6 @@
     }
 }
 
-impl RelayFleet {
-    /// Sets this daemon's share of the requests to each cold server. `share` returns the requests in any second, given a
-    /// server's service and id, or `None` if the service has no bound. Shares are valid until `until`.
-    pub fn set_cold_shares(
-        &self,
-        until: Instant,
-        share: impl Fn(&SmolStr, &SmolStr) -> Option<u32>,
-    ) {
-        let state = self.state();
-        let servers = state.servers.values();
-        for server in servers.filter(|server| server.handle.is_cold()) {
-            match share(&server.entry.service, &server.entry.id) {
-                Some(requests) => server.handle.set_cold_share(requests, until),
-                None => server.handle.set_cold(None),
-            }
-        }
-    }
-
-    /// Returns the number of servers that are cold.
-    pub fn cold_servers(&self) -> usize {
-        let state = self.state();
-        let servers = state.servers.values();
-        servers.filter(|server| server.handle.is_cold()).count()
-    }
-
-    /// Notes that a server refused a request that was sent at `sent` in a way that does not count against its bound while it
-    /// is cold.
-    pub fn note_uncounted(&self, id: &str, sent: Instant) {
-        if let Some(server) = self.state().servers.get(id) {
-            server.handle.note_uncounted(sent);
-        }
-    }
-}
-
 impl FleetState {
     fn running_in(&self, zone: &str) -> u32 {
         let servers = self.servers.values();
@@ -181,23 +147,3 @@
         }
     }
 }
-
-/// Passes the changes of one table to two sinks, in order.
-pub struct PairSink<A, B> {
-    first: Arc<A>,
-    second: Arc<B>,
-}
-
-impl<A, B> PairSink<A, B> {
-    /// Creates a sink that passes changes to `first` and then to `second`.
-    pub fn new(first: Arc<A>, second: Arc<B>) -> Self {
-        Self { first, second }
-    }
-}
-
-impl<A: TableSink, B: TableSink> TableSink for PairSink<A, B> {
-    fn apply(&self, change: TableChange) {
-        self.first.apply(change.clone());
-        self.second.apply(change);
-    }
-}
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -38,6 +38,26 @@
     fn apply(&self, change: TableChange);
 }
 
+/// Passes the changes of one table to two sinks, in order.
+pub struct PairSink<A, B> {
+    first: Arc<A>,
+    second: Arc<B>,
+}
+
+impl<A, B> PairSink<A, B> {
+    /// Creates a sink that passes changes to `first` and then to `second`.
+    pub fn new(first: Arc<A>, second: Arc<B>) -> Self {
+        Self { first, second }
+    }
+}
+
+impl<A: TableSink, B: TableSink> TableSink for PairSink<A, B> {
+    fn apply(&self, change: TableChange) {
+        self.first.apply(change.clone());
+        self.second.apply(change);
+    }
+}
+
 /// Timing of the reads of a table.
 #[derive(Clone, Copy, Debug)]
 pub struct FollowPace {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -32,6 +32,7 @@
 mod planner;
 mod planner_state;
 mod probes;
+mod prompt;
 mod pulse;
 mod readers;
 mod refusing;
@@ -69,10 +70,8 @@
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE_TIME;
 pub use self::exchange::RelayExchange;
-pub use self::fleet::{
-    EvacuatedZone, EvacuationSink, PairSink, RelayFleet, ServerProbe, routing_name,
-};
-pub use self::follower::{FollowPace, TableChange, TableSink, follow_table};
+pub use self::fleet::{EvacuatedZone, EvacuationSink, RelayFleet, ServerProbe, routing_name};
+pub use self::follower::{FollowPace, PairSink, TableChange, TableSink, follow_table};
 pub use self::format::{
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -229,7 +229,7 @@
     let fleet = Arc::new(RelayFleet::new());
     fleet.apply(vec![put("i-cold", 1, 3_000)?, put("i-warm", 1, 0)?], now);
     assert!(fill(&fleet, now).iter().all(|name| name == "i-warm"));
-    fleet.set_cold_shares(now + SECOND * 9, |_, _| Some(2));
+    fleet.set_cold_shares(|_, _| Some((2, now + SECOND * 9)));
     let names = fill(&fleet, now);
     assert_eq!(names.iter().filter(|name| *name == "i-cold").count(), 2);
     assert_eq!(
@@ -250,7 +250,7 @@
     let now = Instant::now();
     let fleet = Arc::new(RelayFleet::new());
     fleet.apply(vec![put("i-cold", 1, 3_000)?], now);
-    fleet.set_cold_shares(now + SECOND * 9, |_, _| None);
+    fleet.set_cold_shares(|_, _| None);
     assert!(!fill(&fleet, now).is_empty());
     Ok(())
 }
