--- a/src/returns.rs
+++ b/src/returns.rs
@@ -17,8 +17,9 @@
 /// A time is usual if at least the remembered requests divided by this stated it. Requests that come back spread over more
 /// than this number of steps.
 const USUAL_DIVISOR: usize = 8;
-/// Largest part of the usual time that a request which comes back may have used, in percent. A wait of 2 s and a third of the
-/// rest are less than half of 12 s. Less is left only of short times, which may as well be those of other callers.
+/// Largest part of the usual time that a request which comes back may have used, in percent. A caller that waited for two
+/// fifths of its time and then for a third of the rest has used 60%. One that states less left may as well be another caller
+/// with a shorter time.
 const MAX_USED_PERCENT: u32 = 60;
 
 /// The times that recent requests of one route stated.
--- a/src/routing/cost.rs
+++ b/src/routing/cost.rs
@@ -12,9 +12,11 @@
 
 use crate::routing::PrefixIndex;
 
-/// Prompt tokens that an engine of pace 1 reads per second; measured on the platform's engines.
+/// Prompt tokens that an engine of pace 1 reads per second, as one deployment of the platform states for its engines. Only
+/// the ratio to [`STEP_SHARE_US`] matters, as paces are relative.
 const PROMPT_TOKENS_PER_S: u64 = 40_800;
-/// Share of one request in the time of a step, in microseconds: 5.05 ms, measured, over a batch of 12.
+/// Share of one request in the time of a step, in microseconds: 5.05 ms over a batch of 12, as the same deployment states.
+/// Engines with larger batches have a smaller share, which is not taken into account.
 const STEP_SHARE_US: u64 = 420;
 /// Part of the estimated output of a request whose caller states a maximum only and whose kind is not known yet.
 const MAX_OUTPUT_DIVISOR: u64 = 2;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -35,7 +35,8 @@
     /// Maximum number of requests in the server's batch.
     pub slots: u32,
     /// Latest load report. The relay gets no load reports: there, `running` holds the requests that peers have in
-    /// flight on the server, and `token_us` is a constant.
+    /// flight on the server, and `token_us` is a constant, which only
+    /// [`ExpectedTimePolicy`] uses.
     pub report: LoadReport,
     /// Time at which the latest load report arrived.
     pub reported_at: Option<Instant>,
@@ -47,6 +48,7 @@
     pub suspected_down: bool,
     /// Whether any source says that the server is leaving.
     pub leaving: bool,
+    /// Pace and outstanding work.
     pub load: ServerLoad,
 }
 
