Eviction: decide which connection gives way when there is no room for another one

A listener at its limit of connections lets every further caller wait, whatever the connections do that it has. This module states who is refused first, and why: a connection in use never gives way; of those that wait for their clients, the one that has used the largest part of the time that such a wait may take.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod error;
+pub mod eviction;
 pub mod history;
 pub mod http;
 pub mod ids;
