Memory account: bodies that arrive too slowly can be evicted

Callers with small legal bodies, sent byte by byte, were never evicted, as a body counts as stalled only after 500 ms without a byte. The cause: the account knew when the last byte came, and not how many. Bodies now also give way if they arrive more slowly than the longest body in its longest time; stalled ones go first, and those at that rate or above never. An evicted body is also credited with the memory that its request returns. Tests without a network: a crowd of over 2,000 slow bodies fills the account, and a request of 16 KiB gets room by evicting a few of them; the cases without a lowest rate are as before.

--- a/src/memory.rs
+++ b/src/memory.rs
@@ -4,8 +4,9 @@
 //! is reserved for small leases, so that callers with large bodies do not shut out ordinary requests. Another eighth is kept
 //! from large bodies, so that answers can still be held.
 //!
-//! A lease for a body that still arrives can be evicted: when the account has no room, the bodies that hold the most and
-//! have been without a byte for the longest time are given up. Times are arguments.
+//! A lease for a body that still arrives can be evicted when the account has no room. Bodies without a byte for
+//! [`EVICT_IDLE`] are given up first, those that hold the most for the longest time before others; then, in the same order,
+//! bodies that arrive more slowly than the lowest rate. Others are never given up. Times are arguments.
 //!
 //! ```
 //! use std::time::Instant;
@@ -26,10 +27,14 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio_util::sync::CancellationToken;
 
+use crate::eviction::{BodyRate, MIN_WAIT};
+
 /// Capacity of the account if the settings state neither it nor the memory of the VM.
 pub const DEFAULT_CAPACITY: usize = 64 << 20;
 /// Size up to which a lease may use the reserve. Nearly all requests are smaller.
 pub const SMALL_BYTES: usize = 16 << 10;
+/// Memory that a request costs beside its headers and its body: its tasks, and what they keep.
+pub const REQUEST_BYTES: usize = 8 << 10;
 /// Eighths of the capacity that large bodies may hold.
 const BODY_EIGHTHS: usize = 6;
 /// Eighths of the capacity that large bodies and answers may hold together.
@@ -45,11 +50,47 @@
 #[derive(Debug)]
 struct ArrivingBody {
     bytes: usize,
+    /// Memory that its request returns as well when the body is given up.
+    request_bytes: usize,
+    since: Instant,
+    received: usize,
     /// When its last byte arrived.
     progress: Instant,
     evicted: CancellationToken,
 }
 
+/// Why a body may be evicted. The first ones are evicted before others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionCause {
+    Stalled,
+    Slow,
+}
+
+/// A body that may be evicted.
+#[derive(Clone, Copy, Debug)]
+struct EvictionCandidate {
+    cause: EvictionCause,
+    /// Bytes that it holds, times the milliseconds since it stalled or began.
+    waste: u128,
+    key: BodyKey,
+}
+
+impl ArrivingBody {
+    /// Returns why the body may be evicted, and since when it wastes its memory.
+    fn eviction_cause(
+        &self,
+        lowest: Option<BodyRate>,
+        now: Instant,
+    ) -> Option<(EvictionCause, Instant)> {
+        let time = now.saturating_duration_since(self.since);
+        if now.saturating_duration_since(self.progress) >= EVICT_IDLE {
+            return Some((EvictionCause::Stalled, self.progress));
+        }
+        let is_slow = time >= MIN_WAIT && lowest?.is_above(self.received, time);
+        is_slow.then_some((EvictionCause::Slow, self.since))
+    }
+}
+
 #[derive(Debug, Default)]
 struct AccountState {
     used: usize,
@@ -61,6 +102,7 @@
 #[derive(Debug)]
 struct AccountInner {
     capacity: usize,
+    lowest_rate: Option<BodyRate>,
     state: Mutex<AccountState>,
 }
 
@@ -92,10 +134,20 @@
 }
 
 impl MemoryAccount {
-    /// Creates an account of `capacity` bytes.
+    /// Creates an account of `capacity` bytes, in which no body is too slow.
     pub fn new(capacity: usize) -> Self {
+        Self::open(capacity, None)
+    }
+
+    /// Creates an account of `capacity` bytes that may give up bodies which arrive more slowly than `lowest`.
+    pub fn with_lowest_rate(capacity: usize, lowest: BodyRate) -> Self {
+        Self::open(capacity, Some(lowest))
+    }
+
+    fn open(capacity: usize, lowest_rate: Option<BodyRate>) -> Self {
         Self(Arc::new(AccountInner {
             capacity,
+            lowest_rate,
             state: Mutex::default(),
         }))
     }
@@ -119,6 +171,9 @@
         let evicted = CancellationToken::new();
         let body = state.arriving.insert(ArrivingBody {
             bytes,
+            request_bytes: 0,
+            since: now,
+            received: 0,
             progress: now,
             evicted: evicted.clone(),
         });
@@ -154,27 +209,31 @@
         lease.hold(bytes)
     }
 
-    /// Evicts stalled bodies so that `bytes` more fit, the largest and longest stalled first. Returns whether they will
-    /// fit once these bodies have been dropped; otherwise nothing is evicted.
+    /// Evicts bodies so that `bytes` more fit, in the order that this module's page states. Returns whether they will fit
+    /// once these bodies have been dropped; otherwise nothing is evicted.
     pub fn evict_for(&self, bytes: usize, now: Instant) -> bool {
         let mut state = self.state();
-        let mut stalled: Vec<(u128, BodyKey, usize)> = Vec::new();
+        let mut candidates: Vec<EvictionCandidate> = Vec::new();
         for (key, body) in &state.arriving {
-            let idle = now.saturating_duration_since(body.progress);
-            if idle >= EVICT_IDLE && !body.evicted.is_cancelled() {
-                stalled.push((body.bytes as u128 * idle.as_millis(), key, body.bytes));
+            let cause = body.eviction_cause(self.0.lowest_rate, now);
+            if let Some((cause, since)) = cause.filter(|_| !body.evicted.is_cancelled()) {
+                let time = now.saturating_duration_since(since).as_millis();
+                let waste = (body.bytes + body.request_bytes) as u128 * time;
+                candidates.push(EvictionCandidate { cause, waste, key });
             }
         }
-        stalled.sort_unstable_by_key(|(waste, _, _)| std::cmp::Reverse(*waste));
+        candidates.sort_unstable_by_key(|body| (body.cause, std::cmp::Reverse(body.waste)));
         let (mut used, mut large) = (state.used, state.large);
         let mut victims = Vec::new();
         while !fits(self.0.capacity, LeaseKind::Body, used, large, bytes) {
-            let Some((_, key, size)) = stalled.get(victims.len()) else {
+            let Some(key) = candidates.get(victims.len()).map(|body| body.key) else {
                 return false;
             };
-            used -= size;
-            large -= large_part(*size);
-            victims.push(*key);
+            if let Some(body) = state.arriving.get(key) {
+                used -= body.bytes + body.request_bytes;
+                large -= large_part(body.bytes);
+            }
+            victims.push(key);
         }
         for key in victims {
             if let Some(body) = state.arriving.get_mut(key) {
@@ -246,6 +305,23 @@
         }
     }
 
+    /// Notes that `received` bytes of the body have arrived in all.
+    pub fn note_received(&self, received: usize, now: Instant) {
+        let mut state = self.account.state();
+        if let Some(body) = self.body.and_then(|key| state.arriving.get_mut(key)) {
+            body.received = received;
+            body.progress = now;
+        }
+    }
+
+    /// Notes that a request holds `bytes` in another lease, which it returns if the body is evicted.
+    pub fn note_request(&self, bytes: usize) {
+        let mut state = self.account.state();
+        if let Some(body) = self.body.and_then(|key| state.arriving.get_mut(key)) {
+            body.request_bytes = bytes;
+        }
+    }
+
     /// Notes that the body is complete, so that it is not evicted any more.
     pub fn complete(&mut self) {
         if let Some(key) = self.body.take() {
--- a/tests/memory_account.rs
+++ b/tests/memory_account.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxtailhill::eviction::{BodyRate, MIN_WAIT};
 use foxtailhill::memory::{EVICT_IDLE, MemoryAccount, MemoryLease, SMALL_BYTES};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -156,3 +157,80 @@
     assert!(account.lease_body(300_000, now).is_some());
     assert!(!kept.is_empty());
 }
+
+/// The load of a crowd that sends small bodies byte by byte, so that none of them stalls: it fills the account, and ordinary
+/// requests get room all the same.
+#[test]
+fn slow_bodies_give_way_to_ordinary_requests() {
+    let rate = BodyRate::new(MIB, Duration::from_secs(20));
+    let account = MemoryAccount::with_lowest_rate(MIB, rate);
+    let start = Instant::now();
+    let crowd: Vec<_> = (0..)
+        .map_while(|_| account.lease_body(500, start))
+        .collect();
+    assert!(crowd.len() > 2_000, "{}", crowd.len());
+    for step in 1..5_u32 {
+        let now = start + MIN_WAIT / 4 * step;
+        for lease in &crowd {
+            lease.note_received(step as usize, now);
+        }
+        let is_slow = step == 4;
+        assert_eq!(account.evict_for(16 << 10, now), is_slow);
+    }
+    let staying: Vec<_> = crowd
+        .into_iter()
+        .filter(|lease| !lease.is_evicted())
+        .collect();
+    assert!(account.lease_body(16 << 10, start + MIN_WAIT).is_some());
+    assert!(
+        staying.len() > 1_900,
+        "{}: no more than needed",
+        staying.len()
+    );
+}
+
+/// Guards against evicting a body that arrives at the lowest rate, and against evicting a slow one before a stalled one.
+#[test]
+fn stalled_bodies_are_evicted_before_slow_ones_and_steady_ones_never() {
+    let rate = BodyRate::new(MIB, Duration::from_secs(20));
+    let account = MemoryAccount::with_lowest_rate(MIB, rate);
+    let start = Instant::now();
+    let stalled = account.lease_body(100_000, start).expect("room");
+    let slow = account.lease_body(300_000, start).expect("room");
+    let steady = account.lease_body(300_000, start).expect("room");
+    let now = start + Duration::from_secs(2);
+    slow.note_received(100_000, now);
+    steady.note_received(150_000, now);
+    assert!(account.evict_for(100_000, now));
+    assert_eq!(
+        [&stalled, &slow, &steady].map(MemoryLease::is_evicted),
+        [true, false, false]
+    );
+    drop(stalled);
+    assert!(account.evict_for(400_000, now));
+    assert!(slow.is_evicted() && !steady.is_evicted());
+    drop(slow);
+    assert!(
+        !account.evict_for(700_000, now),
+        "only a steady one is left"
+    );
+}
+
+/// Guards against an estimate that leaves out what a request returns beside its body, and so evicts more than is needed.
+#[test]
+fn evicted_bodies_return_the_memory_of_their_requests() {
+    let account = MemoryAccount::new(MIB);
+    let start = Instant::now();
+    let mut requests = Vec::new();
+    for _ in 0..2 {
+        let mut request = account.lease_answer();
+        assert!(request.resize(10_000));
+        let body = account.lease_body(400_000 - 20_000, start).expect("room");
+        body.note_request(10_000);
+        requests.push((request, body));
+    }
+    let now = start + EVICT_IDLE;
+    assert!(account.evict_for(390_000, now));
+    let evicted = requests.iter().filter(|(_, body)| body.is_evicted());
+    assert_eq!(evicted.count(), 1);
+}
