Peers: bound the memory of all calls, and let idle connections give way

Everybody who reaches the peers' address could end a daemon: 32 connections with 16 calls each, whose bodies of 1 MiB stop short of their end, took it to 520 MB (relay) and 530 MB (product) of 64. 700 connections that only send the preface shut out the other daemons for as long as they stay. The cause: the limits on a body, on the calls of a connection and on connections were each sound alone and had no sum, an idle connection never ended, and at the limit the new one was refused, whatever the others did.

Bodies, and replies until their last byte has left, now take their memory from an account for all peers, in which stalled bodies give way; a reply that nobody reads ends after 5 s; at the limit of connections the one that has waited longest for its peer closes. A decoded request may take twice the size of the longest body, no longer that of the longest reply.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -88,8 +88,11 @@
     pub held_bytes: Gauge,
     /// Requests that were refused because there was no memory for their bodies.
     pub memory_refusals: Counter,
-    /// Open connections of callers.
+    /// Open connections at all HTTP addresses.
     pub connections: Gauge,
+    /// Connections that gave way to others, by what they waited for (`first_request`, `head`, `body`, `reader`,
+    /// `next_request`); `oldest` ones closed after their answers, as all were in use.
+    pub evictions: Family<KindLabels, Counter>,
     /// Waiting requests by class (`interactive`, `overnight`).
     pub queue_length: Family<KindLabels, Gauge>,
     /// Deferrable requests that found no slot they may take (`deferred`), those whose slack ran out (`promoted`),
@@ -161,6 +164,7 @@
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
             connections: Gauge::default(),
+            evictions: Family::default(),
             queue_length: Family::default(),
             deferrals: Family::default(),
             queue_refusals: Family::default(),
@@ -220,6 +224,11 @@
             self.memory_refusals.clone(),
         );
         registry.register("connections", "Open connections", self.connections.clone());
+        registry.register(
+            "evicted_connections",
+            "Connections that gave way to others",
+            self.evictions.clone(),
+        );
         registry.register(
             "queue_length",
             "Waiting requests",
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -21,10 +21,19 @@
         .map_err(|error| Error::internal(format!("cannot encode a peer message: {error}")))
 }
 
-/// Decodes a message that fills `body` exactly.
-pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    // The limit stops a forged length from allocating more than the body could hold.
-    let config = bincode::config::standard().with_limit::<{ 2 * MAX_REPLY_BYTES }>();
+/// Decodes a reply that fills `body` exactly.
+pub(super) fn decode_reply<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    decode::<T, { 2 * MAX_REPLY_BYTES }>(body)
+}
+
+/// Decodes a request that fills `body` exactly.
+pub(super) fn decode_request<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    decode::<T, { 2 * MAX_REQUEST_BYTES }>(body)
+}
+
+/// Decodes a message. The limit stops a forged length from allocating more than a body could hold.
+fn decode<T: DeserializeOwned, const LIMIT: usize>(body: &[u8]) -> Result<T> {
+    let config = bincode::config::standard().with_limit::<LIMIT>();
     let (message, read) = bincode::serde::decode_from_slice(body, config)
         .map_err(|error| protocol(format!("cannot decode a peer message: {error}")))?;
     if read != body.len() {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod codec;
+mod connections;
 mod server;
 
 use std::future::Future;
@@ -17,7 +18,7 @@
 
 pub use self::client::PeerClient;
 pub use self::codec::{MAX_REPLY_BYTES, MAX_REQUEST_BYTES};
-pub use self::server::PeerServer;
+pub use self::server::{PeerLimits, PeerServer};
 use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
