Product edge: a request is in flight once its body has arrived

Callers of one key with small legal bodies, sent byte by byte, took all places of requests in flight, and every ordinary request was answered 503 "the limit of requests in flight is reached" for as long as they stayed: with `limits.in_flight` of 32, 96 such clients did that for the 60 s of the test, with sized bodies and with chunks. The cause: a request was admitted before its body was read. It is now admitted afterwards; until then its body counts in the account of memory. A request that cannot be admitted is still refused before its body is read.

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// Fails if the limit of requests in flight is reached, so that a request which cannot be admitted is refused before
+    /// its body is read.
+    pub(super) fn check_admission(&self) -> Result<(), Error> {
+        match self.admission.available_permits() {
+            0 => Err(too_many_requests()),
+            _ => Ok(()),
+        }
+    }
+
     /// Starts the record of a request.
     pub(super) fn begin(&self, route: RouteKind, target: &str) -> Exchange {
         let id = SmolStr::from(format!("{:016x}", rand::random::<u64>()));
@@ -81,22 +90,23 @@
         }
     }
 
-    /// Admits a request unless the limit of requests in flight is reached.
+    /// Admits a request whose body has arrived unless the limit of requests in flight is reached.
     pub(super) fn admit(&self, exchange: &mut Exchange) -> Result<(), Error> {
         match self.admission.clone().try_acquire_owned() {
             Ok(permit) => {
                 exchange.permit = Some(permit);
                 Ok(())
             }
-            Err(_) => {
-                let message = "the limit of requests in flight is reached";
-                Err(Error::new(Category::Overloaded, message)
-                    .with_retry_after(OVERLOAD_RETRY_AFTER))
-            }
+            Err(_) => Err(too_many_requests()),
         }
     }
 }
 
+fn too_many_requests() -> Error {
+    let message = "the limit of requests in flight is reached";
+    Error::new(Category::Overloaded, message).with_retry_after(OVERLOAD_RETRY_AFTER)
+}
+
 impl Exchange {
     /// Adds the time since `from` to the duration of a stage.
     pub(super) fn add_stage(&self, stage: RequestStage, from: Instant) {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -174,11 +174,14 @@
     parts: &Parts,
     body: Body,
 ) -> std::result::Result<bytes::Bytes, Refusal> {
-    edge.admit(exchange)?;
+    edge.check_admission()?;
     let started = Instant::now();
     let result = body::read_body(&parts.headers, body, &edge.reader()).await;
     exchange.add_stage(RequestStage::Receive, started);
-    result.map_err(|fault| input::refuse_body(fault, &edge.limits))
+    let body = result.map_err(|fault| input::refuse_body(fault, &edge.limits))?;
+    // A request is in flight once its body has arrived: slow bodies must not take the places of others.
+    edge.admit(exchange)?;
+    Ok(body)
 }
 
 async fn models<D: CallDispatcher>(State(edge): State<Edge<D>>, request: Request) -> Response {
