Both edges: check route and key before the body is read

A crowd without a valid key held as much memory as one with a key, for as long as a body may take: the key was looked at only when the body was complete. What the head shows to be refused (no route, no key where one is needed, an unknown key) is now refused at once, and holds no memory for its body; the rest of the body is read and dropped for at most 500 ms, so that the refusal reaches its caller. The check after the body stays, as a key may be withdrawn meanwhile. While a peer has a newer configuration, and for model calls where an open model exists, the head does not tell and the body is read as before.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -30,6 +30,7 @@
 };
 pub(crate) use self::request_core::{ChargeOf, RequestJob, fingerprint};
 pub use self::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
+use self::service::find_service;
 use crate::catalog::RequestClass;
 use crate::claim::ClaimStore;
 use crate::engine::{EngineChunk, EngineClient, ServiceAnswer, ServiceClient};
@@ -72,6 +73,15 @@
     pub body: Bytes,
 }
 
+/// What the head of a request shows of its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadTarget<'a> {
+    /// A model that the body names.
+    Model,
+    /// The path of a plain service, with its query.
+    Service(&'a str),
+}
+
 /// Tokens charged for a finished model call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenUsage {
@@ -84,6 +94,15 @@
     /// Tokens of one answer, in order and without gaps. Dropping the stream cancels the request.
     type Tokens: Stream<Item = Result<EngineChunk>> + Send + Unpin;
 
+    /// Checks a request before its body is read, as far as its head shows that it is refused. The body may still show it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::model_call`] and [`Self::service_call`].
+    fn check_head(&self, _target: HeadTarget<'_>, _key: Option<&str>) -> Result<()> {
+        Ok(())
+    }
+
     /// Carries out a model call; resolves when the first token has arrived from an engine.
     ///
     /// # Errors
@@ -201,6 +220,17 @@
 impl<P: DispatchParts> CallDispatcher for Arc<RequestDispatcher<P>> {
     type Tokens = TokenStream;
 
+    fn check_head(&self, target: HeadTarget<'_>, key: Option<&str>) -> Result<()> {
+        match target {
+            HeadTarget::Model => self.check_model_key(key),
+            HeadTarget::Service(path) => {
+                let catalog = self.gate.loaded_catalog()?;
+                let (route, _) = find_service(&catalog, path)?;
+                self.gate.authorize_route(&catalog, route, key).map(|_| ())
+            }
+        }
+    }
+
     async fn model_call(&self, call: ModelCall) -> Result<(TokenUsage, TokenStream)> {
         self.start_model(call).await
     }
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -99,6 +99,15 @@
         Ok((usage, stream))
     }
 
+    /// Checks the key of a model call before its body names the model. An open model needs none.
+    pub(super) fn check_model_key(&self, key: Option<&str>) -> Result<()> {
+        let catalog = self.gate.loaded_catalog()?;
+        if catalog.models().any(|model| model.open) {
+            return Ok(());
+        }
+        self.gate.authenticate(&catalog, key).map(|_| ())
+    }
+
     async fn admit_model(self: &Arc<Self>, call: ModelCall) -> Result<ChatJob<P>> {
         let started = Instant::now();
         let catalog = self.gate.loaded_catalog()?;
--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
-use crate::catalog::{RouteSpec, RouteTarget};
+use crate::catalog::{FleetCatalog, RouteSpec, RouteTarget};
 use crate::claim::{ClaimKey, ClaimOutcome, ClaimStore, ClaimVerdict, MAX_RECORDED_BODY};
 use crate::dispatch::access::AccessGrant;
 use crate::dispatch::model::refuse_repeated_key;
@@ -94,6 +94,24 @@
     }
 }
 
+/// Finds the route of a path with its query, and the group of servers that it leads to.
+pub(super) fn find_service<'a>(
+    catalog: &'a FleetCatalog,
+    path: &str,
+) -> Result<(&'a RouteSpec, &'a SmolStr)> {
+    let path = path.split('?').next().unwrap_or_default();
+    let route = catalog
+        .route_for_path(path)
+        .ok_or_else(|| Error::new(Category::NotFound, "no route matches this path"))?;
+    match &route.target {
+        RouteTarget::Service(group) => Ok((route, group)),
+        _ => {
+            let message = "this route takes model calls at /v1/chat/completions";
+            Err(Error::new(Category::NotFound, message))
+        }
+    }
+}
+
 impl<P: DispatchParts> RequestDispatcher<P> {
     /// Carries out a call to a plain service.
     pub(super) async fn start_service(
@@ -118,14 +136,7 @@
 
     async fn admit_service(&self, call: ServiceCall) -> Result<ServiceJob<ChargeOf<P>>> {
         let catalog = self.gate.loaded_catalog()?;
-        let path = call.path.split('?').next().unwrap_or_default();
-        let route = catalog
-            .route_for_path(path)
-            .ok_or_else(|| Error::new(Category::NotFound, "no route matches this path"))?;
-        let RouteTarget::Service(group) = &route.target else {
-            let message = "this route takes model calls at /v1/chat/completions";
-            return Err(Error::new(Category::NotFound, message));
-        };
+        let (route, group) = find_service(&catalog, &call.path)?;
         let grant = self
             .gate
             .authorize_route(&catalog, route, call.key.as_deref())?;
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -81,12 +81,20 @@
     }
     reader.show_used();
     let has_rest = matches!(result, Err(BodyFault::TooLarge | BodyFault::NoMemory));
-    if has_rest && !headers.contains_key(EXPECT) {
-        let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
+    if has_rest {
+        discard_rest(headers, body).await;
     }
     result
 }
 
+/// Reads the rest of the body of a refused request for a while. A caller that waits for `100 Continue` sends none.
+pub(crate) async fn discard_rest(headers: &HeaderMap, mut body: Body) {
+    if !body.is_end_stream() && !headers.contains_key(EXPECT) {
+        // The rest may be longer than the time or the limit allows; the refusal is sent all the same.
+        let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
+    }
+}
+
 impl BodyReader<'_> {
     fn show_used(&self) {
         let used = i64::try_from(self.account.used()).unwrap_or(i64::MAX);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -27,7 +27,7 @@
 
 pub use self::input::{CLASS_HEADER, DEADLINE_HEADER, IDEMPOTENCY_HEADER};
 pub use self::refusal::REQUEST_ID_HEADER;
-use crate::dispatch::{CallDispatcher, ServiceCall};
+use crate::dispatch::{CallDispatcher, HeadTarget, ServiceCall};
 use crate::error::{Category, Error, Result};
 use crate::history::{RequestHistory, RequestStage};
 use crate::http::answer::ChatFormat;
@@ -135,7 +135,8 @@
 ) -> std::result::Result<(ChatFormat, D::Tokens), Refusal> {
     let (mut parts, body) = request.into_parts();
     let key = input::take_key(&mut parts.headers, &parts.uri)?;
-    let body = receive_body(edge, exchange, &parts, body).await?;
+    let key_text = key.as_deref();
+    let body = receive_body(edge, exchange, &parts, body, HeadTarget::Model, key_text).await?;
     let input = input::parse_chat(&exchange.id, key, &parts.headers, &body)?;
     drop(body);
     let model = input.call.model.clone();
@@ -168,13 +169,20 @@
     Ok((result?, format.write_time))
 }
 
-async fn receive_body<D>(
+/// Admits a request and reads its body. What its head shows to be refused is refused before that.
+async fn receive_body<D: CallDispatcher>(
     edge: &EdgeState<D>,
     exchange: &mut Exchange,
     parts: &Parts,
     body: Body,
+    target: HeadTarget<'_>,
+    key: Option<&str>,
 ) -> std::result::Result<bytes::Bytes, Refusal> {
     edge.check_admission()?;
+    if let Err(error) = edge.dispatcher.check_head(target, key) {
+        body::discard_rest(&parts.headers, body).await;
+        return Err(error.into());
+    }
     let started = Instant::now();
     let result = body::read_body(&parts.headers, body, &edge.reader()).await;
     exchange.add_stage(RequestStage::Receive, started);
@@ -240,7 +248,8 @@
     let key = input::take_key(&mut parts.headers, &parts.uri)?;
     let path = input::service_path(&parts.uri)?;
     let idempotency_key = input::idempotency_key(&parts.headers)?;
-    let body = receive_body(edge, exchange, &parts, body).await?;
+    let target = HeadTarget::Service(&path);
+    let body = receive_body(edge, exchange, &parts, body, target, key.as_deref()).await?;
     let call = ServiceCall {
         id: exchange.id.clone(),
         key,
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -184,6 +184,25 @@
         self.context.format.read_metadata(head)
     }
 
+    /// Checks a request before its body is read, as far as its head shows that it is refused. `attribution` is set as far as
+    /// it is known.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` without a route, `Unauthenticated` without a known key, unless a peer has a newer configuration.
+    pub fn check_head(
+        &self,
+        head: &Parts,
+        metadata: &RequestMetadata,
+        attribution: &mut RequestAttribution,
+    ) -> Result<()> {
+        let mut configs = self.context.configs.clone();
+        match self.try_match_route(&mut configs, head, metadata, attribution) {
+            Some(Err(error)) => Err(error),
+            Some(Ok(_)) | None => Ok(()),
+        }
+    }
+
     /// Processes a request that arrived at `arrived` and returns once the head of its answer is known. `attribution` is
     /// set as soon as it is known, also if the request fails.
     ///
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -118,6 +118,11 @@
             account: dispatcher.memory(),
             metrics: dispatcher.core().metrics(),
         };
+        let attribution = trace.attribution_mut();
+        if let Err(error) = dispatcher.check_head(&head, &metadata, attribution) {
+            body::discard_rest(&head.headers, body).await;
+            return Err(error);
+        }
         let body = receive_body(&head.headers, body, &reader);
         let drain = dispatcher.core().drain_clock();
         let body = drain.run_unsent(|| WorkTime::NONE, body).await?;
