HTTP listeners: connections and streams that wait for their clients give way to others

Clients that only held connections shut out all other callers: with 32 connections, 96 clients that sent a body or a head byte by byte, sent nothing, or read no answer kept every ordinary request out for the 60 s of the tests, on both editions and at the readiness and admin addresses. 24 HTTP/2 connections with 1,000 streams each took a process to 67 and 225 MB (open bodies, relay and product) and to 217 and 146 MB (answers without a window) of 64.

The cause: a listener knew how many connections it had and not what they waited for, so that new callers waited behind them; and what a stream costs beside its body was counted nowhere. Now each connection knows what it waits for. If another one is wanted, those give way that have used the largest part of the time for that (src/eviction.rs); a slow body gets 503, which is true as nothing was sent; if all are in use, the oldest close after their current answers. Each open request takes 8 KiB and its headers from the account until its answer has left, or is refused before anything else is done for it; an HTTP/2 connection may open its part of the streams that there is memory for.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -22,7 +22,7 @@
 
 use crate::error::{Category, Error, Result};
 use crate::history::RequestHistory;
-use crate::http::connection::HttpListener;
+use crate::http::connection::{HttpListener, ListenerSettings};
 use crate::http::input::is_key_like;
 use crate::kernel::TaskGroup;
 use crate::metrics::DaemonMetrics;
@@ -68,15 +68,16 @@
         limits: &LimitSettings,
         sources: AdminSources,
     ) -> Result<Self> {
+        let listener = ListenerSettings::new(limits, &sources.metrics);
         let router = Router::new()
             .route("/livez", get(|| async { "live\n" }))
             .route("/readyz", get(ready))
-            .route("/metrics", get(metrics))
+            .route("/metrics", get(show_metrics))
             .route("/dump", get(dump_state))
             .route("/requests", get(recent))
             .route("/requests/{id}", get(request))
             .with_state(sources);
-        let listener = HttpListener::bind(group, address, limits, router).await?;
+        let listener = HttpListener::bind(group, address, listener, router).await?;
         Ok(Self { listener })
     }
 
@@ -106,7 +107,7 @@
     }
 }
 
-async fn metrics(State(sources): State<AdminSources>) -> Response {
+async fn show_metrics(State(sources): State<AdminSources>) -> Response {
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     ([(CONTENT_TYPE, kind)], sources.metrics.encode()).into_response()
 }
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -164,7 +164,7 @@
 ) -> Result<RelayDaemon> {
     let services = open_services(settings, service_tasks, request_tasks);
     let limits = caller_limits(settings);
-    let memory = MemoryAccount::new(limits.held());
+    let memory = limits.account();
     log::info!(
         "callers may use {} bytes of memory and {} connections",
         limits.held(),
@@ -238,6 +238,7 @@
         listen.ready,
         platform::READY_PATH,
         side_limits,
+        services.core.metrics(),
         ready,
     )
     .await?;
--- a/src/eviction.rs
+++ b/src/eviction.rs
@@ -5,6 +5,9 @@
 //! limit is closed first: a client that sends its head or body slowly, or does not read, uses up a few seconds, while a kept
 //! connection between two requests may be idle for a minute. A wait shorter than [`MIN_WAIT`] says nothing about a client.
 //!
+//! If no connection waits, those that have been open longest are asked to close after their current answers, so that callers
+//! who keep all connections busy do not shut out others.
+//!
 //! ```
 //! use std::time::{Duration, Instant};
 //! use foxtailhill::eviction::{ClientWait, choose_victims};
@@ -90,6 +93,23 @@
     waiting.into_iter().map(|(_, key)| key).collect()
 }
 
+/// Returns up to `count` connections that are asked to close after their current answers: those that were opened first, and at
+/// least [`MIN_WAIT`] ago.
+pub fn choose_oldest<K: Copy>(
+    connections: impl IntoIterator<Item = (K, Instant)>,
+    count: usize,
+    now: Instant,
+) -> Vec<K> {
+    let mut oldest: Vec<(Instant, K)> = connections
+        .into_iter()
+        .filter(|(_, opened)| now.saturating_duration_since(*opened) >= MIN_WAIT)
+        .map(|(key, opened)| (opened, key))
+        .collect();
+    oldest.sort_unstable_by_key(|(opened, _)| *opened);
+    oldest.truncate(count);
+    oldest.into_iter().map(|(_, key)| key).collect()
+}
+
 /// Lowest rate at which a body makes progress, in bytes per second: that of the longest body in its longest time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BodyRate(f64);
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -10,7 +10,8 @@
 use http_body_util::BodyExt;
 
 use crate::error::{Category, Error};
-use crate::memory::{MemoryAccount, MemoryLease, SMALL_BYTES};
+use crate::http::state::OpenRequest;
+use crate::memory::{MemoryAccount, MemoryLease, REQUEST_BYTES, SMALL_BYTES};
 use crate::metrics::DaemonMetrics;
 use crate::settings::LimitSettings;
 
@@ -40,6 +41,8 @@
     TooSlow,
     /// No byte of it arrived for the longest pause.
     Stalled,
+    /// It arrived slowly, and another caller needed its connection.
+    Displaced,
     Unreadable(String),
 }
 
@@ -48,6 +51,28 @@
     pub(crate) limits: &'a LimitSettings,
     pub(crate) account: &'a MemoryAccount,
     pub(crate) metrics: &'a DaemonMetrics,
+    /// The request that the body belongs to.
+    pub(crate) request: &'a OpenRequest,
+}
+
+impl BodyFault {
+    /// Returns the name used in metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::NoMemory => "no_memory",
+            Self::TooSlow => "too_slow",
+            Self::Stalled => "stalled",
+            Self::Displaced => "displaced",
+            Self::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
+/// Returns the error of a request whose slow body gave way to another caller.
+pub(crate) fn displaced() -> Error {
+    let message = "the request body arrived slowly, and its connection was needed";
+    Error::new(Category::Overloaded, message).with_retry_after(MEMORY_RETRY_AFTER)
 }
 
 /// Returns the error of a request whose body the daemon has no memory for.
@@ -76,26 +101,39 @@
             read.unwrap_or(Err(BodyFault::TooSlow))
         }
     };
-    if matches!(result, Err(BodyFault::NoMemory)) {
-        reader.metrics.memory_refusals.inc();
+    if let Err(fault) = &result {
+        reader.count(fault);
     }
     reader.show_used();
     let has_rest = matches!(result, Err(BodyFault::TooLarge | BodyFault::NoMemory));
     if has_rest {
-        discard_rest(headers, body).await;
+        reader.discard(headers, body).await;
     }
     result
 }
 
-/// Reads the rest of the body of a refused request for a while. A caller that waits for `100 Continue` sends none.
-pub(crate) async fn discard_rest(headers: &HeaderMap, mut body: Body) {
-    if !body.is_end_stream() && !headers.contains_key(EXPECT) {
-        // The rest may be longer than the time or the limit allows; the refusal is sent all the same.
-        let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
+impl BodyReader<'_> {
+    fn count(&self, fault: &BodyFault) {
+        if matches!(fault, BodyFault::NoMemory) {
+            self.metrics.memory_refusals.inc();
+        }
+        self.metrics
+            .count(&self.metrics.body_faults, fault.as_str());
+    }
+
+    /// Reads the rest of the body of a refused request for a while. A caller that waits for `100 Continue` sends none.
+    pub(crate) async fn discard(&self, headers: &HeaderMap, mut body: Body) {
+        if body.is_end_stream() || headers.contains_key(EXPECT) {
+            return;
+        }
+        let discarded = tokio::time::timeout(DISCARD_TIME, discard(&mut body));
+        tokio::select! {
+            // The rest may be longer than the time or the limit allows; the refusal is sent all the same.
+            _ = discarded => {}
+            () = self.request.displaced() => {}
+        }
     }
-}
 
-impl BodyReader<'_> {
     fn show_used(&self) {
         let used = i64::try_from(self.account.used()).unwrap_or(i64::MAX);
         self.metrics.held_bytes.set(used);
@@ -110,7 +148,12 @@
             lease = self.account.lease_body(bytes, Instant::now());
         }
         self.show_used();
-        lease.ok_or(BodyFault::NoMemory)
+        if lease.is_none() {
+            self.request.relieve();
+        }
+        let lease = lease.ok_or(BodyFault::NoMemory)?;
+        lease.note_request(REQUEST_BYTES);
+        Ok(lease)
     }
 
     async fn grow(&self, lease: &mut MemoryLease, capacity: usize) -> Result<(), BodyFault> {
@@ -122,6 +165,9 @@
             has_room = lease.resize(bytes);
         }
         self.show_used();
+        if !has_room {
+            self.request.relieve();
+        }
         has_room.then_some(()).ok_or(BodyFault::NoMemory)
     }
 }
@@ -145,13 +191,17 @@
     let mut lease = reader.lease(capacity).await?;
     let mut whole: Vec<u8> = Vec::with_capacity(capacity);
     let mut evicted = std::pin::pin!(lease.evicted());
-    let mut noted = Instant::now();
+    let mut displaced = std::pin::pin!(reader.request.displaced());
+    let started = Instant::now();
+    reader.request.note_body(started, 0);
+    let mut noted = started;
     loop {
         let frame = tokio::time::timeout(limits.body_pause, body.frame());
         let frame = tokio::select! {
             biased;
             frame = frame => frame.map_err(|_| BodyFault::Stalled)?,
             () = evicted.as_mut() => return Err(BodyFault::NoMemory),
+            () = displaced.as_mut() => return Err(BodyFault::Displaced),
         };
         let Some(frame) = frame else { break };
         let frame = frame.map_err(|error| BodyFault::Unreadable(error.to_string()))?;
@@ -170,9 +220,11 @@
         whole.extend_from_slice(&data);
         if noted.elapsed() >= PROGRESS_PERIOD {
             noted = Instant::now();
-            lease.note_progress(noted);
+            lease.note_received(whole.len(), noted);
+            reader.request.note_body(started, whole.len());
         }
     }
+    reader.request.end_body();
     whole.shrink_to_fit();
     lease.complete();
     lease.resize(whole.len());
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -1,34 +1,43 @@
 //! Accepts connections and serves a router on them, with limits on time, header size and number.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Body;
-use http_body_util::BodyExt;
+use axum::response::{IntoResponse, Response};
+use http::StatusCode;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::Sleep;
+use tokio::sync::{OwnedSemaphorePermit, watch};
+use tokio::time::{Instant, Sleep};
 use tokio_util::sync::CancellationToken;
 use tower::ServiceExt;
 
 use crate::error::{Error, Result};
+use crate::eviction::WaitKind;
+use crate::http::body::no_memory;
+use crate::http::connections::ConnectionTable;
+use crate::http::state::{CloseCause, ConnectionEnd, ConnectionState, EVICTION_TIME};
 use crate::kernel::TaskGroup;
+use crate::memory::MemoryAccount;
+use crate::metrics::DaemonMetrics;
 use crate::settings::LimitSettings;
 
 /// Pause after a failed accept, which mostly means that file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that have been accepted and wait for room.
+const MAX_WAITING: usize = 64;
 /// Time for which a stopped listener still accepts, because closing it resets the connections in its backlog.
 const BACKLOG_TIME: Duration = Duration::from_millis(50);
 /// Time that a connection without data has to send its first byte after a stop. Closing it at once would lose a
@@ -37,6 +46,8 @@
 /// Time after a stop in which requests that have arrived are read. It makes the runtime look for arrived data first: a
 /// connection between two requests that is closed at once loses a request that the runtime has not noticed yet.
 const ARRIVED_DATA_TIME: Duration = Duration::from_millis(1);
+/// Memory for requests at an address without an account of its own, in bytes.
+const SIDE_ACCOUNT_BYTES: usize = 2 << 20;
 /// Streams that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1_000;
 /// Answer data that one HTTP/2 stream buffers for its caller, in bytes.
@@ -45,55 +56,45 @@
 const STREAM_WINDOW_BYTES: u32 = 64 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
 
-/// A bound listener whose connections are tasks of a group.
-pub(crate) struct HttpListener {
-    address: SocketAddr,
-    stop: CancellationToken,
-    /// Each connection holds a receiver, so that `closed` resolves when all have ended.
-    open: watch::Sender<()>,
-}
-
-/// Why this daemon closed a connection with a request on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CloseCause {
-    /// The caller read nothing of the answer for the write time.
-    WriteTimeout,
-    /// The listener's tasks were stopped.
-    Shutdown,
+/// Settings of an [`HttpListener`].
+#[derive(Clone)]
+pub(crate) struct ListenerSettings {
+    limits: Arc<LimitSettings>,
+    metrics: Arc<DaemonMetrics>,
+    max_streams: u32,
+    account: MemoryAccount,
+    refuse: fn(&Error) -> Response,
 }
 
-impl CloseCause {
-    /// Returns the name used in metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::WriteTimeout => "write_timeout",
-            Self::Shutdown => "shutdown",
+impl ListenerSettings {
+    pub(crate) fn new(limits: &LimitSettings, metrics: &Arc<DaemonMetrics>) -> Self {
+        Self {
+            limits: Arc::new(limits.clone()),
+            metrics: metrics.clone(),
+            max_streams: MAX_STREAMS,
+            account: MemoryAccount::new(SIDE_ACCOUNT_BYTES),
+            refuse: |_| StatusCode::SERVICE_UNAVAILABLE.into_response(),
         }
     }
 
-    /// Returns the text used in log lines and the history.
-    pub(crate) fn message(self) -> &'static str {
-        match self {
-            Self::WriteTimeout => "the daemon closed the connection: its caller read nothing",
-            Self::Shutdown => "the daemon closed the connection: it shut down",
-        }
+    /// Sets the account that requests take their memory from, and how one is refused that finds none.
+    pub(crate) fn with_account(
+        mut self,
+        account: &MemoryAccount,
+        refuse: fn(&Error) -> Response,
+    ) -> Self {
+        self.account = account.clone();
+        self.refuse = refuse;
+        self
     }
 }
 
-/// Extension of each request that tells why its connection was closed. The cause is set before the request is dropped.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ConnectionEnd(Arc<OnceLock<CloseCause>>);
-
-impl ConnectionEnd {
-    /// Returns why the daemon closed the connection; `None` if it is open or its caller closed it.
-    pub(crate) fn cause(&self) -> Option<CloseCause> {
-        self.0.get().copied()
-    }
-
-    fn set(&self, cause: CloseCause) {
-        // The first cause is the one that closed the connection.
-        let _ = self.0.set(cause);
-    }
+/// A bound listener whose connections are tasks of a group.
+pub(crate) struct HttpListener {
+    address: SocketAddr,
+    stop: CancellationToken,
+    /// Each connection holds a receiver, so that `closed` resolves when all have ended.
+    open: watch::Sender<()>,
 }
 
 /// Sets the cause of a connection whose task is dropped before the connection has ended.
@@ -113,10 +114,10 @@
 struct Acceptor {
     listener: TcpListener,
     router: Router,
-    limits: Arc<LimitSettings>,
+    settings: ListenerSettings,
     group: TaskGroup,
     stop: CancellationToken,
-    slots: Arc<Semaphore>,
+    table: Arc<ConnectionTable>,
     /// Shared with the accepting task so that the listener counts as open until it is closed.
     open: watch::Receiver<()>,
 }
@@ -130,7 +131,7 @@
     pub(crate) async fn bind(
         group: &TaskGroup,
         address: SocketAddr,
-        limits: &LimitSettings,
+        settings: ListenerSettings,
         router: Router,
     ) -> Result<Self> {
         let failed = |error| Error::unavailable(format!("cannot bind {address}: {error}"));
@@ -141,10 +142,10 @@
         let acceptor = Acceptor {
             listener,
             router,
-            limits: Arc::new(limits.clone()),
+            table: ConnectionTable::new(settings.limits.connections, settings.metrics.clone()),
+            settings,
             group: group.clone(),
             stop: stop.clone(),
-            slots: Arc::new(Semaphore::new(limits.connections)),
             open: receiver,
         };
         group.spawn_cancellable(acceptor.run());
@@ -169,48 +170,69 @@
 
 impl Acceptor {
     async fn run(self) {
+        let mut waiting = VecDeque::new();
         if self
             .stop
-            .run_until_cancelled(self.accept_all())
+            .run_until_cancelled(self.accept_all(&mut waiting))
             .await
             .is_none()
         {
-            let _ = tokio::time::timeout(BACKLOG_TIME, self.accept_all()).await;
+            let _ = tokio::time::timeout(BACKLOG_TIME, self.accept_all(&mut waiting)).await;
         }
     }
 
-    async fn accept_all(&self) {
+    /// Accepts connections and serves them as there is room. The newest of those that wait is served first: the others have
+    /// waited for longer than callers do, most of whom have left.
+    async fn accept_all(&self, waiting: &mut VecDeque<TcpStream>) {
         loop {
-            let (stream, slot) = self.accept().await;
-            // Boxed because each enclosing future would hold this one twice: as captured and as awaited.
-            let connection = Box::pin(serve(
-                stream,
-                self.router.clone(),
-                self.limits.clone(),
-                self.group.clone(),
-                self.stop.clone(),
-            ));
-            let open = self.open.clone();
-            self.group.spawn_cancellable(async move {
-                connection.await;
-                drop((open, slot));
-            });
+            tokio::select! {
+                biased;
+                slot = self.table.slot(waiting.len()), if !waiting.is_empty() => {
+                    if let Some(stream) = waiting.pop_back() {
+                        self.spawn(stream, slot);
+                    }
+                }
+                stream = self.accept() => {
+                    waiting.push_back(stream);
+                    if waiting.len() > MAX_WAITING {
+                        waiting.pop_front();
+                    }
+                }
+            }
         }
     }
 
-    async fn accept(&self) -> (TcpStream, OwnedSemaphorePermit) {
+    fn spawn(&self, stream: TcpStream, slot: OwnedSemaphorePermit) {
+        let state = ConnectionState::new(self.table.clone(), self.settings.limits.clone());
+        let state = Arc::new(state);
+        let permit = self.table.insert(state.clone(), slot);
+        // Boxed because each enclosing future would hold this one twice: as captured and as awaited.
+        let connection = Box::pin(serve(
+            stream,
+            state,
+            self.router.clone(),
+            self.settings.clone(),
+            self.group.clone(),
+            self.stop.clone(),
+        ));
+        let open = self.open.clone();
+        self.group.spawn_cancellable(async move {
+            connection.await;
+            drop((open, permit));
+        });
+    }
+
+    async fn accept(&self) -> TcpStream {
         loop {
-            let Ok(slot) = self.slots.clone().acquire_owned().await else {
-                return std::future::pending().await;
-            };
             match self.listener.accept().await {
                 Ok((stream, _)) => {
                     // Tokens are small writes, which Nagle's algorithm would delay; a failure is harmless.
                     let _ = stream.set_nodelay(true);
-                    return (stream, slot);
+                    return stream;
                 }
                 Err(error) => {
-                    log::warn!("cannot accept a connection: {error}");
+                    self.settings.metrics.accept_failures.inc();
+                    log::debug!("cannot accept a connection: {error}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -220,18 +242,23 @@
 
 async fn serve(
     stream: TcpStream,
+    state: Arc<ConnectionState>,
     router: Router,
-    limits: Arc<LimitSettings>,
+    settings: ListenerSettings,
     group: TaskGroup,
     stop: CancellationToken,
 ) {
-    let state = Arc::new(ConnectionState::new());
-    let io = TokioIo::new(TimedStream::new(stream, limits.write_time, state.clone()));
+    let write_time = settings.limits.write_time;
+    let io = TokioIo::new(TimedStream::new(stream, write_time, state.clone()));
     let service = service_fn({
-        let state = state.clone();
-        move |request| respond(router.clone(), request, state.clone())
+        let (state, settings) = (state.clone(), settings.clone());
+        move |request| respond(router.clone(), request, state.clone(), settings.clone())
     });
-    let builder = builder(&limits, group);
+    let builder = builder(
+        &settings,
+        state.max_streams(&settings.account, settings.max_streams),
+        group,
+    );
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
     let mut stopped = std::pin::pin!(async {
         stop.cancelled().await;
@@ -247,6 +274,7 @@
         ended: false,
     };
     let mut closing = false;
+    let mut evicted_until = None;
     loop {
         tokio::select! {
             // A request that has arrived is read before the connection may be closed.
@@ -258,38 +286,71 @@
                 guard.ended = true;
                 return;
             }
+            () = state.retired(), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = stopped.as_mut(), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = state.expired(&limits) => {
-                if state.is_head_incomplete() {
-                    log::info!("closed a connection whose request head did not arrive in time");
+            kind = state.evicted(), if evicted_until.is_none() => {
+                if !matches!(kind, WaitKind::Body | WaitKind::NextRequest) {
+                    state.end.set(CloseCause::Evicted);
+                    return;
+                }
+                evicted_until = Some(Instant::now() + EVICTION_TIME);
+                connection.as_mut().graceful_shutdown();
+            }
+            () = wait_until(evicted_until) => {
+                state.end.set(CloseCause::Evicted);
+                return;
+            }
+            kind = state.expired() => {
+                if kind == WaitKind::Reader {
+                    state.end.set(CloseCause::WriteTimeout);
                 }
+                log::debug!("closed a connection that waited for its caller: {}", kind.as_str());
                 return;
             }
         }
     }
 }
 
+/// Resolves at `until`; never if there is none.
+async fn wait_until(until: Option<Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn respond(
     router: Router,
     mut request: http::Request<Incoming>,
     state: Arc<ConnectionState>,
+    settings: ListenerSettings,
 ) -> std::result::Result<http::Response<Body>, std::convert::Infallible> {
-    let active = state.begin();
-    request.extensions_mut().insert(state.end.clone());
-    let response = router.oneshot(request.map(Body::new)).await?;
-    // The mapping keeps the request active until the body has been sent or dropped.
-    Ok(response.map(|body| {
-        Body::new(body.map_frame(move |frame| {
-            let _ = &active;
-            frame
-        }))
-    }))
+    let guard = state.begin();
+    if !guard.charge(&settings.account, request.headers()).await {
+        drop(request);
+        let response = (settings.refuse)(&no_memory());
+        return Ok(response.map(|body| guard.into_body(body)));
+    }
+    let extensions = request.extensions_mut();
+    extensions.insert(state.end.clone());
+    extensions.insert(guard.request());
+    // Boxed so that a refused request does not cost the memory of one that is served.
+    let response = Box::pin(router.oneshot(request.map(Body::new))).await?;
+    Ok(response.map(|body| guard.into_body(body)))
 }
 
-fn builder(limits: &LimitSettings, group: TaskGroup) -> Builder<GroupExecutor> {
+fn builder(
+    settings: &ListenerSettings,
+    max_streams: u32,
+    group: TaskGroup,
+) -> Builder<GroupExecutor> {
+    let limits = &settings.limits;
     let mut builder = Builder::new(GroupExecutor(group));
     // hyper's header timeout also closes idle connections, so `ConnectionState` replaces it.
     builder
@@ -301,7 +362,7 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
-        .max_concurrent_streams(MAX_STREAMS)
+        .max_concurrent_streams(max_streams)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_send_buf_size(STREAM_BUFFER_BYTES)
@@ -320,99 +381,6 @@
     }
 }
 
-/// Distinguishes idle connections from those with slow headers. Times are milliseconds since `started`; 0 means none.
-struct ConnectionState {
-    started: Instant,
-    active_requests: AtomicUsize,
-    idle_since: AtomicU64,
-    head_since: AtomicU64,
-    http2: AtomicBool,
-    new: AtomicBool,
-    end: ConnectionEnd,
-}
-
-/// Marks a request as active until it is dropped.
-struct ActiveRequest(Arc<ConnectionState>);
-
-impl ConnectionState {
-    fn new() -> Self {
-        Self {
-            started: Instant::now(),
-            active_requests: AtomicUsize::new(0),
-            idle_since: AtomicU64::new(1),
-            head_since: AtomicU64::new(0),
-            http2: AtomicBool::new(false),
-            new: AtomicBool::new(true),
-            end: ConnectionEnd::default(),
-        }
-    }
-
-    fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
-    }
-
-    fn begin(self: &Arc<Self>) -> ActiveRequest {
-        self.active_requests.fetch_add(1, Ordering::SeqCst);
-        self.head_since.store(0, Ordering::SeqCst);
-        ActiveRequest(self.clone())
-    }
-
-    /// Returns whether no byte has arrived.
-    fn is_new(&self) -> bool {
-        self.new.load(Ordering::SeqCst)
-    }
-
-    /// Returns whether a part of a request head has arrived.
-    fn is_head_incomplete(&self) -> bool {
-        self.head_since.load(Ordering::SeqCst) != 0
-    }
-
-    /// Records that bytes arrived. On HTTP/2, bytes between requests may not belong to a request.
-    fn received(&self) {
-        self.new.store(false, Ordering::SeqCst);
-        let between_requests = self.active_requests.load(Ordering::SeqCst) == 0;
-        if between_requests && !self.http2.load(Ordering::SeqCst) {
-            let now = self.now();
-            let _ = self
-                .head_since
-                .compare_exchange(0, now, Ordering::SeqCst, Ordering::SeqCst);
-        }
-    }
-
-    /// Resolves when headers take longer than `header_time` or the connection is idle for `idle_time`.
-    async fn expired(&self, limits: &LimitSettings) {
-        loop {
-            let (idle, header) = (millis(limits.idle_time), millis(limits.header_time));
-            if self.active_requests.load(Ordering::SeqCst) == 0 {
-                let now = self.now();
-                let head_since = self.head_since.load(Ordering::SeqCst);
-                let idle_since = self.idle_since.load(Ordering::SeqCst);
-                let end = match head_since {
-                    0 => idle_since + idle,
-                    _ => head_since + header,
-                };
-                if now >= end {
-                    return;
-                }
-            }
-            let check = limits.header_time.min(limits.idle_time) / 2;
-            tokio::time::sleep(check).await;
-        }
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        let now = self.0.now();
-        self.0.idle_since.store(now, Ordering::SeqCst);
-        self.0.active_requests.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX / 2)
-}
-
 /// A TCP stream whose writes fail when the caller reads nothing for `write_time`.
 struct TimedStream {
     stream: TcpStream,
@@ -445,8 +413,7 @@
             self.preface_matched =
                 (HTTP2_PREFACE_START.get(matched) == Some(byte)).then_some(matched + 1);
             if self.preface_matched == Some(HTTP2_PREFACE_START.len()) {
-                self.state.http2.store(true, Ordering::SeqCst);
-                self.state.head_since.store(0, Ordering::SeqCst);
+                self.state.set_http2();
                 self.preface_matched = None;
             }
         }
@@ -472,9 +439,12 @@
         result: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
         if result.is_pending() {
+            self.state.set_blocked(true);
             return self.poll_write_deadline(cx).map(Err);
         }
-        self.write_deadline = None;
+        if self.write_deadline.take().is_some() {
+            self.state.set_blocked(false);
+        }
         result
     }
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -10,6 +10,7 @@
 use crate::history::{RequestHistory, RequestRecord, RequestStage};
 use crate::http::CallerSettings;
 use crate::http::body::BodyReader;
+use crate::http::state::OpenRequest;
 use crate::kernel::TaskGroup;
 use crate::memory::MemoryAccount;
 use crate::metrics::{DaemonMetrics, RouteKind};
@@ -43,11 +44,16 @@
 }
 
 impl<D> EdgeState<D> {
-    pub(super) fn new(group: &TaskGroup, settings: CallerSettings, dispatcher: Arc<D>) -> Self {
+    pub(super) fn new(
+        group: &TaskGroup,
+        settings: CallerSettings,
+        account: MemoryAccount,
+        dispatcher: Arc<D>,
+    ) -> Self {
         Self {
             dispatcher,
             admission: Arc::new(Semaphore::new(settings.limits.in_flight)),
-            account: MemoryAccount::new(settings.limits.held()),
+            account,
             limits: settings.limits,
             group: group.clone(),
             history: settings.history,
@@ -55,12 +61,13 @@
         }
     }
 
-    /// Returns by what request bodies are read.
-    pub(super) fn reader(&self) -> BodyReader<'_> {
+    /// Returns by what the body of `request` is read.
+    pub(super) fn reader<'a>(&'a self, request: &'a OpenRequest) -> BodyReader<'a> {
         BodyReader {
             limits: &self.limits,
             account: &self.account,
             metrics: &self.metrics,
+            request,
         }
     }
 
@@ -75,7 +82,7 @@
 
     /// Starts the record of a request.
     pub(super) fn begin(&self, route: RouteKind, target: &str) -> Exchange {
-        let id = SmolStr::from(format!("{:016x}", rand::random::<u64>()));
+        let id = new_request_id();
         self.history.begin(RequestRecord::new(id.clone(), target));
         self.metrics.in_flight.inc();
         Exchange {
@@ -102,6 +109,10 @@
     }
 }
 
+pub(super) fn new_request_id() -> SmolStr {
+    SmolStr::from(format!("{:016x}", rand::random::<u64>()))
+}
+
 fn too_many_requests() -> Error {
     let message = "the limit of requests in flight is reached";
     Error::new(Category::Overloaded, message).with_retry_after(OVERLOAD_RETRY_AFTER)
--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -13,7 +13,7 @@
 use crate::catalog::RequestClass;
 use crate::dispatch::ModelCall;
 use crate::error::{Category, Error};
-use crate::http::body::{BodyFault, no_memory};
+use crate::http::body::{BodyFault, displaced, no_memory};
 use crate::http::refusal::Refusal;
 use crate::ids::CallerKey;
 use crate::settings::LimitSettings;
@@ -76,6 +76,7 @@
         BodyFault::TooSlow => too_slow(limits),
         BodyFault::Stalled => stalled(limits),
         BodyFault::NoMemory => no_memory().into(),
+        BodyFault::Displaced => displaced().into(),
         BodyFault::Unreadable(_) => Error::invalid("body is truncated or malformed").into(),
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,9 +6,11 @@
 mod answer;
 pub(crate) mod body;
 pub(crate) mod connection;
+pub(crate) mod connections;
 mod exchange;
 pub(crate) mod input;
 mod refusal;
+pub(crate) mod state;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,9 +33,10 @@
 use crate::error::{Category, Error, Result};
 use crate::history::{RequestHistory, RequestStage};
 use crate::http::answer::ChatFormat;
-use crate::http::connection::HttpListener;
+use crate::http::connection::{HttpListener, ListenerSettings};
 use crate::http::exchange::{EdgeState, Exchange};
 use crate::http::refusal::Refusal;
+use crate::http::state::OpenRequest;
 use crate::kernel::TaskGroup;
 use crate::logging;
 use crate::metrics::{DaemonMetrics, RouteKind};
@@ -64,8 +67,10 @@
         settings: CallerSettings,
         dispatcher: Arc<D>,
     ) -> Result<Self> {
-        let limits = settings.limits.clone();
-        let edge = Arc::new(EdgeState::new(group, settings, dispatcher));
+        let account = settings.limits.account();
+        let listener = ListenerSettings::new(&settings.limits, &settings.metrics)
+            .with_account(&account, refuse_unrecorded);
+        let edge = Arc::new(EdgeState::new(group, settings, account, dispatcher));
         let router = Router::new()
             .route(
                 "/v1/chat/completions",
@@ -77,7 +82,7 @@
             )
             .fallback(service::<D>)
             .with_state(edge);
-        let listener = HttpListener::bind(group, address, &limits, router).await?;
+        let listener = HttpListener::bind(group, address, listener, router).await?;
         Ok(Self { listener })
     }
 
@@ -179,12 +184,15 @@
     key: Option<&str>,
 ) -> std::result::Result<bytes::Bytes, Refusal> {
     edge.check_admission()?;
+    let open = parts.extensions.get::<OpenRequest>();
+    let open = open.ok_or_else(|| Error::internal("the request has no connection"))?;
+    let reader = edge.reader(open);
     if let Err(error) = edge.dispatcher.check_head(target, key) {
-        body::discard_rest(&parts.headers, body).await;
+        reader.discard(&parts.headers, body).await;
         return Err(error.into());
     }
     let started = Instant::now();
-    let result = body::read_body(&parts.headers, body, &edge.reader()).await;
+    let result = body::read_body(&parts.headers, body, &reader).await;
     exchange.add_stage(RequestStage::Receive, started);
     let body = result.map_err(|fault| input::refuse_body(fault, &edge.limits))?;
     // A request is in flight once its body has arrived: slow bodies must not take the places of others.
@@ -280,6 +288,13 @@
     with_request_id(refuse(exchange, refusal), &id)
 }
 
+/// Refuses a request that there is no memory to keep a record of.
+fn refuse_unrecorded(error: &Error) -> Response {
+    let id = exchange::new_request_id();
+    let response = Refusal::from(error.clone()).response(&id);
+    with_request_id(response, &id)
+}
+
 fn refuse(exchange: Exchange, refusal: Refusal) -> Response {
     let response = refusal.response(&exchange.id);
     exchange.fail(&refusal.error);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -88,6 +88,11 @@
     pub held_bytes: Gauge,
     /// Requests that were refused because there was no memory for their bodies.
     pub memory_refusals: Counter,
+    /// Request bodies that were not received, by kind (`too_large`, `no_memory`, `too_slow`, `stalled`, `displaced`,
+    /// `unreadable`).
+    pub body_faults: Family<KindLabels, Counter>,
+    /// Connections that could not be accepted, mostly because the process may open no more files.
+    pub accept_failures: Counter,
     /// Open connections at all HTTP addresses.
     pub connections: Gauge,
     /// Connections that gave way to others, by what they waited for (`first_request`, `head`, `body`, `reader`,
@@ -163,6 +168,8 @@
             in_flight: Gauge::default(),
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
+            body_faults: Family::default(),
+            accept_failures: Counter::default(),
             connections: Gauge::default(),
             evictions: Family::default(),
             queue_length: Family::default(),
@@ -223,7 +230,17 @@
             "Requests refused for lack of memory",
             self.memory_refusals.clone(),
         );
+        registry.register(
+            "body_faults",
+            "Request bodies that were not received",
+            self.body_faults.clone(),
+        );
         registry.register("connections", "Open connections", self.connections.clone());
+        registry.register(
+            "accept_failures",
+            "Connections that could not be accepted",
+            self.accept_failures.clone(),
+        );
         registry.register(
             "evicted_connections",
             "Connections that gave way to others",
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -20,9 +20,11 @@
 use crate::dispatch::{CoreParts, WorkTime};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::http::body::{self, BodyFault, BodyReader};
-use crate::http::connection::{ConnectionEnd, HttpListener};
+use crate::http::connection::{HttpListener, ListenerSettings};
+use crate::http::state::{ConnectionEnd, OpenRequest};
 use crate::kernel::TaskGroup;
 use crate::logging;
+use crate::metrics::DaemonMetrics;
 use crate::relay::dispatcher::{RelayAnswer, RelayBody, RelayDispatcher};
 use crate::relay::format::RelayFormat;
 use crate::relay::request::RelayPiece;
@@ -55,13 +57,15 @@
         dispatcher: Arc<RelayDispatcher<P, F>>,
         draining: Arc<AtomicBool>,
     ) -> Result<Self> {
+        let listener = ListenerSettings::new(limits, dispatcher.core().metrics())
+            .with_account(dispatcher.memory(), error_response);
         let context = Arc::new(ServerContext {
             dispatcher,
             limits: limits.clone(),
             draining,
         });
         let router = Router::new().fallback(serve::<P, F>).with_state(context);
-        let listener = HttpListener::bind(group, address, limits, router).await?;
+        let listener = HttpListener::bind(group, address, listener, router).await?;
         Ok(Self { listener })
     }
 
@@ -102,6 +106,8 @@
         }
     };
     let connection = head.extensions.get::<ConnectionEnd>();
+    // Both are set by the connection that the request came on.
+    let open = head.extensions.get::<OpenRequest>().cloned();
     let id = metadata.id.clone();
     let mut trace = RequestTrace::begin(
         context.dispatcher.core(),
@@ -113,14 +119,16 @@
     );
     let call = async {
         let dispatcher = &context.dispatcher;
+        let open = open.ok_or_else(|| Error::internal("the request has no connection"))?;
         let reader = BodyReader {
             limits: &context.limits,
             account: dispatcher.memory(),
             metrics: dispatcher.core().metrics(),
+            request: &open,
         };
         let attribution = trace.attribution_mut();
         if let Err(error) = dispatcher.check_head(&head, &metadata, attribution) {
-            body::discard_rest(&head.headers, body).await;
+            reader.discard(&head.headers, body).await;
             return Err(error);
         }
         let body = receive_body(&head.headers, body, &reader);
@@ -150,6 +158,7 @@
             format!("the request body is longer than {limit} bytes"),
         ),
         BodyFault::NoMemory => body::no_memory(),
+        BodyFault::Displaced => body::displaced(),
         BodyFault::TooSlow => {
             Error::new(Category::Timeout, "the request body did not arrive in time")
         }
@@ -259,6 +268,7 @@
     address: SocketAddr,
     path: &str,
     limits: &LimitSettings,
+    metrics: &Arc<DaemonMetrics>,
     is_ready: impl Fn() -> bool + Clone + Send + Sync + 'static,
 ) -> Result<()> {
     let answer = move || {
@@ -271,6 +281,7 @@
         }
     };
     let router = Router::new().route(path, axum::routing::get(answer));
-    HttpListener::bind(group, address, limits, router).await?;
+    let listener = ListenerSettings::new(limits, metrics);
+    HttpListener::bind(group, address, listener, router).await?;
     Ok(())
 }
--- a/src/relay/trace.rs
+++ b/src/relay/trace.rs
@@ -9,7 +9,7 @@
 use crate::dispatch::{CoreParts, RequestCore};
 use crate::error::Error;
 use crate::history::{RequestHistory, RequestRecord};
-use crate::http::connection::ConnectionEnd;
+use crate::http::state::ConnectionEnd;
 use crate::metrics::{DaemonMetrics, RouteKind};
 use crate::relay::dispatcher::{ConfigReceiver, RequestAttribution};
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -30,8 +30,9 @@
     RelayListen, RelaySettings, RelayTiming, RetrySettings, StoreSettings, VmCapacity,
 };
 use crate::error::{Error, Result};
+use crate::eviction::BodyRate;
 use crate::ids::KeyDigest;
-use crate::memory::DEFAULT_CAPACITY;
+use crate::memory::{DEFAULT_CAPACITY, MemoryAccount};
 
 /// Part of a VM's memory that request bodies and answers may take: the rest is the daemon's own state and the allocator's
 /// fragments.
@@ -255,6 +256,12 @@
         self.held_bytes.unwrap_or(DEFAULT_CAPACITY)
     }
 
+    /// Creates the account of that memory.
+    pub fn account(&self) -> MemoryAccount {
+        let lowest = BodyRate::new(self.body_bytes, self.body_time);
+        MemoryAccount::with_lowest_rate(self.held(), lowest)
+    }
+
     /// Returns the limits of a process that may open `descriptors` files and of a VM with `memory_mb` MB, where these are
     /// known.
     pub fn for_capacity(&self, memory_mb: Option<usize>, descriptors: Option<usize>) -> Self {
--- a/tests/eviction.rs
+++ b/tests/eviction.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use foxtailhill::eviction::{BodyRate, ClientWait, MIN_WAIT, choose_victims};
+use foxtailhill::eviction::{BodyRate, ClientWait, MIN_WAIT, choose_oldest, choose_victims};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -56,6 +56,19 @@
     assert_eq!(victims, (0..50).collect::<Vec<u32>>());
 }
 
+/// The load of callers that keep all connections busy: the oldest ones make room, and none that has just been opened.
+#[test]
+fn oldest_connections_make_room_if_all_are_busy() {
+    let start = Instant::now();
+    let step = Duration::from_millis(100);
+    let busy = (0..20_u32).map(|number| (number, start + step * (19 - number)));
+    let now = start + step * 20;
+    assert_eq!(choose_oldest(busy.clone(), 3, now), [19, 18, 17]);
+    let old = choose_oldest(busy, 20, now);
+    assert!(old.iter().all(|number| *number >= 4), "{old:?}");
+    assert_eq!(old.len(), 16);
+}
+
 /// Compares with a plain model: sort all, and take the first ones.
 #[test]
 fn victims_are_those_of_the_model() {
