Settings: the limit on connections follows from the memory of the VM

4,000 connections, half of the default limit, took a process to 102 to 109 MB of 64 with small bodies that arrive byte by byte, and to 75 to 77 MB with heads: 15 to 24 KB each, which no limit counted. The cause: `limits.connections` followed from the descriptors alone.

The memory of the VM is now divided in one place (src/settings/plan.rs): bodies and answers, peers, the process, connections, and a rest. The limit on connections is lowered to what the plan has room for; more callers are served in turn. The product reads `capacity` too. A VM of 160 MB with 4,100 descriptors gets 1,834 connections in place of 3,075; one of 260 MB or of 512 MB keeps 3,075 and 6,144, which the descriptors allow.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,7 +19,7 @@
 use crate::admin::{AdminServer, AdminSources};
 use crate::claim::{ClaimService, ClaimSettings};
 use crate::currency::ViewCurrency;
-use crate::daemon::descriptors::open_files_limit;
+use crate::daemon::descriptors::VmLimits;
 use crate::daemon::dump::DaemonState;
 use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
 use crate::daemon::peers::{DaemonPeerHandler, DaemonStatus};
@@ -205,6 +205,10 @@
         metrics: metrics.clone(),
         history: history.clone(),
     };
+    let VmLimits {
+        callers: limits,
+        peers,
+    } = VmLimits::new(settings.capacity, &settings.limits, &metrics);
     let admin = AdminServer::bind(
         service_tasks,
         settings.listen.admin,
@@ -217,7 +221,8 @@
         core.demand.clone(),
         dispatcher.clone(),
     ));
-    let peer = PeerServer::bind(service_tasks, settings.listen.peer, handler).await?;
+    let peer =
+        PeerServer::bind_with_limits(service_tasks, settings.listen.peer, handler, peers).await?;
     let operator = OperatorServer::bind(
         service_tasks,
         settings.listen.operator,
@@ -227,7 +232,7 @@
     )
     .await?;
     let caller_settings = CallerSettings {
-        limits: settings.limits.for_capacity(None, open_files_limit()),
+        limits,
         history,
         metrics,
     };
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -6,7 +6,7 @@
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
-use crate::daemon::descriptors::open_files_limit;
+use crate::daemon::descriptors::VmLimits;
 use crate::daemon::relay_peers::{
     KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
 };
@@ -36,7 +36,7 @@
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ColdBound, ExpectedFinishPolicy};
-use crate::settings::{LimitSettings, RelaySettings};
+use crate::settings::RelaySettings;
 use crate::suspect::SuspectTable;
 use crate::timer::TimerService;
 
@@ -66,8 +66,6 @@
 const SETTLE_TIME: Duration = Duration::from_millis(5_500);
 /// Period of updates of the view of the fleet.
 const FLEET_PERIOD: Duration = Duration::from_millis(100);
-/// Connections of the balancer, and of operators, which have own listeners.
-const SIDE_CONNECTIONS: usize = 64;
 /// Period in which idle connections are checked for expiry.
 const POOL_PERIOD: Duration = Duration::from_secs(1);
 
@@ -163,13 +161,12 @@
     request_tasks: &TaskGroup,
 ) -> Result<RelayDaemon> {
     let services = open_services(settings, service_tasks, request_tasks);
-    let limits = caller_limits(settings);
+    let metrics = services.core.metrics().clone();
+    let VmLimits {
+        callers: limits,
+        peers,
+    } = VmLimits::new(settings.capacity, &settings.limits, &metrics);
     let memory = limits.account();
-    log::info!(
-        "callers may use {} bytes of memory and {} connections",
-        limits.held(),
-        limits.connections
-    );
     show_memory(&services, memory.clone(), service_tasks);
     let draining = Arc::new(AtomicBool::new(false));
     spawn_tasks(&services, service_tasks);
@@ -179,7 +176,7 @@
         planner: services.planner.clone(),
         tables: services.tables(),
     });
-    PeerServer::bind(service_tasks, settings.listen.peer, handler).await?;
+    PeerServer::bind_with_limits(service_tasks, settings.listen.peer, handler, peers).await?;
     let pulses = Arc::new(RelayPulseHandler::new(&services));
     let address = settings.listen.pulse;
     spawn_pulses(
@@ -210,10 +207,7 @@
     });
     let listen = &settings.listen;
     let limits = &limits;
-    let side_limits = &LimitSettings {
-        connections: limits.connections.min(SIDE_CONNECTIONS),
-        ..limits.clone()
-    };
+    let side_limits = &limits.for_side();
     let caller = RelayServer::bind(
         request_tasks,
         listen.caller,
@@ -238,7 +232,7 @@
         listen.ready,
         platform::READY_PATH,
         side_limits,
-        services.core.metrics(),
+        &metrics,
         ready,
     )
     .await?;
@@ -268,14 +262,6 @@
     })
 }
 
-/// Returns the limits on callers within the memory and the descriptors of the VM.
-fn caller_limits(settings: &RelaySettings) -> LimitSettings {
-    let capacity = settings.capacity;
-    let descriptors = capacity.open_files(open_files_limit());
-    let limits = &settings.limits;
-    limits.for_capacity(capacity.memory_mb, descriptors)
-}
-
 /// Updates the gauge of the memory that callers use.
 fn show_memory(services: &RelayServices, memory: MemoryAccount, group: &TaskGroup) {
     let mut ticks = services.timer.every(POOL_PERIOD);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod parse;
+mod plan;
 mod relay;
 
 use std::collections::BTreeMap;
@@ -26,6 +27,7 @@
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 
+pub use self::plan::{MemoryPlan, peer_connections};
 pub use self::relay::{
     RelayListen, RelaySettings, RelayTiming, RetrySettings, StoreSettings, VmCapacity,
 };
@@ -33,16 +35,13 @@
 use crate::eviction::BodyRate;
 use crate::ids::KeyDigest;
 use crate::memory::{DEFAULT_CAPACITY, MemoryAccount};
+use crate::settings::plan::reserved_descriptors;
 
-/// Part of a VM's memory that request bodies and answers may take: the rest is the daemon's own state and the allocator's
-/// fragments.
-const HELD_DIVISOR: usize = 4;
-/// Descriptors that callers leave to backend servers, peers and the store; a quarter of the descriptors if that is more,
-/// as each running request needs a connection to a server.
-const RESERVED_DESCRIPTORS: usize = 200;
+/// Connections of the balancer, and of operators, which have own listeners.
+const SIDE_CONNECTIONS: usize = 64;
 
 /// All settings of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
     /// Name of this VM, unique in the fleet.
@@ -59,6 +58,8 @@
     #[serde(default)]
     pub log: LogSettings,
     #[serde(default)]
+    pub capacity: VmCapacity,
+    #[serde(default)]
     pub limits: LimitSettings,
     #[serde(default)]
     pub timing: TimingSettings,
@@ -265,16 +266,24 @@
     /// Returns the limits of a process that may open `descriptors` files and of a VM with `memory_mb` MB, where these are
     /// known.
     pub fn for_capacity(&self, memory_mb: Option<usize>, descriptors: Option<usize>) -> Self {
+        let plan = MemoryPlan::new(memory_mb, self);
         let mut limits = self.clone();
-        if limits.held_bytes.is_none() {
-            limits.held_bytes = memory_mb.map(|memory| (memory << 20) / HELD_DIVISOR);
-        }
+        limits.held_bytes = Some(plan.held);
+        limits.connections = limits.connections.min(plan.connections);
         if let Some(descriptors) = descriptors {
-            let reserve = (descriptors / 4).max(RESERVED_DESCRIPTORS.min(descriptors / 2));
+            let reserve = reserved_descriptors(descriptors);
             limits.connections = limits.connections.min(descriptors - reserve).max(1);
         }
         limits
     }
+
+    /// Returns the limits of an address that few programs use, such as the balancer's or the operators'.
+    pub fn for_side(&self) -> Self {
+        Self {
+            connections: self.connections.min(SIDE_CONNECTIONS),
+            ..self.clone()
+        }
+    }
 }
 
 impl Default for TimingSettings {
