Operators' and admin addresses of the product: the same limits as elsewhere

Clients that only connect to the product's admin address kept metrics and readiness out, as it had the callers' limit; the operators' address had no limit on connections at all, so that a crowd there could take the descriptors of the process, and a message of 256 KiB was read before its key was checked. The gRPC server now runs on the same listener as all other addresses, with 64 connections that give way to others, and checks the key before the body; so does the admin address. At a stop, open calls have 30 s, the longest time of a change.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -37,7 +37,7 @@
 use crate::kernel::{ServiceRegistry, TaskGroup};
 use crate::member::{MemberParts, MemberSettings, PeerTable};
 use crate::metrics::DaemonMetrics;
-use crate::operator::OperatorServer;
+use crate::operator::{OperatorHooks, OperatorServer, OperatorSettings};
 use crate::peer::{PeerClient, PeerServer};
 use crate::placement::DemandTracker;
 use crate::replica::ReplicaOptions;
@@ -209,13 +209,9 @@
         callers: limits,
         peers,
     } = VmLimits::new(settings.capacity, &settings.limits, &metrics);
-    let admin = AdminServer::bind(
-        service_tasks,
-        settings.listen.admin,
-        &settings.limits,
-        sources,
-    )
-    .await?;
+    let side_limits = limits.for_side();
+    let admin =
+        AdminServer::bind(service_tasks, settings.listen.admin, &side_limits, sources).await?;
     let handler = Arc::new(DaemonPeerHandler::new(
         &core,
         core.demand.clone(),
@@ -223,12 +219,20 @@
     ));
     let peer =
         PeerServer::bind_with_limits(service_tasks, settings.listen.peer, handler, peers).await?;
-    let operator = OperatorServer::bind(
+    let hooks = OperatorHooks {
+        members: peers::member_lister(core.members.clone()),
+        serves_keys: Arc::new(|| true),
+    };
+    let operator = OperatorServer::bind_with_settings(
         service_tasks,
         settings.listen.operator,
         core.replica.clone(),
         settings.bootstrap_operator,
-        peers::member_lister(core.members.clone()),
+        hooks,
+        OperatorSettings {
+            limits: side_limits,
+            metrics: metrics.clone(),
+        },
     )
     .await?;
     let caller_settings = CallerSettings {
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -87,6 +87,12 @@
         self.refuse = refuse;
         self
     }
+
+    /// Sets the number of streams that one HTTP/2 connection may have open.
+    pub(crate) fn with_max_streams(mut self, max_streams: u32) -> Self {
+        self.max_streams = max_streams;
+        self
+    }
 }
 
 /// A bound listener whose connections are tasks of a group.
--- a/src/operator/service.rs
+++ b/src/operator/service.rs
@@ -43,7 +43,7 @@
 const MIN_SUBMIT_WAIT: Duration = Duration::from_secs(5);
 
 /// Longest wait for a change to be read back, which also bounds how long a call can delay a shutdown.
-const MAX_SUBMIT_WAIT: Duration = Duration::from_secs(30);
+pub(super) const MAX_SUBMIT_WAIT: Duration = Duration::from_secs(30);
 
 /// Operator service on a catalog replica.
 pub(super) struct CatalogOperator<J> {
@@ -55,7 +55,7 @@
 }
 
 /// The authenticated operator of a call.
-struct CallingOperator {
+pub(super) struct CallingOperator {
     name: SmolStr,
     digest: KeyDigest,
 }
@@ -78,7 +78,7 @@
     }
 
     /// Finds the operator by the bearer key in the `authorization` metadata.
-    fn authenticate(&self, metadata: &MetadataMap) -> Result<CallingOperator, Status> {
+    pub(super) fn authenticate(&self, metadata: &MetadataMap) -> Result<CallingOperator, Status> {
         // Until the state is loaded the catalog holds no operators, and the bootstrap key would wrongly be accepted.
         if !self.replica.is_ready() {
             return Err(Status::unavailable("the configuration is not loaded yet"));
