Product: at most four threads for the runtime

All kinds of clients at once took the product to 74 to 75 MB of 64 on a machine with 8 cores. The cause: the C library's allocator keeps an arena for each thread, and each keeps what bodies of all sizes have left; with one arena (MALLOC_ARENA_MAX=1, a trial) the same crowd took 47 MB, with two and four threads 51 and 55 MB (trials). The runtime now has at most as many threads as an entry VM of the design size has cores.

Measured: product::a_mix_of_all_kinds failed before and passes in 6 of 6 runs, with 56 to 61 MB.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,10 @@
 /// Exit code for a refused command or bad input.
 const EXIT_REFUSED: u8 = 1;
 
+/// Threads of the product's runtime: the cores of an entry VM at the design size. The allocator keeps freed memory for each
+/// thread, so that more of them cost memory under a crowd.
+const MAX_WORKERS: usize = 4;
+
 /// Serves many models on few accelerators.
 #[derive(FromArgs)]
 struct MainArgs {
@@ -122,7 +126,9 @@
 }
 
 fn multi_thread_runtime() -> eyre::Result<tokio::runtime::Runtime> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
     tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(cores.min(MAX_WORKERS))
         .enable_all()
         .build()
         .wrap_err("cannot start the runtime")
