Logs: a refused crowd has one line every ten seconds

The cause: each refusal and each closed connection had a line at the usual level. Requests that end before their body has come now have theirs at `debug` and stay in the records of `/requests`; at most every 10 s a line sums up what gave way and what was not received, as a warning if connections gave way.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a daemon: creates all services of an entry VM and connects them.
 
+mod crowd_report;
 mod descriptors;
 mod dump;
 mod facts;
@@ -19,6 +20,7 @@
 use crate::admin::{AdminServer, AdminSources};
 use crate::claim::{ClaimService, ClaimSettings};
 use crate::currency::ViewCurrency;
+use crate::daemon::crowd_report::spawn_crowd_report;
 use crate::daemon::descriptors::VmLimits;
 use crate::daemon::dump::DaemonState;
 use crate::daemon::parts::{Claims, Engine, Limits, Members, Replica, Watch};
@@ -210,6 +212,7 @@
         peers,
     } = VmLimits::new(settings.capacity, &settings.limits, &metrics);
     let side_limits = limits.for_side();
+    spawn_crowd_report(&metrics, &limits, &core.timer, service_tasks);
     let admin =
         AdminServer::bind(service_tasks, settings.listen.admin, &side_limits, sources).await?;
     let handler = Arc::new(DaemonPeerHandler::new(
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -6,6 +6,7 @@
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
+use crate::daemon::crowd_report::spawn_crowd_report;
 use crate::daemon::descriptors::VmLimits;
 use crate::daemon::relay_peers::{
     KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
@@ -168,6 +169,7 @@
     } = VmLimits::new(settings.capacity, &settings.limits, &metrics);
     let memory = limits.account();
     show_memory(&services, memory.clone(), service_tasks);
+    spawn_crowd_report(&metrics, &limits, &services.timer, service_tasks);
     let draining = Arc::new(AtomicBool::new(false));
     spawn_tasks(&services, service_tasks);
     let handler = Arc::new(RelayPeerHandler {
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -56,6 +56,16 @@
 }
 
 impl BodyFault {
+    /// Names of all kinds in metrics.
+    pub(crate) const NAMES: [&'static str; 6] = [
+        "too_large",
+        "no_memory",
+        "too_slow",
+        "stalled",
+        "displaced",
+        "unreadable",
+    ];
+
     /// Returns the name used in metrics.
     fn as_str(&self) -> &'static str {
         match self {
--- a/src/relay/server.rs
+++ b/src/relay/server.rs
@@ -24,7 +24,7 @@
 use crate::http::state::{ConnectionEnd, OpenRequest};
 use crate::kernel::TaskGroup;
 use crate::logging;
-use crate::metrics::DaemonMetrics;
+use crate::metrics::{DaemonMetrics, RouteKind};
 use crate::relay::dispatcher::{RelayAnswer, RelayBody, RelayDispatcher};
 use crate::relay::format::RelayFormat;
 use crate::relay::request::RelayPiece;
@@ -101,7 +101,9 @@
     let metadata = match context.dispatcher.read_metadata(&head) {
         Ok(metadata) => metadata,
         Err(error) => {
-            log::info!("request refused because of its headers: {error}");
+            let metrics = context.dispatcher.core().metrics();
+            metrics.finish_request(RouteKind::Relay, Some(&error));
+            log::debug!("request refused because of its headers: {error}");
             return error_response(&error);
         }
     };
@@ -134,6 +136,7 @@
         let body = receive_body(&head.headers, body, &reader);
         let drain = dispatcher.core().drain_clock();
         let body = drain.run_unsent(|| WorkTime::NONE, body).await?;
+        trace.note_received();
         dispatcher
             .call(head, metadata, body, arrived, trace.attribution_mut())
             .await
--- a/src/relay/trace.rs
+++ b/src/relay/trace.rs
@@ -28,6 +28,7 @@
     metrics: Arc<DaemonMetrics>,
     configs: ConfigReceiver,
     connection: ConnectionEnd,
+    is_received: bool,
     finished: bool,
 }
 
@@ -54,6 +55,7 @@
             metrics,
             configs,
             connection,
+            is_received: false,
             finished: false,
         }
     }
@@ -63,6 +65,12 @@
         &mut self.attribution
     }
 
+    /// Notes that the body has arrived. Requests that end before that have no line of their own at the usual level: a crowd
+    /// that sends bodies slowly, or without a valid key, would fill the log.
+    pub(super) fn note_received(&mut self) {
+        self.is_received = true;
+    }
+
     /// Records the team once the attribution is known.
     pub(super) fn record_team(&self) {
         let team = self.attribution.team.clone();
@@ -93,7 +101,7 @@
         self.metrics.finish_request(RouteKind::Relay, Some(error));
         let outcome = format!("{error} ({})", error.verdict());
         if self.status.is_none() {
-            return self.log(log::Level::Info, &outcome);
+            return self.log(self.level(log::Level::Info), &outcome);
         }
         // The caller has a part of the answer, so its connection is closed.
         self.metrics.count(&self.metrics.closed, BROKEN_ANSWER);
@@ -101,6 +109,14 @@
         self.log(log::Level::Warn, &outcome);
     }
 
+    /// Returns the level of a line that is at `usual` for requests whose body has arrived.
+    fn level(&self, usual: log::Level) -> log::Level {
+        match self.is_received {
+            true => usual,
+            false => log::Level::Debug,
+        }
+    }
+
     fn log(&self, level: log::Level, outcome: &str) {
         if !log::log_enabled!(level) {
             return;
@@ -138,7 +154,7 @@
             };
             self.history.update(&self.id, |record| record.cancel(cause));
             self.metrics.cancel_request(RouteKind::Relay);
-            self.log(level, cause);
+            self.log(self.level(level), cause);
         }
         self.metrics.in_flight.dec();
     }
