HTTP/2: connections of HTTP/1.1 take no part of the streams

Found by reading: a daemon with 300 kept connections of HTTP/1.1 allowed a new HTTP/2 connection 8 streams at once, as the streams that there is memory for were divided by all connections. Only those that use HTTP/2, or have not shown what they use, count now.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -429,9 +429,13 @@
             };
             self.preface_matched =
                 (HTTP2_PREFACE_START.get(matched) == Some(byte)).then_some(matched + 1);
-            if self.preface_matched == Some(HTTP2_PREFACE_START.len()) {
-                self.state.set_http2();
-                self.preface_matched = None;
+            match self.preface_matched {
+                Some(matched) if matched == HTTP2_PREFACE_START.len() => {
+                    self.state.set_http2();
+                    self.preface_matched = None;
+                }
+                Some(_) => {}
+                None => self.state.set_http1(),
             }
         }
         self.state.received();
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -13,7 +13,7 @@
 
 /// Part of the connections that give way at once when there is no memory.
 const RELIEVED_DIVISOR: usize = 64;
-/// Part of the requests that there is memory for which one HTTP/2 connection may open, divided by the connections.
+/// Part of the requests that there is memory for which the HTTP/2 connections share.
 const STREAM_DIVISOR: usize = 8;
 /// Streams that each HTTP/2 connection may have open, however many connections there are.
 const MIN_STREAMS: usize = 8;
@@ -93,11 +93,13 @@
         self.retire_oldest(wanted.saturating_sub(closing + retired), now);
     }
 
-    /// Returns the streams that the next HTTP/2 connection may have open: its part of those that there is memory for, as the
-    /// streams of all connections may be opened before any is refused.
+    /// Returns the streams that the newest connection may have open if it uses HTTP/2: its part of those that there is memory
+    /// for, as the streams of all connections may be opened before any is refused.
     pub(super) fn max_streams(&self, capacity: usize) -> u32 {
         let streams = capacity / REQUEST_BYTES / STREAM_DIVISOR;
-        let part = streams / self.open().len().max(1);
+        let open = self.open();
+        let sharing = open.values().filter(|state| state.may_use_http2());
+        let part = streams / sharing.count().max(1);
         u32::try_from(part.max(MIN_STREAMS)).unwrap_or(u32::MAX)
     }
 
--- a/src/http/state.rs
+++ b/src/http/state.rs
@@ -115,6 +115,8 @@
     body_rate: BodyRate,
     inner: Mutex<StateInner>,
     is_http2: AtomicBool,
+    /// Whether its first bytes have shown that it does not use HTTP/2.
+    is_http1: AtomicBool,
     pub(super) end: ConnectionEnd,
     /// For what the connection waited when it was asked to give way.
     evicted_for: OnceLock<WaitKind>,
@@ -138,6 +140,7 @@
                 requests: SlotMap::with_key(),
             }),
             is_http2: AtomicBool::new(false),
+            is_http1: AtomicBool::new(false),
             end: ConnectionEnd::default(),
             evicted_for: OnceLock::new(),
             evicted: CancellationToken::new(),
@@ -182,6 +185,16 @@
         self.inner().head_since = None;
     }
 
+    /// Notes that the connection does not use HTTP/2.
+    pub(super) fn set_http1(&self) {
+        self.is_http1.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection uses HTTP/2, or may yet turn out to.
+    pub(super) fn may_use_http2(&self) -> bool {
+        !self.is_http1.load(Ordering::Relaxed)
+    }
+
     /// Notes that bytes arrived.
     pub(super) fn received(&self) {
         let mut inner = self.inner();
