--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -163,7 +163,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
-    /// Open connections per listener; default 8,192, 1 to 100,000. Further connections wait in the listen backlog.
+    /// Open connections of callers; default 8,192, 1 to 100,000. Lowered to what the VM's memory and files allow; further
+    /// callers make others give way (see [`crate::eviction`]).
     #[serde(deserialize_with = "parse::count")]
     pub connections: usize,
     /// Admitted requests of the process, including waiting ones; default 4,096, 1 to 100,000.
@@ -178,7 +179,8 @@
     /// Maximum time from the first byte of a request to the end of its headers; default 5 s, 10 ms to 10 min.
     #[serde(deserialize_with = "parse::positive_wait")]
     pub header_time: Duration,
-    /// Maximum time from the end of the headers to the end of the body; default 20 s, 10 ms to 10 min.
+    /// Maximum time from the end of the headers to the end of the body; default 20 s, 10 ms to 10 min. Bodies that arrive more
+    /// slowly than the longest one in this time give way when there is no room.
     #[serde(deserialize_with = "parse::positive_wait")]
     pub body_time: Duration,
     /// Maximum time without a byte of the body; default 5 s, 10 ms to 10 min. Callers that stall return their memory then.
