--- a/src/eviction.rs
+++ b/src/eviction.rs
@@ -1,7 +1,7 @@
 //! Decides which connection is closed when there is no room for another one.
 //!
 //! A connection is in use while its request runs, or while it sends a body at the lowest rate or faster; it is never closed
-//! then. Every other one waits for its client, for which there is a time limit. The one that has used the largest part of its
+//! then, unless its client has left an answer unread for the whole limit. Every other one waits for its client, for which there is a time limit. The one that has used the largest part of its
 //! limit is closed first: a client that sends its head or body slowly, or does not read, uses up a few seconds, while a kept
 //! connection between two requests may be idle for a minute. A wait shorter than [`MIN_WAIT`] says nothing about a client.
 //!
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -297,14 +297,6 @@
         self.bytes
     }
 
-    /// Notes that bytes of the body have arrived.
-    pub fn note_progress(&self, now: Instant) {
-        let mut state = self.account.state();
-        if let Some(body) = self.body.and_then(|key| state.arriving.get_mut(key)) {
-            body.progress = now;
-        }
-    }
-
     /// Notes that `received` bytes of the body have arrived in all.
     pub fn note_received(&self, received: usize, now: Instant) {
         let mut state = self.account.state();
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -19,10 +19,8 @@
 use crate::peer::codec::{self, MAX_REQUEST_BYTES};
 use crate::peer::connections::{CallGuard, PeerConnectionState, PeerPermit, PeerTable};
 use crate::peer::{PeerHandler, PeerReply, PeerRequest};
+use crate::settings::peer_connections;
 
-/// Connections served at once if the limits state no other number; twice the design size of 320 daemons leaves room for
-/// reconnects.
-const MAX_CONNECTIONS: usize = 640;
 /// Memory for bodies and replies of all calls if the limits state no other, in bytes.
 const DEFAULT_MEMORY_BYTES: usize = 16 << 20;
 /// Calls that one connection may have open.
@@ -61,7 +59,7 @@
 impl Default for PeerLimits {
     fn default() -> Self {
         Self {
-            connections: MAX_CONNECTIONS,
+            connections: peer_connections(None),
             memory: MemoryAccount::new(DEFAULT_MEMORY_BYTES),
             metrics: Arc::new(DaemonMetrics::new()),
         }
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -197,10 +197,8 @@
         attribution: &mut RequestAttribution,
     ) -> Result<()> {
         let mut configs = self.context.configs.clone();
-        match self.try_match_route(&mut configs, head, metadata, attribution) {
-            Some(Err(error)) => Err(error),
-            Some(Ok(_)) | None => Ok(()),
-        }
+        let matched = self.try_match_route(&mut configs, head, metadata, attribution);
+        matched.map_or(Ok(()), |result| result.map(|_| ()))
     }
 
     /// Processes a request that arrived at `arrived` and returns once the head of its answer is known. `attribution` is
--- a/tests/memory_account.rs
+++ b/tests/memory_account.rs
@@ -62,7 +62,7 @@
     let large = account.lease_body(330_000, start).expect("room");
     let active = account.lease_body(340_000, start).expect("room");
     let now = start + EVICT_IDLE;
-    active.note_progress(now);
+    active.note_received(1, now);
     assert!(account.lease_body(300_000, now).is_none());
     assert!(account.evict_for(300_000, now));
     assert_eq!(
