Records of the store: check each number where it is decoded

Callers saw: a record of another program stood in the list of servers, with cold-left-ms of 1e22.

Cause: the decoder accepted values that the code cannot compute with. The time became a Duration that the monotonic clock cannot add; the addition panicked in the middle of the list, so that servers behind the record were never listed, and the panic ended the reader.

Change: ServerEntry::check holds the ranges, for records and for entries of a peer's copy; a record that fails names no server. Ranges of slots, starts, counters and at-hand were not checked at all. Times, amounts and weights of the configuration are reduced to a bound; before, a time that was too large became zero, and a rate below 1 became 0, which stands for no limit. Datagrams and calls of daemons, reports of engines and tables of members are checked where they are decoded.

--- a/src/blame/messages.rs
+++ b/src/blame/messages.rs
@@ -7,6 +7,11 @@
 use crate::blame::trial::TrialNotice;
 use crate::ids::KeyDigest;
 
+/// Largest number of trials of one part that a daemon reports.
+const MAX_TRIALS: u32 = 1 << 20;
+/// Longest time since a reported request was sent; deadlines are shorter.
+const MAX_REQUEST_AGE: Duration = Duration::from_secs(24 * 3_600);
+
 /// Id of a prompt part, or of the team, path and body of a request, which count as a part before the first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u64);
@@ -60,6 +65,23 @@
     }
 }
 
+impl PartNotice {
+    /// Returns whether its numbers are in the ranges that are computed with.
+    pub fn is_valid(&self) -> bool {
+        self.trials.count <= MAX_TRIALS
+    }
+}
+
+impl BlameMessage {
+    /// Returns whether its numbers are in the ranges that are computed with.
+    pub fn is_valid(&self) -> bool {
+        match self {
+            Self::Crash(report) => report.sent_ago <= MAX_REQUEST_AGE,
+            Self::Notice(notice) => notice.is_valid(),
+        }
+    }
+}
+
 /// A message about crashes from one daemon to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BlameMessage {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -49,7 +49,7 @@
 impl LogOffset {
     /// Returns the offset that follows.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/src/member/record.rs
+++ b/src/member/record.rs
@@ -72,6 +72,13 @@
         if read != data.len() {
             return Err(Error::invalid("bytes follow a member record"));
         }
+        if let Self::Snapshot { table } = &record
+            && !table.is_valid()
+        {
+            return Err(Error::invalid(
+                "a number in a table of members is out of range",
+            ));
+        }
         Ok(record)
     }
 }
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -78,6 +78,14 @@
         Self::default()
     }
 
+    /// Returns whether all terms and shares are in the ranges that [`Self::apply`] keeps to.
+    pub(super) fn is_valid(&self) -> bool {
+        let granted = self.members.values().map(|entry| u64::from(entry.granted));
+        self.members.len() <= MAX_MEMBERS
+            && self.members.values().all(|entry| entry.term <= MAX_TERM)
+            && granted.sum::<u64>() <= u64::from(WHOLE_PPM)
+    }
+
     /// Returns the next offset that has not been applied.
     pub fn next(&self) -> LogOffset {
         self.next
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -193,7 +193,7 @@
     let response = response.await.map_err(|error| codec::transport(&error))?;
     let body = codec::read_body(&mut response.into_body(), MAX_REPLY_BYTES, received).await?;
     connection.replies.fetch_add(1, Ordering::Relaxed);
-    codec::decode_reply::<Result<PeerReply>>(&body)?
+    codec::decode_reply::<Result<PeerReply>>(&body)??.checked()
 }
 
 fn timed_out(peer: SocketAddr, wait: Duration, received: usize) -> Error {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -22,10 +22,14 @@
 use crate::dispatch::ModelDemand;
 use crate::error::Result;
 use crate::ids::{KeyDigest, LogOffset, VmId};
+use crate::limit::MAX_LOAN_LIFETIME;
 use crate::relay::{
     ConfigChunk, ConfigRequest, CopyRequest, PlacementChange, PlacementRequest, TableCopy,
 };
 
+/// Longest promise of a status, above any term of a member.
+const MAX_PROMISE: Duration = Duration::from_secs(24 * 3_600);
+
 /// What a daemon reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerStatus {
@@ -114,6 +118,50 @@
     Config(Option<ConfigChunk>),
 }
 
+impl PeerReply {
+    /// Returns the reply with only what can be computed with, or an error if nothing of it can.
+    ///
+    /// # Errors
+    ///
+    /// `Protocol` if the reply is a loan or a status with a time out of range.
+    fn checked(self) -> Result<Self> {
+        match self {
+            Self::Tables(copy) => Ok(Self::Tables(TableCopy {
+                servers: copy.servers.without_invalid(),
+                ..copy
+            })),
+            Self::Loan(Some(loan)) if loan.lifetime > MAX_LOAN_LIFETIME => {
+                Err(codec::protocol("the lifetime of a loan is out of range"))
+            }
+            Self::Status(status) => Ok(Self::Status(status.checked()?)),
+            reply => Ok(reply),
+        }
+    }
+}
+
+impl PeerRequest {
+    /// Returns the request if its numbers can be computed with.
+    ///
+    /// # Errors
+    ///
+    /// `Protocol` if the request is a status with a time out of range.
+    fn checked(self) -> Result<Self> {
+        match self {
+            Self::Status(status) => Ok(Self::Status(status.checked()?)),
+            request => Ok(request),
+        }
+    }
+}
+
+impl PeerStatus {
+    fn checked(self) -> Result<Self> {
+        match self.no_expire_for <= MAX_PROMISE {
+            true => Ok(self),
+            false => Err(codec::protocol("the promise of a status is out of range")),
+        }
+    }
+}
+
 /// Serves the calls that a [`PeerServer`] accepts.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Handles one call.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -295,7 +295,8 @@
             format!("the body of a peer call did not arrive within {READ_TIMEOUT:?}"),
         )
     })??;
-    Ok((codec::decode_request(&body)?, lease))
+    let request: PeerRequest = codec::decode_request(&body)?;
+    Ok((request.checked()?, lease))
 }
 
 /// Reads the body of a call into memory that is leased before the buffer grows.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -12,6 +12,13 @@
     CallKind, EngineConfig, ModelConfig, RouteConfig, ServiceConfig, ServingConfig, TeamConfig,
 };
 
+/// Longest time in a configuration. Multiples of it can be added to the monotonic clock.
+const MAX_TIME: Duration = Duration::from_secs(24 * 3_600);
+/// Largest amount in a configuration, which whole numbers and fractions represent alike.
+const MAX_AMOUNT: u64 = 1 << 50;
+/// Largest weight of a service of a route.
+const MAX_WEIGHT: u32 = 1 << 20;
+
 #[derive(Deserialize)]
 struct ConfigRecord {
     version: u64,
@@ -158,7 +165,9 @@
 impl From<RouteRecord> for RouteConfig {
     fn from(record: RouteRecord) -> Self {
         let split = record.backends.into_iter();
-        let mut services: Vec<_> = split.map(|part| (part.service, part.weight)).collect();
+        let mut services: Vec<_> = split
+            .map(|part| (part.service, part.weight.min(MAX_WEIGHT)))
+            .collect();
         if services.is_empty() {
             services.extend(record.service.map(|service| (service, 1)));
         }
@@ -194,7 +203,7 @@
         Self {
             name: record.name,
             max_connections: record.max_conns,
-            cold_rate: record.cold_per_s,
+            cold_rate: amount(record.cold_per_s),
             engine: record.engine.map(EngineConfig::from),
         }
     }
@@ -205,10 +214,10 @@
         Self {
             models: record.models.into_iter().map(ModelConfig::from).collect(),
             slots: record.slots,
-            cache_tokens: record.kv_capacity,
-            memory_mb: record.weights_mb,
+            cache_tokens: record.kv_capacity.min(MAX_AMOUNT),
+            memory_mb: amount(record.weights_mb),
             adapter_slots: record.adapter_slots,
-            loads_per_s: record.loads_per_s,
+            loads_per_s: amount(record.loads_per_s),
         }
     }
 }
@@ -218,12 +227,12 @@
         let store_load = seconds(record.load_time_s);
         Self {
             name: record.name,
-            memory_mb: record.weights_mb,
+            memory_mb: amount(record.weights_mb),
             store_load,
             disk_load: record.disk_s.map_or(store_load, seconds),
             host_load: record.warm_s.map_or(store_load, seconds),
             adapters: record.adapters,
-            adapter_mb: record.adapter_mb,
+            adapter_mb: amount(record.adapter_mb),
         }
     }
 }
@@ -234,11 +243,11 @@
     let team = TeamConfig {
         spec: TeamSpec {
             name: record.name,
-            rate: record.rate_per_s as u64,
-            burst: record.burst as u64,
+            rate: tokens(record.rate_per_s),
+            burst: tokens(record.burst),
         },
         priority: record.priority,
-        default_tokens: record.plain_tokens,
+        default_tokens: record.plain_tokens.min(MAX_AMOUNT),
     };
     (team, keys)
 }
@@ -247,7 +256,18 @@
     seconds(value / 1_000.0)
 }
 
-/// Converts seconds; a value that is negative, not finite or too large gives zero.
+/// Converts seconds. A negative value gives zero, one above [`MAX_TIME`] is reduced to it.
 fn seconds(value: f64) -> Duration {
+    let value = value.clamp(0.0, MAX_TIME.as_secs_f64());
     Duration::try_from_secs_f64(value).unwrap_or_default()
 }
+
+/// Converts an amount of something that is counted or measured, which is at most [`MAX_AMOUNT`]. A negative one gives 0.
+fn amount(value: f64) -> f64 {
+    value.clamp(0.0, MAX_AMOUNT as f64)
+}
+
+/// Converts a rate or burst in whole tokens. A rate below 1 must not become 0, which stands for no limit.
+fn tokens(value: f64) -> u64 {
+    amount(value).ceil() as u64
+}
--- a/src/platform/engines.rs
+++ b/src/platform/engines.rs
@@ -24,6 +24,9 @@
 /// hold.
 const ANSWER_LIMIT: usize = 64 << 10;
 
+/// Largest number of orders that an engine can have accepted.
+const MAX_ORDERS: u64 = 1 << 53;
+
 /// Client for the control interface of engines.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
@@ -133,6 +136,9 @@
         let request = wire::request(address, Method::GET, "/api/report", Bytes::new())?;
         let answer = call(&self.reports, server, request).await?;
         let report: ReportBody = wire::decode(&answer)?;
+        if report.seq > MAX_ORDERS {
+            return Err(wire::protocol("the engine reported too many orders"));
+        }
         Ok(EngineReport {
             born_ms: report.born,
             accepted_orders: report.seq,
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -1,5 +1,6 @@
 //! Decoding of the records that backend servers write about themselves.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -65,15 +66,21 @@
 ///
 /// # Errors
 ///
-/// `Invalid` if a field is missing or has the wrong type, if the state is unknown, or if the id is not a valid header
-/// value. Other programs may write such records.
+/// `Invalid` if a field is missing, has the wrong type or is outside its range, if the state is unknown, or if the id
+/// cannot be stated in a header. Other programs may write such records.
 pub fn decode_server(id: &str, record: &[u8]) -> Result<ServerEntry> {
-    HeaderValue::from_str(id)
-        .map_err(|_| Error::invalid(format!("id of server `{id}` is not a valid header value")))?;
-    let server: ServerRecord = serde_json::from_slice(record).map_err(|error| {
-        Error::invalid(format!("record of server `{id}` is malformed: {error}"))
-    })?;
-    Ok(ServerEntry {
+    let malformed = |cause: &dyn Display| {
+        Error::invalid(format!("record of server `{id}` is malformed: {cause}"))
+    };
+    if HeaderValue::from_str(id).is_err() {
+        return Err(Error::invalid(format!(
+            "id of server `{id}` is not a valid header value"
+        )));
+    }
+    let server: ServerRecord = serde_json::from_slice(record).map_err(|error| malformed(&error))?;
+    let cold_left = Duration::try_from_secs_f64(server.cold_left_ms / 1_000.0)
+        .map_err(|error| malformed(&format_args!("`cold-left-ms`: {error}")))?;
+    let entry = ServerEntry {
         id: id.into(),
         service: server.service,
         address: server.address,
@@ -83,10 +90,13 @@
         models: server.models.into_iter().map(HeldModel::from).collect(),
         born_ms: server.born,
         seq: server.seq,
-        cold_left: Duration::try_from_secs_f64(server.cold_left_ms / 1_000.0).unwrap_or_default(),
-        in_host_memory: model_names(&server.at_hand, "in-memory"),
-        on_disk: model_names(&server.at_hand, "on-disk"),
-    })
+        cold_left,
+        in_host_memory: model_names(&server.at_hand, "in-memory")
+            .map_err(|error| malformed(&error))?,
+        on_disk: model_names(&server.at_hand, "on-disk").map_err(|error| malformed(&error))?,
+    };
+    entry.check()?;
+    Ok(entry)
 }
 
 impl From<ModelRecord> for HeldModel {
@@ -103,12 +113,20 @@
     }
 }
 
-/// Reads a list of model names. They only make loading faster, so a malformed list counts as empty.
-fn model_names(object: &Value, field: &str) -> Vec<SmolStr> {
-    let list = object.get(field).and_then(Value::as_array);
-    let names = list.into_iter().flatten().filter_map(|item| {
+/// Reads the list of model names in a field of `at-hand`, which may be missing.
+fn model_names(at_hand: &Value, field: &str) -> Result<Vec<SmolStr>> {
+    let malformed = || Error::invalid(format!("`at-hand` has no list of models `{field}`"));
+    let list = match at_hand {
+        Value::Null => return Ok(Vec::new()),
+        Value::Object(lists) => lists.get(field).unwrap_or(&Value::Null),
+        _ => return Err(malformed()),
+    };
+    if list.is_null() {
+        return Ok(Vec::new());
+    }
+    let names = list.as_array().ok_or_else(malformed)?.iter().map(|item| {
         let name = item.as_str().or_else(|| item.get("name")?.as_str());
-        name.map(SmolStr::from)
+        name.map(SmolStr::from).ok_or_else(malformed)
     });
     names.collect()
 }
--- a/src/relay/config.rs
+++ b/src/relay/config.rs
@@ -94,8 +94,8 @@
 
     /// Picks a service at random by weight; `draw` is a uniform random number in `0..1`.
     pub fn pick_service(&self, draw: f64) -> Option<&SmolStr> {
-        let total: u32 = self.services.iter().map(|(_, weight)| *weight).sum();
-        let mut left = draw * f64::from(total);
+        let weights = self.services.iter().map(|(_, weight)| f64::from(*weight));
+        let mut left = draw * weights.sum::<f64>();
         for (service, weight) in &self.services {
             left -= f64::from(*weight);
             if left < 0.0 {
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -34,6 +34,8 @@
 const PLANNER_PERIODS: usize = 3;
 /// Largest datagram, in bytes; a larger pulse is not sent.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Largest number of running or waiting requests that one daemon reports, far above what it can hold.
+const MAX_COUNT: u32 = 1 << 20;
 /// Maximum number of messages about crashes in one datagram.
 const MAX_BLAME_MESSAGES: usize = 16;
 
@@ -289,6 +291,33 @@
         Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => Some(data),
         Ok(data) => {
             log::warn!(
+/// Content of a datagram, whose numbers are checked once when it is decoded.
+trait DatagramContent: DeserializeOwned {
+    /// Returns whether all numbers are in the ranges that are computed with.
+    fn is_valid(&self) -> bool;
+}
+
+impl DatagramContent for Pulse {
+    fn is_valid(&self) -> bool {
+        let running = self.in_flight.values();
+        let waiting = self.demand.iter().map(|demand| &demand.waiting);
+        running.chain(waiting).all(|count| *count <= MAX_COUNT)
+            && self.parts.iter().all(PartNotice::is_valid)
+    }
+}
+
+impl DatagramContent for Vec<BlameMessage> {
+    fn is_valid(&self) -> bool {
+        self.iter().all(BlameMessage::is_valid)
+    }
+}
+
+impl DatagramContent for Vec<RefusalReport> {
+    fn is_valid(&self) -> bool {
+        true
+    }
+}
+
                 "a {kind:?} datagram of {} bytes is too large to send",
                 data.len()
             );
@@ -340,9 +369,12 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(content: &[u8]) -> Result<T> {
-    let decoded = bincode::serde::decode_from_slice(content, bincode::config::standard());
-    decoded
-        .map(|(content, _)| content)
-        .map_err(|error| Error::invalid(error.to_string()))
+fn decode<T: DatagramContent>(content: &[u8]) -> Result<T> {
+    let (content, _): (T, usize) =
+        bincode::serde::decode_from_slice(content, bincode::config::standard())
+            .map_err(|error| Error::invalid(error.to_string()))?;
+    match content.is_valid() {
+        true => Ok(content),
+        false => Err(Error::invalid("a number is out of range")),
+    }
 }
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -6,8 +6,19 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::error::{Error, Result};
 use crate::ids::{LogOffset, StoreEra};
 use crate::relay::engines::LoadItem;
+use crate::wire;
+
+/// Largest number of requests that one server runs concurrently.
+const MAX_SLOTS: u32 = 1 << 16;
+/// Longest time for which a server is cold. Far shorter than what the monotonic clock can add.
+const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 3_600);
+/// Latest start of a server, in milliseconds since the Unix epoch: the end of the year 9999.
+const MAX_BORN_MS: u64 = 253_402_300_799_999;
+/// Largest counter in a record, up to which JSON parsers keep integers exact.
+const MAX_COUNT: u64 = 1 << 53;
 
 /// A model in the memory of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,6 +95,18 @@
 }
 
 impl ServerDelta {
+    /// Drops the entries whose values cannot be computed with, which are logged.
+    pub fn without_invalid(mut self) -> Self {
+        self.changed.retain(|entry| match entry.check() {
+            Ok(()) => true,
+            Err(error) => {
+                log::warn!("skipping an entry of a copied list: {error}");
+                false
+            }
+        });
+        self
+    }
+
     /// Returns the changes in the order in which they must be applied.
     pub fn into_changes(self) -> Vec<ServerChange> {
         let ListPosition { era, offset } = self.position;
@@ -101,6 +124,33 @@
 }
 
 impl ServerEntry {
+    /// Checks the values that are computed with. Everything that decodes an entry must call this.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` if a value is outside its range.
+    pub fn check(&self) -> Result<()> {
+        let id = self.id.as_str();
+        let max_version = self.models.iter().map(|model| model.version).max();
+        let is_valid = [
+            // Spaces around a header value are no part of it, so that the id would be another server's.
+            ("id", !id.is_empty() && id.trim() == id),
+            ("service", !self.service.is_empty()),
+            ("address", wire::is_connectable(self.address)),
+            ("slots", (1..=MAX_SLOTS).contains(&self.slots)),
+            ("cold time", self.cold_left <= MAX_COLD_TIME),
+            ("time of start", self.born_ms <= MAX_BORN_MS),
+            ("number of writes", self.seq <= MAX_COUNT),
+            ("version of a model", max_version.unwrap_or(0) <= MAX_COUNT),
+        ];
+        match is_valid.iter().find(|(_, is_valid)| !is_valid) {
+            Some((field, _)) => Err(Error::invalid(format!(
+                "{field} of server `{id}` is out of range"
+            ))),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the age order of records of the same server: a record with a larger value was written later.
     pub(super) fn write_order(&self) -> (u64, u64) {
         (self.born_ms, self.seq)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -266,6 +266,12 @@
     }
 }
 
+/// Returns whether a process can be reached at `address`.
+pub(crate) fn is_connectable(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+}
+
 /// Returns whether `status` may end a request. Interim and undefined statuses must not reach callers.
 pub(crate) fn is_answer_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
