Store: one item of a page, or the lease's record, that cannot be read stays alone

Cause: a page of newest records was decoded as a whole. A key that is no UTF-8, or a number out of range in an item, made the table unreadable while it stood. The page after a page without a readable key was never asked for. A record of the lease that could not be decoded was an error of each read, so that no daemon could hold the lease while it stood; one with a fencing number of 2^64 - 1 left no number for the next holder. The lease was looked for on the first page only.

Change: items are decoded one by one from their text, and reading goes on from the last key even if its record is malformed. A lease record that no daemon can have written stands for a holder that is not known; candidates wait as for a silent one. All pages are read.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -74,7 +74,9 @@
 
 /// Random id of one run of a daemon, generated at its start and never reused. It does not identify the VM itself: a
 /// daemon that restarts on the same VM gets a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct VmId(pub u64);
 
 impl VmId {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,8 +9,8 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{Method, StatusCode};
-use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use crate::error::{Category, Error, Result, RunVerdict};
@@ -52,23 +52,17 @@
     newest_era: Arc<AtomicU64>,
 }
 
+/// A page of newest records. Its items are decoded one by one, so that one that is malformed does not hide the others.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct NewestPage {
-    items: Vec<PageItem>,
+struct NewestPage<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     has_more: bool,
     end: u64,
 }
 
-/// An item of a page. One that is malformed must not hide the others.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum PageItem {
-    Record(NewestItem),
-    Malformed(IgnoredAny),
-}
-
 #[derive(Deserialize)]
 struct NewestItem {
     key: SmolStr,
@@ -77,13 +71,20 @@
     offset: u64,
 }
 
-impl PageItem {
-    fn record(self) -> Option<NewestItem> {
-        match self {
-            Self::Record(item) => Some(item),
-            Self::Malformed(_) => None,
-        }
-    }
+/// The part of an item from which reading goes on after it.
+#[derive(Deserialize)]
+struct ItemKey {
+    key: SmolStr,
+}
+
+/// A decoded page of newest records.
+struct PageRead {
+    records: Vec<Result<KeyedRecord>>,
+    /// The last key of the page, also if its record is malformed; `None` if no item has a key.
+    last: Option<SmolStr>,
+    has_more: bool,
+    end: LogOffset,
+    era: StoreEra,
 }
 
 impl StoreClient {
@@ -120,12 +121,8 @@
         }
     }
 
-    /// Reads a page of newest records; also returns the era of the answer.
-    async fn newest_page(
-        &self,
-        topic: &str,
-        after: Option<&str>,
-    ) -> Result<(NewestPage, StoreEra)> {
+    /// Reads the page of newest records that follows the key `after`.
+    async fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<PageRead> {
         let mut path = format!("/api/log-newest?topic={topic}&part=0");
         if let Some(after) = after {
             path.push_str("&after=");
@@ -135,35 +132,66 @@
         let answer = self
             .call(Method::GET, &path, Bytes::new(), timeouts)
             .await?;
-        Ok((wire::decode(&answer)?, store_era(&answer)))
+        // Keys may be any bytes, also such that are no text.
+        let text = String::from_utf8_lossy(&answer.body);
+        let page: NewestPage<'_> = match answer.status {
+            StatusCode::OK => serde_json::from_str(&text).map_err(|error| {
+                wire::protocol(format!("a page of topic `{topic}` is malformed: {error}"))
+            })?,
+            status => return Err(unexpected_status(status)),
+        };
+        let keys = page.items.iter().rev();
+        let mut keys = keys.filter_map(|item| serde_json::from_str::<ItemKey>(item.get()).ok());
+        let last = keys.next().map(|item| item.key);
+        let records: Vec<Result<KeyedRecord>> = page
+            .items
+            .iter()
+            .map(|item| decode_item(item.get()))
+            .collect();
+        Ok(PageRead {
+            records,
+            last,
+            has_more: page.has_more && !page.items.is_empty(),
+            end: LogOffset(page.end),
+            era: store_era(&answer),
+        })
     }
 
-    async fn newest_pages(&self, topic: &str) -> Result<TableRead> {
+    /// Reads all pages of newest records, and calls `on_malformed` for each record that is skipped.
+    async fn newest_pages(
+        &self,
+        topic: &str,
+        on_malformed: impl Fn(&Error) + Send,
+    ) -> Result<TableRead> {
         let mut read = TableRead::default();
         let mut after: Option<SmolStr> = None;
-        for page in 0..MAX_PAGES {
-            let (newest, era) = self.newest_page(topic, after.as_deref()).await?;
+        for number in 0..MAX_PAGES {
+            let page = self.newest_page(topic, after.as_deref()).await?;
             // Pages are not a snapshot: reading continues at the end that the first page gives, so that later writes
             // are read again.
-            if page == 0 {
-                read.next = LogOffset(newest.end);
-                read.era = era;
-            } else if era != read.era {
+            if number == 0 {
+                read.next = page.end;
+                read.era = page.era;
+            } else if page.era != read.era {
                 return Err(Error::unavailable(format!(
                     "the store was restored while topic `{topic}` was read"
                 )));
             }
-            let has_items = !newest.items.is_empty();
-            for item in newest.items.into_iter().filter_map(PageItem::record) {
-                after = Some(item.key.clone());
-                match newest_record(item) {
+            for record in page.records {
+                match record {
                     Ok(record) => read.records.push(record),
-                    Err(error) => log::warn!("skipping a record of topic `{topic}`: {error}"),
+                    Err(error) => on_malformed(&error),
                 }
             }
-            if !newest.has_more || !has_items {
+            if !page.has_more {
                 return Ok(read);
             }
+            if page.last.is_none() || page.last == after {
+                return Err(wire::protocol(format!(
+                    "a page of topic `{topic}` has no key to go on from"
+                )));
+            }
+            after = page.last;
         }
         Err(wire::protocol(format!(
             "topic `{topic}` has more than {MAX_PAGES} pages"
@@ -173,7 +201,10 @@
 
 impl RecordStore for StoreClient {
     async fn newest(&self, table: StoreTable) -> Result<TableRead> {
-        let pages = self.newest_pages(topic(table));
+        let topic = topic(table);
+        let pages = self.newest_pages(topic, |error| {
+            log::warn!("skipping a record of topic `{topic}`: {error}");
+        });
         tokio::time::timeout(TRANSFER_TIMEOUT, pages)
             .await
             .unwrap_or_else(|_| Err(wire::timed_out("no whole table", TRANSFER_TIMEOUT)))
@@ -226,27 +257,22 @@
 
 impl LeaseStore for StoreClient {
     async fn read_lease(&self) -> Result<LeaseState> {
-        let (page, era) = self.newest_page(LEASE_TOPIC, None).await?;
-        let mut items = page.items.into_iter().filter_map(PageItem::record);
-        let item = items.find(|item| item.key == LEASE_KEY);
-        let value = item
-            .map(newest_record)
-            .transpose()?
-            .and_then(|record| record.value);
-        let record = value.map(|value| {
-            serde_json::from_slice::<LeaseValue>(&value).map_err(|error| {
-                wire::protocol(format!("the record of the lease is malformed: {error}"))
-            })
+        // Records beside the lease do not matter, and are read again and again.
+        let read = self.newest_pages(LEASE_TOPIC, |_| {}).await?;
+        let mut records = read.records.into_iter();
+        let newest = records.find(|record| record.key == LEASE_KEY);
+        let record = newest.and_then(|record| {
+            let value = record.value?;
+            let lease = decode_lease(&value, record.offset, read.era);
+            Some(lease.unwrap_or_else(|error| {
+                log::warn!("the record of the planner's lease names no holder: {error}");
+                LeaseRecord::of_unknown_holder()
+            }))
         });
         Ok(LeaseState {
-            record: record.transpose()?.map(|value| LeaseRecord {
-                holder: value.holder,
-                vm: value.vm,
-                fence: value.fence,
-                released: value.released,
-            }),
-            next: LogOffset(page.end),
-            era,
+            record,
+            next: read.next,
+            era: read.era,
         })
     }
 
@@ -300,7 +326,17 @@
     }
 }
 
-fn newest_record(item: NewestItem) -> Result<KeyedRecord> {
+/// Decodes an item of a page.
+///
+/// # Errors
+///
+/// `Protocol` if a field is missing or malformed, or the key is no text.
+fn decode_item(item: &str) -> Result<KeyedRecord> {
+    let item: NewestItem = serde_json::from_str(item)
+        .map_err(|error| wire::protocol(format!("an item of a page is malformed: {error}")))?;
+    if item.key.contains(char::REPLACEMENT_CHARACTER) {
+        return Err(wire::protocol(format!("key `{}` is no text", item.key)));
+    }
     let value = item.value.map(|value| {
         STANDARD.decode(value).map(Bytes::from).map_err(|error| {
             wire::protocol(format!(
@@ -316,6 +352,25 @@
     })
 }
 
+/// Decodes the record of the lease that the store has at `offset` in `era`.
+///
+/// # Errors
+///
+/// `Protocol` if no daemon can have written it.
+fn decode_lease(value: &[u8], offset: LogOffset, era: StoreEra) -> Result<LeaseRecord> {
+    let value: LeaseValue = serde_json::from_slice(value).map_err(|error| {
+        wire::protocol(format!("the record of the lease is malformed: {error}"))
+    })?;
+    let record = LeaseRecord {
+        holder: value.holder,
+        vm: value.vm,
+        fence: value.fence,
+        released: value.released,
+    };
+    record.check(offset, era)?;
+    Ok(record)
+}
+
 /// Encodes a record: its length (`u32`, big-endian), the length of the key (`u8`), the key, the value.
 fn encode_record(key: &str, value: &[u8]) -> Result<Bytes> {
     let key_length = u8::try_from(key.len())
@@ -363,7 +418,8 @@
             continue;
         }
         let key = record.split_to(key_length);
-        if let Ok(key) = std::str::from_utf8(&key) {
+        let text = std::str::from_utf8(&key).ok();
+        if let Some(key) = text.filter(|key| !key.contains(char::REPLACEMENT_CHARACTER)) {
             read.records.push(KeyedRecord {
                 key: key.into(),
                 value: Some(record).filter(|value| !value.is_empty()),
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -18,7 +18,7 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::ids::{LogOffset, StoreEra, VmId};
 use crate::kernel::TaskGroup;
 
@@ -56,6 +56,33 @@
 }
 
 impl LeaseRecord {
+    /// Returns what stands for a record that cannot be read. Its writer may have replaced that of a holder, so that the
+    /// lease is taken over only after the time of a silent one.
+    pub fn of_unknown_holder() -> Self {
+        Self {
+            holder: SmolStr::default(),
+            vm: VmId::default(),
+            fence: 0,
+            released: false,
+        }
+    }
+
+    /// Checks a record that the store has at `offset` in `era`.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` if it names no holder, or if its fencing number is higher than any that a daemon can have acquired by then.
+    pub fn check(&self, offset: LogOffset, era: StoreEra) -> Result<()> {
+        let max_fence = fence_at(offset, era);
+        if self.holder.is_empty() || self.fence > max_fence {
+            return Err(Error::invalid(format!(
+                "holder `{}` or fencing number {} above {max_fence}",
+                self.holder, self.fence
+            )));
+        }
+        Ok(())
+    }
+
     /// Returns the era of the store in which the holder acquired the lease.
     fn era(&self) -> StoreEra {
         StoreEra(self.fence / FENCES_PER_ERA)
@@ -83,8 +110,14 @@
         let LogOffset(offset) = self.next.next();
         let fence = self.era.0.saturating_mul(FENCES_PER_ERA);
         let newest = self.record.as_ref().map_or(0, |record| record.fence);
-        fence.saturating_add(offset).max(newest.saturating_add(1))
+        fence_at(self.next, self.era).max(newest.saturating_add(1))
     }
+/// Returns the fencing number of a holder that acquires the lease with the record at `offset`.
+fn fence_at(offset: LogOffset, era: StoreEra) -> u64 {
+    let LogOffset(next) = offset.next();
+    era.0.saturating_mul(FENCES_PER_ERA).saturating_add(next)
+}
+
 }
 
 /// Answer of the store to a write under a condition.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -22,6 +22,7 @@
 mod lease_taken_back_at_shutdown;
 mod name_in_header;
 mod odd_server_record;
+mod odd_store_page;
 mod offset_of_an_earlier_era;
 mod older_configuration_at_start;
 mod older_copy_of_the_list;
