Tasks: a panic is a fault of the process, which is counted and recovered from

Cause: a finished task of a group was dropped without a look at its result. Readiness asked only whether any server is known.

Change: TaskFaults logs and counts each panic (metric task_faults, by task). If a task that cannot be restarted panics (the timer, acceptors, an order to an engine, all background tasks of the product), the daemon shuts down as planned and ends with code 70.

--- a/src/claim/service.rs
+++ b/src/claim/service.rs
@@ -225,8 +225,8 @@
             wake: Notify::new(),
             logged: Notify::new(),
         });
-        group.spawn_cancellable(read_stream(shared.clone()));
-        group.spawn_cancellable(writer::write_stream(shared.clone()));
+        group.spawn_essential("claims-reader", read_stream(shared.clone()));
+        group.spawn_essential("claims-writer", writer::write_stream(shared.clone()));
         Self { shared }
     }
 
--- a/src/daemon/crowd_report.rs
+++ b/src/daemon/crowd_report.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Spawns a task that logs at most one line each [`REPORT_PERIOD`].
+/// Spawns a service that logs at most one line each [`REPORT_PERIOD`].
 pub(super) fn spawn_crowd_report(
     metrics: &Arc<DaemonMetrics>,
     limits: &LimitSettings,
@@ -65,33 +65,32 @@
     let mut faults = KindCounts::new(&metrics.body_faults, &BodyFault::NAMES);
     let (metrics, limits) = (metrics.clone(), limits.clone());
     let mut failures = 0;
-    let mut ticks = timer.every(REPORT_PERIOD);
-    group.spawn_cancellable(async move {
-        while ticks.next().await.is_some() {
-            let failed = metrics.accept_failures.get();
-            if failed > failures {
-                let count = failed - failures;
-                log::error!("{count} connections could not be accepted; the process may be out of files");
-                failures = failed;
-            }
-            let (closed, refused) = (evictions.take(), faults.take());
-            let level = match (&closed, &refused) {
-                (None, None) => continue,
-                (None, Some(_)) => Level::Info,
-                (Some(_), _) => Level::Warn,
-            };
-            let nothing = || "none".to_owned();
-            log::log!(
-                level,
-                "connections that gave way to others: {}; request bodies that were not received: {}; \
-                 {} connections are open, callers may have {}; {} of {} bytes are held",
-                closed.unwrap_or_else(nothing),
-                refused.unwrap_or_else(nothing),
-                metrics.connections.get(),
-                limits.connections,
-                metrics.held_bytes.get(),
-                limits.held(),
+    timer.spawn_periodic(group, "crowd-report", REPORT_PERIOD, move |_| {
+        let failed = metrics.accept_failures.get();
+        if failed > failures {
+            let count = failed - failures;
+            log::error!(
+                "{count} connections could not be accepted; the process may be out of files"
             );
+            failures = failed;
         }
+        let (closed, refused) = (evictions.take(), faults.take());
+        let level = match (&closed, &refused) {
+            (None, None) => return,
+            (None, Some(_)) => Level::Info,
+            (Some(_), _) => Level::Warn,
+        };
+        let nothing = || "none".to_owned();
+        log::log!(
+            level,
+            "connections that gave way to others: {}; request bodies that were not received: {}; \
+                 {} connections are open, callers may have {}; {} of {} bytes are held",
+            closed.unwrap_or_else(nothing),
+            refused.unwrap_or_else(nothing),
+            metrics.connections.get(),
+            limits.connections,
+            metrics.held_bytes.get(),
+            limits.held(),
+        );
     });
 }
--- a/src/daemon/dump.rs
+++ b/src/daemon/dump.rs
@@ -12,6 +12,7 @@
 use crate::daemon::parts::{Claims, Limits, Members, Orders, PolicyParts, Replica, Watch};
 use crate::dispatch::RequestDispatcher;
 use crate::error::{Category, Error, Result};
+use crate::faults::TaskFaults;
 use crate::settings::DaemonSettings;
 
 /// Readiness and state dump of a daemon.
@@ -27,6 +28,7 @@
     dispatcher: Arc<RequestDispatcher<P>>,
     currency: Arc<ViewCurrency>,
     draining: Arc<AtomicBool>,
+    faults: TaskFaults,
 }
 
 impl<P: PolicyParts> DaemonState<P> {
@@ -37,6 +39,7 @@
         dispatcher: Arc<RequestDispatcher<P>>,
         currency: Arc<ViewCurrency>,
         draining: Arc<AtomicBool>,
+        faults: TaskFaults,
     ) -> Self {
         Self {
             vm: settings.vm.clone(),
@@ -50,6 +53,7 @@
             dispatcher,
             currency,
             draining,
+            faults,
         }
     }
 
@@ -123,6 +127,7 @@
                 "the daemon is shutting down",
             ));
         }
+        self.faults.check(Instant::now())?;
         if !self.replica.is_ready() {
             return Err(Error::unavailable("the configuration is not loaded yet"));
         }
--- a/src/daemon/gauges.rs
+++ b/src/daemon/gauges.rs
@@ -24,7 +24,7 @@
     let mut ticks = core.timer.every(GAUGE_PERIOD);
     let (limits, members) = (core.limits.clone(), core.members.clone());
     let (watch, context) = (core.watch.clone(), context.clone());
-    group.spawn_cancellable(async move {
+    group.spawn_essential("gauges", async move {
         while let Some(now) = ticks.next().await {
             let metrics = &context.metrics;
             set_limits(metrics, &limits, &members, now);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -31,7 +31,7 @@
     RequestDispatcher,
 };
 use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::history::RequestHistory;
 use crate::http::{CallerServer, CallerSettings};
 use crate::inventory::HttpVmList;
@@ -135,7 +135,7 @@
 /// Fails if an address cannot be bound.
 pub async fn open_with<P: PolicyParts>(settings: DaemonSettings) -> Result<DaemonHandle> {
     let service_tasks = TaskGroup::new();
-    let request_tasks = TaskGroup::new();
+    let request_tasks = service_tasks.sibling();
     let result = open_in::<P>(&settings, &service_tasks, &request_tasks).await;
     if result.is_err() {
         request_tasks.shutdown().await;
@@ -151,7 +151,7 @@
 ) -> Result<DaemonHandle> {
     let (core, reports) = open_core(settings, service_tasks)?;
     let history = Arc::new(RequestHistory::new(HISTORY_SIZE));
-    let metrics = Arc::new(DaemonMetrics::new());
+    let metrics = Arc::new(DaemonMetrics::new().with_faults(service_tasks.faults()));
     let currency = Arc::new(ViewCurrency::new());
     let meter = Arc::new(DemandMeter::new());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
@@ -191,6 +191,7 @@
         dispatcher.clone(),
         currency.clone(),
         draining.clone(),
+        service_tasks.faults().clone(),
     ));
     let context = TaskContext {
         peer: settings.listen.advertised_peer(),
@@ -384,6 +385,11 @@
         self.replica.wait_ready().await
     }
 
+    /// Waits until a task that cannot be restarted has panicked, after which the daemon must be shut down.
+    pub async fn failed(&self) -> Error {
+        self.service_tasks.faults().ended().await
+    }
+
     /// Shuts down without interrupting requests.
     ///
     /// Readiness fails first. The listeners stay open until the balancer has noticed, running requests may finish
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
 use crate::daemon::crowd_report::spawn_crowd_report;
@@ -15,7 +17,7 @@
 use crate::dispatch::{
     CoreContext, CoreParts, DemandMeter, DrainClock, ModelQueues, RequestCore, Waiter,
 };
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::history::RequestHistory;
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
@@ -32,8 +34,8 @@
     EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink, PlannerContext,
     ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
     ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth, StoreTable,
-    UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table, spawn_probes,
-    spawn_pulses,
+    TableSink, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
+    spawn_probes, spawn_pulses,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ColdBound, ExpectedFinishPolicy};
@@ -147,7 +149,7 @@
 /// Fails if an address cannot be bound.
 pub async fn open_relay(settings: RelaySettings) -> Result<RelayDaemon> {
     let service_tasks = TaskGroup::new();
-    let request_tasks = TaskGroup::new();
+    let request_tasks = service_tasks.sibling();
     let result = open_in(&settings, &service_tasks, &request_tasks).await;
     if result.is_err() {
         request_tasks.shutdown().await;
@@ -226,6 +228,7 @@
         readers: services.readers.clone(),
         gate: StartGate::open(Instant::now()),
         draining: draining.clone(),
+        faults: service_tasks.faults().clone(),
     });
     let answer = state.clone();
     let ready = move || answer.ready().is_ok();
@@ -266,14 +269,13 @@
 
 /// Updates the gauge of the memory that callers use.
 fn show_memory(services: &RelayServices, memory: MemoryAccount, group: &TaskGroup) {
-    let mut ticks = services.timer.every(POOL_PERIOD);
     let metrics = services.core.metrics().clone();
-    group.spawn_cancellable(async move {
-        while ticks.next().await.is_some() {
+    services
+        .timer
+        .spawn_periodic(group, "memory-gauge", POOL_PERIOD, move |_| {
             let used = i64::try_from(memory.used()).unwrap_or(i64::MAX);
             metrics.held_bytes.set(used);
-        }
-    });
+        });
 }
 
 fn open_services(
@@ -303,7 +305,7 @@
     let peer_table = Arc::new(PeerTable::new());
     let limits = LimitService::open(configs.teams(), peer_table.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
-    let metrics = Arc::new(DaemonMetrics::new());
+    let metrics = Arc::new(DaemonMetrics::new().with_faults(service_tasks.faults()));
     let queues = ModelQueues::new(
         ExpectedFinishPolicy::new(fleet.read_parts().index().clone(), rand::random()),
         fleet.clone(),
@@ -376,73 +378,106 @@
 }
 
 fn spawn_tasks(services: &RelayServices, group: &TaskGroup) {
-    let store = || services.store.clone();
     let servers = Arc::new(ServerSink::new(
         platform::decode_server,
         services.fleet.clone(),
     ));
     let evacuations = EvacuationSink::new(platform::EVACUATION_PREFIX, services.fleet.clone());
-    let operators = PairSink::new(services.configs.clone(), Arc::new(evacuations));
-    group.spawn_cancellable(follow_table(
-        store(),
-        StoreTable::Configuration,
-        CONFIG_PACE,
-        Arc::new(operators),
-        services.readers.subscribe(),
-        services.health.clone(),
+    let operators = Arc::new(PairSink::new(
+        services.configs.clone(),
+        Arc::new(evacuations),
     ));
-    group.spawn_cancellable(follow_table(
-        store(),
-        StoreTable::Servers,
+    let table = StoreTable::Configuration;
+    spawn_reader(
+        services,
+        group,
+        "configuration-reader",
+        table,
+        CONFIG_PACE,
+        operators,
+    );
+    let table = StoreTable::Servers;
+    spawn_reader(
+        services,
+        group,
+        "server-reader",
+        table,
         SERVER_PACE,
         servers,
-        services.readers.subscribe(),
-        services.health.clone(),
-    ));
-    group.spawn_cancellable(follow_table(
-        store(),
-        StoreTable::Daemons,
+    );
+    let (table, registry) = (StoreTable::Daemons, services.registry.clone());
+    spawn_reader(
+        services,
+        group,
+        "daemon-reader",
+        table,
         DAEMON_PACE,
-        services.registry.clone(),
-        services.readers.subscribe(),
-        services.health.clone(),
-    ));
-    group.spawn_cancellable(follow_copies(
-        services.readers.clone(),
-        services.client.clone(),
-        services.tables(),
-        services.core.metrics().clone(),
-    ));
-    group.spawn_cancellable(follow_configs(
-        services.readers.clone(),
-        services.client.clone(),
-        services.configs.clone(),
-        services.core.metrics().clone(),
-    ));
+        registry,
+    );
+    let (readers, client) = (services.readers.clone(), services.client.clone());
+    let (tables, metrics) = (services.tables(), services.core.metrics().clone());
+    group.spawn_service("table-copies", move || {
+        follow_copies(
+            readers.clone(),
+            client.clone(),
+            tables.clone(),
+            metrics.clone(),
+        )
+    });
+    let (readers, client) = (services.readers.clone(), services.client.clone());
+    let (configs, metrics) = (services.configs.clone(), services.core.metrics().clone());
+    group.spawn_service("configuration-copies", move || {
+        follow_configs(
+            readers.clone(),
+            client.clone(),
+            configs.clone(),
+            metrics.clone(),
+        )
+    });
     let limits = services.limits.clone();
     let teams = services.configs.teams();
-    services
-        .registry
-        .spawn(store(), limits, teams, &services.timer, group);
+    services.registry.spawn(
+        services.store.clone(),
+        limits,
+        teams,
+        &services.timer,
+        group,
+    );
     spawn_fleet(services, group);
-    let mut ticks = services.timer.every(POOL_PERIOD);
     let pool = services.pool.clone();
-    group.spawn_cancellable(async move {
-        while let Some(now) = ticks.next().await {
+    services
+        .timer
+        .spawn_periodic(group, "idle-connections", POOL_PERIOD, move |now| {
             pool.expire(now);
-        }
+        });
+}
+
+/// Spawns the service that reads a table of the store into `sink` while this daemon is a reader.
+fn spawn_reader<S: TableSink>(
+    services: &RelayServices,
+    group: &TaskGroup,
+    name: &'static str,
+    table: StoreTable,
+    pace: FollowPace,
+    sink: Arc<S>,
+) {
+    let (store, health) = (services.store.clone(), services.health.clone());
+    let reading = services.readers.subscribe();
+    group.spawn_service(name, move || {
+        let (store, health) = (store.clone(), health.clone());
+        follow_table(store, table, pace, sink.clone(), reading.clone(), health)
     });
 }
 
 /// Updates the view of the fleet periodically and retries waiting requests after every change.
 fn spawn_fleet(services: &RelayServices, group: &TaskGroup) {
-    let mut ticks = services.timer.every(FLEET_PERIOD);
     let (fleet, crashes) = (services.fleet.clone(), services.crashes.clone());
     let (watch, registry) = (services.watch.clone(), services.registry.clone());
     let core = services.core.clone();
     let (configs, bound) = (services.configs.subscribe(), services.cold_bound);
-    group.spawn_cancellable(async move {
-        while let Some(now) = ticks.next().await {
+    services
+        .timer
+        .spawn_periodic(group, "fleet-view", FLEET_PERIOD, move |now| {
             fleet.tick(now);
             let cold = fleet.cold_servers();
             if cold > 0 {
@@ -468,18 +503,22 @@
             let refusing = fleet.refusing_servers().len();
             let gauges = &core.metrics().backends;
             core.metrics().set(gauges, "refusing", refusing as i64);
-        }
-    });
+        });
     spawn_probes(&services.fleet, &services.pool, &services.timer, group);
-    let mut changes = services.fleet.subscribe();
+    let changes = services.fleet.subscribe();
     let core = services.core.clone();
-    group.spawn_cancellable(async move {
-        while changes.changed().await.is_ok() {
-            core.grant_slots();
-        }
+    group.spawn_service("slot-grants", move || {
+        grant_slots(core.clone(), changes.clone())
     });
 }
 
+/// Retries waiting requests after every change of the fleet.
+async fn grant_slots(core: Arc<Core>, mut changes: watch::Receiver<u64>) {
+    while changes.changed().await.is_ok() {
+        core.grant_slots();
+    }
+}
+
 /// Sets this daemon's shares of the requests to cold servers.
 fn update_cold_shares(
     fleet: &RelayFleet,
@@ -513,6 +552,11 @@
 }
 
 impl RelayDaemon {
+    /// Waits until a task that cannot be restarted has panicked, after which the daemon must be shut down.
+    pub async fn failed(&self) -> Error {
+        self.service_tasks.faults().ended().await
+    }
+
     /// Shuts down without interrupting requests.
     ///
     /// Readiness fails, callers are asked to open their next connection to another daemon, running requests may
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -65,7 +65,7 @@
     let (planner, known_planner) = (services.planner.clone(), services.known_planner.clone());
     let (client, fleet) = (services.client.clone(), services.fleet.clone());
     let parent = group.clone();
-    group.spawn_cancellable(async move {
+    group.spawn_essential("placement-requests", async move {
         while let Some(item) = requests.recv().await {
             let mut known = pending.lock().unwrap_or_else(PoisonError::into_inner);
             if !known.insert(PlacementRequest::clone(&item)) {
@@ -73,7 +73,8 @@
             }
             let (planner, known_planner) = (planner.clone(), known_planner.clone());
             let (client, fleet, pending) = (client.clone(), fleet.clone(), pending.clone());
-            parent.spawn_cancellable(async move {
+            // Without its end, the item would not be asked for again.
+            parent.spawn_essential("placement-request", async move {
                 for _ in 0..PLACEMENT_ATTEMPTS {
                     if let Some(placement) =
                         request_placement(&planner, &known_planner, &client, &item).await
--- a/src/daemon/relay_state.rs
+++ b/src/daemon/relay_state.rs
@@ -8,6 +8,7 @@
 
 use crate::admin::StateDump;
 use crate::error::{Error, Result};
+use crate::faults::TaskFaults;
 use crate::limit::LimitService;
 use crate::peer::PeerClient;
 use crate::relay::{
@@ -23,6 +24,7 @@
     pub(super) readers: Arc<ReaderElection>,
     pub(super) gate: StartGate,
     pub(super) draining: Arc<AtomicBool>,
+    pub(super) faults: TaskFaults,
 }
 
 impl StateDump for RelayState {
@@ -30,13 +32,14 @@
         if self.draining.load(Ordering::Relaxed) {
             return Err(Error::unavailable("the daemon is shutting down"));
         }
+        let now = Instant::now();
+        self.faults.check(now)?;
         if self.configs.version() == 0 {
             return Err(Error::unavailable("the configuration is not loaded yet"));
         }
         if self.fleet.servers().is_empty() {
             return Err(Error::unavailable("no backend server is known yet"));
         }
-        let now = Instant::now();
         let known = ConfigKnowledge {
             in_force: self.configs.version(),
             newest: self.readers.newest_config_version(now),
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -71,11 +71,10 @@
     context: TaskContext<P>,
 ) {
     let context = Arc::new(context);
-    group.spawn_cancellable(follow_backends(
-        core.replica.subscribe(),
-        core.watch.clone(),
-    ));
-    group.spawn_cancellable(forward_reports(reports, context.orders.clone()));
+    let backends = follow_backends(core.replica.subscribe(), core.watch.clone());
+    group.spawn_essential("backend-list", backends);
+    let forwarding = forward_reports(reports, context.orders.clone());
+    group.spawn_essential("report-forwarding", forwarding);
     spawn_currency(group, core, &context);
     spawn_confirmations(group, core);
     spawn_push(group, core);
@@ -117,7 +116,7 @@
     let mut ticks = core.timer.every(CURRENCY_PERIOD);
     let (replica, members) = (core.replica.clone(), core.members.clone());
     let context = context.clone();
-    group.spawn_cancellable(async move {
+    group.spawn_essential("view-currency", async move {
         let mut isolated = false;
         while ticks.next().await.is_some() {
             let seen = replica.status().caught_up_at;
@@ -141,7 +140,7 @@
     let mut ticks = core.timer.every(PUSH_PERIOD);
     let (replica, members) = (core.replica.clone(), core.members.clone());
     let (fleet, peer_table) = (core.watch.clone(), core.peer_table.clone());
-    group.spawn_cancellable(async move {
+    group.spawn_essential("confirmations", async move {
         while ticks.next().await.is_some() {
             let mut names: BTreeSet<SmolStr> = members
                 .members()
@@ -166,7 +165,7 @@
     let mut catalogs = core.replica.subscribe();
     let (replica, members) = (core.replica.clone(), core.members.clone());
     let (client, peer_table) = (core.client.clone(), core.peer_table.clone());
-    group.spawn_cancellable(async move {
+    group.spawn_essential("configuration-push", async move {
         let mut pushed: HashMap<SocketAddr, LogOffset> = HashMap::new();
         loop {
             tokio::select! {
@@ -211,7 +210,7 @@
     let mut ticks = core.timer.every(DEMAND_PERIOD);
     let (members, tracker) = (core.members.clone(), core.demand.clone());
     let (client, context) = (core.client.clone(), context.clone());
-    group.spawn_cancellable(async move {
+    group.spawn_essential("demand-reports", async move {
         while ticks.next().await.is_some() {
             let waiting = context.dispatcher.core().waiting().into_iter();
             let waiting = waiting.map(|(model, count)| (model, count.interactive as u32));
@@ -251,7 +250,7 @@
     let mut ticks = core.timer.every(NOTICE_PERIOD);
     let (members, client) = (core.members.clone(), core.client.clone());
     let context = context.clone();
-    group.spawn_cancellable(async move {
+    group.spawn_essential("suspect-notices", async move {
         while ticks.next().await.is_some() {
             let notices = context.dispatcher.core().take_notices();
             if notices.is_empty() {
@@ -273,7 +272,7 @@
     let mut ticks = core.timer.every(GRANT_PERIOD);
     let mut changes = core.watch.subscribe();
     let context = context.clone();
-    group.spawn_cancellable(async move {
+    group.spawn_essential("slot-grants", async move {
         loop {
             let alive = tokio::select! {
                 tick = ticks.next() => tick.is_some(),
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -154,7 +154,7 @@
             stop: stop.clone(),
             open: receiver,
         };
-        group.spawn_cancellable(acceptor.run());
+        group.spawn_essential("http-acceptor", acceptor.run());
         Ok(Self {
             address,
             stop,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -47,7 +47,7 @@
 pub struct LogOffset(pub u64);
 
 impl LogOffset {
-    /// Returns the offset that follows.
+    /// Returns the offset that follows; the largest one has none.
     pub fn next(self) -> Self {
         Self(self.0.saturating_add(1))
     }
--- a/src/journal/follower.rs
+++ b/src/journal/follower.rs
@@ -113,7 +113,7 @@
             gap: gap_sender,
             answered_at: answered_sender,
         };
-        group.spawn_cancellable(async move { task.run().await });
+        group.spawn_essential("stream-follower", async move { task.run().await });
         Self {
             status,
             gap,
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -3,12 +3,14 @@
 use std::any::Any;
 use std::collections::HashMap;
 use std::future::Future;
+use std::panic::Location;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::error::{Error, Result};
+use crate::faults::TaskFaults;
 
 /// Registry in which the services of one daemon find each other by name.
 ///
@@ -63,11 +65,13 @@
 
 /// Tasks that are cancelled and joined together.
 ///
-/// Clones share the group. Tasks watch [`TaskGroup::cancelled`] and return when it resolves.
+/// Clones share the group. Tasks watch [`TaskGroup::cancelled`] and return when it resolves. A panic ends only its task; it
+/// is logged and counted in [`TaskGroup::faults`].
 #[derive(Clone, Default)]
 pub struct TaskGroup {
     token: CancellationToken,
     tasks: Arc<Mutex<JoinSet<()>>>,
+    faults: TaskFaults,
 }
 
 impl TaskGroup {
@@ -76,21 +80,67 @@
         Self::default()
     }
 
-    /// Spawns a task in the group, and removes the finished ones.
+    /// Creates an empty group of the same process, whose faults are those of this group.
+    pub fn sibling(&self) -> Self {
+        Self {
+            faults: self.faults.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the faults of the tasks of this group and its siblings.
+    pub fn faults(&self) -> &TaskFaults {
+        &self.faults
+    }
+
+    /// Spawns a task in the group, and removes the finished ones. Its faults count for the caller's source file.
+    #[track_caller]
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-        while tasks.try_join_next().is_some() {}
-        tasks.spawn(task);
+        let name = Location::caller().file();
+        self.insert(self.faults.clone().observe(name, task));
     }
 
-    /// Spawns a task that is dropped at its next await point once the group is cancelled.
+    /// Spawns a task that is dropped at its next await point once the group is cancelled. Its faults count for the
+    /// caller's source file.
+    #[track_caller]
     pub fn spawn_cancellable(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let name = Location::caller().file();
+        self.insert_cancellable(self.faults.clone().observe(name, task));
+    }
+
+    /// Spawns a task without which the process cannot work and that cannot be restarted. It is dropped like one of
+    /// [`Self::spawn_cancellable`]. If it panics, [`TaskFaults::ended`] resolves.
+    pub fn spawn_essential(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = ()> + Send + 'static,
+    ) {
+        self.insert_cancellable(self.faults.clone().observe_essential(name, task));
+    }
+
+    /// Spawns a task that runs `start` until the group is cancelled. If it panics or ends before, it is started again
+    /// after a pause, and the process is not ready until it has run for a while.
+    pub fn spawn_service<F: Future<Output = ()> + Send + 'static>(
+        &self,
+        name: &'static str,
+        start: impl FnMut() -> F + Send + 'static,
+    ) {
+        self.insert_cancellable(self.faults.clone().supervise(name, start));
+    }
+
+    fn insert_cancellable(&self, task: impl Future<Output = ()> + Send + 'static) {
         let token = self.token.clone();
-        self.spawn(async move {
+        self.insert(async move {
             token.run_until_cancelled(task).await;
         });
     }
 
+    fn insert(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+
     /// Resolves when the group is asked to stop.
     pub async fn cancelled(&self) {
         self.token.cancelled().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod engine;
 pub mod error;
 pub mod eviction;
+pub mod faults;
 pub mod history;
 pub mod http;
 pub mod ids;
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,11 +8,13 @@
 use eyre::WrapErr;
 use foxtailhill::op::{OpArgs, OpExit};
 use foxtailhill::settings::{DaemonSettings, RelaySettings};
-use foxtailhill::{admin, daemon, declaration, logging, op};
+use foxtailhill::{Error, admin, daemon, declaration, logging, op};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for a refused command or bad input.
 const EXIT_REFUSED: u8 = 1;
+/// Exit code of a daemon that ended because of a fault of its own, so that it is started again.
+const EXIT_FAILED: u8 = 70;
 
 /// Threads of the product's runtime: the cores of an entry VM at the design size. The allocator keeps freed memory for each
 /// thread, so that more of them cost memory under a crowd.
@@ -101,13 +103,12 @@
             if RelaySettings::recognizes(&read_text(&args.settings)?) {
                 let settings = RelaySettings::read(&args.settings)?;
                 let _log = logging::init(&settings.log)?;
-                single_thread_runtime()?.block_on(serve_relay(settings, &args.settings))?;
+                single_thread_runtime()?.block_on(serve_relay(settings, &args.settings))
             } else {
                 let settings = DaemonSettings::read(&args.settings)?;
                 let _log = logging::init(&settings.log)?;
-                multi_thread_runtime()?.block_on(serve(settings, &args.settings))?;
+                multi_thread_runtime()?.block_on(serve(settings, &args.settings))
             }
-            Ok(ExitCode::SUCCESS)
         }
         MainCommand::Check(args) => check(&args.file),
         MainCommand::Dump(args) => {
@@ -143,24 +144,27 @@
         .wrap_err("cannot start the runtime")
 }
 
-async fn serve(settings: DaemonSettings, file: &Path) -> eyre::Result<()> {
+async fn serve(settings: DaemonSettings, file: &Path) -> eyre::Result<ExitCode> {
     let signals = DaemonSignals::open()?;
     let daemon = daemon::open(settings.clone()).await?;
-    signals
-        .wait_for_shutdown(|| log_settings_change(&settings, DaemonSettings::read(file)))
-        .await;
+    let on_hangup = || log_settings_change(&settings, DaemonSettings::read(file));
+    let fault = signals.wait_for_shutdown(on_hangup, daemon.failed()).await;
     daemon.shutdown().await;
-    Ok(())
+    Ok(exit_code(fault))
 }
 
-async fn serve_relay(settings: RelaySettings, file: &Path) -> eyre::Result<()> {
+async fn serve_relay(settings: RelaySettings, file: &Path) -> eyre::Result<ExitCode> {
     let signals = DaemonSignals::open()?;
     let daemon = daemon::open_relay(settings.clone()).await?;
-    signals
-        .wait_for_shutdown(|| log_settings_change(&settings, RelaySettings::read(file)))
-        .await;
+    let on_hangup = || log_settings_change(&settings, RelaySettings::read(file));
+    let fault = signals.wait_for_shutdown(on_hangup, daemon.failed()).await;
     daemon.shutdown().await;
-    Ok(())
+    Ok(exit_code(fault))
+}
+
+/// Returns the exit code of a daemon that was shut down because of `fault`, or as planned.
+fn exit_code(fault: Option<Error>) -> ExitCode {
+    fault.map_or(ExitCode::SUCCESS, |_| ExitCode::from(EXIT_FAILED))
 }
 
 /// Logs whether the settings file has changed since the start. An invalid file is reported now and not only at the next
@@ -189,13 +193,23 @@
         })
     }
 
-    /// Waits for SIGTERM or SIGINT; calls `on_hangup` for each SIGHUP.
-    async fn wait_for_shutdown(mut self, on_hangup: impl Fn()) {
+    /// Waits for SIGTERM or SIGINT, or until the daemon has failed; calls `on_hangup` for each SIGHUP. Returns the error
+    /// of a daemon that has failed.
+    async fn wait_for_shutdown(
+        mut self,
+        on_hangup: impl Fn(),
+        failed: impl Future<Output = Error>,
+    ) -> Option<Error> {
+        let mut failed = std::pin::pin!(failed);
         loop {
             tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
+                _ = self.terminate.recv() => return None,
+                _ = self.interrupt.recv() => return None,
                 _ = self.hangup.recv() => on_hangup(),
+                error = &mut failed => {
+                    log::error!("the daemon must end: {error}");
+                    return Some(error);
+                }
             }
         }
     }
--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -101,10 +101,14 @@
             next_peer: AtomicUsize::new(0),
             vm: watch::Sender::new(vm),
         });
-        group.spawn_cancellable(follow(shared.clone()));
-        group.spawn_cancellable(append_due(group.clone(), timer.clone(), shared.clone()));
-        group.spawn_cancellable(exchange_status(timer.clone(), shared.clone()));
-        group.spawn_cancellable(read_list(timer.clone(), shared.clone()));
+        group.spawn_essential("members-reader", follow(shared.clone()));
+        let appends = append_due(group.clone(), timer.clone(), shared.clone());
+        group.spawn_essential("members-writer", appends);
+        group.spawn_essential(
+            "status-exchange",
+            exchange_status(timer.clone(), shared.clone()),
+        );
+        group.spawn_essential("vm-list-reader", read_list(timer.clone(), shared.clone()));
         Self { shared }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::error::{Error, RunVerdict};
+use crate::faults::TaskFaults;
 
 /// A label value backed by a [`SmolStr`].
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -201,6 +202,16 @@
         metrics
     }
 
+    /// Adds the number of faults by task.
+    pub fn with_faults(mut self, faults: &TaskFaults) -> Self {
+        self.registry.register(
+            "task_faults",
+            "Tasks that panicked and services that ended, by task",
+            faults.counts().clone(),
+        );
+        self
+    }
+
     fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Finished requests", self.requests.clone());
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -142,7 +142,7 @@
         };
         let listener = ListenerSettings::new(&limits, &settings.metrics)
             .with_max_streams(CALLS_PER_CONNECTION);
-        let connections = TaskGroup::new();
+        let connections = group.sibling();
         let listener = HttpListener::bind(&connections, address, listener, router).await?;
         let address = listener.address();
         let (parent, server_stop) = (group.clone(), stop.clone());
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::error::{Category, Error, Result};
+use crate::faults::TaskFaults;
 use crate::kernel::TaskGroup;
 use crate::memory::{MemoryAccount, MemoryLease, REQUEST_BYTES};
 use crate::metrics::DaemonMetrics;
@@ -110,9 +111,10 @@
                 handler,
                 memory: limits.memory,
                 table: PeerTable::new(limits.connections, limits.metrics),
+                faults: group.faults().clone(),
             },
         };
-        group.spawn(acceptor.run());
+        group.spawn_essential("peer-acceptor", acceptor.run());
         Ok(Self { address })
     }
 
@@ -127,6 +129,7 @@
     handler: Arc<H>,
     memory: MemoryAccount,
     table: Arc<PeerTable>,
+    faults: TaskFaults,
 }
 
 impl<H> Clone for CallContext<H> {
@@ -135,6 +138,7 @@
             handler: self.handler.clone(),
             memory: self.memory.clone(),
             table: self.table.clone(),
+            faults: self.faults.clone(),
         }
     }
 }
@@ -253,8 +257,9 @@
             };
             let (request, respond) = accepted.map_err(|error| codec::transport(&error))?;
             let (call, calls) = (self.state.begin(), self.calls.clone());
-            self.open_calls
-                .spawn(serve_call(request, respond, call, calls));
+            let faults = calls.faults.clone();
+            let serving = serve_call(request, respond, call, calls);
+            self.open_calls.spawn(faults.observe("peer-call", serving));
         }
     }
 }
--- a/src/placement/service.rs
+++ b/src/placement/service.rs
@@ -202,12 +202,12 @@
             state: Mutex::new(state),
             done: Notify::new(),
         });
-        group.spawn_cancellable(read_stream(shared.clone()));
-        group.spawn_cancellable(append_done(shared.clone()));
+        group.spawn_essential("orders-reader", read_stream(shared.clone()));
+        group.spawn_essential("orders-writer", append_done(shared.clone()));
         let rounds = run_rounds(shared.clone(), role, view, policy, ticks, group.clone());
         // The timer service stops when its last handle is dropped.
         let timer = timer.clone();
-        group.spawn_cancellable(async move {
+        group.spawn_essential("planning-rounds", async move {
             rounds.await;
             drop(timer);
         });
--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -107,19 +107,17 @@
 
     /// Returns the fencing number of a holder that acquires the lease with the next record.
     fn next_fence(&self) -> u64 {
-        let LogOffset(offset) = self.next.next();
-        let fence = self.era.0.saturating_mul(FENCES_PER_ERA);
         let newest = self.record.as_ref().map_or(0, |record| record.fence);
         fence_at(self.next, self.era).max(newest.saturating_add(1))
     }
+}
+
 /// Returns the fencing number of a holder that acquires the lease with the record at `offset`.
 fn fence_at(offset: LogOffset, era: StoreEra) -> u64 {
     let LogOffset(next) = offset.next();
     era.0.saturating_mul(FENCES_PER_ERA).saturating_add(next)
 }
 
-}
-
 /// Answer of the store to a write under a condition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WriteAnswer {
@@ -355,7 +353,10 @@
             clocks: Mutex::new((Instant::now(), SystemTime::now())),
             stopped: AtomicBool::new(false),
         });
-        group.spawn_cancellable(run(manager.clone(), store, eligible));
+        let candidate = manager.clone();
+        group.spawn_service("lease", move || {
+            run(candidate.clone(), store.clone(), eligible.clone())
+        });
         manager
     }
 
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -23,7 +23,7 @@
 use crate::relay::lease::LeaseManager;
 use crate::relay::planner_state::{EngineCall, PlannerState};
 use crate::relay::server_list::ServerEntry;
-use crate::timer::TimerService;
+use crate::timer::{TimerService, TimerTicks};
 
 /// Period of planning rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(200);
@@ -68,24 +68,27 @@
             state: Mutex::default(),
             wake: Notify::new(),
         });
-        let mut ticks = timer.every(ROUND_PERIOD);
-        let rounds = planner.clone();
-        group.spawn_cancellable(async move {
-            loop {
-                tokio::select! {
-                    tick = ticks.next() => {
-                        if tick.is_none() {
-                            return;
-                        }
+        let (rounds, timer) = (planner.clone(), timer.clone());
+        group.spawn_service("planner", move || {
+            rounds.clone().run_rounds(timer.every(ROUND_PERIOD))
+        });
+        planner
+    }
+
+    async fn run_rounds(self: Arc<Self>, mut ticks: TimerTicks) {
+        loop {
+            tokio::select! {
+                tick = ticks.next() => {
+                    if tick.is_none() {
+                        return;
                     }
-                    () = rounds.wake.notified() => {}
                 }
-                rounds.round(Instant::now());
-                // Many calls end at about the same time; one round serves them all.
-                tokio::time::sleep(MIN_ROUND_INTERVAL).await;
+                () = self.wake.notified() => {}
             }
-        });
-        planner
+            self.round(Instant::now());
+            // Many calls end at about the same time; one round serves them all.
+            tokio::time::sleep(MIN_ROUND_INTERVAL).await;
+        }
     }
 
     /// Returns the fencing number if this daemon holds the planner's lease now.
@@ -237,41 +240,44 @@
             .service(&server.service)
             .and_then(|service| service.engine.clone());
         let service = server.service.clone();
-        self.context.group.spawn_cancellable(async move {
-            let control = &planner.context.control;
-            let changes = match &call.order {
-                None => {
-                    let report = control.report(&call.server, address).await;
-                    planner.state().handle_report(&call.server, report)
-                }
-                Some(sent) => {
-                    let order = &sent.order;
-                    // The lease may have ended since the round.
-                    if planner.fence() != Some(fence) {
-                        planner.state().cancel_order(sent);
-                        return;
+        // Without its end, the engine would get no further order.
+        self.context
+            .group
+            .spawn_essential("engine-call", async move {
+                let control = &planner.context.control;
+                let changes = match &call.order {
+                    None => {
+                        let report = control.report(&call.server, address).await;
+                        planner.state().handle_report(&call.server, report)
                     }
-                    let context = OrderContext {
-                        holder: planner.context.name.clone(),
-                        fence,
-                        expected_orders: sent.key.expected_orders,
-                    };
-                    log::info!("order to {}: {order:?}, {context:?}", call.server);
-                    let answer = control.order(&call.server, address, order, &context).await;
-                    if let Ok(OrderAnswer::Accepted) = answer
-                        && is_adapter(order)
-                    {
-                        tokio::time::sleep(ADAPTER_LOAD_TIME).await;
+                    Some(sent) => {
+                        let order = &sent.order;
+                        // The lease may have ended since the round.
+                        if planner.fence() != Some(fence) {
+                            planner.state().cancel_order(sent);
+                            return;
+                        }
+                        let context = OrderContext {
+                            holder: planner.context.name.clone(),
+                            fence,
+                            expected_orders: sent.key.expected_orders,
+                        };
+                        log::info!("order to {}: {order:?}, {context:?}", call.server);
+                        let answer = control.order(&call.server, address, order, &context).await;
+                        if let Ok(OrderAnswer::Accepted) = answer
+                            && is_adapter(order)
+                        {
+                            tokio::time::sleep(ADAPTER_LOAD_TIME).await;
+                        }
+                        let size = engine
+                            .as_ref()
+                            .map_or(0.0, |engine| item_mb(engine, item(order)));
+                        planner.state().handle_answer(sent, answer, size)
                     }
-                    let size = engine
-                        .as_ref()
-                        .map_or(0.0, |engine| item_mb(engine, item(order)));
-                    planner.state().handle_answer(sent, answer, size)
-                }
-            };
-            planner.publish(&service, changes);
-            planner.wake.notify_one();
-        });
+                };
+                planner.publish(&service, changes);
+                planner.wake.notify_one();
+            });
     }
 
     fn publish(&self, service: &SmolStr, changes: Vec<PlacementChange>) {
--- a/src/relay/probes.rs
+++ b/src/relay/probes.rs
@@ -11,26 +11,24 @@
 /// Period in which due probes are begun, a fraction of the shortest pause between two probes.
 const PROBE_PERIOD: Duration = Duration::from_millis(100);
 
-/// Spawns the task that probes the servers of `fleet`. A probe is a connection on which nothing is sent.
+/// Spawns the service that probes the servers of `fleet`. A probe is a connection on which nothing is sent.
 pub fn spawn_probes(
     fleet: &Arc<RelayFleet>,
     pool: &UpstreamPool,
     timer: &TimerService,
     group: &TaskGroup,
 ) {
-    let mut ticks = timer.every(PROBE_PERIOD);
     let (fleet, pool, parent) = (fleet.clone(), pool.clone(), group.clone());
-    group.spawn_cancellable(async move {
-        while let Some(now) = ticks.next().await {
-            for probe in fleet.take_probes(now) {
-                let (fleet, pool) = (fleet.clone(), pool.clone());
-                parent.spawn_cancellable(async move {
-                    let begun = Instant::now();
-                    let outcome = pool.probe(probe.address).await;
-                    log::debug!("probe of server {}: {outcome:?}", probe.id);
-                    fleet.end_probe(&probe, outcome, begun);
-                });
-            }
+    timer.spawn_periodic(group, "probes", PROBE_PERIOD, move |now| {
+        for probe in fleet.take_probes(now) {
+            let (fleet, pool) = (fleet.clone(), pool.clone());
+            // Without its end, the server would get no further probe.
+            parent.spawn_essential("probe", async move {
+                let begun = Instant::now();
+                let outcome = pool.probe(probe.address).await;
+                log::debug!("probe of server {}: {outcome:?}", probe.id);
+                fleet.end_probe(&probe, outcome, begun);
+            });
         }
     });
 }
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -23,7 +23,7 @@
 use crate::relay::evacuation::ZoneNotice;
 use crate::relay::refusing::RefusalReport;
 use crate::relay::registry::{DaemonRecord, DaemonRegistry};
-use crate::timer::TimerService;
+use crate::timer::{TimerService, TimerTicks};
 
 /// Period of pulses in a small fleet, well below the time in which a server's number of requests changes.
 const PULSE_PERIOD: Duration = Duration::from_millis(200);
@@ -128,34 +128,20 @@
         Error::unavailable(format!("cannot bind pulse address {address}: {error}"))
     })?;
     let socket = Arc::new(socket);
-    group.spawn_cancellable(receive(socket.clone(), handler.clone()));
-    let mut ticks = timer.every(PULSE_PERIOD);
-    let mut sender = PulseSender {
-        socket,
-        registry,
-        handler,
-        demand: DemandLog::new(),
-        turn: 0,
-    };
-    group.spawn_cancellable(async move {
-        loop {
-            let urgent = tokio::select! {
-                tick = ticks.next() => match tick {
-                    Some(_) => false,
-                    None => return,
-                },
-                () = sender.handler.urgent_change() => true,
-                messages = sender.handler.take_blame() => {
-                    sender.send_blame(messages).await;
-                    continue;
-                }
-                reports = sender.handler.take_refusals() => {
-                    sender.send_to_all(DatagramKind::Refusals, &reports).await;
-                    continue;
-                }
-            };
-            sender.send(urgent).await;
-        }
+    let (receiver, received) = (socket.clone(), handler.clone());
+    group.spawn_service("pulse-receiver", move || {
+        receive(receiver.clone(), received.clone())
+    });
+    let timer = timer.clone();
+    group.spawn_service("pulse-sender", move || {
+        let sender = PulseSender {
+            socket: socket.clone(),
+            registry: registry.clone(),
+            handler: handler.clone(),
+            demand: DemandLog::new(),
+            turn: 0,
+        };
+        sender.run(timer.every(PULSE_PERIOD))
     });
     Ok(())
 }
@@ -208,6 +194,27 @@
 }
 
 impl<H: PulseHandler> PulseSender<H> {
+    async fn run(mut self, mut ticks: TimerTicks) {
+        loop {
+            let urgent = tokio::select! {
+                tick = ticks.next() => match tick {
+                    Some(_) => false,
+                    None => return,
+                },
+                () = self.handler.urgent_change() => true,
+                messages = self.handler.take_blame() => {
+                    self.send_blame(messages).await;
+                    continue;
+                }
+                reports = self.handler.take_refusals() => {
+                    self.send_to_all(DatagramKind::Refusals, &reports).await;
+                    continue;
+                }
+            };
+            self.send(urgent).await;
+        }
+    }
+
     /// Sends one pulse to the peers whose turn it is, or to all if it is urgent.
     async fn send(&mut self, urgent: bool) {
         let mut pulse = self.handler.build_pulse(Instant::now());
@@ -284,13 +291,6 @@
     Refusals = 2,
 }
 
-/// Encodes the content of a datagram, or returns `None` if that is impossible, which is logged.
-fn encode<T: Serialize>(kind: DatagramKind, content: &T) -> Option<Vec<u8>> {
-    let message = (kind as u8, content);
-    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
-        Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => Some(data),
-        Ok(data) => {
-            log::warn!(
 /// Content of a datagram, whose numbers are checked once when it is decoded.
 trait DatagramContent: DeserializeOwned {
     /// Returns whether all numbers are in the ranges that are computed with.
@@ -318,6 +318,13 @@
     }
 }
 
+/// Encodes the content of a datagram, or returns `None` if that is impossible, which is logged.
+fn encode<T: Serialize>(kind: DatagramKind, content: &T) -> Option<Vec<u8>> {
+    let message = (kind as u8, content);
+    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
+        Ok(data) if data.len() <= MAX_DATAGRAM_BYTES => Some(data),
+        Ok(data) => {
+            log::warn!(
                 "a {kind:?} datagram of {} bytes is too large to send",
                 data.len()
             );
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -157,27 +157,27 @@
         timer: &TimerService,
         group: &TaskGroup,
     ) {
-        group.spawn_cancellable(renew(self.clone(), store));
-        let mut ticks = timer.every(SHARE_PERIOD);
+        let registry = self.clone();
+        group.spawn_service("registration", move || {
+            renew(registry.clone(), store.clone())
+        });
         let registry = self.clone();
         // Until it is registered, this daemon has no share but may spend borrowed tokens.
         let now = Instant::now();
         limits.adopt_share(Some(self.share(now)), now);
-        group.spawn_cancellable(async move {
-            // Version of the registered daemons from which the shares were calculated.
-            let mut known = None;
-            while let Some(now) = ticks.next().await {
-                registry.expire(now);
-                let version = Some(registry.version());
-                if known != version || teams.has_changed().unwrap_or(false) {
-                    known = version;
-                    // The limiter also locks the teams, so the borrow must end before it is called: otherwise the two
-                    // deadlock.
-                    let shares = registry.team_shares(&teams.borrow_and_update());
-                    limits.set_team_shares(shares);
-                }
-                limits.adopt_share(Some(registry.share(now)), now);
+        // Version of the registered daemons from which the shares were calculated.
+        let mut known = None;
+        timer.spawn_periodic(group, "shares", SHARE_PERIOD, move |now| {
+            registry.expire(now);
+            let version = Some(registry.version());
+            if known != version || teams.has_changed().unwrap_or(false) {
+                known = version;
+                // The limiter also locks the teams, so the borrow must end before it is called: otherwise the two
+                // deadlock.
+                let shares = registry.team_shares(&teams.borrow_and_update());
+                limits.set_team_shares(shares);
             }
+            limits.adopt_share(Some(registry.share(now)), now);
         });
     }
 
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -108,20 +108,18 @@
         };
         let follower = StreamFollower::spawn_sink(group, journal.clone(), StreamName::Config, sink);
         let (ready_sender, ready) = watch::channel(false);
-        group.spawn_cancellable(watch_readiness(
-            follower.clone(),
-            peers.clone(),
-            state.clone(),
-            ready_sender,
-        ));
-        group.spawn_cancellable(write_snapshots(
+        let readiness =
+            watch_readiness(follower.clone(), peers.clone(), state.clone(), ready_sender);
+        group.spawn_essential("replica-readiness", readiness);
+        let snapshots = write_snapshots(
             journal.clone(),
             peers,
             state.clone(),
             tracker,
             timer.clone(),
             options.snapshot_period,
-        ));
+        );
+        group.spawn_essential("snapshot-writer", snapshots);
         Self {
             journal,
             state,
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
@@ -28,7 +29,7 @@
     /// Starts the timer task in `group`.
     pub fn spawn(group: &TaskGroup) -> Self {
         let (subscribe, requests) = mpsc::unbounded_channel();
-        group.spawn_cancellable(run(requests));
+        group.spawn_essential("timer", run(requests));
         Self { subscribe }
     }
 
@@ -42,6 +43,28 @@
         });
         TimerTicks { ticks }
     }
+
+    /// Spawns a service in `group` that calls `work` every `period`, the first time a period from now.
+    pub fn spawn_periodic(
+        &self,
+        group: &TaskGroup,
+        name: &'static str,
+        period: Duration,
+        work: impl FnMut(Instant) + Send + 'static,
+    ) {
+        let timer = self.clone();
+        // A lock, as the work may panic and is then called again by the restarted service.
+        let work = Arc::new(Mutex::new(work));
+        group.spawn_service(name, move || {
+            let (mut ticks, work) = (timer.every(period), work.clone());
+            async move {
+                while let Some(now) = ticks.next().await {
+                    let mut work = work.lock().unwrap_or_else(PoisonError::into_inner);
+                    work(now);
+                }
+            }
+        });
+    }
 }
 
 impl TimerTicks {
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -114,8 +114,11 @@
             unpublished: AtomicBool::new(false),
             changes: watch::Sender::new(0),
         });
-        group.spawn_cancellable(watch_servers(shared.clone(), timer.clone()));
-        group.spawn_cancellable(watch_list(shared.clone(), timer.clone()));
+        group.spawn_essential(
+            "report-reader",
+            watch_servers(shared.clone(), timer.clone()),
+        );
+        group.spawn_essential("vm-list-watch", watch_list(shared.clone(), timer.clone()));
         Self { shared }
     }
 
