--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -34,6 +34,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
 /// Set to 1 on all answers of a server that is leaving.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Signature of a server on the answer to a request that it ran.
+const SERVER_STAMP: HeaderName = HeaderName::from_static("server-stamp");
 /// Id of the server that answers.
 const INSTANCE_ID: HeaderName = HeaderName::from_static("instance-id");
 
@@ -143,10 +145,10 @@
         if answered.is_some_and(|answered| answered != id.as_bytes()) {
             return AnswerKind::IdMismatch;
         }
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        let refused = is_misdirected
-            || header(NOT_RUN).is_some()
-            || head.status == StatusCode::BAD_REQUEST && answered.is_none();
+        // A server stamps what it ran.
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST
+            && (header(NOT_RUN).is_some() || header(SERVER_STAMP).is_none());
+        let refused = is_misdirected || header(NOT_RUN).is_some();
         if refused && answered.is_none() && !is_first {
             return AnswerKind::Unattributed;
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -445,6 +445,12 @@
             return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
         }
         self.note_accepted(slot, &answer);
+        let status = answer.head.status;
+        if wire::is_promise(status) {
+            self.context.fleet.log_failure_answer(&slot.name);
+            read_refusal_to_end(answer, self.request.max_idle_connections).await;
+            return self.failed_attempt(slot, wire::unkept_promise(status));
+        }
         let is_stream =
             self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
         if is_stream {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -277,6 +277,24 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Returns whether `status` promises its reader that the request has not run and never will.
+pub(crate) fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Creates an error for an answer whose status is a promise that its server does not state to be true.
+pub(crate) fn unkept_promise(status: StatusCode) -> Error {
+    protocol(format!(
+        "the backend server answered {status} without stating that the request has not run"
+    ))
+}
+
 /// Creates an error for an answer that violates the protocol; the request may have run.
 pub(crate) fn protocol(message: impl Into<String>) -> Error {
     Error::new(Category::Protocol, message).with_verdict(RunVerdict::MayHaveRun)
