Product: no 408, 421, 429 or 503 for a call that may have run

Callers saw: 503 or 429 with the verdict may_have_run, and such statuses of plain services that had run a call. Client libraries send again after them.

Cause: the status of a refusal followed from the error's category alone, and a service's answer was passed on with any status, also when it was repeated from the record of an idempotency key.

Evidence: promise_of_a_backend_server_of_the_product_becomes_502 (tests/promises.rs) failed on with 408 for a call that had run.

Change: a refusal has a status that promises only with the verdict not_run. A service's answer with such a status is passed on if its body states not_run, and is 502 otherwise.

Result: the test passes.

--- a/src/dispatch/service.rs
+++ b/src/dispatch/service.rs
@@ -24,6 +24,7 @@
 use crate::history::RequestStage;
 use crate::ids::{KeyDigest, RecordId};
 use crate::limit::TokenCharge;
+use crate::wire;
 
 /// Maximum number of backend servers that one call tries.
 const MAX_ATTEMPTS: usize = 3;
@@ -131,7 +132,7 @@
         if let Some(charge) = charge {
             charge.settle(if not_run { 0 } else { cost });
         }
-        result
+        result.and_then(checked_answer)
     }
 
     async fn admit_service(&self, call: ServiceCall) -> Result<ServiceJob<ChargeOf<P>>> {
@@ -363,6 +364,15 @@
     }
 }
 
+/// Returns the answer of a service, unless its status promises what the service does not state.
+fn checked_answer(answer: ServiceAnswer) -> Result<ServiceAnswer> {
+    let status = answer.status;
+    if wire::is_promise(status) && !wire::states_not_run(&answer.body) {
+        return Err(wire::unkept_promise(status));
+    }
+    Ok(answer)
+}
+
 fn recorded_answer(outcome: ClaimOutcome) -> Result<ServiceAnswer> {
     let Some(body) = outcome.body else {
         let message = format!(
--- a/src/http/refusal.rs
+++ b/src/http/refusal.rs
@@ -6,7 +6,8 @@
 use http::{HeaderValue, StatusCode};
 use serde::Serialize;
 
-use crate::error::{Category, Error};
+use crate::error::{Category, Error, RunVerdict};
+use crate::wire;
 
 /// Header that carries the request id on every answer.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -34,7 +35,12 @@
 
 impl From<Error> for Refusal {
     fn from(error: Error) -> Self {
-        let status = status_of(error.category());
+        let status = match status_of(error.category()) {
+            status if wire::is_promise(status) && error.verdict() != RunVerdict::NotRun => {
+                StatusCode::BAD_GATEWAY
+            }
+            status => status,
+        };
         Self { error, status }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -266,6 +266,11 @@
     }
 }
 
+/// Returns whether the body of an answer states that the request has not run.
+pub(crate) fn states_not_run(body: &[u8]) -> bool {
+    serde_json::from_slice::<RefusalBody>(body).is_ok_and(|body| body.error.not_run)
+}
+
 /// Returns whether a process can be reached at `address`.
 pub(crate) fn is_connectable(address: SocketAddr) -> bool {
     let ip = address.ip();
--- a/standins/src/engine/http_api.rs
+++ b/standins/src/engine/http_api.rs
@@ -85,6 +85,10 @@
     match fault {
         Some(EngineFault::Late { ms }) => tokio::time::sleep(Duration::from_millis(ms)).await,
         Some(EngineFault::Lost) => return closer.close_unanswered().await,
+        Some(EngineFault::Fail { status }) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            return refusal(status, "engine failed", false);
+        }
         _ => {}
     }
     stream_answer(events, closer)
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -115,6 +115,11 @@
         lock(&self.state.faults).push_back(fault);
     }
 
+    /// Removes the queued faults of requests.
+    pub fn clear_faults(&self) {
+        lock(&self.state.faults).clear();
+    }
+
     /// Queues a fault for orders; each order takes the oldest one.
     pub fn push_order_fault(&self, fault: OrderFault) {
         lock(&self.state.order_faults).push_back(fault);
--- a/standins/src/engine/options.rs
+++ b/standins/src/engine/options.rs
@@ -105,6 +105,8 @@
     Lost,
     /// Answers 503 and states that the request did not run.
     Refuse,
+    /// The request runs, and the answer has this status.
+    Fail { status: u16 },
     /// The engine crashes after `after` tokens.
     Crash { after: u32 },
 }
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -56,6 +56,10 @@
     Truncate,
     /// Answers 503 and states that the call had no effect.
     Refuse,
+    /// The call takes effect, and the answer has this status.
+    Fail {
+        status: u16,
+    },
 }
 
 /// Number of times that calls with one idempotency key and body took effect.
@@ -222,10 +226,17 @@
         Some(ServiceFault::CrashAfterEffect) => state.crash().await,
         Some(ServiceFault::LoseAnswer) => closer.close_unanswered().await,
         Some(ServiceFault::Truncate) => truncated_answer(),
+        Some(ServiceFault::Fail { status }) => failed_answer(status, "service failed"),
         _ => Json(answer).into_response(),
     }
 }
 
+/// Answers with `status`, without stating that the call had no effect.
+fn failed_answer(status: u16, message: &str) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    refusal(status, message, false)
+}
+
 /// Answers with a body that ends with an error.
 fn truncated_answer() -> Response {
     let parts = [
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -1,9 +1,17 @@
 //! Statuses that promise that a request has not run, and never will: 408, 421, 429 and 503.
 
+mod process_support;
 mod relay_support;
 
-use eyre::ensure;
+use eyre::{OptionExt, ensure};
+use foxtailhill_standins::EngineOptions;
+use foxtailhill_standins::caller::CallerAnswer;
+use foxtailhill_standins::cluster::{ClusterOptions, TestCluster};
+use foxtailhill_standins::engine::EngineFault;
+use foxtailhill_standins::service::ServiceFault;
+use http::Method;
 use relay_support::{RelayRig, Script, chunk, event, header, request, stream_head, whole};
+use serde_json::json;
 
 const PROMISES: [&str; 4] = [
     "408 Request Timeout",
@@ -19,6 +27,8 @@
     ("GET", "/check/1", 2),
     ("POST", "/draft/1", 2),
 ];
+/// More often than the product sends a model call.
+const MAX_MODEL_SENDS: usize = 6;
 const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 fn status(answer: &str) -> &str {
@@ -172,3 +182,82 @@
     }
     Ok(())
 }
+
+/// A cluster of one daemon, one engine and one service, which routes that may and may not be repeated lead to.
+async fn open_product() -> eyre::Result<TestCluster> {
+    let zone = process_support::ZONES[0];
+    let options = ClusterOptions {
+        program: env!("CARGO_BIN_EXE_foxtailhill").into(),
+        daemons: vec![process_support::daemons().remove(0)],
+        engines: vec![process_support::engine(
+            "engine-1",
+            zone,
+            EngineOptions::default(),
+        )],
+        services: vec![process_support::service("booking-1", zone)],
+        ..ClusterOptions::default()
+    };
+    let mut cluster = TestCluster::open(options).await?;
+    cluster.wait_ready().await?;
+    let mut declaration = process_support::declaration(&cluster);
+    let notices = json!({
+        "name": "notices", "prefix": "/notices", "target": {"service": "booking"}, "repeatable": true
+    });
+    let routes = declaration["routes"].as_array_mut();
+    routes.ok_or_eyre("routes")?.push(notices);
+    cluster.declare(0, &declaration).await?;
+    process_support::wait_until_served(&cluster, 0).await?;
+    Ok(cluster)
+}
+
+fn check_failure(what: &str, answer: &CallerAnswer) -> eyre::Result<()> {
+    let verdict = answer.verdict();
+    ensure!(
+        answer.status == 502 && verdict.as_deref() == Some("may_have_run"),
+        "{what}: {answer:?}"
+    );
+    Ok(())
+}
+
+/// Guards against telling a caller of the product that its call has not run because a backend server that ran it answered
+/// with a status that says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn promise_of_a_backend_server_of_the_product_becomes_502() -> eyre::Result<()> {
+    let cluster = open_product().await?;
+    let (address, caller) = (
+        cluster.daemons[0].addresses().caller,
+        process_support::caller(),
+    );
+    let (service, engine) = (cluster.services[0].latest(), cluster.engines[0].latest());
+    for promise in PROMISES {
+        let status: u16 = promise[..3].parse()?;
+        service.push_fault(ServiceFault::Fail { status });
+        let key = format!("promise-{status}");
+        let first = caller
+            .submit(address, "/bookings/1", &key, "seat 7")
+            .await?;
+        check_failure("a call that runs at most once", &first)?;
+        let repeated = caller
+            .submit(address, "/bookings/1", &key, "seat 7")
+            .await?;
+        check_failure("a call that is sent again", &repeated)?;
+        let count = cluster.services[0].count(&key);
+        ensure!(count == 1, "{promise}: ran {count} times");
+
+        service.push_fault(ServiceFault::Fail { status });
+        let notice = caller.send(Method::POST, address, "/notices/1", &[], Vec::new());
+        check_failure("a call that may be repeated", &notice.await?)?;
+
+        for _ in 0..MAX_MODEL_SENDS {
+            engine.push_fault(EngineFault::Fail { status });
+        }
+        let messages = r#"[{"role":"user","content":"a day in Palermo <tokens=3>"}]"#;
+        let answer = caller.chat(address, "drafter", messages, 8).await?;
+        ensure!(
+            ![200, 408, 421, 429, 503].contains(&answer.status.as_u16()),
+            "a model call: {answer:?}"
+        );
+        engine.clear_faults();
+    }
+    cluster.shutdown().await
+}
