--- a/src/relay/lease.rs
+++ b/src/relay/lease.rs
@@ -8,7 +8,8 @@
 //! The store may lose its newest records and give their offsets out again; its era then rises. A fencing number consists
 //! of the era and the offset at which its holder acquired the lease, so it is never given out twice. A record of an older
 //! era permits nobody to give orders: the lost records may have named another holder. Only a daemon whose own confirmed
-//! write excludes that continues at once, with a new number; all others wait as for a silent holder.
+//! write excludes that continues at once, with a new number; all others wait as for a silent holder. The same holds for a
+//! store without a record: a candidate cannot know that the store has not lost one.
 
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,8 +40,6 @@
 /// Fencing numbers per era of the store. For 2^21 eras, numbers stay within 2^53, up to which JSON parsers keep integers
 /// exact.
 const FENCES_PER_ERA: u64 = 1 << 32;
-/// Era of a store that has not come back from a copy yet.
-const FIRST_ERA: StoreEra = StoreEra(1);
 
 /// The record of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -241,9 +240,8 @@
             return LeaseStep::Wait;
         };
         let state = &seen.state;
-        let never_held = state.record.is_none() && state.era <= FIRST_ERA;
         let fence = match state.current_record() {
-            None if never_held || seen.may_continue => state.next_fence(),
+            None if seen.may_continue => state.next_fence(),
             Some(record) if record.vm == self.vm && !record.released => record.fence,
             // The previous process of this VM has ended, and orders from the same VM may overlap.
             Some(record) if record.holder == self.name => state.next_fence(),
