Readers: a table that was read and cannot be applied does not count as read

What was seen: nothing by callers yet; found on reading the change. A reader noted a read as successful before it applied what it had read. After a panic in between, the daemon said in its pulses that it reads the store, and the others of its zone went on copying its old list.

Change: a read counts once its change is applied, and as failed when the reader is restarted after a panic, so that the daemon yields to any other reader until it has applied a change again.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -34,8 +34,8 @@
     EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink, PlannerContext,
     ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
     ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth, StoreTable,
-    TableSink, UpstreamPool, bind_readiness, follow_configs, follow_copies, follow_table,
-    spawn_probes, spawn_pulses,
+    TableSink, UpstreamPool, bind_readiness, follow_configs, follow_copies, spawn_probes,
+    spawn_pulses, spawn_reader,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ColdBound, ExpectedFinishPolicy};
@@ -387,33 +387,16 @@
         services.configs.clone(),
         Arc::new(evacuations),
     ));
-    let table = StoreTable::Configuration;
-    spawn_reader(
+    read_table(
         services,
         group,
-        "configuration-reader",
-        table,
+        StoreTable::Configuration,
         CONFIG_PACE,
         operators,
     );
-    let table = StoreTable::Servers;
-    spawn_reader(
-        services,
-        group,
-        "server-reader",
-        table,
-        SERVER_PACE,
-        servers,
-    );
-    let (table, registry) = (StoreTable::Daemons, services.registry.clone());
-    spawn_reader(
-        services,
-        group,
-        "daemon-reader",
-        table,
-        DAEMON_PACE,
-        registry,
-    );
+    read_table(services, group, StoreTable::Servers, SERVER_PACE, servers);
+    let registry = services.registry.clone();
+    read_table(services, group, StoreTable::Daemons, DAEMON_PACE, registry);
     let (readers, client) = (services.readers.clone(), services.client.clone());
     let (tables, metrics) = (services.tables(), services.core.metrics().clone());
     group.spawn_service("table-copies", move || {
@@ -453,20 +436,16 @@
 }
 
 /// Spawns the service that reads a table of the store into `sink` while this daemon is a reader.
-fn spawn_reader<S: TableSink>(
+fn read_table<S: TableSink>(
     services: &RelayServices,
     group: &TaskGroup,
-    name: &'static str,
     table: StoreTable,
     pace: FollowPace,
     sink: Arc<S>,
 ) {
     let (store, health) = (services.store.clone(), services.health.clone());
     let reading = services.readers.subscribe();
-    group.spawn_service(name, move || {
-        let (store, health) = (store.clone(), health.clone());
-        follow_table(store, table, pace, sink.clone(), reading.clone(), health)
-    });
+    spawn_reader(group, store, table, pace, sink, reading, health);
 }
 
 /// Updates the view of the fleet periodically and retries waiting requests after every change.
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 
 use crate::ids::{LogOffset, StoreEra};
+use crate::kernel::TaskGroup;
 use crate::relay::readers::StoreHealth;
 use crate::relay::store::{RecordStore, StoreTable, TableRead};
 
@@ -84,6 +85,27 @@
     }
 }
 
+/// Spawns a service in `group` that reads `table` while `reading` is true and passes its changes to `sink`. After a panic
+/// the read counts as failed in `health` until a change has been applied again.
+pub fn spawn_reader<R: RecordStore, S: TableSink>(
+    group: &TaskGroup,
+    store: Arc<R>,
+    table: StoreTable,
+    pace: FollowPace,
+    sink: Arc<S>,
+    reading: watch::Receiver<bool>,
+    health: Arc<StoreHealth>,
+) {
+    let mut is_restart = false;
+    group.spawn_service(table.reader_name(), move || {
+        if std::mem::replace(&mut is_restart, true) {
+            health.note(table, false, Instant::now());
+        }
+        let (store, sink, health) = (store.clone(), sink.clone(), health.clone());
+        follow_table(store, table, pace, sink, reading.clone(), health)
+    });
+}
+
 /// Reads `table` while `reading` is true and passes its changes to `sink`; waits while `reading` is false.
 pub async fn follow_table<R: RecordStore, S: TableSink>(
     store: Arc<R>,
@@ -115,7 +137,6 @@
             // Another daemon reads the table now, and copies from it may be newer than this result.
             continue;
         }
-        health.note(table, result.is_ok(), Instant::now());
         match result {
             Ok((from, change)) => {
                 if !reachable {
@@ -127,6 +148,8 @@
                 if let Some(change) = change {
                     sink.apply(change);
                 }
+                // After the change, as a reader that cannot apply what it reads is of no use to others.
+                health.note(table, true, Instant::now());
                 // After a late read, records written in the meantime are read without a pause.
                 if next.is_some() && !is_late {
                     let pause = pace.pause.max(if first {
@@ -142,6 +165,7 @@
                     log::warn!("table {table:?} of the store cannot be read: {error}");
                 }
                 reachable = false;
+                health.note(table, false, Instant::now());
                 sink.apply(TableChange::Unreachable);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -71,7 +71,9 @@
 pub(crate) use self::exchange::QUARANTINE_TIME;
 pub use self::exchange::RelayExchange;
 pub use self::fleet::{EvacuatedZone, EvacuationSink, RelayFleet, ServerProbe, routing_name};
-pub use self::follower::{FollowPace, PairSink, TableChange, TableSink, follow_table};
+pub use self::follower::{
+    FollowPace, PairSink, TableChange, TableSink, follow_table, spawn_reader,
+};
 pub use self::format::{
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -21,6 +21,15 @@
 }
 
 impl StoreTable {
+    /// Returns the name of the service that reads this table.
+    pub fn reader_name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration-reader",
+            Self::Servers => "server-reader",
+            Self::Daemons => "daemon-reader",
+        }
+    }
+
     /// Returns whether records of this table carry a version, by which a reader ignores a record that is older than
     /// what it has.
     pub fn is_versioned(self) -> bool {
--- a/tests/regression/odd_store_page.rs
+++ b/tests/regression/odd_store_page.rs
@@ -34,7 +34,7 @@
             let length = stream.read(&mut head).await.unwrap_or(0);
             let head = String::from_utf8_lossy(&head[..length]).into_owned();
             let target = head.split(' ').nth(1).unwrap_or_default().to_owned();
-            asked.lock().unwrap().push(target);
+            asked.lock().expect("not poisoned").push(target);
             let page = match pages.len() {
                 1 => pages.front().cloned(),
                 _ => pages.pop_front(),
@@ -110,7 +110,7 @@
     let (address, targets) = serve_pages(&group, pages).await?;
     let keys = newest_keys(address).await;
     group.shutdown().await;
-    let targets = targets.lock().unwrap().clone();
+    let targets = targets.lock().expect("not poisoned").clone();
     eyre::ensure!(keys? == ["i-1"], "{targets:?}");
     eyre::ensure!(targets[1].contains("&after=%61%2D%32"), "{targets:?}");
     Ok(())
--- a/tests/task_faults.rs
+++ b/tests/task_faults.rs
@@ -1,7 +1,7 @@
 //! Tasks that panic, and services that end while their process goes on.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use foxtailhill::metrics::DaemonMetrics;
 use foxtailhill::relay::{
     FollowPace, KeyedRecord, RecordStore, StoreHealth, StoreTable, TableChange, TableRead,
-    TableSink, follow_table,
+    TableSink, spawn_reader,
 };
 use foxtailhill::timer::TimerService;
 use tokio::sync::watch;
@@ -147,53 +147,74 @@
     }
 }
 
-/// A sink that panics at the first change, with its lock held.
+/// A sink that panics at its first snapshots, with its lock held.
 #[derive(Default)]
 struct FragileSink {
-    changes: Mutex<usize>,
+    snapshots: Mutex<usize>,
+    /// Number of the first snapshot that is applied.
+    sound_from: usize,
+}
+
+impl FragileSink {
+    fn snapshots(&self) -> MutexGuard<'_, usize> {
+        self.snapshots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl TableSink for FragileSink {
     fn apply(&self, change: TableChange) {
-        let mut changes = match self.changes.lock() {
-            Ok(changes) => changes,
-            Err(poisoned) => poisoned.into_inner(),
-        };
-        *changes += usize::from(matches!(change, TableChange::Snapshot(_)));
-        assert!(*changes != 1, "the first snapshot");
+        let mut snapshots = self.snapshots();
+        if matches!(change, TableChange::Snapshot(_)) {
+            *snapshots += 1;
+            assert!(*snapshots >= self.sound_from, "snapshot {snapshots}");
+        }
     }
 }
 
+fn read_into(group: &TaskGroup, sink: &Arc<FragileSink>, health: &Arc<StoreHealth>) {
+    let pace = FollowPace {
+        wait: Duration::from_secs(60),
+        pause: Duration::ZERO,
+    };
+    let reading = watch::channel(true).1;
+    let table = StoreTable::Servers;
+    let (store, sink, health) = (Arc::new(OneRecord), sink.clone(), health.clone());
+    spawn_reader(group, store, table, pace, sink, reading, health);
+}
+
 /// Guards against a table that is never read again because its reader has panicked.
 #[tokio::test]
 async fn reader_reads_its_table_anew_after_a_panic() -> eyre::Result<()> {
     let group = TaskGroup::new();
-    let sink = Arc::<FragileSink>::default();
-    let (reading, health) = (watch::channel(true).1, Arc::<StoreHealth>::default());
-    let pace = FollowPace {
-        wait: Duration::from_millis(1),
-        pause: Duration::ZERO,
-    };
-    let applied = sink.clone();
-    group.spawn_service("reader", move || {
-        let (sink, reading, health) = (applied.clone(), reading.clone(), health.clone());
-        follow_table(
-            Arc::new(OneRecord),
-            StoreTable::Servers,
-            pace,
-            sink,
-            reading,
-            health,
-        )
+    let health = Arc::<StoreHealth>::default();
+    let sink = Arc::new(FragileSink {
+        sound_from: 2,
+        ..FragileSink::default()
     });
-    until("another snapshot", || {
-        let changes = match sink.changes.lock() {
-            Ok(changes) => changes,
-            Err(poisoned) => poisoned.into_inner(),
-        };
-        *changes > 1
-    })
-    .await?;
+    read_into(&group, &sink, &health);
+    until("reading", || health.is_reading(Instant::now())).await?;
+    ensure!(*sink.snapshots() == 2, "{} snapshots", sink.snapshots());
+    group.shutdown().await;
+    Ok(())
+}
+
+/// Guards against a daemon from which others copy a list although it cannot apply what it reads.
+#[tokio::test]
+async fn reader_that_cannot_apply_its_table_does_not_count_as_reading() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let health = Arc::<StoreHealth>::default();
+    // Another table is read without trouble.
+    health.note(StoreTable::Daemons, true, Instant::now());
+    let sink = Arc::new(FragileSink {
+        sound_from: usize::MAX,
+        ..FragileSink::default()
+    });
+    read_into(&group, &sink, &health);
+    until("another snapshot", || *sink.snapshots() > 1).await?;
+    health.note(StoreTable::Daemons, true, Instant::now());
+    ensure!(!health.is_reading(Instant::now()), "counts as reading");
     group.shutdown().await;
     Ok(())
 }
