--- a/src/faults.rs
+++ b/src/faults.rs
@@ -77,24 +77,34 @@
     }
 
     /// Runs `task` to its end. A panic is logged and counted, and ends only this task.
-    pub(crate) async fn observe(self, name: &'static str, task: impl Future<Output = ()>) {
-        if let Err(panic) = AssertUnwindSafe(task).catch_unwind().await {
-            self.note(name, &panicked(&*panic));
-        }
+    ///
+    /// An `async` function would keep room for `task` twice, and there is a task for each connection.
+    pub(crate) fn observe(
+        self,
+        name: &'static str,
+        task: impl Future<Output = ()>,
+    ) -> impl Future<Output = ()> {
+        AssertUnwindSafe(task).catch_unwind().map(move |ended| {
+            if let Err(panic) = ended {
+                self.note(name, &panicked(&*panic));
+            }
+        })
     }
 
     /// Runs `task` to its end. If it panics, the process must end.
-    pub(crate) async fn observe_essential(
+    pub(crate) fn observe_essential(
         self,
         name: &'static str,
         task: impl Future<Output = ()>,
-    ) {
-        if let Err(panic) = AssertUnwindSafe(task).catch_unwind().await {
-            self.note(name, &panicked(&*panic));
-            // A later one changes nothing.
-            let _ = self.shared.ended.set(name);
-            self.shared.end.cancel();
-        }
+    ) -> impl Future<Output = ()> {
+        AssertUnwindSafe(task).catch_unwind().map(move |ended| {
+            if let Err(panic) = ended {
+                self.note(name, &panicked(&*panic));
+                // A later one changes nothing.
+                let _ = self.shared.ended.set(name);
+                self.shared.end.cancel();
+            }
+        })
     }
 
     /// Runs a service and restarts it whenever it panics or ends.
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -6,6 +6,7 @@
 use std::panic::Location;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use futures_util::FutureExt;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -130,9 +131,7 @@
 
     fn insert_cancellable(&self, task: impl Future<Output = ()> + Send + 'static) {
         let token = self.token.clone();
-        self.insert(async move {
-            token.run_until_cancelled(task).await;
-        });
+        self.insert(token.run_until_cancelled_owned(task).map(|_| ()));
     }
 
     fn insert(&self, task: impl Future<Output = ()> + Send + 'static) {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -436,23 +436,20 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
         others: &impl OtherServers,
     ) -> Attempt {
+        let status = answer.head.status;
         if let Some(sent_type) = &self.sent_type
             && *sent_type != StreamType::of(&answer.head)
         {
-            let status = answer.head.status;
             let message = format!("the backend server answered {status} to a resumed stream");
-            let error = Error::new(Category::Protocol, message);
-            return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            return self.failed_attempt(slot, wire::protocol(message));
         }
         self.note_accepted(slot, &answer);
-        let status = answer.head.status;
         if wire::is_promise(status) {
             self.context.fleet.log_failure_answer(&slot.name);
             read_refusal_to_end(answer, self.request.max_idle_connections).await;
             return self.failed_attempt(slot, wire::unkept_promise(status));
         }
-        let is_stream =
-            self.request.route.kind == CallKind::Streaming && answer.head.status.is_success();
+        let is_stream = self.request.route.kind == CallKind::Streaming && status.is_success();
         if is_stream {
             self.forward_stream(slot, answer, pieces, others).await
         } else {
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -21,6 +21,7 @@
 mod key_in_debug_form;
 mod lease_taken_back_at_shutdown;
 mod name_in_header;
+mod odd_entry_of_a_copy;
 mod odd_server_record;
 mod odd_store_page;
 mod offset_of_an_earlier_era;
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -28,20 +28,17 @@
 const ENGINES: usize = 4;
 const MODELS: usize = 7;
 
-/// A lease that only one VM writes, and that an earlier run of its daemon held.
+/// A lease that only the VM `entry-1` writes, and that an earlier run of its daemon held.
 struct OwnLease(Mutex<LeaseState>);
 
-impl OwnLease {
-    fn new(vm: &str) -> Self {
+impl Default for OwnLease {
+    fn default() -> Self {
         let record = LeaseRecord {
-            holder: vm.into(),
-            vm: VmId(1),
-            fence: 1,
-            released: false,
+            holder: "entry-1".into(),
+            ..LeaseRecord::of_unknown_holder()
         };
         Self(Mutex::new(LeaseState {
             record: Some(record),
-            next: LogOffset(1),
             ..LeaseState::default()
         }))
     }
@@ -352,8 +349,7 @@
     let (configs, receiver) = watch::channel(Some(Arc::new(serving_config(loads_per_s))));
     let (_eligible, eligible) = watch::channel(true);
     let candidate = LeaseCandidate::new("entry-1".into(), VmId::random(), Duration::ZERO);
-    let store = Arc::new(OwnLease::new("entry-1"));
-    let lease = LeaseManager::spawn(&group, store, candidate, eligible);
+    let lease = LeaseManager::spawn(&group, Arc::new(OwnLease::default()), candidate, eligible);
     let demand = Arc::new(DemandTracker::with_window(Duration::from_secs(1)));
     let planner = ReplicaPlanner::spawn(
         PlannerContext {
