Tests: records of other programs that have the form of a server's record (red)

What callers see: 503 and 502 while records of other programs stand in the list of servers that are sound in form (odd only in a field that no server writes), at the addresses of live servers or where nobody listens.

Three daemons and three servers as processes and stand-ins; the servers answer 421 with their own id to requests for another one.

--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -40,7 +40,7 @@
 /// A running backend server.
 pub struct SoakServer {
     pub id: String,
-    address: SocketAddr,
+    pub address: SocketAddr,
     end: CancellationToken,
 }
 
@@ -101,6 +101,14 @@
         let length = header(&head, "content-length").map_or(Ok(0), str::parse)?;
         stream.read_exact(&mut vec![0; length]).await?;
         let id = header(&head, "request-id").unwrap_or_default();
+        if header(&head, "expect-instance").is_some_and(|expected| expected != server) {
+            let refusal = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nInstance-Id: {server}\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            stream.write_all(refusal.as_bytes()).await?;
+            continue;
+        }
         *lock(&journal.runs).entry(id.to_owned()).or_insert(0) += 1;
         let time = Duration::from_millis(rand::rng().random_range(ANSWER_MS));
         tokio::time::sleep(time).await;
