--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -84,6 +84,7 @@
                     output: 200,
                 }),
                 deferred: false,
+                trial: Default::default(),
             };
             assert!(policy.choose_in(&need, &fleet, Instant::now()).is_some());
             let now = Instant::now();
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -482,6 +482,11 @@
             let refusing = fleet.refusing_servers().len();
             let gauges = &core.metrics().backends;
             core.metrics().set(gauges, "refusing", refusing as i64);
+            let standings = fleet.standing_counts();
+            core.metrics()
+                .set(gauges, "unproven", standings.unproven as i64);
+            core.metrics()
+                .set(gauges, "displaced", standings.displaced as i64);
         });
     spawn_probes(&services.fleet, &services.pool, &services.timer, group);
     let changes = services.fleet.subscribe();
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -195,6 +195,7 @@
             late: false,
             cost: model_cost(messages.len(), max_tokens, prefix_count),
             deferred: false,
+            trial: Default::default(),
         };
         ModelNeed {
             route,
--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -20,7 +20,7 @@
 use crate::peer::SuspectNotice;
 use crate::queue::{QueuePolicy, WaitEntry};
 use crate::retry::RetryBudget;
-use crate::routing::RoutingPolicy;
+use crate::routing::{RoutingPolicy, TrialRule};
 use crate::suspect::{SuspectTable, SuspectVerdict};
 
 /// Parts of an answer that are buffered for a caller that reads slowly.
@@ -459,6 +459,12 @@
             current: &slot.name,
         };
         let result = job.exchange.attempt(&slot, pieces, &others).await;
+        if matches!(
+            result,
+            Attempt::Failed { .. } | Attempt::NotResident | Attempt::Unsent(_)
+        ) {
+            job.need.route.trial = TrialRule::Never;
+        }
         match &result {
             Attempt::Finished => self.clear_suspect(&job.fingerprint),
             Attempt::Failed { .. } | Attempt::NotResident => {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -141,7 +141,8 @@
     pub cold_servers: Gauge,
     /// Evacuated zones (`zones`), and requests that run on their servers (`running`).
     pub evacuations: Family<KindLabels, Gauge>,
-    /// Backend servers by kind (`usable`, `leaving`, `down`, `refusing`).
+    /// Backend servers by kind (`usable`, `leaving`, `down`, `refusing`; `unproven` ones have not answered yet, and at the
+    /// addresses of `displaced` ones another server answers).
     pub backends: Family<KindLabels, Gauge>,
     /// Least and greatest pace of the backend servers in thousandths (`least`, `greatest`).
     pub paces: Family<KindLabels, Gauge>,
--- a/src/platform/engines.rs
+++ b/src/platform/engines.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::error::{Error, Result};
+use crate::error::{Category, Error, Result};
 use crate::platform::headers::EXPECT_INSTANCE;
 use crate::platform::servers::ModelRecord;
 use crate::relay::{
@@ -135,6 +135,10 @@
     async fn report(&self, server: &str, address: SocketAddr) -> Result<EngineReport> {
         let request = wire::request(address, Method::GET, "/api/report", Bytes::new())?;
         let answer = call(&self.reports, server, request).await?;
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            let message = "another process has the engine's address";
+            return Err(Error::new(Category::NotFound, message));
+        }
         let report: ReportBody = wire::decode(&answer)?;
         if report.seq > MAX_ORDERS {
             return Err(wire::protocol("the engine reported too many orders"));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -133,6 +133,10 @@
         }
     }
 
+    fn answering_server<'a>(&self, head: &'a response::Parts) -> Option<&'a str> {
+        head.headers.get(INSTANCE_ID)?.to_str().ok()
+    }
+
     fn classify(
         &self,
         id: &str,
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -32,7 +32,7 @@
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::returns::TimeLeftLog;
-use crate::routing::RouteNeed;
+use crate::routing::{RouteNeed, TrialRule};
 
 /// Subtracted from the caller's deadline for the transfer of the answer to the caller.
 const CALLER_DEADLINE_MARGIN: Duration = Duration::from_millis(10);
@@ -235,7 +235,7 @@
         let work =
             self.exchanges
                 .estimate_work(&service.name, &route.name, &metadata, Instant::now());
-        let model_need = self.model_need(service, &metadata, &work)?;
+        let model_need = self.model_need(&route, service, &metadata, &work)?;
         self.request_adapter(service, &metadata);
         let daemons = *self.context.daemons.borrow();
         let budget = self.retry_budget(&service.name, daemons);
@@ -505,6 +505,7 @@
     /// own: a crash makes all requests that ran on the server suspect, which is too many for one server each.
     fn model_need(
         &self,
+        route: &RouteConfig,
         service: &ServiceConfig,
         metadata: &RequestMetadata,
         work: &RequestWork,
@@ -523,14 +524,12 @@
         };
         let route = RouteNeed {
             model: routing_name(&service.name, model),
-            version: SmolStr::default(),
             adapter: model.and(metadata.adapter.clone()),
             prefixes: work.prefixes.clone(),
             zone: self.context.zone.clone(),
-            avoid: Vec::new(),
-            late: false,
             cost: work.cost.clone(),
-            deferred: false,
+            trial: TrialRule::of(route.is_repeatable()),
+            ..RouteNeed::default()
         };
         Ok(ModelNeed {
             route,
--- a/src/relay/engine_state.rs
+++ b/src/relay/engine_state.rs
@@ -39,6 +39,8 @@
     pub(super) open_order: Option<OpenOrder>,
     /// When the engine last answered a call.
     pub(super) answered_at: Option<Instant>,
+    /// Whether another server answered the latest report request to its address.
+    pub(super) is_misplaced: bool,
     /// Whether a call to the engine is in progress.
     pub(super) call_in_flight: bool,
     /// Recently loaded adapters, with the time of the load.
@@ -57,6 +59,7 @@
             asked_at: None,
             open_order: None,
             answered_at: None,
+            is_misplaced: false,
             call_in_flight: false,
             recent_adapter_loads: Vec::new(),
             uncertain_loads: Vec::new(),
--- a/src/relay/engines.rs
+++ b/src/relay/engines.rs
@@ -120,6 +120,10 @@
     ) -> impl Future<Output = Result<OrderAnswer>> + Send;
 
     /// Requests the state of the engine `server`.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` if another server answers at the address.
     fn report(
         &self,
         server: &str,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -39,9 +39,6 @@
 /// Maximum number of times that a request is sent to a backend server, including sends that are refused. A connection
 /// that could not be opened is no send.
 const MAX_SENDS: usize = 5;
-/// Maximum number of connections that could not be opened for one request. After the loss of a quarter of the servers of
-/// a service, the chance that as many in a row are among them is below 1 in 50,000.
-const MAX_FAILED_CONNECTS: usize = 8;
 /// A request with less time left is not sent because its answer would be too late.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 /// Subtracted from the time that a backend server is given, for the transfer of its answer.
@@ -93,8 +90,9 @@
     sends: usize,
     /// Sends after which the server may have run the request; limited by the route's `max_attempts`.
     attempts: usize,
-    /// Connections that could not be opened for the request.
+    /// Connections that could not be opened for the request and were not refused.
     failed_connects: usize,
+    refused_connects: usize,
     /// Id of the last event that was forwarded, or that the caller stated in its request.
     last_event: Option<u64>,
     /// Type of the stream whose head was sent to the caller.
@@ -127,6 +125,7 @@
             sends: 0,
             attempts: 0,
             failed_connects: 0,
+            refused_connects: 0,
             sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
@@ -347,6 +346,7 @@
             .context
             .format
             .classify(id, &slot.name, &answer.head, answer.is_first);
+        self.note_identity(slot, &answer, kind);
         if !matches!(kind, AnswerKind::WrongInstance | AnswerKind::IdMismatch) {
             let notice = self.context.format.read_notice(&answer.head);
             self.context.fleet.apply_notice(&slot.name, notice);
@@ -539,12 +539,7 @@
     }
 
     fn may_retry_unsent(&mut self, _error: &Error) -> bool {
-        let may_retry = self.failed_connects < MAX_FAILED_CONNECTS
-            && Instant::now() + MIN_TIME_LEFT < self.request.deadline;
-        if may_retry {
-            self.count_connect("moved");
-        }
-        may_retry
+        self.may_connect_again()
     }
 
     fn verdict(&self) -> RunVerdict {
--- a/src/relay/exchange/connect.rs
+++ b/src/relay/exchange/connect.rs
@@ -2,11 +2,20 @@
 
 use std::time::Instant;
 
+use smol_str::SmolStr;
+
 use crate::dispatch::{Attempt, FleetSource, ServerSlot};
-use crate::relay::exchange::RelayExchange;
-use crate::relay::format::RelayFormat;
+use crate::relay::exchange::{MIN_TIME_LEFT, RelayExchange};
+use crate::relay::format::{AnswerKind, RelayFormat};
 use crate::relay::upstream::{SendError, UpstreamAnswer};
 
+/// Maximum number of connections that could not be opened for one request. After the loss of a quarter of the servers of
+/// a service, the chance that as many in a row are among them is below 1 in 50,000.
+const MAX_FAILED_CONNECTS: usize = 8;
+/// Maximum number of connections that were refused for one request. A refusal is found out at once and closes the server
+/// to all requests.
+const MAX_REFUSED_CONNECTS: usize = 64;
+
 impl<F: RelayFormat> RelayExchange<F> {
     /// Notes whether an answer came on a new connection, which shows that the server accepts connections.
     pub(super) fn note_connection(&self, slot: &ServerSlot, answer: &UpstreamAnswer) {
@@ -17,21 +26,53 @@
         }
     }
 
+    /// Notes which server an answer shows to be at the address of `slot`.
+    pub(super) fn note_identity(
+        &self,
+        slot: &ServerSlot,
+        answer: &UpstreamAnswer,
+        kind: AnswerKind,
+    ) {
+        let stated = self.context.format.answering_server(&answer.head);
+        let id = match kind {
+            // Only the server itself runs the request.
+            AnswerKind::Answer => Some(slot.name.clone()),
+            AnswerKind::IdMismatch | AnswerKind::Unattributed => None,
+            _ => stated.map(SmolStr::from),
+        };
+        if let Some(id) = id {
+            let fleet = &self.context.fleet;
+            fleet.note_answer(&id, slot.address, self.sent);
+        }
+    }
+
     /// Handles a server that could not be connected to, so that no byte of the request was sent.
     pub(super) fn unsent_attempt(&mut self, slot: &ServerSlot, failure: SendError) -> Attempt {
         let SendError { error, is_refused } = failure;
         let fleet = &self.context.fleet;
-        self.failed_connects += 1;
         if is_refused {
+            self.refused_connects += 1;
             self.count_connect("refused");
             fleet.connect_refused(&slot.name, slot.address, Instant::now());
         } else {
+            self.failed_connects += 1;
             self.count_connect("failed");
             fleet.call_failed(&slot.name);
         }
         Attempt::Unsent(error)
     }
 
+    /// Returns whether another server may be tried after one that could not be connected to.
+    pub(super) fn may_connect_again(&self) -> bool {
+        let may_connect = self.failed_connects < MAX_FAILED_CONNECTS
+            && self.refused_connects < MAX_REFUSED_CONNECTS
+            && Instant::now() + MIN_TIME_LEFT < self.request.deadline;
+        if may_connect {
+            self.count_connect("moved");
+        }
+        may_connect
+    }
+
     pub(super) fn count_connect(&self, kind: &'static str) {
         let metrics = &self.context.metrics;
         metrics.count(&metrics.connects, kind);
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -2,12 +2,15 @@
 
 mod cold;
 mod evacuations;
+mod identities;
 mod notices;
 mod records;
 mod refusals;
+mod server_state;
 mod work;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -15,46 +18,29 @@
 use tokio::sync::{Notify, watch};
 
 pub use self::evacuations::{EvacuatedZone, EvacuationSink};
+pub use self::identities::StandingCounts;
 pub use self::refusals::ServerProbe;
 use self::work::ChoiceCounts;
 use crate::blame::ServerStart;
 use crate::dispatch::FleetSource;
-use crate::engine::{LoadReport, ResidentItem};
 use crate::ids::{LogOffset, StoreEra, VmId};
-use crate::relay::announcements::{AnnouncementTable, server_start};
+use crate::relay::announcements::AnnouncementTable;
 use crate::relay::config::ModelConfig;
 use crate::relay::engines::{LoadItem, PlacementChange};
 use crate::relay::evacuation::EvacuationTable;
+use crate::relay::identity::IdentityTable;
 use crate::relay::refusing::RefusalTable;
 use crate::relay::server_list::{
     HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry, holds_item,
 };
-use crate::routing::{
-    Availability, BackendView, FleetSnapshot, PaceTable, ReadParts, ServerHandle, ServerLoad,
-};
+use crate::routing::{Availability, FleetSnapshot, PaceTable, ReadParts, ServerHandle};
 
-/// Time for which a server gets no work after a failed call; doubles with each further failure.
-const BASE_SUSPECT_TIME: Duration = Duration::from_millis(500);
-/// Longest time without work after failures, as a live server must be tried again.
-const MAX_SUSPECT_TIME: Duration = Duration::from_secs(4);
-/// Failures after which the time no longer doubles.
-const MAX_DOUBLINGS: u32 = 3;
 /// Time for which a server that sends what is no answer, or an endless one, gets no work.
 const FAULTY_TIME: Duration = Duration::from_secs(10);
 /// Time for which a server that refused a request as full gets no more.
 const FULL_BACKOFF: Duration = Duration::from_millis(50);
 /// Age up to which a peer's report of its running requests is used.
 const PEER_REPORT_MAX_AGE: Duration = Duration::from_secs(3);
-/// Longest time by which a server's record may lag behind the effect of an order. A change that is younger than this
-/// stays in effect even if the record agrees with it, as the record may be older than the order.
-const MAX_RECORD_LAG: Duration = Duration::from_millis(2_500);
-/// Time for which a load stays in effect although the record does not show the item.
-const LOAD_OVERLAY_TIME: Duration = Duration::from_millis(3_500);
-/// Time for which an unload stays in effect although the record still shows the item. Longer than that of a load, as
-/// the record shows the item until the requests that use it have ended.
-const UNLOAD_OVERLAY_TIME: Duration = Duration::from_secs(10);
-/// Time between two tokens of one stream in a batch of usual size, in microseconds.
-const TOKEN_US: u32 = 6_000;
 
 struct ServerState {
     entry: ServerEntry,
@@ -64,6 +50,8 @@
     changed: u64,
     /// When the server was first listed.
     listed_at: Instant,
+    /// When this start of it was first listed at its address.
+    placed_at: Instant,
     /// Placement changes that the server's record may not show yet, with the time at which each became known. They
     /// override the record until it shows them or they expire.
     placements: Vec<(PlacementChange, Instant)>,
@@ -114,6 +102,11 @@
     announcements: AnnouncementTable,
     evacuations: EvacuationTable,
     refusals: RefusalTable,
+    identities: IdentityTable,
+    /// Addresses at which several servers are listed.
+    contested: HashSet<SocketAddr>,
+    /// Version of the list from which the standings of the servers were derived.
+    standings_version: u64,
     /// When the list could be read again after an outage, or was first read in a new era of the store.
     reachable_since: Option<Instant>,
     /// Newest era of the store in which the list was read.
@@ -410,6 +403,10 @@
         state.sum_peers(now);
         state.sum_peer_work();
         state.update_availability(now);
+        if state.standings_version != state.version {
+            state.standings_version = state.version;
+            state.update_standings();
+        }
         let paces = self.paces();
         let servers = state.servers.values().map(|server| {
             let hash = server_id_hash(&server.entry.id);
@@ -449,11 +446,7 @@
     }
 
     fn call_failed(&self, server: &str) {
-        self.suspect(server, |state| {
-            let doublings = state.failures.min(MAX_DOUBLINGS);
-            state.failures += 1;
-            (BASE_SUSPECT_TIME * 2_u32.pow(doublings)).min(MAX_SUSPECT_TIME)
-        });
+        self.suspect(server, |state| state.note_failure());
     }
 }
 
@@ -495,103 +488,3 @@
         }
     }
 }
-
-impl ServerState {
-    fn new(entry: ServerEntry, version: u64, now: Instant) -> Self {
-        log::info!("server {} of {} is listed", entry.id, entry.service);
-        Self {
-            models: entry.models.clone(),
-            start: server_start(&entry),
-            placements: Vec::new(),
-            changed: version,
-            listed_at: now,
-            entry,
-            handle: Arc::default(),
-            failures: 0,
-            suspected_until: None,
-            is_refusing: false,
-            expires_at: None,
-        }
-    }
-
-    /// Notes how long the server stays cold according to a new record.
-    fn note_cold(&self, entry: &ServerEntry, now: Instant) {
-        let is_cold = !entry.cold_left.is_zero();
-        if is_cold && !self.handle.is_cold() {
-            log::info!("server {} is cold for {:?}", entry.id, entry.cold_left);
-        }
-        self.handle.set_cold(is_cold.then(|| now + entry.cold_left));
-    }
-
-    /// Returns whether the server is not leaving and its zone not evacuated.
-    fn may_be_sent_to(&self) -> bool {
-        !self.entry.leaving && self.handle.availability() != Availability::Closed
-    }
-
-    /// Gives the server no work until `until`.
-    fn suspend_until(&mut self, until: Instant) {
-        self.suspected_until = self.suspected_until.max(Some(until));
-        self.update_suspected();
-    }
-
-    /// Sets whether routing leaves the server out.
-    fn update_suspected(&self) {
-        let is_suspected = self.is_refusing || self.suspected_until.is_some();
-        self.handle.set_suspected(is_suspected);
-    }
-
-    /// Derives the models from the record and the placement changes that it does not show yet.
-    fn update_models(&mut self, now: Instant) {
-        let entry = &self.entry;
-        self.placements.retain(|(placement, since)| {
-            let max_age = match placement.present {
-                true => LOAD_OVERLAY_TIME,
-                false => UNLOAD_OVERLAY_TIME,
-            };
-            let record_agrees = entry.holds(&placement.item) == placement.present;
-            let record_is_current = *since + MAX_RECORD_LAG <= now;
-            !(record_agrees && record_is_current) && *since + max_age > now
-        });
-        self.models = self.entry.models.clone();
-        for (placement, _) in &self.placements {
-            placement.apply(&mut self.models);
-        }
-    }
-
-    fn view(&self, peer_requests: u32, load: ServerLoad) -> BackendView {
-        let entry = &self.entry;
-        let item = |model, adapter: Option<&SmolStr>| ResidentItem {
-            model: routing_name(&entry.service, model),
-            version: SmolStr::default(),
-            adapter: adapter.cloned(),
-        };
-        let mut resident = Vec::new();
-        if self.models.is_empty() {
-            resident.push((item(None, None), 0));
-        }
-        for model in &self.models {
-            resident.push((item(Some(&model.name), None), 0));
-            let adapters = model.adapters.iter();
-            resident.extend(adapters.map(|adapter| (item(Some(&model.name), Some(adapter)), 0)));
-        }
-        BackendView {
-            name: entry.id.clone(),
-            zone: entry.zone.clone(),
-            address: entry.address,
-            slots: entry.slots,
-            report: LoadReport {
-                running: peer_requests,
-                token_us: TOKEN_US,
-                resident,
-                leaving: entry.leaving,
-                ..LoadReport::default()
-            },
-            reported_at: None,
-            in_flight: self.handle.in_flight(),
-            sent_since_report: 0,
-            suspected_down: self.handle.is_suspected(),
-            leaving: entry.leaving,
-            load,
-        }
-    }
-}
--- /dev/null
+++ b/src/relay/fleet/identities.rs
@@ -0,0 +1,104 @@
+//! Applies what answers show of the identity of servers to the list.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use smol_str::SmolStr;
+
+use crate::relay::fleet::{FleetState, RelayFleet};
+use crate::relay::identity::AddressClaim;
+use crate::routing::ServerStanding;
+
+/// Number of servers by standing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StandingCounts {
+    pub unproven: usize,
+    pub displaced: usize,
+}
+
+impl RelayFleet {
+    /// Notes that the server `id` answered a request that was sent to `address` at `asked`.
+    pub fn note_answer(&self, id: &SmolStr, address: SocketAddr, asked: Instant) {
+        let mut state = self.state();
+        let is_new = state.identities.note_answer(address, id, asked);
+        // Most answers come from a server that is known to be alone at its address.
+        if !is_new && !state.contested.contains(&address) {
+            return;
+        }
+        if state.update_standings() {
+            self.publish(&mut state, Instant::now());
+        }
+    }
+
+    /// Returns the numbers of servers that have not answered, and of those whose address belongs to another server.
+    pub fn standing_counts(&self) -> StandingCounts {
+        let state = self.state();
+        let standings = state
+            .servers
+            .values()
+            .map(|server| server.handle.standing());
+        let mut counts = StandingCounts::default();
+        for standing in standings {
+            match standing {
+                ServerStanding::Proven => {}
+                ServerStanding::Unproven => counts.unproven += 1,
+                ServerStanding::Displaced => counts.displaced += 1,
+            }
+        }
+        counts
+    }
+
+    /// Returns whether a listed server is not to be found at its address: another one answers there, or it has never answered
+    /// and connections are refused.
+    pub fn is_misplaced(&self, id: &str) -> bool {
+        let state = self.state();
+        let Some(server) = state.servers.get(id) else {
+            return false;
+        };
+        match server.handle.standing() {
+            ServerStanding::Proven => false,
+            ServerStanding::Unproven => server.is_refusing,
+            ServerStanding::Displaced => true,
+        }
+    }
+}
+
+impl FleetState {
+    /// Derives the standing of each server from the claims in the list and the answers. Returns whether any has changed.
+    pub(super) fn update_standings(&mut self) -> bool {
+        let mut claimed = HashSet::new();
+        self.contested.clear();
+        for server in self.servers.values() {
+            if !claimed.insert(server.entry.address) {
+                self.contested.insert(server.entry.address);
+            }
+        }
+        self.identities.retain(|address| claimed.contains(&address));
+        let mut is_changed = false;
+        for (id, server) in &self.servers {
+            let address = server.entry.address;
+            let claim = AddressClaim {
+                id,
+                address,
+                since: server.placed_at,
+            };
+            let standing = self.identities.standing(claim, |holder| {
+                let holder = self.servers.get(holder);
+                holder.is_some_and(|holder| holder.entry.address == address)
+            });
+            let previous = server.handle.set_standing(standing);
+            if previous == standing {
+                continue;
+            }
+            is_changed = true;
+            server.update_suspected();
+            if standing == ServerStanding::Displaced {
+                log::warn!(
+                    "server {id} gets no requests, as another server answers at its address {address}"
+                );
+            }
+        }
+        is_changed
+    }
+}
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -184,6 +184,7 @@
             log::info!("server {} has restarted at {}", entry.id, entry.address);
             server.suspected_until = None;
             server.failures = 0;
+            server.placed_at = now;
             server.placements.clear();
             server.is_refusing = false;
             server.update_suspected();
--- a/src/relay/fleet/refusals.rs
+++ b/src/relay/fleet/refusals.rs
@@ -22,7 +22,8 @@
 }
 
 impl RelayFleet {
-    /// Notes that a server refused a connection. It gets no requests until it accepts one or starts anew.
+    /// Notes that a server refused a connection. It and all others that are listed at its address get no requests until they
+    /// accept a connection or start anew.
     pub fn connect_refused(&self, id: &str, address: SocketAddr, now: Instant) {
         let mut state = self.state();
         let Some(server) = state.servers.get(id) else {
@@ -32,9 +33,19 @@
         if server.entry.address != address {
             return;
         }
-        let start = server.start;
-        if state.refusals.note_refused(start, now) {
-            log_refusing(id);
+        let servers = state.servers.values();
+        let servers = servers.filter(|server| server.entry.address == address);
+        let servers: Vec<_> = servers
+            .map(|server| (server.entry.id.clone(), server.start))
+            .collect();
+        let mut is_new = false;
+        for (id, start) in servers {
+            if state.refusals.note_refused(start, now) {
+                log_refusing(&id);
+                is_new = true;
+            }
+        }
+        if is_new {
             state.update_refusing(now);
             self.refusal_found.notify_one();
         }
--- a/src/relay/format.rs
+++ b/src/relay/format.rs
@@ -100,6 +100,9 @@
     /// Reads what the head of an answer says about its server.
     fn read_notice(&self, head: &response::Parts) -> ServerNotice;
 
+    /// Returns the id of the server that answers, if the head of the answer states it.
+    fn answering_server<'a>(&self, head: &'a response::Parts) -> Option<&'a str>;
+
     /// Classifies the head of an answer to the request `id`, which was sent to `server`. `is_first` states whether it is
     /// the first answer on its connection.
     fn classify(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod fleet;
 mod follower;
 mod format;
+mod identity;
 mod keeper;
 mod layout;
 mod lease;
@@ -70,13 +71,16 @@
 pub use self::events::{EventSplitter, StreamEvent};
 pub(crate) use self::exchange::QUARANTINE_TIME;
 pub use self::exchange::RelayExchange;
-pub use self::fleet::{EvacuatedZone, EvacuationSink, RelayFleet, ServerProbe, routing_name};
+pub use self::fleet::{
+    EvacuatedZone, EvacuationSink, RelayFleet, ServerProbe, StandingCounts, routing_name,
+};
 pub use self::follower::{
     FollowPace, PairSink, TableChange, TableSink, follow_table, spawn_reader,
 };
 pub use self::format::{
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
+pub use self::identity::{AddressClaim, IdentityTable};
 pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -190,9 +190,10 @@
     ) -> Vec<EngineCall> {
         let of_service = servers.iter().filter(|server| server.service == *service);
         let layout: Vec<LayoutEngine> = of_service
-            .filter(|server| !server.leaving)
+            .filter(|server| !server.leaving && !self.context.fleet.is_misplaced(&server.id))
             .filter_map(|server| {
-                let known = state.engines.get(&server.id)?;
+                let known = state.engines.get(&server.id);
+                let known = known.filter(|engine| !engine.is_misplaced)?;
                 Some(known.layout_engine(server, engine, &self.context.fleet, now))
             })
             .collect();
@@ -247,7 +248,12 @@
                 let control = &planner.context.control;
                 let changes = match &call.order {
                     None => {
+                        let asked = Instant::now();
                         let report = control.report(&call.server, address).await;
+                        if report.is_ok() {
+                            let fleet = &planner.context.fleet;
+                            fleet.note_answer(&call.server, address, asked);
+                        }
                         planner.state().handle_report(&call.server, report)
                     }
                     Some(sent) => {
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::error::Category;
 use crate::relay::config::EngineConfig;
 use crate::relay::engine_state::{EngineState, OpenOrder, is_adapter, item};
 use crate::relay::engines::{
@@ -21,6 +22,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after an order that could not be sent.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Pause after a report request that another server answered.
+const MISPLACED_PAUSE: Duration = Duration::from_secs(5);
 /// Largest age of the state in an engine's report.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
 /// Time after which an order without an answer is sent again.
@@ -337,10 +340,15 @@
         let report = match report {
             Ok(report) => {
                 engine.answered_at = Some(Instant::now());
+                engine.is_misplaced = false;
                 report
             }
             Err(error) => {
                 log::debug!("report request to engine {id} failed: {error}");
+                engine.is_misplaced = error.category() == Category::NotFound;
+                if engine.is_misplaced {
+                    engine.no_request_before = Some(Instant::now() + MISPLACED_PAUSE);
+                }
                 // A stopped engine is removed from the list; any other gets its order or a report request again.
                 return Vec::new();
             }
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -46,6 +46,7 @@
 
 struct IdleConnection {
     connection: Connection,
+    address: SocketAddr,
     expires: Instant,
 }
 
@@ -93,6 +94,7 @@
 struct PooledConnection {
     pool: UpstreamPool,
     server: SmolStr,
+    address: SocketAddr,
     connection: Connection,
     keep_alive: Duration,
 }
@@ -138,9 +140,11 @@
         mut request: Request<Full<Bytes>>,
         reuse: bool,
     ) -> SendResult<UpstreamAnswer> {
-        while reuse && let Some(mut connection) = self.take_idle(server) {
+        while reuse && let Some(mut connection) = self.take_idle(server, address) {
             match connection.sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.answer(server, connection, answer, false)),
+                Ok(answer) => {
+                    return Ok(self.answer(server, address, connection, answer, false));
+                }
                 Err(mut failure) => match failure.take_message() {
                     // The server closed the connection before the request was written.
                     Some(unsent) => request = unsent,
@@ -150,7 +154,7 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.sender.send_request(request).await {
-            Ok(answer) => Ok(self.answer(server, connection, answer, true)),
+            Ok(answer) => Ok(self.answer(server, address, connection, answer, true)),
             Err(error) if error.is_canceled() => {
                 let message = "the server closed the connection before the request was sent";
                 Err(Error::unavailable(message).into())
@@ -191,6 +195,7 @@
     fn answer(
         &self,
         server: &SmolStr,
+        address: SocketAddr,
         connection: Connection,
         answer: http::Response<Incoming>,
         is_first: bool,
@@ -200,6 +205,7 @@
         let pooled = PooledConnection {
             pool: self.clone(),
             server: server.clone(),
+            address,
             connection,
             keep_alive,
         };
@@ -241,12 +247,14 @@
         Ok(Connection { sender, guard })
     }
 
-    fn take_idle(&self, server: &SmolStr) -> Option<Connection> {
+    /// Takes an idle connection to the server at `address`. Those to an earlier address are closed.
+    fn take_idle(&self, server: &SmolStr, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle();
         let connections = idle.get_mut(server)?;
         while let Some(candidate) = connections.pop() {
-            if candidate.expires > now && candidate.connection.sender.is_ready() {
+            let is_usable = candidate.address == address && candidate.expires > now;
+            if is_usable && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
             }
         }
@@ -271,6 +279,7 @@
         if connections.len() < max_idle.min(MAX_IDLE) {
             connections.push(IdleConnection {
                 connection: pooled.connection,
+                address: pooled.address,
                 expires: Instant::now() + pooled.keep_alive,
             });
         }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -27,6 +27,28 @@
     Closed,
 }
 
+/// What is known of whether a backend server is to be found at its address.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ServerStanding {
+    /// It has answered, or its entry needs no proof.
+    #[default]
+    Proven,
+    /// Only its entry says so.
+    Unproven,
+    /// Another server answers there.
+    Displaced,
+}
+
+/// Whether a model has servers that have answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProvenServers {
+    None,
+    /// They get no requests now.
+    Unusable,
+    Usable,
+}
+
 /// Live counters of one backend server, shared by all snapshots.
 #[derive(Debug, Default)]
 pub struct ServerHandle {
@@ -46,6 +68,8 @@
     leaving: AtomicBool,
     /// An [`Availability`].
     availability: AtomicU8,
+    /// A [`ServerStanding`].
+    standing: AtomicU8,
     /// Whether `cold_gate` holds a gate.
     is_cold: AtomicBool,
     cold_gate: Mutex<Option<ColdGate>>,
@@ -58,6 +82,16 @@
     own: u32,
 }
 
+impl ServerStanding {
+    fn from_code(code: u8) -> Self {
+        match code {
+            proven if proven == Self::Proven as u8 => Self::Proven,
+            displaced if displaced == Self::Displaced as u8 => Self::Displaced,
+            _ => Self::Unproven,
+        }
+    }
+}
+
 impl ServerHandle {
     /// Counts a request as sent, and as in flight until the guard is dropped.
     pub fn begin(self: &Arc<Self>) -> DispatchGuard {
@@ -185,6 +219,17 @@
         previous != availability as u8
     }
 
+    /// Returns whether the server is known to be at its address.
+    pub fn standing(&self) -> ServerStanding {
+        ServerStanding::from_code(self.standing.load(Ordering::Relaxed))
+    }
+
+    /// Sets whether the server is known to be at its address. Returns the previous standing.
+    pub(crate) fn set_standing(&self, standing: ServerStanding) -> ServerStanding {
+        let previous = self.standing.swap(standing as u8, Ordering::Relaxed);
+        ServerStanding::from_code(previous)
+    }
+
     pub(crate) fn set_suspected(&self, suspected: bool) {
         self.suspected.store(suspected, Ordering::Relaxed);
     }
@@ -420,6 +465,26 @@
         }
     }
 
+    /// Returns whether a server that is not leaving and not in `avoid` holds a version of a model and has answered.
+    pub(super) fn proven_servers(&self, need: &RouteNeed) -> ProvenServers {
+        let holders = self.holders(&need.model, &need.version).iter();
+        let mut found = ProvenServers::None;
+        for position in holders.map(|position| *position as usize) {
+            let handle = &self.index.handles[position];
+            if handle.standing() != ServerStanding::Proven
+                || handle.is_leaving()
+                || need.avoid.contains(&self.views[position].name)
+            {
+                continue;
+            }
+            if self.is_usable(position) {
+                return ProvenServers::Usable;
+            }
+            found = ProvenServers::Unusable;
+        }
+        found
+    }
+
     pub(super) fn hash(&self, position: usize) -> ServerHash {
         self.index.hashes[position]
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,7 +18,9 @@
     part_prefixes, request_cost,
 };
 pub(crate) use self::fleet::ReportBaseline;
-pub use self::fleet::{Availability, DispatchGuard, FleetSnapshot, ServerHandle, UnroutableReason};
+pub use self::fleet::{
+    Availability, DispatchGuard, FleetSnapshot, ServerHandle, ServerStanding, UnroutableReason,
+};
 pub use self::pace::{MAX_PACE, MIN_PACE, PaceTable, TimingKey, TimingKind};
 pub use self::policy::{
     ExpectedFinishPolicy, ExpectedTimePolicy, FinishSelection, RoundRobinPolicy,
@@ -74,7 +76,7 @@
 }
 
 /// Requirements of a request for its backend server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RouteNeed {
     /// Name by which routing finds the servers: the model or, in the relay, `service/model`, or the service alone if
     /// the request names no model.
@@ -94,6 +96,30 @@
     /// Whether the request is deferrable and urgent ones of its service are short of servers. Such a request leaves more
     /// places to others than a late one does.
     pub deferred: bool,
+    /// Whether the request may be sent to a server that has not answered yet.
+    pub trial: TrialRule,
+}
+
+/// Whether a request may be sent to a server of which only its record is known, while the model has others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TrialRule {
+    /// As to any other, within the few requests that such a server gets at a time.
+    #[default]
+    Allowed,
+    /// Only if no other can take it, as it cannot be repeated.
+    LastResort,
+    /// Not while another may be used, as the request has failed once.
+    Never,
+}
+
+impl TrialRule {
+    /// Returns the rule of a request that has not been sent.
+    pub fn of(is_repeatable: bool) -> Self {
+        match is_repeatable {
+            true => Self::Allowed,
+            false => Self::LastResort,
+        }
+    }
 }
 
 /// Chooses a backend server for each request.
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -6,9 +6,11 @@
 
 use smol_str::SmolStr;
 
+use crate::routing::fleet::ProvenServers;
 use crate::routing::prefix::{PrefixHolders, ServerHash, server_hash};
 use crate::routing::{
-    Availability, BackendView, FleetSnapshot, PrefixIndex, RouteNeed, RoutingPolicy,
+    Availability, BackendView, FleetSnapshot, PrefixIndex, RouteNeed, RoutingPolicy, ServerHandle,
+    ServerStanding, TrialRule,
 };
 
 /// Estimated time to compute a prompt of usual length without a cached prefix, in microseconds.
@@ -33,6 +35,44 @@
 /// Assumed work of a running request of which only the number is known, in microseconds of a server of pace 1.
 const REQUEST_WORK_US: u64 = 100_000;
 
+/// Share of its slots that a server which has not answered yet gets at a time, as a divisor.
+const TRIAL_SLOT_DIVISOR: u32 = 8;
+/// Largest number of requests at a time to such a server.
+const MAX_TRIALS: u32 = 8;
+
+/// Which servers are candidates, by whether they have answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TrialScope {
+    /// Those that have answered.
+    Proven,
+    /// Also others, with few requests at a time.
+    Trials,
+    /// All, as none has answered.
+    All,
+}
+
+impl TrialScope {
+    /// Returns the scopes in which a server is sought, in order.
+    fn of(need: &RouteNeed, fleet: &FleetSnapshot) -> &'static [Self] {
+        match (fleet.proven_servers(need), need.trial) {
+            (ProvenServers::None, _) => &[Self::All],
+            (ProvenServers::Unusable, _) | (_, TrialRule::Allowed) => &[Self::Trials],
+            (ProvenServers::Usable, TrialRule::LastResort) => &[Self::Proven, Self::Trials],
+            (ProvenServers::Usable, TrialRule::Never) => &[Self::Proven],
+        }
+    }
+
+    fn includes(self, handle: &ServerHandle, slots: u32) -> bool {
+        let is_proven = handle.standing() == ServerStanding::Proven;
+        let trials = (slots / TRIAL_SLOT_DIVISOR).clamp(1, MAX_TRIALS);
+        match self {
+            Self::All => true,
+            Self::Trials => is_proven || handle.in_flight() < trials,
+            Self::Proven => is_proven,
+        }
+    }
+}
+
 /// A usable server with the values that determine its rank.
 struct Candidate<'a> {
     position: usize,
@@ -303,9 +343,13 @@
     fleet: &FleetSnapshot,
     now: Instant,
 ) -> Option<usize> {
+    let scopes = TrialScope::of(need, fleet);
     let availabilities = [Availability::Open, Availability::LastResort];
-    availabilities.into_iter().find_map(|availability| {
-        let candidates = || indexed_candidates(need, fleet, availability, now);
+    let mut steps = availabilities
+        .into_iter()
+        .flat_map(|availability| scopes.iter().map(move |scope| (availability, *scope)));
+    steps.find_map(|(availability, scope)| {
+        let candidates = || indexed_candidates(need, fleet, availability, scope, now);
         let choice = ranking.rank(need, candidates())?;
         if can_serve(&fleet.views()[choice], need) {
             return Some(choice);
@@ -316,7 +360,7 @@
     })
 }
 
-/// Returns the usable servers of an availability that hold the model and the adapter according to the index.
+/// Returns the usable servers of an availability and a scope that hold the model and the adapter according to the index.
 ///
 /// An engine refuses a request for an adapter that it does not hold, so such a request waits until the planner has
 /// loaded the adapter on a server.
@@ -324,6 +368,7 @@
     need: &'a RouteNeed,
     fleet: &'a FleetSnapshot,
     availability: Availability,
+    scope: TrialScope,
     now: Instant,
 ) -> impl Iterator<Item = Candidate<'a>> {
     let model = fleet.model(&need.model, &need.version);
@@ -346,6 +391,9 @@
             return None;
         }
         let view = &fleet.views()[position];
+        if !scope.includes(handle, view.slots) {
+            return None;
+        }
         let reported = view.report.running.saturating_add(view.report.waiting);
         let others = reported.saturating_sub(handle.own_at_report());
         Some(Candidate {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -210,6 +210,7 @@
         avoid: Vec::new(),
         late: false,
         deferred: false,
+        trial: Default::default(),
         cost: RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
--- a/tests/cost.rs
+++ b/tests/cost.rs
@@ -162,6 +162,7 @@
         avoid: Vec::new(),
         late: false,
         deferred: false,
+        trial: Default::default(),
         cost,
     };
     let costs = || [0, 1].map(|server| policy.cost_us(&need, &fleet, server));
--- a/tests/deferral.rs
+++ b/tests/deferral.rs
@@ -94,6 +94,7 @@
         late: matches!(standing, Standing::Late | Standing::Deferred),
         cost: Default::default(),
         deferred: standing == Standing::Deferred && is_scarce,
+        trial: Default::default(),
     }
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -175,6 +175,7 @@
         late: false,
         cost: Default::default(),
         deferred: false,
+        trial: Default::default(),
     }
 }
 
--- a/tests/overload_recovery.rs
+++ b/tests/overload_recovery.rs
@@ -311,6 +311,7 @@
                     late: self.requests[*index].assumed_ms + TARGET_MS < ms,
                     cost: Default::default(),
                     deferred: false,
+                    trial: Default::default(),
                 };
                 slot = self.policy.choose(&need, &state.views, now);
                 slot.is_some()
--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -194,6 +194,7 @@
         avoid: Vec::new(),
         late: false,
         deferred: false,
+        trial: Default::default(),
         cost: foxtailhill::routing::RequestCost::default(),
     };
     let snapshot = FleetSource::snapshot(fleet);
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -63,6 +63,7 @@
             late: false,
             cost: Default::default(),
             deferred: false,
+            trial: Default::default(),
         },
         fallbacks: Vec::new(),
         suspect: Some(KeyDigest::of(fingerprint)),
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -295,7 +295,7 @@
     ServerEntry {
         id: format!("e{index}").into(),
         service: "drafter".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        address: SocketAddr::from(([127, 0, 0, 1], 9 + index as u16)),
         zone: format!("z{index}").into(),
         slots: 64,
         leaving: false,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -52,6 +52,7 @@
         late: false,
         cost: Default::default(),
         deferred: false,
+        trial: Default::default(),
     }
 }
 
--- /dev/null
+++ b/tests/server_identity.rs
@@ -0,0 +1,325 @@
+//! Servers of which only a record is known, and addresses at which another server answers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bolero::TypeGenerator;
+use foxtailhill::dispatch::FleetSource;
+use foxtailhill::platform::decode_server;
+use foxtailhill::relay::{
+    AddressClaim, IdentityTable, RelayFleet, ServerChange, ServerEntry, StandingCounts,
+};
+use foxtailhill::routing::{
+    DispatchGuard, ExpectedFinishPolicy, PrefixIndex, RouteNeed, RoutingPolicy, ServerStanding,
+    TrialRule,
+};
+use serde_json::json;
+use smol_str::SmolStr;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn entry(id: &str, port: u16, born: u64) -> ServerEntry {
+    let record = json!({
+        "service": "desk", "address": address(port).to_string(), "zone": "north", "version": "v1", "slots": 16,
+        "state": "ready", "cold-left-ms": 0, "seq": 1, "born": born
+    });
+    decode_server(id, record.to_string().as_bytes()).expect("a sound record")
+}
+
+/// A fleet and the requests that were sent to it.
+struct TrialFleet {
+    fleet: Arc<RelayFleet>,
+    policy: ExpectedFinishPolicy,
+    now: Instant,
+}
+
+impl TrialFleet {
+    fn new(entries: Vec<ServerEntry>, now: Instant) -> Self {
+        let fleet = Arc::new(RelayFleet::new());
+        fleet.apply(vec![ServerChange::Snapshot(entries)], now);
+        Self {
+            fleet,
+            policy: ExpectedFinishPolicy::new(Arc::new(PrefixIndex::new()), 7),
+            now,
+        }
+    }
+
+    fn put(&self, entry: ServerEntry) {
+        self.fleet.apply(vec![ServerChange::Put(entry)], self.now);
+    }
+
+    /// Chooses a server as for a request that has failed at `avoid`.
+    fn choose(&self, trial: TrialRule, avoid: &[SmolStr]) -> Option<(SmolStr, DispatchGuard)> {
+        let need = RouteNeed {
+            model: "desk".into(),
+            zone: "north".into(),
+            avoid: avoid.to_vec(),
+            trial,
+            ..RouteNeed::default()
+        };
+        let snapshot = FleetSource::snapshot(&self.fleet);
+        let position = self.policy.choose_in(&need, &snapshot, self.now)?;
+        let guard = snapshot.handle(position).begin();
+        Some((snapshot.views()[position].name.clone(), guard))
+    }
+
+    fn address_of(&self, id: &str) -> SocketAddr {
+        let servers = self.fleet.servers();
+        let server = servers.iter().find(|server| server.id == id);
+        server.expect("a listed server").address
+    }
+}
+
+fn claim<'a>(id: &'a SmolStr, port: u16, since: Instant) -> AddressClaim<'a> {
+    AddressClaim {
+        id,
+        address: address(port),
+        since,
+    }
+}
+
+/// Guards against a server that loses its address because a server that has ended once answered there.
+#[test]
+fn answer_counts_against_older_claims_only() {
+    let now = Instant::now();
+    let (ended, next) = (SmolStr::from("i-1"), SmolStr::from("i-2"));
+    let mut table = IdentityTable::default();
+    let standing = |table: &IdentityTable, since| table.standing(claim(&next, 1, since), |_| true);
+    assert_eq!(standing(&table, now), ServerStanding::Unproven);
+    assert!(table.note_answer(address(1), &ended, now));
+    assert!(!table.note_answer(address(1), &ended, now + MILLISECOND));
+    assert_eq!(standing(&table, now), ServerStanding::Displaced);
+    assert_eq!(
+        standing(&table, now + 2 * MILLISECOND),
+        ServerStanding::Unproven
+    );
+    // A server that is no longer listed holds no address.
+    let unlisted = table.standing(claim(&next, 1, now), |_| false);
+    assert_eq!(unlisted, ServerStanding::Unproven);
+    assert!(table.note_answer(address(1), &next, now + 3 * MILLISECOND));
+    assert_eq!(standing(&table, now), ServerStanding::Proven);
+    // An answer to an earlier request, which arrives late, changes nothing.
+    assert!(!table.note_answer(address(1), &ended, now + 2 * MILLISECOND));
+    assert_eq!(standing(&table, now), ServerStanding::Proven);
+    table.retain(|_| false);
+    assert!(table.is_empty());
+}
+
+/// Guards against records of other programs at the addresses of servers: requests are sent to each address once, not to
+/// each record.
+#[test]
+fn records_at_the_address_of_a_server_cost_one_attempt_an_address() {
+    let now = Instant::now();
+    let mut entries: Vec<_> = (1..4)
+        .map(|port| entry(&format!("i-{port}"), port, 1))
+        .collect();
+    entries
+        .extend((0..72).map(|number| entry(&format!("h-{number}"), number % 3 + 1, number.into())));
+    let fleet = TrialFleet::new(entries, now);
+    let mut refused = 0;
+    for request in 0..60 {
+        let mut avoid = Vec::new();
+        let mut trial = TrialRule::Allowed;
+        loop {
+            let (id, _guard) = fleet.choose(trial, &avoid).expect("a server");
+            let port = fleet.address_of(&id).port();
+            // The server at the address answers with its own id.
+            let own = SmolStr::from(format!("i-{port}"));
+            let asked = now + MILLISECOND * request;
+            fleet.fleet.note_answer(&own, address(port), asked);
+            if id == own {
+                break;
+            }
+            refused += 1;
+            avoid.push(id);
+            trial = TrialRule::Never;
+        }
+        assert!(
+            avoid.len() <= 1,
+            "request {request} was refused by {avoid:?}"
+        );
+    }
+    assert!(refused <= 3, "{refused} attempts were refused");
+    let counts = StandingCounts {
+        unproven: 0,
+        displaced: 72,
+    };
+    assert_eq!(fleet.fleet.standing_counts(), counts);
+}
+
+/// Guards against requests that fail because of records at which nothing listens, though a server has answered.
+#[test]
+fn request_fails_at_most_once_while_a_server_has_answered() {
+    let now = Instant::now();
+    let mut entries = vec![entry("i-1", 1, 1)];
+    entries.extend((0..72).map(|number| entry(&format!("h-{number}"), number + 100, 1)));
+    let fleet = TrialFleet::new(entries, now);
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    for _ in 0..60 {
+        let (first, _guard) = fleet.choose(TrialRule::Allowed, &[]).expect("a server");
+        if first == "i-1" {
+            continue;
+        }
+        let avoid = [first];
+        let (second, _guard) = fleet.choose(TrialRule::Never, &avoid).expect("a server");
+        assert_eq!(second, "i-1");
+    }
+}
+
+/// Guards against a request that cannot be repeated and is lost at a record of another program.
+#[test]
+fn request_that_cannot_be_repeated_prefers_servers_that_have_answered() {
+    let now = Instant::now();
+    let mut entries = vec![entry("i-1", 1, 1)];
+    entries.extend((0..72).map(|number| entry(&format!("h-{number}"), number + 100, 1)));
+    let fleet = TrialFleet::new(entries, now);
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    let mut guards = Vec::new();
+    for _ in 0..4 {
+        let (id, guard) = fleet.choose(TrialRule::LastResort, &[]).expect("a server");
+        assert_eq!(id, "i-1");
+        guards.push(guard);
+    }
+    // A new server must not stay without requests while the others are full.
+    while let Some((id, guard)) = fleet.choose(TrialRule::LastResort, &[]) {
+        guards.push(guard);
+        if id != "i-1" {
+            return;
+        }
+    }
+    panic!("no other server was chosen");
+}
+
+/// Guards against a zone that serves nothing until its servers have answered, and against a new server that gets nothing.
+#[test]
+fn servers_get_requests_before_they_have_answered() {
+    let now = Instant::now();
+    let fleet = TrialFleet::new(vec![entry("i-1", 1, 1), entry("i-2", 2, 1)], now);
+    let mut guards = Vec::new();
+    while let Some((_, guard)) = fleet.choose(TrialRule::Allowed, &[]) {
+        guards.push(guard);
+    }
+    // Both take as many as usual: a daemon fills half of the free places at once.
+    assert!(guards.len() >= 16, "{} requests", guards.len());
+    guards.clear();
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    let mut counts = HashMap::new();
+    while let Some((id, guard)) = fleet.choose(TrialRule::Allowed, &[]) {
+        *counts.entry(id).or_insert(0) += 1;
+        guards.push(guard);
+    }
+    assert_eq!(counts["i-2"], 2, "an eighth of its slots");
+    assert!(counts["i-1"] >= 8, "{counts:?}");
+    fleet.fleet.note_answer(&"i-2".into(), address(2), now);
+    assert!(fleet.choose(TrialRule::Allowed, &[]).is_some());
+}
+
+/// Guards against losing a server that moved, that started anew under its id, or that took over an address.
+#[test]
+fn displaced_server_is_used_again_once_its_record_changes_or_the_other_is_gone() {
+    let now = Instant::now();
+    let later = now + MILLISECOND;
+    let fleet = TrialFleet::new(vec![entry("i-1", 1, 1), entry("i-2", 1, 1)], now);
+    let is_displaced = |fleet: &TrialFleet| fleet.fleet.standing_counts().displaced == 1;
+    fleet.fleet.note_answer(&"i-1".into(), address(1), later);
+    assert!(is_displaced(&fleet));
+    // Its record is written again without a change.
+    fleet.put(entry("i-2", 1, 1));
+    assert!(is_displaced(&fleet));
+    // It moves.
+    fleet.put(entry("i-2", 2, 1));
+    assert!(!is_displaced(&fleet));
+    fleet.put(entry("i-2", 1, 1));
+    fleet
+        .fleet
+        .note_answer(&"i-1".into(), address(1), later + MILLISECOND);
+    assert!(is_displaced(&fleet));
+    // It has started anew since.
+    let fleet = TrialFleet {
+        now: now + Duration::from_secs(1),
+        ..fleet
+    };
+    fleet.put(entry("i-2", 1, 2));
+    assert!(!is_displaced(&fleet));
+    let asked = fleet.now + MILLISECOND;
+    fleet.fleet.note_answer(&"i-1".into(), address(1), asked);
+    assert!(is_displaced(&fleet));
+    // The other one is gone, and its address is used again.
+    let removed = ServerChange::Removed("i-1".into());
+    fleet.fleet.apply(vec![removed], fleet.now);
+    assert!(!is_displaced(&fleet));
+    assert!(fleet.choose(TrialRule::Allowed, &[]).is_some());
+}
+
+/// Guards against many records at one dead address, each of which costs a connection.
+#[test]
+fn refused_connection_closes_all_servers_at_its_address() {
+    let now = Instant::now();
+    let mut entries = vec![entry("i-1", 1, 1)];
+    entries.extend((0..72).map(|number| entry(&format!("h-{number}"), 9, 1)));
+    let fleet = TrialFleet::new(entries, now);
+    fleet.fleet.connect_refused("h-0", address(9), now);
+    assert_eq!(fleet.fleet.refusing_servers().len(), 72);
+    assert!(fleet.fleet.is_misplaced("h-7"));
+    let (id, _guard) = fleet.choose(TrialRule::Allowed, &[]).expect("a server");
+    assert_eq!(id, "i-1");
+}
+
+/// A step of a fleet in which two servers and records of other programs claim three addresses.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum ClaimStep {
+    /// A record is written; with `born`, it is one of a new start.
+    Put {
+        id: u8,
+        port: u8,
+        born: bool,
+    },
+    Removed {
+        id: u8,
+    },
+    /// The server that is truly at an address answers.
+    Answer {
+        port: u8,
+    },
+}
+
+/// Guards against a sound server that gets no requests for as long as records of other programs stand, whatever the order
+/// of records and answers: it must be routable once it is alone in having answered since its record.
+#[test]
+fn server_that_answers_is_never_left_out() {
+    bolero::check!()
+        .with_type::<Vec<ClaimStep>>()
+        .for_each(|steps| {
+            let start = Instant::now();
+            let mut fleet = TrialFleet::new(vec![entry("i-1", 1, 1), entry("i-2", 2, 1)], start);
+            for (index, step) in steps.iter().enumerate() {
+                fleet.now = start + MILLISECOND * (index as u32 + 1);
+                match *step {
+                    ClaimStep::Put { id, port, born } => {
+                        let id = format!("h-{}", id % 4);
+                        let born = if born { index as u64 + 2 } else { 1 };
+                        fleet.put(entry(&id, u16::from(port % 3) + 1, born));
+                    }
+                    ClaimStep::Removed { id } => {
+                        let removed = ServerChange::Removed(format!("h-{}", id % 4).into());
+                        fleet.fleet.apply(vec![removed], fleet.now);
+                    }
+                    ClaimStep::Answer { port } => {
+                        let port = u16::from(port % 2) + 1;
+                        let id = SmolStr::from(format!("i-{port}"));
+                        fleet.fleet.note_answer(&id, address(port), fleet.now);
+                    }
+                }
+                for id in ["i-1", "i-2"] {
+                    assert!(!fleet.fleet.is_misplaced(id));
+                    assert!(!fleet.fleet.is_suspected(id));
+                }
+            }
+        });
+}
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -298,6 +298,7 @@
                 avoid: Vec::new(),
                 late: false,
                 deferred: false,
+                trial: Default::default(),
                 cost,
             };
             let Some(server) = daemon.policy.choose_in(&need, &daemon.fleet, now) else {
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -184,6 +184,7 @@
             late: false,
             cost: Default::default(),
             deferred: false,
+            trial: Default::default(),
         };
         let fleet = self.watch.snapshot();
         let policy = ExpectedTimePolicy::new(self.prefixes.clone(), 1);
