Relay: failed attempts at servers that have not answered are few, and what silent engines claim does not count

A record that nobody answers for kept a model from being loaded (0 replicas after 5 s) and halved the replicas of a busy one.

A failed attempt set aside one record and not its address, some failures set aside nothing, each took a retry from the budget that all requests share, and the planner counted what an engine that never answers claims to hold.

Change: a failed attempt pauses all servers that claimed the address before (0.5 s, doubling to 30 s) and, once a server of the service has answered, its other unproven ones for 0.5 s; at most eight requests at a time are at unproven servers of a model. Engines that have not answered the planner within 2.5 s are left out of the layout, and asked less and less often. RelayFleet::holds skips records that nothing speaks for.

--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -459,10 +459,7 @@
             current: &slot.name,
         };
         let result = job.exchange.attempt(&slot, pieces, &others).await;
-        if matches!(
-            result,
-            Attempt::Failed { .. } | Attempt::NotResident | Attempt::Unsent(_)
-        ) {
+        if !slot.is_proven() {
             job.need.route.trial = TrialRule::Never;
         }
         match &result {
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -16,7 +16,9 @@
 use crate::ids::KeyDigest;
 use crate::metrics::DaemonMetrics;
 use crate::queue::{QueuePolicy, Standing, WaitEntry, WaitId, standing};
-use crate::routing::{DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy, UnroutableReason};
+use crate::routing::{
+    DispatchGuard, FleetSnapshot, RouteNeed, RoutingPolicy, ServerStanding, UnroutableReason,
+};
 use crate::suspect::SuspectTable;
 
 /// Source of the latest view of all backend servers.
@@ -57,6 +59,11 @@
 }
 
 impl ServerSlot {
+    /// Returns whether the server is known to be at its address.
+    pub fn is_proven(&self) -> bool {
+        self.guard.standing() == ServerStanding::Proven
+    }
+
     /// Returns the request's share in the outstanding work of the server.
     pub fn work(&self) -> &DispatchGuard {
         &self.guard
--- a/src/relay/engine_state.rs
+++ b/src/relay/engine_state.rs
@@ -11,6 +11,8 @@
 use crate::relay::layout::LayoutEngine;
 use crate::relay::server_list::{HeldModel, ServerEntry, holds_item};
 
+/// Time in which an engine that the planner has just learned of answers a report request.
+const ANSWER_GRACE: Duration = Duration::from_millis(2_500);
 /// Shortest time that an adapter stays after its load, so that the requests that wait for it can use it.
 const MIN_ADAPTER_RESIDENCE: Duration = Duration::from_millis(600);
 
@@ -39,8 +41,12 @@
     pub(super) open_order: Option<OpenOrder>,
     /// When the engine last answered a call.
     pub(super) answered_at: Option<Instant>,
-    /// Whether another server answered the latest report request to its address.
+    /// Whether another server answered a report request to its address since its own latest answer.
     pub(super) is_misplaced: bool,
+    /// When the planner first knew of it.
+    pub(super) known_since: Instant,
+    /// Report requests that failed since it became known, if it has never answered.
+    pub(super) unanswered: u32,
     /// Whether a call to the engine is in progress.
     pub(super) call_in_flight: bool,
     /// Recently loaded adapters, with the time of the load.
@@ -60,6 +66,8 @@
             open_order: None,
             answered_at: None,
             is_misplaced: false,
+            known_since: Instant::now(),
+            unanswered: 0,
             call_in_flight: false,
             recent_adapter_loads: Vec::new(),
             uncertain_loads: Vec::new(),
@@ -101,6 +109,13 @@
         }
     }
 
+    /// Returns whether the engine counts in the layout. What the record of an engine that never answers claims would keep
+    /// models from being loaded, or have others unload them.
+    pub(super) fn counts(&self, now: Instant) -> bool {
+        let is_new = self.known_since + ANSWER_GRACE > now;
+        !self.is_misplaced && (self.answered_at.is_some() || is_new)
+    }
+
     /// Returns whether the engine may get an order.
     pub(super) fn is_available(&self) -> bool {
         self.open_order.is_none() && !self.call_in_flight && self.accepted_orders.is_some()
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -510,6 +510,7 @@
         others: &O,
     ) -> Attempt {
         let attempt = self.send_to(slot, pieces, others).await;
+        self.note_trial(slot, &attempt);
         if !std::mem::take(&mut self.broke_early) {
             return attempt;
         }
--- a/src/relay/exchange/connect.rs
+++ b/src/relay/exchange/connect.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 
 use crate::dispatch::{Attempt, FleetSource, ServerSlot};
+use crate::error::{Category, RunVerdict};
 use crate::relay::exchange::{MIN_TIME_LEFT, RelayExchange};
 use crate::relay::format::{AnswerKind, RelayFormat};
 use crate::relay::upstream::{SendError, UpstreamAnswer};
@@ -46,6 +47,20 @@
         }
     }
 
+    /// Notes an attempt that failed for another reason than that the server is full.
+    pub(super) fn note_trial(&self, slot: &ServerSlot, attempt: &Attempt) {
+        let has_failed = match attempt {
+            Attempt::Finished | Attempt::Cancelled => false,
+            Attempt::Failed { error, .. } => error.category() != Category::Overloaded,
+            Attempt::Stopped(error) => error.verdict() == RunVerdict::MayHaveRun,
+            Attempt::NotResident | Attempt::Unsent(_) => true,
+        };
+        if has_failed && !slot.is_proven() {
+            let fleet = &self.context.fleet;
+            fleet.note_failed_trial(&slot.name, slot.address);
+        }
+    }
+
     /// Handles a server that could not be connected to, so that no byte of the request was sent.
     pub(super) fn unsent_attempt(&mut self, slot: &ServerSlot, failure: SendError) -> Attempt {
         let SendError { error, is_refused } = failure;
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -341,6 +341,7 @@
         state.servers.values().any(|server| {
             server.entry.service == service
                 && !server.entry.leaving
+                && server.is_credible()
                 && server.handle.availability() == Availability::Open
                 && holds_item(&server.models, item)
         })
--- a/src/relay/fleet/identities.rs
+++ b/src/relay/fleet/identities.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
@@ -10,6 +10,10 @@
 use crate::relay::identity::AddressClaim;
 use crate::routing::ServerStanding;
 
+/// Shortest time from a failed attempt at a server that has never answered to the next attempt at such a server of the
+/// same service.
+const TRIAL_GAP: Duration = Duration::from_millis(500);
+
 /// Number of servers by standing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StandingCounts {
@@ -31,6 +35,45 @@
         }
     }
 
+    /// Notes that an attempt at the server `id` failed at `address`, other than because the server was full. If it has never
+    /// answered, the servers at its address get no requests for a while, and the others of its service that have not answered
+    /// either get none for a shorter time, so that few requests fail however many there are.
+    pub fn note_failed_trial(&self, id: &str, address: SocketAddr) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let state = &mut *state;
+        let Some(server) = state.servers.get(id) else {
+            return;
+        };
+        if server.handle.standing() == ServerStanding::Proven {
+            return;
+        }
+        let service = server.entry.service.clone();
+        state.identities.note_failure(address, now);
+        let of_service = state.servers.values();
+        let mut of_service = of_service.filter(|server| server.entry.service == service);
+        let has_proven = of_service.any(|server| {
+            server.handle.standing() == ServerStanding::Proven && server.may_be_sent_to()
+        });
+        for (id, server) in &mut state.servers {
+            if server.handle.standing() != ServerStanding::Unproven {
+                continue;
+            }
+            let claim = AddressClaim {
+                id,
+                address: server.entry.address,
+                since: server.placed_at,
+            };
+            if claim.address == address
+                && let Some(until) = state.identities.paused_until(claim)
+            {
+                server.suspend_until(until);
+            } else if has_proven && server.entry.service == service {
+                server.suspend_until(now + TRIAL_GAP);
+            }
+        }
+    }
+
     /// Returns the numbers of servers that have not answered, and of those whose address belongs to another server.
     pub fn standing_counts(&self) -> StandingCounts {
         let state = self.state();
--- a/src/relay/fleet/server_state.rs
+++ b/src/relay/fleet/server_state.rs
@@ -58,9 +58,20 @@
         self.handle.set_cold(is_cold.then(|| now + entry.cold_left));
     }
 
-    /// Returns whether the server is not leaving and its zone not evacuated.
+    /// Returns whether the server is not leaving, its zone not evacuated and its address its own.
     pub(super) fn may_be_sent_to(&self) -> bool {
-        !self.entry.leaving && self.handle.availability() != Availability::Closed
+        !self.entry.leaving
+            && self.handle.availability() != Availability::Closed
+            && self.handle.standing() != ServerStanding::Displaced
+    }
+
+    /// Returns whether what the record says may be believed: the server has answered, or nothing speaks against it.
+    pub(super) fn is_credible(&self) -> bool {
+        match self.handle.standing() {
+            ServerStanding::Proven => true,
+            ServerStanding::Unproven => !self.is_refusing && self.suspected_until.is_none(),
+            ServerStanding::Displaced => false,
+        }
     }
 
     /// Gives the server no work until `until`.
--- a/src/relay/identity.rs
+++ b/src/relay/identity.rs
@@ -6,12 +6,19 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
 use crate::routing::ServerStanding;
 
+/// Time for which servers get no requests after the first failed attempt at their address; it doubles with each one.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time without requests after failed attempts.
+const MAX_PAUSE: Duration = Duration::from_secs(30);
+/// Failures after which the time no longer doubles.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// A server's claim to an address, from its record.
 #[derive(Clone, Copy, Debug)]
 pub struct AddressClaim<'a> {
@@ -29,10 +36,21 @@
     asked: Instant,
 }
 
-/// The servers that have answered, by address.
+/// Failed attempts at servers that had not answered, at one address.
+#[derive(Clone, Copy, Debug)]
+struct TrialFailures {
+    count: u32,
+    /// When the last one failed.
+    at: Instant,
+    /// Until when servers that claimed the address before get no requests.
+    until: Instant,
+}
+
+/// The servers that have answered, and the attempts that failed, by address.
 #[derive(Debug, Default)]
 pub struct IdentityTable {
     holders: HashMap<SocketAddr, AddressHolder>,
+    failures: HashMap<SocketAddr, TrialFailures>,
 }
 
 impl IdentityTable {
@@ -58,6 +76,29 @@
         }
     }
 
+    /// Records that an attempt at a server that had not answered failed at `address`. All servers that claim the address get
+    /// no requests for a while, as several records of one program may name it.
+    pub fn note_failure(&mut self, address: SocketAddr, now: Instant) {
+        let failures = self.failures.entry(address).or_insert(TrialFailures {
+            count: 0,
+            at: now,
+            until: now,
+        });
+        let pause = FIRST_PAUSE * 2_u32.pow(failures.count.min(MAX_DOUBLINGS));
+        *failures = TrialFailures {
+            count: failures.count + 1,
+            at: now,
+            until: now + pause.min(MAX_PAUSE),
+        };
+    }
+
+    /// Returns until when the server that makes `claim` gets no requests after failed attempts at its address.
+    pub fn paused_until(&self, claim: AddressClaim<'_>) -> Option<Instant> {
+        let failures = self.failures.get(&claim.address);
+        let failures = failures.filter(|failures| failures.at >= claim.since)?;
+        Some(failures.until)
+    }
+
     /// Returns the standing of the server that makes `claim`. `is_listed` returns whether a server is listed at the address
     /// of the claim.
     ///
@@ -81,6 +122,7 @@
     /// Forgets the addresses at which no server is listed.
     pub fn retain(&mut self, is_claimed: impl Fn(SocketAddr) -> bool) {
         self.holders.retain(|address, _| is_claimed(*address));
+        self.failures.retain(|address, _| is_claimed(*address));
     }
 
     /// Returns the number of addresses at which a server has answered.
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -193,7 +193,7 @@
             .filter(|server| !server.leaving && !self.context.fleet.is_misplaced(&server.id))
             .filter_map(|server| {
                 let known = state.engines.get(&server.id);
-                let known = known.filter(|engine| !engine.is_misplaced)?;
+                let known = known.filter(|engine| engine.counts(now))?;
                 Some(known.layout_engine(server, engine, &self.context.fleet, now))
             })
             .collect();
@@ -248,12 +248,7 @@
                 let control = &planner.context.control;
                 let changes = match &call.order {
                     None => {
-                        let asked = Instant::now();
                         let report = control.report(&call.server, address).await;
-                        if report.is_ok() {
-                            let fleet = &planner.context.fleet;
-                            fleet.note_answer(&call.server, address, asked);
-                        }
                         planner.state().handle_report(&call.server, report)
                     }
                     Some(sent) => {
--- a/src/relay/planner_state.rs
+++ b/src/relay/planner_state.rs
@@ -22,7 +22,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after an order that could not be sent.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(1_000);
-/// Pause after a report request that another server answered.
+/// Failed report requests to an engine that has never answered after which the pause no longer doubles.
+const MAX_DOUBLINGS: u32 = 5;
+/// Pause after a report request that another server answered, and the longest one for an engine that has never answered.
 const MISPLACED_PAUSE: Duration = Duration::from_secs(5);
 /// Largest age of the state in an engine's report.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(500);
@@ -345,9 +347,15 @@
             }
             Err(error) => {
                 log::debug!("report request to engine {id} failed: {error}");
-                engine.is_misplaced = error.category() == Category::NotFound;
+                if error.category() == Category::NotFound {
+                    engine.is_misplaced = true;
+                }
                 if engine.is_misplaced {
                     engine.no_request_before = Some(Instant::now() + MISPLACED_PAUSE);
+                } else if engine.answered_at.is_none() {
+                    let pause = REPORT_INTERVAL * 2_u32.pow(engine.unanswered.min(MAX_DOUBLINGS));
+                    engine.no_request_before = Some(Instant::now() + pause.min(MISPLACED_PAUSE));
+                    engine.unanswered += 1;
                 }
                 // A stopped engine is removed from the list; any other gets its order or a report request again.
                 return Vec::new();
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -277,6 +277,11 @@
 }
 
 impl DispatchGuard {
+    /// Returns whether the server is known to be at its address.
+    pub fn standing(&self) -> ServerStanding {
+        self.handle.standing()
+    }
+
     /// Returns the remaining work of the request, in microseconds of a server of pace 1.
     pub fn remaining_us(&self) -> u32 {
         self.remaining_us.load(Ordering::Relaxed)
@@ -465,6 +470,14 @@
         }
     }
 
+    /// Returns the number of this daemon's requests at servers of a model that have not answered.
+    pub(super) fn trials_in_flight(&self, need: &RouteNeed) -> u32 {
+        let holders = self.holders(&need.model, &need.version).iter();
+        let handles = holders.map(|position| &self.index.handles[*position as usize]);
+        let unproven = handles.filter(|handle| handle.standing() != ServerStanding::Proven);
+        unproven.map(|handle| handle.in_flight()).sum()
+    }
+
     /// Returns whether a server that is not leaving and not in `avoid` holds a version of a model and has answered.
     pub(super) fn proven_servers(&self, need: &RouteNeed) -> ProvenServers {
         let holders = self.holders(&need.model, &need.version).iter();
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -37,7 +37,7 @@
 
 /// Share of its slots that a server which has not answered yet gets at a time, as a divisor.
 const TRIAL_SLOT_DIVISOR: u32 = 8;
-/// Largest number of requests at a time to such a server.
+/// Largest number of requests at a time to such servers of one model.
 const MAX_TRIALS: u32 = 8;
 
 /// Which servers are candidates, by whether they have answered.
@@ -54,7 +54,11 @@
 impl TrialScope {
     /// Returns the scopes in which a server is sought, in order.
     fn of(need: &RouteNeed, fleet: &FleetSnapshot) -> &'static [Self] {
-        match (fleet.proven_servers(need), need.trial) {
+        let proven = fleet.proven_servers(need);
+        if proven != ProvenServers::None && fleet.trials_in_flight(need) >= MAX_TRIALS {
+            return &[Self::Proven];
+        }
+        match (proven, need.trial) {
             (ProvenServers::None, _) => &[Self::All],
             (ProvenServers::Unusable, _) | (_, TrialRule::Allowed) => &[Self::Trials],
             (ProvenServers::Usable, TrialRule::LastResort) => &[Self::Proven, Self::Trials],
--- a/tests/server_identity.rs
+++ b/tests/server_identity.rs
@@ -9,7 +9,8 @@
 use foxtailhill::dispatch::FleetSource;
 use foxtailhill::platform::decode_server;
 use foxtailhill::relay::{
-    AddressClaim, IdentityTable, RelayFleet, ServerChange, ServerEntry, StandingCounts,
+    AddressClaim, HeldModel, IdentityTable, LoadItem, RelayFleet, ServerChange, ServerEntry,
+    StandingCounts,
 };
 use foxtailhill::routing::{
     DispatchGuard, ExpectedFinishPolicy, PrefixIndex, RouteNeed, RoutingPolicy, ServerStanding,
@@ -271,6 +272,76 @@
     assert_eq!(id, "i-1");
 }
 
+fn claiming(id: &str, port: u16, adapters: &[&str]) -> ServerEntry {
+    ServerEntry {
+        models: vec![HeldModel {
+            name: "m".into(),
+            version: 1,
+            adapters: adapters.iter().map(|name| SmolStr::from(*name)).collect(),
+        }],
+        ..entry(id, port, 1)
+    }
+}
+
+/// Guards against an adapter that is never placed because a record at the address of another server, or at one that refuses
+/// connections, claims to hold it.
+#[test]
+fn misplaced_record_does_not_hold_an_adapter() {
+    let now = Instant::now();
+    let item = LoadItem {
+        model: "m".into(),
+        adapter: Some("a1".into()),
+    };
+    for port in [1, 9] {
+        let entries = vec![claiming("i-1", 1, &[]), claiming("h-1", port, &["a1"])];
+        let fleet = TrialFleet::new(entries, now);
+        assert!(fleet.fleet.holds("desk", &item));
+        fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+        if port == 9 {
+            fleet.fleet.connect_refused("h-1", address(9), now);
+        }
+        assert!(!fleet.fleet.holds("desk", &item), "port {port}");
+    }
+}
+
+/// Guards against failed attempts at each of many records at one address whose server states no id, and against a new server
+/// of the service that waits for them.
+#[test]
+fn failed_attempt_pauses_all_records_at_the_address() {
+    let now = Instant::now();
+    let mut entries = vec![entry("i-1", 1, 1)];
+    entries.extend((0..72).map(|number| entry(&format!("h-{number}"), 9, 1)));
+    let fleet = TrialFleet::new(entries, now);
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    for failures in 1..5 {
+        fleet.fleet.note_failed_trial("h-3", address(9));
+        let id = SmolStr::from("h-7");
+        for number in 0..72 {
+            assert!(fleet.fleet.is_suspected(&format!("h-{number}")));
+        }
+        let mut table = IdentityTable::default();
+        for _ in 0..failures {
+            table.note_failure(address(9), now);
+        }
+        let pause = Duration::from_millis(500 << (failures - 1));
+        assert_eq!(table.paused_until(claim(&id, 9, now)), Some(now + pause));
+    }
+    assert!(!fleet.fleet.is_suspected("i-1"));
+    // A server that is listed at the address since gets a request.
+    let later = TrialFleet {
+        now: now + Duration::from_secs(1),
+        ..fleet
+    };
+    later.put(entry("i-2", 9, 1));
+    assert!(!later.fleet.is_suspected("i-2"));
+    // Failures of a server that has answered are its own.
+    later
+        .fleet
+        .note_answer(&"i-2".into(), address(9), later.now);
+    later.fleet.note_failed_trial("i-2", address(9));
+    assert!(!later.fleet.is_suspected("i-2"));
+}
+
 /// A step of a fleet in which two servers and records of other programs claim three addresses.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum ClaimStep {
