Relay: an unreadable record says nothing, neither that a server is there nor that it is gone

What callers saw: nothing was sent to a live server after a daemon had read its whole table while the newest record of that server could not be read (503 if no other server had the model). A read of later records kept the server, so that daemons disagreed.

Cause: a whole read left out what could not be decoded, and everything that it does not list was removed. The same held for the registrations of daemons, for evacuations (the zone was opened again) and for the planner's lease (another daemon took it as there was no holder) if the store's item itself could not be decoded.

Change: TableRead names the keys whose record cannot be read.

Three tests build a TableRead from all its fields and now take the new one from the default; no check has changed.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -77,9 +77,16 @@
     key: SmolStr,
 }
 
+/// An item of a page that cannot be decoded.
+struct OddItem {
+    /// `None` if the item has no key that is text.
+    key: Option<SmolStr>,
+    error: Error,
+}
+
 /// A decoded page of newest records.
 struct PageRead {
-    records: Vec<Result<KeyedRecord>>,
+    records: Vec<std::result::Result<KeyedRecord, OddItem>>,
     /// The last key of the page, also if its record is malformed; `None` if no item has a key.
     last: Option<SmolStr>,
     has_more: bool,
@@ -143,13 +150,14 @@
         let keys = page.items.iter().rev();
         let mut keys = keys.filter_map(|item| serde_json::from_str::<ItemKey>(item.get()).ok());
         let last = keys.next().map(|item| item.key);
-        let records: Vec<Result<KeyedRecord>> = page
-            .items
-            .iter()
-            .map(|item| decode_item(item.get()))
-            .collect();
+        let records = page.items.iter().map(|item| {
+            decode_item(item.get()).map_err(|error| OddItem {
+                key: text_key(item.get()),
+                error,
+            })
+        });
         Ok(PageRead {
-            records,
+            records: records.collect(),
             last,
             has_more: page.has_more && !page.items.is_empty(),
             end: LogOffset(page.end),
@@ -180,7 +188,10 @@
             for record in page.records {
                 match record {
                     Ok(record) => read.records.push(record),
-                    Err(error) => on_malformed(&error),
+                    Err(odd) => {
+                        on_malformed(&odd.error);
+                        read.unreadable.extend(odd.key);
+                    }
                 }
             }
             if !page.has_more {
@@ -259,6 +270,14 @@
     async fn read_lease(&self) -> Result<LeaseState> {
         // Records beside the lease do not matter, and are read again and again.
         let read = self.newest_pages(LEASE_TOPIC, |_| {}).await?;
+        if read.unreadable.iter().any(|key| key == LEASE_KEY) {
+            log::warn!("the record of the planner's lease cannot be read");
+            return Ok(LeaseState {
+                record: Some(LeaseRecord::of_unknown_holder()),
+                next: read.next,
+                era: read.era,
+            });
+        }
         let mut records = read.records.into_iter();
         let newest = records.find(|record| record.key == LEASE_KEY);
         let record = newest.and_then(|record| {
@@ -326,6 +345,12 @@
     }
 }
 
+/// Returns the key of an item; `None` if it has none that is text.
+fn text_key(item: &str) -> Option<SmolStr> {
+    let ItemKey { key } = serde_json::from_str(item).ok()?;
+    Some(key).filter(|key| !key.contains(char::REPLACEMENT_CHARACTER))
+}
+
 /// Decodes an item of a page.
 ///
 /// # Errors
@@ -395,9 +420,9 @@
     let _end = body.get_u64();
     let _first = body.get_u64();
     let mut read = TableRead {
-        records: Vec::new(),
         next: from,
         era,
+        ..TableRead::default()
     };
     while body.has_remaining() {
         if body.len() < 4 {
--- a/src/relay/evacuation.rs
+++ b/src/relay/evacuation.rs
@@ -140,6 +140,12 @@
         }
     }
 
+    /// Returns whether `zone` is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        let state = self.zones.get(zone);
+        state.is_some_and(|state| state.is_evacuated)
+    }
+
     /// Returns the evacuated zones, each with the time at which the first daemon learned of it.
     pub fn evacuated(&self) -> impl Iterator<Item = (&SmolStr, Instant)> {
         let zones = self.zones.iter();
--- a/src/relay/fleet/evacuations.rs
+++ b/src/relay/fleet/evacuations.rs
@@ -9,7 +9,6 @@
 use crate::relay::evacuation::ZoneNotice;
 use crate::relay::fleet::{FleetState, RelayFleet, server_id_hash};
 use crate::relay::follower::{TableChange, TableSink};
-use crate::relay::store::KeyedRecord;
 use crate::routing::Availability;
 
 /// An evacuated zone, for operators.
@@ -101,8 +100,8 @@
         }
     }
 
-    fn zone(&self, record: &KeyedRecord) -> Option<SmolStr> {
-        let zone = record.key.strip_prefix(self.prefix.as_str())?;
+    fn zone(&self, key: &SmolStr) -> Option<SmolStr> {
+        let zone = key.strip_prefix(self.prefix.as_str())?;
         (!zone.is_empty()).then(|| zone.into())
     }
 }
@@ -116,9 +115,13 @@
             TableChange::Snapshot(read) => {
                 let records = read.records.iter();
                 let records = records.filter(|record| record.value.is_some());
-                let records: Vec<(SmolStr, LogOffset)> = records
-                    .filter_map(|record| Some((self.zone(record)?, record.offset)))
+                let mut records: Vec<(SmolStr, LogOffset)> = records
+                    .filter_map(|record| Some((self.zone(&record.key)?, record.offset)))
                     .collect();
+                // An unreadable record neither begins nor ends an evacuation.
+                let unreadable = read.unreadable.iter().filter_map(|key| self.zone(key));
+                let kept = unreadable.filter(|zone| state.evacuations.is_evacuated(zone));
+                records.extend(kept.map(|zone| (zone, LogOffset::default())));
                 state
                     .evacuations
                     .apply_snapshot(&records, read.era, read.next, now)
@@ -126,7 +129,7 @@
             TableChange::Records(read) => {
                 let mut changed = false;
                 for record in &read.records {
-                    if let Some(zone) = self.zone(record) {
+                    if let Some(zone) = self.zone(&record.key) {
                         let is_evacuated = record.value.is_some();
                         let offset = record.offset;
                         changed |= state.evacuations.apply_record(
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -1,5 +1,6 @@
 //! Applies the records of backend servers to the list.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
@@ -71,6 +72,7 @@
     /// Applies changes in order, except for those of an earlier era or position than the list's.
     pub(super) fn apply_all(&mut self, changes: Vec<ServerChange>, now: Instant) {
         let mut is_older = false;
+        let mut unreadable = Vec::new();
         for change in changes {
             match change {
                 ServerChange::Era(era) if !self.enter_era(era, now) => return,
@@ -80,7 +82,9 @@
                     self.position = self.position.max(offset);
                 }
                 ServerChange::Unreachable => self.unreachable = true,
+                ServerChange::Unreadable(ids) => unreadable = ids,
                 _ if is_older => self.note_reachable(now),
+                ServerChange::Snapshot(entries) => self.replace(entries, &unreadable, now),
                 change => self.apply(change, now),
             }
         }
@@ -89,29 +93,17 @@
     /// Applies a change that is not older than the list.
     fn apply(&mut self, change: ServerChange, now: Instant) {
         match change {
-            // These say where the changes come from, and were handled with them.
-            ServerChange::Era(_) | ServerChange::Position(_) | ServerChange::Unreachable => {}
+            // These need the changes around them, and were handled there.
+            ServerChange::Era(_)
+            | ServerChange::Position(_)
+            | ServerChange::Unreachable
+            | ServerChange::Unreadable(_)
+            | ServerChange::Snapshot(_) => {}
             ServerChange::Expiring(ids) => {
                 for id in ids {
                     self.expire_later(&id, now + EXPIRY_GRACE);
                 }
             }
-            ServerChange::Snapshot(entries) => {
-                self.note_reachable(now);
-                let listed: Vec<SmolStr> = entries.iter().map(|entry| entry.id.clone()).collect();
-                for entry in entries {
-                    self.put(entry, now);
-                }
-                let missing: Vec<SmolStr> = self
-                    .servers
-                    .keys()
-                    .filter(|id| !listed.contains(id))
-                    .cloned()
-                    .collect();
-                for id in missing {
-                    self.handle_missing(&id, now);
-                }
-            }
             ServerChange::Put(entry) => {
                 self.note_reachable(now);
                 self.put(entry, now);
@@ -127,6 +119,21 @@
         }
     }
 
+    /// Makes `entries` the list, except for servers whose records are `unreadable` and those that expire.
+    fn replace(&mut self, entries: Vec<ServerEntry>, unreadable: &[SmolStr], now: Instant) {
+        self.note_reachable(now);
+        let entry_ids = entries.iter().map(|entry| &entry.id);
+        let kept: HashSet<SmolStr> = entry_ids.chain(unreadable).cloned().collect();
+        for entry in entries {
+            self.put(entry, now);
+        }
+        let ids = self.servers.keys();
+        let missing: Vec<SmolStr> = ids.filter(|id| !kept.contains(*id)).cloned().collect();
+        for id in missing {
+            self.handle_missing(&id, now);
+        }
+    }
+
     fn note_reachable(&mut self, now: Instant) {
         if std::mem::take(&mut self.unreachable) {
             self.reachable_since = Some(now);
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -264,16 +264,25 @@
         let changes = match change {
             TableChange::Unreachable => vec![ServerChange::Unreachable],
             TableChange::Snapshot(read) => {
-                let records = read.records.iter();
-                self.malformed()
-                    .retain(|key| records.clone().any(|record| record.key == *key));
-                let entries = records.filter_map(|record| {
-                    let value = record.value.as_ref()?;
-                    self.decode_entry(&record.key, value)
-                });
-                let snapshot = ServerChange::Snapshot(entries.collect());
-                let position = ServerChange::Position(read.next);
-                vec![ServerChange::Era(read.era), position, snapshot]
+                let present: HashSet<&SmolStr> = read.keys().collect();
+                self.malformed().retain(|key| present.contains(key));
+                let mut unreadable = read.unreadable.clone();
+                let mut entries = Vec::with_capacity(read.records.len());
+                for record in &read.records {
+                    let Some(value) = &record.value else {
+                        continue;
+                    };
+                    match self.decode_entry(&record.key, value) {
+                        Some(entry) => entries.push(entry),
+                        None => unreadable.push(record.key.clone()),
+                    }
+                }
+                vec![
+                    ServerChange::Era(read.era),
+                    ServerChange::Position(read.next),
+                    ServerChange::Unreadable(unreadable),
+                    ServerChange::Snapshot(entries),
+                ]
             }
             TableChange::Records(read) => {
                 let records = read.records.iter();
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -360,14 +360,12 @@
                 if !state.enter_era(read.era, now) {
                     return;
                 }
-                let records = &read.records;
+                let mut records = read.records.iter();
                 let own = records
-                    .iter()
                     .any(|record| record.key == self.settings.name && record.value.is_some());
                 state.was_registered.get_or_insert(own);
-                state.retain_listed(read.era, |name| {
-                    records.iter().any(|record| record.key == *name)
-                });
+                let present: HashSet<&SmolStr> = read.keys().collect();
+                state.retain_listed(read.era, |name| present.contains(name));
                 state.apply(read, now);
                 self.check_own_record(&state);
             }
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -71,6 +71,8 @@
     /// Servers without a record, which are kept for a while after an outage of the store. They are not listed where they
     /// are not yet, as a list without them may have read their removal.
     Expiring(Vec<SmolStr>),
+    /// Servers whose newest record cannot be read. The snapshot that follows neither lists nor removes them.
+    Unreadable(Vec<SmolStr>),
     /// All servers with a record; others were removed, except for those that expire.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -51,11 +51,22 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TableRead {
     pub records: Vec<KeyedRecord>,
+    /// Keys whose newest record cannot be read; they are not in `records`. Such a key has a record, whose content is
+    /// unknown.
+    pub unreadable: Vec<SmolStr>,
     pub next: LogOffset,
     /// Era of the store that answered; the offset belongs to it.
     pub era: StoreEra,
 }
 
+impl TableRead {
+    /// Returns the keys that have a record, also one that cannot be read.
+    pub fn keys(&self) -> impl Iterator<Item = &SmolStr> {
+        let keys = self.records.iter().map(|record| &record.key);
+        keys.chain(&self.unreadable)
+    }
+}
+
 /// Client of the store's tables.
 ///
 /// A read fails soon after its connection stops delivering bytes. While bytes keep arriving it continues, which may
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -161,6 +161,7 @@
         records: records.collect(),
         next: LogOffset(100),
         era: ERA,
+        ..TableRead::default()
     })
 }
 
--- a/tests/record_tables.rs
+++ b/tests/record_tables.rs
@@ -86,6 +86,7 @@
         records,
         next: LogOffset(100),
         era: StoreEra(1),
+        ..TableRead::default()
     }
 }
 
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -41,6 +41,7 @@
 mod suspect_reservation;
 mod team_share_deadlock;
 mod team_without_budget;
+mod unreadable_record_in_a_whole_read;
 mod unsent_request_at_shutdown;
 mod usage_exit_code;
 mod wait_in_engine;
--- a/tests/regression/offset_of_an_earlier_era.rs
+++ b/tests/regression/offset_of_an_earlier_era.rs
@@ -84,6 +84,7 @@
             records: records[from..].to_vec(),
             next: LogOffset(records.len() as u64),
             era: *self.era.lock().unwrap_or_else(PoisonError::into_inner),
+            ..TableRead::default()
         }
     }
 
