Store: answers that cannot be used are asked for less and less often; reads are counted by cause

What operators saw: a table with a malformed page, a truncated read or a position that is always gone was read again four to five times a second for as long as the fault lasted, and no figure told why.

Cause: every failed read was repeated after 200 ms, and a truncated read at the same position; a gone position led to a whole read at once.

Change: an answer that cannot be used is `Invalid`. The reader then reads the whole table, whose end is beyond the fault, after a pause that doubles from 0.2 s to 1 s until records have been read from a position on; so it does when positions are gone again and again. A store that is unavailable is tried every 0.2 s as before. The metric table_reads counts by table, call and cause.

Pages of one whole read and the memory for them are not bounded any better by this.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -305,7 +305,9 @@
     let peer_table = Arc::new(PeerTable::new());
     let limits = LimitService::open(configs.teams(), peer_table.clone(), client.clone());
     let suspects = Arc::new(Mutex::new(SuspectTable::new(SUSPECT_CAPACITY)));
-    let metrics = Arc::new(DaemonMetrics::new().with_faults(service_tasks.faults()));
+    let health: Arc<StoreHealth> = Arc::default();
+    let metrics = DaemonMetrics::new().with_faults(service_tasks.faults());
+    let metrics = Arc::new(metrics.with_reads(health.reads()));
     let queues = ModelQueues::new(
         ExpectedFinishPolicy::new(fleet.read_parts().index().clone(), rand::random()),
         fleet.clone(),
@@ -327,7 +329,6 @@
         admission_limit: settings.limits.in_flight,
     });
     let demand = Arc::new(DemandTracker::with_window(DEMAND_WINDOW));
-    let health: Arc<StoreHealth> = Arc::default();
     let readers = Arc::new(ReaderElection::new(
         settings.vm.clone(),
         settings.zone.clone(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::error::{Error, RunVerdict};
 use crate::faults::TaskFaults;
+use crate::relay::ReadCounts;
 
 /// A label value backed by a [`SmolStr`].
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -213,6 +214,16 @@
         self
     }
 
+    /// Adds the reads of the store's tables by table, call and cause.
+    pub fn with_reads(mut self, reads: &ReadCounts) -> Self {
+        self.registry.register(
+            "table_reads",
+            "Reads of the store's tables",
+            reads.counters().clone(),
+        );
+        self
+    }
+
     fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Finished requests", self.requests.clone());
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -143,7 +143,7 @@
         let text = String::from_utf8_lossy(&answer.body);
         let page: NewestPage<'_> = match answer.status {
             StatusCode::OK => serde_json::from_str(&text).map_err(|error| {
-                wire::protocol(format!("a page of topic `{topic}` is malformed: {error}"))
+                Error::invalid(format!("a page of topic `{topic}` is malformed: {error}"))
             })?,
             status => return Err(unexpected_status(status)),
         };
@@ -198,13 +198,13 @@
                 return Ok(read);
             }
             if page.last.is_none() || page.last == after {
-                return Err(wire::protocol(format!(
+                return Err(Error::invalid(format!(
                     "a page of topic `{topic}` has no key to go on from"
                 )));
             }
             after = page.last;
         }
-        Err(wire::protocol(format!(
+        Err(Error::invalid(format!(
             "topic `{topic}` has more than {MAX_PAGES} pages"
         )))
     }
@@ -413,7 +413,7 @@
 /// Decodes the answer of a read: the end and the first kept offset, then the records. A record whose key is not UTF-8
 /// comes from another program and is skipped.
 fn decode_read(from: LogOffset, era: StoreEra, mut body: Bytes) -> Result<TableRead> {
-    let truncated = || wire::protocol("a read of the store ends too early");
+    let truncated = || Error::invalid("a read of the store ends too early");
     if body.len() < 16 {
         return Err(truncated());
     }
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -6,13 +6,18 @@
 
 use tokio::sync::watch;
 
+use crate::error::{Category, Error};
 use crate::ids::{LogOffset, StoreEra};
 use crate::kernel::TaskGroup;
+use crate::relay::read_counts::ReadCause;
 use crate::relay::readers::StoreHealth;
 use crate::relay::store::{RecordStore, StoreTable, TableRead};
 
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Longest delay before a table is read again whose content cannot be used. A record must be in force 2 s after the store
+/// has acknowledged it.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay after the first read. In this time a starting daemon receives pulses and learns whether another daemon already
 /// reads the store for its zone.
 const ELECTION_DELAY: Duration = Duration::from_millis(500);
@@ -85,6 +90,31 @@
     }
 }
 
+/// What a read has led to.
+enum ReadOutcome {
+    /// The position of the next read, and the change if there is one.
+    Read(ReadPosition, Option<TableChange>),
+    /// The table must be read as a whole.
+    Anew(ReadCause),
+}
+
+/// Pause before a table is read as a whole once more. It doubles until records have been read from a position on.
+#[derive(Default)]
+struct RetryPause(Duration);
+
+impl RetryPause {
+    /// Returns the pause, which is zero at first.
+    fn advance(&mut self) -> Duration {
+        let next = (self.0 * 2).clamp(RETRY_DELAY, MAX_RETRY_DELAY);
+        std::mem::replace(&mut self.0, next)
+    }
+}
+
+/// Returns whether the store has answered with what cannot be used, so that reading it again at once is of no use.
+fn is_unusable(error: &Error) -> bool {
+    error.category() == Category::Invalid
+}
+
 /// Spawns a service in `group` that reads `table` while `reading` is true and passes its changes to `sink`. After a panic
 /// the read counts as failed in `health` until a change has been applied again.
 pub fn spawn_reader<R: RecordStore, S: TableSink>(
@@ -117,9 +147,15 @@
 ) {
     let mut reachable = true;
     let mut next: Option<ReadPosition> = None;
+    let mut cause = match health.has_table_failed(table) {
+        true => ReadCause::Restart,
+        false => ReadCause::Start,
+    };
+    let mut retry_pause = RetryPause::default();
     loop {
         if !*reading.borrow_and_update() {
             next = None;
+            cause = ReadCause::Elected;
             if reading.changed().await.is_err() {
                 return;
             }
@@ -131,6 +167,7 @@
             sink.apply(TableChange::Unreachable);
         };
         let limit = next.map_or(SNAPSHOT_LIMIT, |_| pace.wait + READ_MARGIN);
+        health.reads().count(table, next.is_none(), cause);
         let (result, is_late) =
             notify_if_late(limit, read_once(&*store, table, next, pace), on_late).await;
         if is_late && !*reading.borrow() && !table.is_versioned() {
@@ -138,25 +175,36 @@
             continue;
         }
         match result {
-            Ok((from, change)) => {
+            Ok(outcome) => {
                 if !reachable {
                     log::info!("table {table:?} of the store is readable again");
                 }
                 reachable = true;
-                next = from;
-                let first = matches!(change, Some(TableChange::Snapshot(_)));
-                if let Some(change) = change {
-                    sink.apply(change);
-                }
+                let pause = match outcome {
+                    ReadOutcome::Read(position, change) => {
+                        let is_first = next.is_none();
+                        if !is_first {
+                            retry_pause = RetryPause::default();
+                        }
+                        (next, cause) = (Some(position), ReadCause::Follow);
+                        if let Some(change) = change {
+                            sink.apply(change);
+                        }
+                        match (is_late, is_first) {
+                            // Records written in the meantime are read without a pause.
+                            (true, _) => Duration::ZERO,
+                            (false, true) => pace.pause.max(ELECTION_DELAY),
+                            (false, false) => pace.pause,
+                        }
+                    }
+                    ReadOutcome::Anew(reason) => {
+                        (next, cause) = (None, reason);
+                        retry_pause.advance()
+                    }
+                };
                 // After the change, as a reader that cannot apply what it reads is of no use to others.
                 health.note(table, true, Instant::now());
-                // After a late read, records written in the meantime are read without a pause.
-                if next.is_some() && !is_late {
-                    let pause = pace.pause.max(if first {
-                        ELECTION_DELAY
-                    } else {
-                        Duration::ZERO
-                    });
+                if !pause.is_zero() {
                     tokio::time::sleep(pause).await;
                 }
             }
@@ -167,24 +215,30 @@
                 reachable = false;
                 health.note(table, false, Instant::now());
                 sink.apply(TableChange::Unreachable);
-                tokio::time::sleep(RETRY_DELAY).await;
+                let mut pause = RETRY_DELAY;
+                cause = ReadCause::Retry;
+                if is_unusable(&error) {
+                    // The whole table continues at the store's end, beyond what cannot be used.
+                    (next, cause) = (None, ReadCause::Unusable);
+                    pause = pause.max(retry_pause.advance());
+                }
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
-/// Reads once; returns the position of the next read, and the change if there is one. `None` as position asks for a
-/// snapshot.
+/// Reads once. `None` as position asks for a snapshot.
 async fn read_once<R: RecordStore>(
     store: &R,
     table: StoreTable,
     next: Option<ReadPosition>,
     pace: FollowPace,
-) -> crate::Result<(Option<ReadPosition>, Option<TableChange>)> {
+) -> crate::Result<ReadOutcome> {
     let Some(position) = next else {
         let read = store.newest(table).await?;
         let next = ReadPosition::after(&read);
-        return Ok((Some(next), Some(TableChange::Snapshot(read))));
+        return Ok(ReadOutcome::Read(next, Some(TableChange::Snapshot(read))));
     };
     match store.read(table, position.offset, pace.wait).await? {
         // The store gives offsets out again after it has been restored, so other records may precede those that were
@@ -195,16 +249,16 @@
                 read.era,
                 position.era
             );
-            Ok((None, None))
+            Ok(ReadOutcome::Anew(ReadCause::Restored))
         }
         Some(read) => {
             let next = ReadPosition::after(&read);
             let change = (!read.records.is_empty()).then_some(TableChange::Records(read));
-            Ok((Some(next), change))
+            Ok(ReadOutcome::Read(next, change))
         }
         // The store has no records from this offset on: it has deleted them, or lost them when it was restored. A
         // snapshot has the newest record of each key.
-        None => Ok((None, None)),
+        None => Ok(ReadOutcome::Anew(ReadCause::PositionGone)),
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -35,6 +35,7 @@
 mod probes;
 mod prompt;
 mod pulse;
+mod read_counts;
 mod readers;
 mod refusing;
 mod registry;
@@ -91,6 +92,7 @@
 pub use self::planner::{PlannerContext, ReplicaPlanner};
 pub use self::probes::spawn_probes;
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
+pub use self::read_counts::{ReadCause, ReadCounts, ReadLabels};
 pub use self::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -17,6 +17,7 @@
 
 use crate::ids::VmId;
 use crate::relay::pulse::{Pulse, PulseSchedule};
+use crate::relay::read_counts::ReadCounts;
 use crate::relay::registry::RegistryCopy;
 use crate::relay::server_list::{ListPosition, ServerDelta};
 use crate::relay::store::StoreTable;
@@ -58,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct StoreHealth {
     state: Mutex<HealthState>,
+    reads: ReadCounts,
 }
 
 #[derive(Debug, Default)]
@@ -69,6 +71,16 @@
 }
 
 impl StoreHealth {
+    /// Returns the counts of reads.
+    pub fn reads(&self) -> &ReadCounts {
+        &self.reads
+    }
+
+    /// Returns whether the last read of `table` failed.
+    pub fn has_table_failed(&self, table: StoreTable) -> bool {
+        self.state().failed.contains(&table)
+    }
+
     /// Records the result of a read of `table` at `now`.
     pub fn note(&self, table: StoreTable, succeeded: bool, now: Instant) {
         let mut state = self.state();
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -21,6 +21,15 @@
 }
 
 impl StoreTable {
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Servers => "servers",
+            Self::Daemons => "daemons",
+        }
+    }
+
     /// Returns the name of the service that reads this table.
     pub fn reader_name(self) -> &'static str {
         match self {
@@ -72,11 +81,12 @@
 /// A read fails soon after its connection stops delivering bytes. While bytes keep arriving it continues, which may
 /// take many seconds on a slow link.
 pub trait RecordStore: Send + Sync + 'static {
-    /// Reads the newest record of each key, all of the same era.
+    /// Reads the newest record of each key, all of the same era. `Invalid` says that the store has answered, and that its
+    /// answer cannot be used.
     fn newest(&self, table: StoreTable) -> impl Future<Output = Result<TableRead>> + Send;
 
     /// Reads the records from offset `from` on and waits up to `wait` for the first one. Returns `None` if the store
-    /// does not have that offset; the caller must then read the table with [`newest`](Self::newest).
+    /// does not have that offset; the caller must then read the table with [`newest`](Self::newest), as after `Invalid`.
     fn read(
         &self,
         table: StoreTable,
