Relay: skipped records of servers are counted, and their log lines are bounded

What operators saw: a line of 15,000 bytes for a value of that length, a line for each new key of a foreign writer, and no figure for skipped records.

Cause: a parser's message quotes its input; keys were remembered, and lines written, without a limit.

Change: the message of an Error has at most 512 bytes and its whole length. The server table writes at most 50 lines a minute about records that it skips, remembers at most 10,000 keys, and counts keys (gauge) and records (counter).

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -379,10 +379,9 @@
 }
 
 fn spawn_tasks(services: &RelayServices, group: &TaskGroup) {
-    let servers = Arc::new(ServerSink::new(
-        platform::decode_server,
-        services.fleet.clone(),
-    ));
+    let skipped = services.core.metrics().skipped_servers.clone();
+    let servers = ServerSink::new(platform::decode_server, services.fleet.clone());
+    let servers = Arc::new(servers.with_metrics(skipped));
     let evacuations = EvacuationSink::new(platform::EVACUATION_PREFIX, services.fleet.clone());
     let operators = Arc::new(PairSink::new(
         services.configs.clone(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -8,6 +8,9 @@
 /// A result whose error is [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Longest message in bytes. Parsers quote their input, which may be of any length.
+const MAX_MESSAGE: usize = 512;
+
 /// Says whether a backend server may have executed a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -108,7 +111,7 @@
         Self {
             category,
             verdict: RunVerdict::NotRun,
-            message: message.into(),
+            message: bounded(message.into()),
             retry_after: None,
         }
     }
@@ -174,3 +177,13 @@
 }
 
 impl std::error::Error for Error {}
+
+/// Returns `message` with no more than [`MAX_MESSAGE`] bytes of it.
+fn bounded(mut message: String) -> String {
+    let length = message.len();
+    if length > MAX_MESSAGE {
+        message.truncate(message.floor_char_boundary(MAX_MESSAGE));
+        message.push_str(&format!("... ({length} bytes)"));
+    }
+    message
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,7 +14,7 @@
 
 use crate::error::{Error, RunVerdict};
 use crate::faults::TaskFaults;
-use crate::relay::ReadCounts;
+use crate::relay::{ReadCounts, SkipMetrics};
 
 /// A label value backed by a [`SmolStr`].
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -135,6 +135,8 @@
     pub config_versions: Family<KindLabels, Gauge>,
     /// Copies of another daemon's tables by kind (`whole`, `failed`).
     pub copies: Family<KindLabels, Counter>,
+    /// Records of backend servers that cannot be decoded.
+    pub skipped_servers: SkipMetrics,
     /// Suspects and what is refused by kind (`suspect` and `quarantined` requests, `suspect_parts` and `blocked_parts` of
     /// prompts).
     pub suspects: Family<KindLabels, Gauge>,
@@ -191,6 +193,7 @@
             config_next: Gauge::default(),
             config_versions: Family::default(),
             copies: Family::default(),
+            skipped_servers: SkipMetrics::default(),
             suspects: Family::default(),
             cold_servers: Gauge::default(),
             evacuations: Family::default(),
@@ -340,6 +343,16 @@
             self.config_versions.clone(),
         );
         registry.register("copies", "Copies of tables", self.copies.clone());
+        registry.register(
+            "skipped_server_keys",
+            "Keys of backend servers whose newest record cannot be decoded",
+            self.skipped_servers.keys.clone(),
+        );
+        registry.register(
+            "skipped_server_records",
+            "Records of backend servers that could not be decoded",
+            self.skipped_servers.records.clone(),
+        );
         registry.register("backends", "Backend servers", self.backends.clone());
         registry.register(
             "paces_permille",
--- a/src/relay/keeper.rs
+++ b/src/relay/keeper.rs
@@ -4,9 +4,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -19,6 +21,12 @@
 use crate::relay::server_list::{ServerChange, ServerEntry};
 use crate::relay::store::KeyedRecord;
 
+/// Number of keys that cannot be decoded and are remembered.
+const MAX_MALFORMED: usize = 10_000;
+/// Number of lines about skipped records in one [`LINE_PERIOD`].
+const MAX_LINES: u32 = 50;
+const LINE_PERIOD: Duration = Duration::from_secs(60);
+
 /// Decodes a record of the configuration.
 pub type ConfigDecoder = fn(&[u8]) -> Result<ServingConfig>;
 /// Decodes the record of a backend server; the first argument is its key.
@@ -210,6 +218,35 @@
     fleet: Arc<RelayFleet>,
     /// Keys whose newest record cannot be decoded.
     malformed: Mutex<HashSet<SmolStr>>,
+    lines: Mutex<LineBudget>,
+    skipped: SkipMetrics,
+}
+
+/// Counts the records that are skipped as they cannot be decoded.
+#[derive(Clone, Debug, Default)]
+pub struct SkipMetrics {
+    /// Keys whose newest record cannot be decoded.
+    pub keys: Gauge,
+    /// Records that were skipped.
+    pub records: Counter,
+}
+
+/// Bounds the number of lines in the log.
+#[derive(Default)]
+struct LineBudget {
+    since: Option<Instant>,
+    lines: u32,
+}
+
+impl LineBudget {
+    /// Returns whether one more line may be logged.
+    fn take(&mut self, now: Instant) -> bool {
+        if self.since.is_none_or(|since| since + LINE_PERIOD <= now) {
+            (self.since, self.lines) = (Some(now), 0);
+        }
+        self.lines += 1;
+        self.lines <= MAX_LINES
+    }
 }
 
 impl ServerSink {
@@ -219,9 +256,17 @@
             decode,
             fleet,
             malformed: Mutex::default(),
+            lines: Mutex::default(),
+            skipped: SkipMetrics::default(),
         }
     }
 
+    /// Counts skipped records in `skipped`.
+    pub fn with_metrics(mut self, skipped: SkipMetrics) -> Self {
+        self.skipped = skipped;
+        self
+    }
+
     /// Decodes a record. A record that cannot be decoded, such as one from a foreign writer, is skipped. It is logged
     /// unless the previous record of its key could not be decoded either, as writers repeat their records.
     fn decode_entry(&self, key: &SmolStr, value: &[u8]) -> Option<ServerEntry> {
@@ -231,7 +276,11 @@
                 Some(entry)
             }
             Err(error) => {
-                if self.malformed().insert(key.clone()) {
+                self.skipped.records.inc();
+                let mut malformed = self.malformed();
+                let is_new = malformed.len() < MAX_MALFORMED && malformed.insert(key.clone());
+                drop(malformed);
+                if is_new && self.may_log() {
                     log::warn!("{error}");
                 }
                 None
@@ -252,6 +301,11 @@
         [Some(position), change]
     }
 
+    fn may_log(&self) -> bool {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.take(Instant::now())
+    }
+
     fn malformed(&self) -> MutexGuard<'_, HashSet<SmolStr>> {
         self.malformed
             .lock()
@@ -294,6 +348,7 @@
                     .collect()
             }
         };
+        self.skipped.keys.set(self.malformed().len() as i64);
         self.fleet.apply(changes, Instant::now());
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -82,7 +82,7 @@
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
 pub use self::identity::{AddressClaim, IdentityTable};
-pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink};
+pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink, SkipMetrics};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{
     LeaseCandidate, LeaseManager, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseWrite,
--- a/tests/regression/odd_server_record.rs
+++ b/tests/regression/odd_server_record.rs
@@ -10,7 +10,7 @@
 use foxtailhill::platform::{StoreClient, decode_server};
 use foxtailhill::relay::{
     DaemonRecord, DaemonRegistry, KeyedRecord, RecordStore, RegistrySettings, RelayFleet,
-    ServerSink, StoreTable, TableChange, TableRead, TableSink,
+    ServerSink, SkipMetrics, StoreTable, TableChange, TableRead, TableSink,
 };
 use log::{LevelFilter, Log, Metadata, Record};
 use serde_json::{Value, json};
@@ -246,3 +246,36 @@
     }
     Ok(())
 }
+
+/// Guards against a line in the log as long as the value that cannot be decoded.
+#[test]
+fn long_value_is_not_quoted_as_a_whole() -> eyre::Result<()> {
+    let digits = "7".repeat(15_000);
+    let text = format!("\"{digits}\"");
+    for (name, text) in [("slots", &text), ("seq", &text), ("slots", &digits)] {
+        let Err(error) = decode_server("i-1", &with_field(name, Some(text))) else {
+            eyre::bail!("{name} is decoded");
+        };
+        let length = error.to_string().len();
+        eyre::ensure!(length < 1_000, "{name}: {length} bytes");
+    }
+    Ok(())
+}
+
+/// Guards against a log that grows with each new key of a writer whose records cannot be decoded, and against such
+/// records that nothing counts.
+#[test]
+fn odd_records_of_many_keys_have_few_lines() {
+    let skipped = SkipMetrics::default();
+    let sink = ServerSink::new(decode_server, Arc::default()).with_metrics(skipped.clone());
+    let before = count_lines("server `i-fresh-");
+    for index in 0..1_000 {
+        let odd = record(&format!("i-fresh-{index}"), "{");
+        sink.apply(TableChange::Records(read(vec![odd])));
+    }
+    let lines = count_lines("server `i-fresh-") - before;
+    assert!((1..=50).contains(&lines), "{lines} lines");
+    assert_eq!((skipped.keys.get(), skipped.records.get()), (1_000, 1_000));
+    sink.apply(TableChange::Snapshot(read(Vec::new())));
+    assert_eq!((skipped.keys.get(), skipped.records.get()), (0, 1_000));
+}
