--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -35,6 +35,7 @@
 mod probes;
 mod prompt;
 mod pulse;
+mod read_counts;
 mod readers;
 mod refusing;
 mod registry;
@@ -81,7 +82,7 @@
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
 pub use self::identity::{AddressClaim, IdentityTable};
-pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink};
+pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink, SkipMetrics};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
 pub use self::lease::{
     LeaseCandidate, LeaseManager, LeaseRecord, LeaseState, LeaseStep, LeaseStore, LeaseWrite,
@@ -91,6 +92,7 @@
 pub use self::planner::{PlannerContext, ReplicaPlanner};
 pub use self::probes::spawn_probes;
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
+pub use self::read_counts::{ReadCause, ReadCounts, ReadLabels};
 pub use self::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, StoreHealth, TableCopy,
 };
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -21,6 +21,15 @@
 }
 
 impl StoreTable {
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Servers => "servers",
+            Self::Daemons => "daemons",
+        }
+    }
+
     /// Returns the name of the service that reads this table.
     pub fn reader_name(self) -> &'static str {
         match self {
@@ -51,21 +60,33 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TableRead {
     pub records: Vec<KeyedRecord>,
+    /// Keys whose newest record cannot be read; they are not in `records`. Such a key has a record, whose content is
+    /// unknown.
+    pub unreadable: Vec<SmolStr>,
     pub next: LogOffset,
     /// Era of the store that answered; the offset belongs to it.
     pub era: StoreEra,
 }
 
+impl TableRead {
+    /// Returns the keys that have a record, also one that cannot be read.
+    pub fn keys(&self) -> impl Iterator<Item = &SmolStr> {
+        let keys = self.records.iter().map(|record| &record.key);
+        keys.chain(&self.unreadable)
+    }
+}
+
 /// Client of the store's tables.
 ///
 /// A read fails soon after its connection stops delivering bytes. While bytes keep arriving it continues, which may
 /// take many seconds on a slow link.
 pub trait RecordStore: Send + Sync + 'static {
-    /// Reads the newest record of each key, all of the same era.
+    /// Reads the newest record of each key, all of the same era. `Invalid` says that the store has answered, and that its
+    /// answer cannot be used.
     fn newest(&self, table: StoreTable) -> impl Future<Output = Result<TableRead>> + Send;
 
     /// Reads the records from offset `from` on and waits up to `wait` for the first one. Returns `None` if the store
-    /// does not have that offset; the caller must then read the table with [`newest`](Self::newest).
+    /// does not have that offset; the caller must then read the table with [`newest`](Self::newest), as after `Invalid`.
     fn read(
         &self,
         table: StoreTable,
