Start and end: the log says why a process ended, and SIGHUP no longer ends a start

Operators saw a log that broke off: refused settings, an address that could not be bound and panics stood on standard error only, and a signal was not named. A SIGHUP that came before the handlers were installed ended the process.

The last line is exempt from the rate limit of lines.

--- a/src/daemon/descriptors.rs
+++ b/src/daemon/descriptors.rs
@@ -8,7 +8,7 @@
 use crate::settings::{LimitSettings, MemoryPlan, VmCapacity, peer_connections};
 
 /// Returns the process's own limit of open files; `None` if the system does not show it or there is none.
-fn open_files_limit() -> Option<usize> {
+pub fn open_files_limit() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
     let line = limits
         .lines()
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -31,7 +31,8 @@
     RequestDispatcher,
 };
 use crate::engine::{EngineTimeouts, HttpService, ServiceTimeouts};
-use crate::error::{Error, Result};
+use crate::error::Result;
+use crate::faults::TaskFaults;
 use crate::history::RequestHistory;
 use crate::http::{CallerServer, CallerSettings};
 use crate::inventory::HttpVmList;
@@ -50,6 +51,7 @@
 use crate::timer::TimerService;
 use crate::watch::WatchSettings;
 
+pub use self::descriptors::open_files_limit;
 pub use self::parts::{EvenSplitParts, FinishParts, NaiveParts, PolicyParts, StandardParts};
 pub use self::relay::{RelayDaemon, RelayParts, open_relay};
 
@@ -385,9 +387,10 @@
         self.replica.wait_ready().await
     }
 
-    /// Waits until a task that cannot be restarted has panicked, after which the daemon must be shut down.
-    pub async fn failed(&self) -> Error {
-        self.service_tasks.faults().ended().await
+    /// Returns the faults of the daemon's tasks. Once one that cannot be restarted has panicked, the daemon must be shut
+    /// down.
+    pub fn faults(&self) -> &TaskFaults {
+        self.service_tasks.faults()
     }
 
     /// Shuts down without interrupting requests.
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -17,7 +17,8 @@
 use crate::dispatch::{
     CoreContext, CoreParts, DemandMeter, DrainClock, ModelQueues, RequestCore, Waiter,
 };
-use crate::error::{Error, Result};
+use crate::error::Result;
+use crate::faults::TaskFaults;
 use crate::history::RequestHistory;
 use crate::ids::VmId;
 use crate::kernel::TaskGroup;
@@ -536,9 +537,10 @@
 }
 
 impl RelayDaemon {
-    /// Waits until a task that cannot be restarted has panicked, after which the daemon must be shut down.
-    pub async fn failed(&self) -> Error {
-        self.service_tasks.faults().ended().await
+    /// Returns the faults of the daemon's tasks. Once one that cannot be restarted has panicked, the daemon must be shut
+    /// down.
+    pub fn faults(&self) -> &TaskFaults {
+        self.service_tasks.faults()
     }
 
     /// Shuts down without interrupting requests.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -3,7 +3,9 @@
 use std::fmt::Arguments;
 use std::future::Future;
 use std::io::Write;
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant, SystemTime};
 
 use log::{LevelFilter, Record};
@@ -33,6 +35,8 @@
 const MAX_LINES_PER_S: u32 = 500;
 /// Longest wait for queued lines to be written when the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between two attempts to queue a message for the end of the process.
+const FLUSH_PAUSE: Duration = Duration::from_millis(10);
 
 enum LogMessage {
     Line(Vec<u8>),
@@ -41,15 +45,38 @@
 }
 
 /// When dropped, waits up to 1 s until all queued lines are written.
-pub struct LogGuard(SyncSender<LogMessage>);
+pub struct LogGuard {
+    messages: SyncSender<LogMessage>,
+    unlimited: Arc<AtomicBool>,
+}
 
-impl Drop for LogGuard {
-    fn drop(&mut self) {
+impl LogGuard {
+    /// Makes room for the lines that tell why the process ends: waits up to 1 s until all queued lines are written, and
+    /// lifts the limit of lines per second.
+    pub fn prepare_end(&self) {
+        self.unlimited.store(true, Ordering::Relaxed);
+        self.flush();
+    }
+
+    fn flush(&self) {
+        let end = Instant::now() + FLUSH_TIMEOUT;
         let (done, written) = sync_channel(1);
         // A reader of standard output that has stopped reading must not keep the process from ending.
-        if self.0.try_send(LogMessage::Flush(done)).is_ok() {
-            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        let mut message = LogMessage::Flush(done);
+        while let Err(TrySendError::Full(returned)) = self.messages.try_send(message) {
+            if Instant::now() >= end {
+                return;
+            }
+            message = returned;
+            std::thread::sleep(FLUSH_PAUSE);
         }
+        let _ = written.recv_timeout(end.saturating_duration_since(Instant::now()));
+    }
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.flush();
     }
 }
 
@@ -58,6 +85,8 @@
 struct LineWriter {
     line: Vec<u8>,
     messages: SyncSender<LogMessage>,
+    /// Set at the end of the process.
+    unlimited: Arc<AtomicBool>,
     window_start: Instant,
     lines_in_window: u32,
     dropped: u64,
@@ -69,8 +98,9 @@
             (self.window_start, self.lines_in_window) = (Instant::now(), 0);
         }
         self.lines_in_window += 1;
-        let sent = self.lines_in_window <= MAX_LINES_PER_S
-            && self.messages.try_send(LogMessage::Line(line)).is_ok();
+        let admitted =
+            self.lines_in_window <= MAX_LINES_PER_S || self.unlimited.load(Ordering::Relaxed);
+        let sent = admitted && self.messages.try_send(LogMessage::Line(line)).is_ok();
         self.dropped += u64::from(!sent);
     }
 
@@ -126,9 +156,11 @@
         .stack_size(LOG_STACK_BYTES)
         .spawn(move || write_lines(&messages))
         .map_err(|error| failed(&error))?;
+    let unlimited = Arc::new(AtomicBool::new(false));
     let writer = LineWriter {
         line: Vec::new(),
         messages: sender.clone(),
+        unlimited: unlimited.clone(),
         window_start: Instant::now(),
         lines_in_window: 0,
         dropped: 0,
@@ -136,7 +168,28 @@
     build_dispatch(settings, Box::new(writer))
         .apply()
         .map_err(|error| failed(&error))?;
-    Ok(LogGuard(sender))
+    log_panics();
+    Ok(LogGuard {
+        messages: sender,
+        unlimited,
+    })
+}
+
+/// Logs each panic before the usual report on standard error.
+fn log_panics() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let thread = std::thread::current();
+        let thread = thread.name().unwrap_or("unnamed");
+        let task = tokio::task::try_id().map_or(String::new(), |id| format!(", task {id}"));
+        let place = panic.location().map(ToString::to_string);
+        log::error!(
+            "thread `{thread}`{task} panicked at {}: {}",
+            place.as_deref().unwrap_or("an unknown place"),
+            panic.payload_as_str().unwrap_or("no message")
+        );
+        report(panic);
+    }));
 }
 
 /// Stack of the thread that writes lines, in bytes.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -6,6 +6,8 @@
 mod pulse_support;
 #[path = "../relay_support/mod.rs"]
 mod relay_support;
+#[path = "../start_support/mod.rs"]
+mod start_support;
 
 mod arrived_request_on_a_closed_connection;
 mod broken_head;
@@ -18,6 +20,7 @@
 mod engine_that_dies_under_many_requests;
 mod error_inside_resumed_stream;
 mod hangup;
+mod hangup_during_start;
 mod key_in_debug_form;
 mod lease_taken_back_at_shutdown;
 mod name_in_header;
