--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -24,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::ServiceExt;
 
+use crate::binding::bind_listener;
 use crate::error::{Error, Result};
 use crate::eviction::WaitKind;
 use crate::http::body::no_memory;
@@ -141,7 +142,7 @@
         router: Router,
     ) -> Result<Self> {
         let failed = |error| Error::unavailable(format!("cannot bind {address}: {error}"));
-        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let listener = bind_listener(address).await.map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         let stop = CancellationToken::new();
         let (open, receiver) = watch::channel(());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod binding;
 pub mod blame;
 pub mod catalog;
 pub mod claim;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::binding::bind_listener;
 use crate::error::{Category, Error, Result};
 use crate::faults::TaskFaults;
 use crate::kernel::TaskGroup;
@@ -98,7 +99,7 @@
         handler: Arc<H>,
         limits: PeerLimits,
     ) -> Result<Self> {
-        let listener = TcpListener::bind(address).await.map_err(|error| {
+        let listener = bind_listener(address).await.map_err(|error| {
             Error::unavailable(format!("cannot bind peer address {address}: {error}"))
         })?;
         let address = listener
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 
+use crate::binding::bind_socket;
 use crate::blame::{BlameMessage, PartNotice};
 use crate::dispatch::ModelDemand;
 use crate::error::{Error, Result};
@@ -124,7 +125,7 @@
     timer: &TimerService,
     group: &TaskGroup,
 ) -> Result<()> {
-    let socket = UdpSocket::bind(address).await.map_err(|error| {
+    let socket = bind_socket(address).await.map_err(|error| {
         Error::unavailable(format!("cannot bind pulse address {address}: {error}"))
     })?;
     let socket = Arc::new(socket);
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,6 +9,7 @@
 #[path = "../start_support/mod.rs"]
 mod start_support;
 
+mod address_in_use_at_start;
 mod arrived_request_on_a_closed_connection;
 mod broken_head;
 mod config_copy_over_slow_link;
