Tasks: the panic of one report, order, probe or placement request ends only its task

Each of these made the whole process end with code 70, so that one input could end all daemons. Their bookkeeping is now undone after a panic, and the process ends only if that panics too. An order counts as one whose outcome is unknown.

A panic within a running planner was not injected.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -73,8 +73,8 @@
             }
             let (planner, known_planner) = (planner.clone(), known_planner.clone());
             let (client, fleet, pending) = (client.clone(), fleet.clone(), pending.clone());
-            // Without its end, the item would not be asked for again.
-            parent.spawn_essential("placement-request", async move {
+            let (pending_left, item_left) = (pending.clone(), PlacementRequest::clone(&item));
+            let task = async move {
                 for _ in 0..PLACEMENT_ATTEMPTS {
                     if let Some(placement) =
                         request_placement(&planner, &known_planner, &client, &item).await
@@ -88,6 +88,11 @@
                     .lock()
                     .unwrap_or_else(PoisonError::into_inner)
                     .remove(&item);
+            };
+            // Without its end, the item would not be asked for again.
+            parent.spawn_recoverable("placement-request", task, move || {
+                let mut pending = pending_left.lock().unwrap_or_else(PoisonError::into_inner);
+                pending.remove(&item_left);
             });
         }
     });
--- a/src/faults.rs
+++ b/src/faults.rs
@@ -91,6 +91,24 @@
         })
     }
 
+    /// Runs `task` to its end. If it panics, `recover` undoes what the task has left behind; if that panics too, the
+    /// process must end.
+    pub(crate) fn observe_recoverable(
+        self,
+        name: &'static str,
+        task: impl Future<Output = ()>,
+        recover: impl FnOnce(),
+    ) -> impl Future<Output = ()> {
+        AssertUnwindSafe(task).catch_unwind().map(move |ended| {
+            let Err(panic) = ended else { return };
+            self.note(name, &panicked(&*panic));
+            if let Err(panic) = std::panic::catch_unwind(AssertUnwindSafe(recover)) {
+                self.note(name, &panicked(&*panic));
+                self.end(name);
+            }
+        })
+    }
+
     /// Runs `task` to its end. If it panics, the process must end.
     pub(crate) fn observe_essential(
         self,
@@ -100,9 +118,7 @@
         AssertUnwindSafe(task).catch_unwind().map(move |ended| {
             if let Err(panic) = ended {
                 self.note(name, &panicked(&*panic));
-                // A later one changes nothing.
-                let _ = self.shared.ended.set(name);
-                self.shared.end.cancel();
+                self.end(name);
             }
         })
     }
@@ -130,6 +146,13 @@
         }
     }
 
+    /// Asks for the end of the process.
+    fn end(&self, name: &'static str) {
+        // A later fault changes nothing.
+        let _ = self.shared.ended.set(name);
+        self.shared.end.cancel();
+    }
+
     /// Logs and counts a fault.
     fn note(&self, name: &'static str, fault: &str) {
         log::error!("task `{name}` {fault}");
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -119,6 +119,18 @@
         self.insert_cancellable(self.faults.clone().observe_essential(name, task));
     }
 
+    /// Spawns a task that serves one input. If it panics, `recover` undoes what it has left behind, and the process goes
+    /// on unless `recover` panics as well. It is dropped like one of [`Self::spawn_cancellable`].
+    pub fn spawn_recoverable(
+        &self,
+        name: &'static str,
+        task: impl Future<Output = ()> + Send + 'static,
+        recover: impl FnOnce() + Send + 'static,
+    ) {
+        let faults = self.faults.clone();
+        self.insert_cancellable(faults.observe_recoverable(name, task, recover));
+    }
+
     /// Spawns a task that runs `start` until the group is cancelled. If it panics or ends before, it is started again
     /// after a pause, and the process is not ready until it has run for a while.
     pub fn spawn_service<F: Future<Output = ()> + Send + 'static>(
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -10,13 +10,14 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
 
+use crate::error::{Error, RunVerdict};
 use crate::kernel::TaskGroup;
 use crate::placement::{DemandSummary, DemandTracker};
 use crate::relay::config::{EngineConfig, ServingConfig};
 use crate::relay::dispatcher::ConfigReceiver;
 use crate::relay::engine_state::{is_adapter, item, item_mb};
 use crate::relay::engines::{
-    EngineControl, OrderAnswer, OrderContext, PlacementChange, PlacementRequest,
+    EngineControl, OrderAnswer, OrderContext, PlacementChange, PlacementRequest, ReplicaOrder,
 };
 use crate::relay::fleet::{RelayFleet, routing_name};
 use crate::relay::layout::{LayoutEngine, LayoutModel};
@@ -241,49 +242,61 @@
             .service(&server.service)
             .and_then(|service| service.engine.clone());
         let service = server.service.clone();
-        // Without its end, the engine would get no further order.
-        self.context
-            .group
-            .spawn_essential("engine-call", async move {
-                let control = &planner.context.control;
-                let changes = match &call.order {
-                    None => {
-                        let asked = Instant::now();
-                        let report = control.report(&call.server, address).await;
-                        if report.is_ok() {
-                            let fleet = &planner.context.fleet;
-                            fleet.note_answer(&call.server, address, asked);
-                        }
-                        planner.state().handle_report(&call.server, report)
+        let call = Arc::new(call);
+        let (planner_left, call_left, engine_left) = (self.clone(), call.clone(), engine.clone());
+        let task = async move {
+            let control = &planner.context.control;
+            let changes = match &call.order {
+                None => {
+                    let asked = Instant::now();
+                    let report = control.report(&call.server, address).await;
+                    if report.is_ok() {
+                        let fleet = &planner.context.fleet;
+                        fleet.note_answer(&call.server, address, asked);
                     }
-                    Some(sent) => {
-                        let order = &sent.order;
-                        // The lease may have ended since the round.
-                        if planner.fence() != Some(fence) {
-                            planner.state().cancel_order(sent);
-                            return;
-                        }
-                        let context = OrderContext {
-                            holder: planner.context.name.clone(),
-                            fence,
-                            expected_orders: sent.key.expected_orders,
-                        };
-                        log::info!("order to {}: {order:?}, {context:?}", call.server);
-                        let answer = control.order(&call.server, address, order, &context).await;
-                        if let Ok(OrderAnswer::Accepted) = answer
-                            && is_adapter(order)
-                        {
-                            tokio::time::sleep(ADAPTER_LOAD_TIME).await;
-                        }
-                        let size = engine
-                            .as_ref()
-                            .map_or(0.0, |engine| item_mb(engine, item(order)));
-                        planner.state().handle_answer(sent, answer, size)
+                    planner.state().handle_report(&call.server, report)
+                }
+                Some(sent) => {
+                    let order = &sent.order;
+                    // The lease may have ended since the round.
+                    if planner.fence() != Some(fence) {
+                        planner.state().cancel_order(sent);
+                        return;
+                    }
+                    let context = OrderContext {
+                        holder: planner.context.name.clone(),
+                        fence,
+                        expected_orders: sent.key.expected_orders,
+                    };
+                    log::info!("order to {}: {order:?}, {context:?}", call.server);
+                    let answer = control.order(&call.server, address, order, &context).await;
+                    if let Ok(OrderAnswer::Accepted) = answer
+                        && is_adapter(order)
+                    {
+                        tokio::time::sleep(ADAPTER_LOAD_TIME).await;
                     }
-                };
-                planner.publish(&service, changes);
-                planner.wake.notify_one();
-            });
+                    let size = order_mb(engine.as_ref(), order);
+                    planner.state().handle_answer(sent, answer, size)
+                }
+            };
+            planner.publish(&service, changes);
+            planner.wake.notify_one();
+        };
+        // Without its end, the engine would get no further order. An order may have been carried out.
+        let recover = move || {
+            let cause = Error::internal("the call panicked").with_verdict(RunVerdict::MayHaveRun);
+            let mut state = planner_left.state();
+            // Neither changes where requests go, as the outcome is unknown.
+            let _ = match &call_left.order {
+                None => state.handle_report(&call_left.server, Err(cause)),
+                Some(sent) => {
+                    let size = order_mb(engine_left.as_ref(), &sent.order);
+                    state.handle_answer(sent, Err(cause), size)
+                }
+            };
+        };
+        let group = &self.context.group;
+        group.spawn_recoverable("engine-call", task, recover);
     }
 
     fn publish(&self, service: &SmolStr, changes: Vec<PlacementChange>) {
@@ -312,6 +325,11 @@
     }
 }
 
+/// Returns the size of what `order` concerns, in MB; 0 if the engine's settings are not known.
+fn order_mb(engine: Option<&EngineConfig>, order: &ReplicaOrder) -> f64 {
+    engine.map_or(0.0, |engine| item_mb(engine, item(order)))
+}
+
 /// Returns the loads per second that the weight store allows: the lowest rate of any service, as they share it.
 fn store_rate(config: &ServingConfig) -> f64 {
     let engines = config
--- a/src/relay/probes.rs
+++ b/src/relay/probes.rs
@@ -5,6 +5,7 @@
 
 use crate::kernel::TaskGroup;
 use crate::relay::fleet::RelayFleet;
+use crate::relay::refusing::ProbeOutcome;
 use crate::relay::upstream::UpstreamPool;
 use crate::timer::TimerService;
 
@@ -22,12 +23,16 @@
     timer.spawn_periodic(group, "probes", PROBE_PERIOD, move |now| {
         for probe in fleet.take_probes(now) {
             let (fleet, pool) = (fleet.clone(), pool.clone());
-            // Without its end, the server would get no further probe.
-            parent.spawn_essential("probe", async move {
-                let begun = Instant::now();
+            let (begun, probe) = (Instant::now(), Arc::new(probe));
+            let (fleet_left, probe_left) = (fleet.clone(), probe.clone());
+            let task = async move {
                 let outcome = pool.probe(probe.address).await;
                 log::debug!("probe of server {}: {outcome:?}", probe.id);
                 fleet.end_probe(&probe, outcome, begun);
+            };
+            // Without its end, the server would get no further probe.
+            parent.spawn_recoverable("probe", task, move || {
+                fleet_left.end_probe(&probe_left, ProbeOutcome::Unknown, begun);
             });
         }
     });
--- a/tests/task_faults.rs
+++ b/tests/task_faults.rs
@@ -100,6 +100,38 @@
     Ok(())
 }
 
+/// Guards against a process that ends because one input makes its task panic, and against a task that leaves behind what
+/// keeps the input from being served again.
+#[tokio::test]
+async fn panic_of_a_task_that_can_recover_ends_only_this_task() -> eyre::Result<()> {
+    let group = TaskGroup::new();
+    let metrics = DaemonMetrics::new().with_faults(group.faults());
+    let recovered = Arc::new(AtomicUsize::new(0));
+    for _ in 0..3 {
+        let counted = recovered.clone();
+        let task = async { panic!("one report") };
+        group.spawn_recoverable("report", task, move || {
+            counted.fetch_add(1, Ordering::SeqCst);
+        });
+    }
+    let counted = recovered.clone();
+    group.spawn_recoverable("report", async {}, move || {
+        counted.fetch_add(1, Ordering::SeqCst);
+    });
+    until("the panics", || recovered.load(Ordering::SeqCst) == 3).await?;
+    ensure!(count(&metrics, "report") == Some(3), "{}", metrics.encode());
+    group.faults().check(Instant::now())?;
+    group.spawn_recoverable("order", async { panic!("an order") }, || panic!("its end"));
+    let error = tokio::time::timeout(WAIT_TIMEOUT, group.faults().ended()).await?;
+    ensure!(error.message().contains("`order`"), "{error}");
+    group.shutdown().await;
+    ensure!(
+        recovered.load(Ordering::SeqCst) == 3,
+        "recovered without a panic"
+    );
+    Ok(())
+}
+
 /// Guards against periodic work that is never done again after it has panicked once.
 #[tokio::test]
 async fn periodic_work_goes_on_after_a_panic() -> eyre::Result<()> {
