--- a/tests/soak/daemon.rs
+++ b/tests/soak/daemon.rs
@@ -6,13 +6,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use eyre::ensure;
-use serde_json::json;
+use eyre::{OptionExt, ensure};
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Longest wait for a daemon to start or to end.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Variable that names another program to run as daemon, for comparisons by hand.
+const PROGRAM_VARIABLE: &str = "FOXTAILHILL_BIN";
 /// Time after a disturbance in which requests may still fail because of it.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 
@@ -86,9 +88,30 @@
         })
     }
 
+    /// Sets the memory of the daemon's VM, in MB, from the next start on.
+    #[allow(dead_code, reason = "used by other tests")]
+    pub fn limit_memory(&self, memory_mb: usize) -> eyre::Result<()> {
+        let mut settings: Value = serde_json::from_slice(&std::fs::read(&self.settings)?)?;
+        settings["capacity"] = json!({"memory_mb": memory_mb, "descriptors": 4_100});
+        std::fs::write(&self.settings, settings.to_string())?;
+        Ok(())
+    }
+
+    /// Returns the most memory that the process has held, in kB.
+    #[allow(dead_code, reason = "used by other tests")]
+    pub fn peak_memory(&self) -> eyre::Result<usize> {
+        let child = self.child.as_ref().ok_or_eyre("no process")?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let text = line.and_then(|line| line.trim().strip_suffix("kB"));
+        Ok(text.ok_or_eyre("no peak is stated")?.trim().parse()?)
+    }
+
     /// Starts the process and waits until it is ready.
     pub async fn start(&mut self) -> eyre::Result<()> {
-        let child = Command::new(env!("CARGO_BIN_EXE_foxtailhill"))
+        let program = std::env::var_os(PROGRAM_VARIABLE);
+        let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_foxtailhill").into());
+        let child = Command::new(program)
             .args(["serve", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -97,12 +120,23 @@
         self.child = Some(child);
         let end = Instant::now() + WAIT_TIMEOUT;
         while !is_ready(self.ready).await {
+            self.check_running()?;
             ensure!(Instant::now() < end, "{} did not become ready", self.name);
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         Ok(())
     }
 
+    /// Fails if the process has ended by itself.
+    pub fn check_running(&mut self) -> eyre::Result<()> {
+        if let Some(child) = &mut self.child
+            && let Some(status) = child.try_wait()?
+        {
+            eyre::bail!("{} ended by itself with {status}", self.name);
+        }
+        Ok(())
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) -> eyre::Result<()> {
         let Some(child) = &self.child else {
@@ -137,6 +171,7 @@
 
     /// Kills the process and starts it again.
     pub async fn crash(&mut self) -> eyre::Result<()> {
+        self.check_running()?;
         let from = Instant::now();
         self.end_process();
         let started = self.start().await;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -123,7 +123,11 @@
     for daemon in kept {
         daemon?;
     }
-    check(&calls, &journal, &disturbances)
+    let summary = check(&calls, &journal, &disturbances)?;
+    Ok(format!(
+        "{summary}, {} reads of store pages",
+        store.page_reads()
+    ))
 }
 
 /// Stops, kills, pauses and restarts a daemon until `end`.
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +18,11 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+/// Most records of a page of newest records.
+const PAGE_RECORDS: usize = 500;
+/// Most bytes of the values of a page of newest records, in base64, unless its first record is larger.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// One topic: its records, and the newest offset of each key.
 #[derive(Default)]
 struct Topic {
@@ -30,6 +35,8 @@
     topics: Mutex<HashMap<String, Topic>>,
     written: Notify,
     is_refusing: AtomicBool,
+    /// Number of reads of pages of newest records.
+    page_reads: AtomicUsize,
 }
 
 /// A running store.
@@ -65,6 +72,11 @@
             .append(topic, None, vec![(key.to_owned(), value.to_vec())]);
     }
 
+    /// Returns how many pages of newest records were asked for, of all topics.
+    pub fn page_reads(&self) -> usize {
+        self.state.page_reads.load(Ordering::SeqCst)
+    }
+
     /// Sets whether all calls are refused.
     pub fn refuse(&self, is_refusing: bool) {
         self.state.is_refusing.store(is_refusing, Ordering::SeqCst);
@@ -122,21 +134,31 @@
 }
 
 async fn read_newest(State(state): State<Arc<StoreState>>, Query(query): Parameters) -> Response {
+    state.page_reads.fetch_add(1, Ordering::SeqCst);
     if let Some(refusal) = state.refusal() {
         return refusal;
     }
+    let after = query.get("after").cloned().unwrap_or_default();
     let mut topics = state.topics();
     let topic = topics.entry(query["topic"].clone()).or_default();
-    let newest = topic.newest.iter().map(|(key, offset)| {
+    let following = topic.newest.iter().filter(|(key, _)| **key > after);
+    let mut items = Vec::new();
+    let (mut size, mut has_more) = (0, false);
+    for (key, offset) in following {
         let value = &topic.records[*offset].1;
-        (key, offset, value)
-    });
-    let live = newest.filter(|(_, _, value)| !value.is_empty());
-    let items = live.map(|(key, offset, value)| {
-        json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
-    });
-    let items: Vec<_> = items.collect();
-    let page = json!({"items": items, "has-more": false, "end": topic.records.len()});
+        if value.is_empty() {
+            continue;
+        }
+        let value = STANDARD.encode(value);
+        has_more =
+            items.len() == PAGE_RECORDS || (!items.is_empty() && size + value.len() > PAGE_BYTES);
+        if has_more {
+            break;
+        }
+        size += value.len();
+        items.push(json!({"key": key, "value": value, "offset": offset}));
+    }
+    let page = json!({"items": items, "has-more": has_more, "end": topic.records.len()});
     page.to_string().into_response()
 }
 
