Store: a table of many large records of other programs is read to its end, and kept in bounds

Cause: a table of more than 64 pages counted as unreadable and was read again at once; the values of all its pages were held together.

Change: up to 512 pages, more than a full store has; records above 64 KiB in the tables of servers and daemons count as unreadable in whole and incremental reads and are not kept. The configuration has no such bound.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -32,8 +32,11 @@
 /// Time limit of a read in addition to its wait, and of reading a whole table; a slow link takes seconds for a
 /// configuration.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(15);
-/// Maximum number of pages of a table.
-const MAX_PAGES: usize = 64;
+/// Maximum number of pages of a table: more than a full store has, at 1 MB a page.
+const MAX_PAGES: usize = 512;
+/// Largest record of a table that servers and daemons write. Larger ones of other programs are not kept while the table is
+/// read.
+const MAX_RECORD_BYTES: usize = 64 << 10;
 /// Maximum size of an answer in bytes. A page of newest records has at most 1 MB before it is encoded in base64; a read
 /// returns at most [`MAX_KB`].
 const ANSWER_LIMIT: usize = 4 << 20;
@@ -165,10 +168,12 @@
         })
     }
 
-    /// Reads all pages of newest records, and calls `on_malformed` for each record that is skipped.
+    /// Reads all pages of newest records, and calls `on_malformed` for each record that is skipped, such as one of more than
+    /// `max_bytes`.
     async fn newest_pages(
         &self,
         topic: &str,
+        max_bytes: usize,
         on_malformed: impl Fn(&Error) + Send,
     ) -> Result<TableRead> {
         let mut read = TableRead::default();
@@ -187,6 +192,12 @@
             }
             for record in page.records {
                 match record {
+                    Ok(record) if record.value.as_ref().map_or(0, Bytes::len) > max_bytes => {
+                        let length = record.value.map_or(0, |value| value.len());
+                        let message = format!("record `{}` has {length} bytes", record.key);
+                        on_malformed(&Error::invalid(message));
+                        read.unreadable.push(record.key);
+                    }
                     Ok(record) => read.records.push(record),
                     Err(odd) => {
                         on_malformed(&odd.error);
@@ -213,7 +224,7 @@
 impl RecordStore for StoreClient {
     async fn newest(&self, table: StoreTable) -> Result<TableRead> {
         let topic = topic(table);
-        let pages = self.newest_pages(topic, |error| {
+        let pages = self.newest_pages(topic, max_bytes(table), |error| {
             log::warn!("skipping a record of topic `{topic}`: {error}");
         });
         tokio::time::timeout(TRANSFER_TIMEOUT, pages)
@@ -239,7 +250,8 @@
         match answer.status {
             StatusCode::OK => {
                 let era = store_era(&answer);
-                decode_read(from, era, answer.body).map(Some)
+                let read = decode_read(from, era, answer.body)?;
+                Ok(Some(without_long_records(read, max_bytes(table))))
             }
             StatusCode::GONE => Ok(None),
             status => Err(unexpected_status(status)),
@@ -269,7 +281,9 @@
 impl LeaseStore for StoreClient {
     async fn read_lease(&self) -> Result<LeaseState> {
         // Records beside the lease do not matter, and are read again and again.
-        let read = self.newest_pages(LEASE_TOPIC, |_| {}).await?;
+        let read = self
+            .newest_pages(LEASE_TOPIC, MAX_RECORD_BYTES, |_| {})
+            .await?;
         if read.unreadable.iter().any(|key| key == LEASE_KEY) {
             log::warn!("the record of the planner's lease cannot be read");
             return Ok(LeaseState {
@@ -351,6 +365,27 @@
     Some(key).filter(|key| !key.contains(char::REPLACEMENT_CHARACTER))
 }
 
+/// Returns the size of the largest record of a table, in bytes.
+fn max_bytes(table: StoreTable) -> usize {
+    match table {
+        // The configuration has no bound of its own.
+        StoreTable::Configuration => usize::MAX,
+        StoreTable::Servers | StoreTable::Daemons => MAX_RECORD_BYTES,
+    }
+}
+
+/// Counts the records that are longer than `max_bytes` as unreadable.
+fn without_long_records(mut read: TableRead, max_bytes: usize) -> TableRead {
+    let is_long = |record: &mut KeyedRecord| {
+        let value = record.value.as_ref();
+        value.is_some_and(|value| value.len() > max_bytes)
+    };
+    let long = read.records.extract_if(.., is_long);
+    let keys: Vec<SmolStr> = long.map(|record| record.key).collect();
+    read.unreadable.extend(keys);
+    read
+}
+
 /// Decodes an item of a page.
 ///
 /// # Errors
