--- a/src/daemon/relay_state.rs
+++ b/src/daemon/relay_state.rs
@@ -37,6 +37,10 @@
         if self.configs.version() == 0 {
             return Err(Error::unavailable("the configuration is not loaded yet"));
         }
+        if !self.fleet.has_list() {
+            let message = "the list of backend servers is not known yet";
+            return Err(Error::unavailable(message));
+        }
         if self.fleet.servers().is_empty() {
             return Err(Error::unavailable("no backend server is known yet"));
         }
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -477,7 +477,10 @@
             .service(name)
             .ok_or_else(|| Error::unavailable(format!("service `{name}` is not declared")))?;
         if !self.context.fleet.has_service(name) {
-            let message = format!("service `{name}` has no backend server");
+            let message = match self.context.fleet.has_list() {
+                true => format!("service `{name}` has no backend server"),
+                false => "the list of backend servers is not known yet".to_owned(),
+            };
             return Err(Error::unavailable(message).with_retry_after(NO_SERVER_RETRY_AFTER));
         }
         Ok(service)
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -213,6 +213,11 @@
         servers.any(|server| server.entry.service == service && server.may_be_sent_to())
     }
 
+    /// Returns whether the list was read or copied since the start.
+    pub fn has_list(&self) -> bool {
+        self.state().era.is_some()
+    }
+
     /// Returns the newest era of the store in which the list was read.
     pub fn era(&self) -> StoreEra {
         self.state().era.unwrap_or_default()
