Copies: a daemon without a list asks any daemon that has one

Cause: copies are fetched from daemons that read the store. In an outage none does, so a daemon that has just started asked nobody; the others of its zone would have copied from it. The configuration beside it is asked of any daemon.

Change: pulses state the position of the sender's list. While no daemon reads the store, the newest list that is newer than the own one is copied. Such a copy counts as a failed read, so that nothing is taken for gone because of it. The kind of pulses is a new one.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -241,6 +241,7 @@
             evacuations: self.fleet.evacuation_notices(now),
             paces: self.fleet.take_pace_news(now),
             refusals: self.fleet.refusal_reports(now),
+            list: self.fleet.position(),
         }
     }
 
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -8,12 +8,13 @@
 use crate::peer::{PeerCaller, PeerReply, PeerRequest};
 use crate::relay::config_copy::ConfigAssembler;
 use crate::relay::fleet::RelayFleet;
+use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::keeper::ConfigHolder;
 use crate::relay::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, TableCopy,
 };
 use crate::relay::registry::DaemonRegistry;
-use crate::relay::server_list::ListPosition;
+use crate::relay::server_list::{ListPosition, ServerChange};
 use crate::wire;
 
 /// Time after which sources are checked again if no pulse arrives.
@@ -74,18 +75,24 @@
     }
 
     /// Applies a copy that was requested when the list of servers was at `base`. Returns whether that list was applied.
-    fn apply(&self, copy: TableCopy, base: ListPosition) -> bool {
+    /// A copy from a daemon that does not read the store itself leaves the tables unreadable.
+    fn apply(&self, copy: TableCopy, base: ListPosition, reads_store: bool) -> bool {
         let now = Instant::now();
         let is_applied = self.fleet.apply_copy(copy.servers, base, now);
         if let Some(daemons) = copy.daemons {
             self.registry.apply_copy(daemons, now);
         }
+        if !reads_store {
+            self.fleet.apply(vec![ServerChange::Unreachable], now);
+            self.registry.apply(TableChange::Unreachable);
+        }
         is_applied
     }
 }
 
 /// Copies the tables from a daemon that reads the store when that daemon has changes, while this daemon does not read
-/// the store itself.
+/// the store itself. While no daemon reads the store, the newest list of any daemon is copied, as one that has just started
+/// has none.
 pub async fn follow_copies<C: PeerCaller>(
     readers: Arc<ReaderElection>,
     client: Arc<C>,
@@ -106,11 +113,13 @@
         if tables.fleet.take_resync(now) {
             history.clear();
         }
-        let source = readers.source(history.failed_source(now), now);
+        let base = tables.fleet.position();
+        let failed = history.failed_source(now);
+        let reader = readers.source(failed, now);
+        let source = reader.or_else(|| readers.newer_list_source(base, failed, now));
         let Some(source) = source.filter(|source| history.is_due(*source, now)) else {
             continue;
         };
-        let base = tables.fleet.position();
         let request = PeerRequest::FetchTables(history.request(source, base, now));
         let reply = client.call(source.peer, request, FETCH_TIMEOUT).await;
         let copy = reply.and_then(|reply| match reply {
@@ -120,8 +129,19 @@
         match copy {
             Ok(copy) => {
                 history.note_fetch(source, &copy, now);
-                metrics.count(&metrics.copies, "whole");
-                if !tables.apply(copy, base) {
+                let kind = match reader.is_some() {
+                    true => "whole",
+                    false => "unconfirmed",
+                };
+                metrics.count(&metrics.copies, kind);
+                if reader.is_none() {
+                    log::info!(
+                        "no daemon reads the store; the list of {} was copied at {:?} after {base:?}",
+                        source.peer,
+                        copy.servers.position
+                    );
+                }
+                if !tables.apply(copy, base, reader.is_some()) {
                     history.clear();
                 }
             }
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -24,6 +24,7 @@
 use crate::relay::evacuation::ZoneNotice;
 use crate::relay::refusing::RefusalReport;
 use crate::relay::registry::{DaemonRecord, DaemonRegistry};
+use crate::relay::server_list::ListPosition;
 use crate::timer::{TimerService, TimerTicks};
 
 /// Period of pulses in a small fleet, well below the time in which a server's number of requests changes.
@@ -83,6 +84,8 @@
     pub paces: Vec<(u32, u8)>,
     /// Servers that have refused its connections.
     pub refusals: Vec<RefusalReport>,
+    /// Position of its list of backend servers; zero while it knows none.
+    pub list: ListPosition,
 }
 
 /// Builds this daemon's pulses and handles those of peers.
@@ -284,12 +287,13 @@
     }
 }
 
-/// What a datagram contains, as its first byte.
+/// What a datagram contains, as its first byte. The kind of pulses changes with their fields: releases that differ in them
+/// do not hear each other, and each reads the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DatagramKind {
-    Pulse = 0,
     Blame = 1,
     Refusals = 2,
+    Pulse = 3,
 }
 
 /// Content of a datagram, whose numbers are checked once when it is decoded.
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -121,6 +121,7 @@
     weight: u32,
     version: u64,
     config_version: u64,
+    list: ListPosition,
 }
 
 /// A daemon from which copies are fetched, and the version of its tables.
@@ -202,6 +203,7 @@
             weight: pulse.weight,
             version: pulse.tables_version,
             config_version: pulse.config_version,
+            list: pulse.list,
         };
         self.peers().insert(pulse.name.clone(), state);
         self.elect(now);
@@ -252,6 +254,24 @@
         best.map(|(_, peer)| peer.as_source())
     }
 
+    /// Returns a daemon whose list of servers is newer than `position`, although it need not read the store: the one with
+    /// the newest list, preferably of the same zone. `failed` is chosen only if there is no other.
+    pub fn newer_list_source(
+        &self,
+        position: ListPosition,
+        failed: Option<VmId>,
+        now: Instant,
+    ) -> Option<CopySource> {
+        let peers = self.peers();
+        let newer = self.live(&peers, now);
+        let newer = newer.filter(|(_, peer)| peer.list > position);
+        let best = newer.max_by_key(|(name, peer)| {
+            let answers = Some(peer.vm) != failed;
+            (answers, peer.list, peer.zone == self.zone, rank(name))
+        });
+        best.map(|(_, peer)| peer.as_source())
+    }
+
     /// Returns a daemon whose configuration is newer than `version`, preferably of the same zone and then with the
     /// newest version. Among equals the choice is random, so that copies do not all come from one VM. `failed` is
     /// chosen only if there is no other.
--- a/tests/pulse_support/mod.rs
+++ b/tests/pulse_support/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foxtailhill::ids::VmId;
-use foxtailhill::relay::Pulse;
+use foxtailhill::relay::{ListPosition, Pulse};
 
 /// Returns the pulse of daemon `entry-<index>`, which has configuration 5.
 pub fn pulse(index: u16, zone: &str, reads: bool, reading_for: Duration) -> Pulse {
@@ -29,5 +29,6 @@
         work: Vec::new(),
         paces: Vec::new(),
         refusals: Vec::new(),
+        list: ListPosition::default(),
     }
 }
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxtailhill::ids::VmId;
+use foxtailhill::ids::{LogOffset, StoreEra, VmId};
 use foxtailhill::relay::{
-    CopySource, FetchHistory, ListPosition, ReaderElection, RegistryCopy, RelayFleet, ServerChange,
-    ServerEntry, StoreHealth, StoreTable, TableCopy,
+    CopySource, FetchHistory, ListPosition, Pulse, ReaderElection, RegistryCopy, RelayFleet,
+    ServerChange, ServerEntry, StoreHealth, StoreTable, TableCopy,
 };
 use pulse_support::pulse;
 use rand::rngs::StdRng;
@@ -119,6 +119,34 @@
     assert_eq!(election.newer_config_source(5, None, now), None);
 }
 
+/// Guards against a daemon that knows no servers until the store is back, as no daemon reads it.
+#[test]
+fn newer_list_is_found_at_a_daemon_that_does_not_read_the_store() {
+    let election = open(&Arc::default());
+    let now = Instant::now();
+    let position = |offset| ListPosition {
+        era: StoreEra(1),
+        offset: LogOffset(offset),
+    };
+    for (index, offset) in [(1, 0), (2, 8), (3, 9)] {
+        let pulse = Pulse {
+            list: position(offset),
+            ..pulse(index, "south", false, Duration::ZERO)
+        };
+        election.note_pulse(&pulse, now);
+    }
+    let source = |own, failed| {
+        let source = election.newer_list_source(own, failed, now);
+        source.map(|source| source.vm)
+    };
+    assert_eq!(election.source(None, now), None);
+    assert_eq!(source(ListPosition::default(), None), Some(VmId(3)));
+    assert_eq!(source(position(1), Some(VmId(3))), Some(VmId(2)));
+    assert_eq!(source(position(9), None), None, "the own list is as new");
+    let later = now + Duration::from_secs(9);
+    assert_eq!(election.newer_list_source(position(1), None, later), None);
+}
+
 /// Guards against fetching an unchanged copy repeatedly, and against never fetching it again.
 #[test]
 fn copy_is_fetched_when_the_source_changed_or_the_last_copy_expired() {
