Records: the software version of a server, and the attempt that a try takes up, are read

The version in a server's record was checked and dropped, and the header in which a caller names the attempt that brought its first event was not read, so neither the log nor any decision could use them. No decision does yet.

--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -38,6 +38,7 @@
         name: format!("server-{server}").into(),
         zone: format!("zone-{}", server % 10).into(),
         address: ([10, 0, 0, 1], 80).into(),
+        software: Default::default(),
         slots: 32,
         report: LoadReport {
             running: (server * 7 % 30) as u32,
@@ -71,6 +72,7 @@
         let policy = ExpectedTimePolicy::new(prefixes, 1);
         for (kind, prefixes) in [("plain", vec![]), ("prefixes", PREFIXES.to_vec())] {
             let need = RouteNeed {
+                software: None,
                 model: "model-5".into(),
                 version: "v1".into(),
                 adapter: Some("adapter-2".into()),
--- a/src/dispatch/model.rs
+++ b/src/dispatch/model.rs
@@ -191,11 +191,8 @@
             adapter: name.adapter.clone(),
             prefixes,
             zone: self.zone.clone(),
-            avoid: Vec::new(),
-            late: false,
             cost: model_cost(messages.len(), max_tokens, prefix_count),
-            deferred: false,
-            trial: Default::default(),
+            ..RouteNeed::default()
         };
         ModelNeed {
             route,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,8 @@
 const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
 /// Parts of the prompt as a list of ID:TOKENS, separated by commas; ids are hexadecimal.
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
+/// Id of the caller's attempt that brought the first event of the stream that this one takes up.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Id of the only server that may run the request.
 pub(super) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
@@ -92,6 +94,10 @@
                 wait.unwrap_or(MAX_DEADLINE).min(MAX_DEADLINE)
             }),
             last_event: number(headers, &LAST_EVENT_ID)?,
+            // One that is no text names no attempt.
+            resumes: headers
+                .get(&RESUMES)
+                .map(|value| value.to_str().unwrap_or_default().trim().into()),
         })
     }
 
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -12,7 +12,7 @@
 use crate::error::{Error, Result};
 use crate::relay::{HeldModel, ServerEntry};
 
-/// A record of a server. Fields with an underscore are read only to check the record, as every server writes them.
+/// A record of a server.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct ServerRecord {
@@ -20,7 +20,7 @@
     address: SocketAddr,
     zone: SmolStr,
     #[serde(rename = "version")]
-    _version: SmolStr,
+    software: SmolStr,
     slots: u32,
     state: StateRecord,
     /// How much longer the server is slow after its start.
@@ -85,6 +85,7 @@
         service: server.service,
         address: server.address,
         zone: server.zone,
+        software: server.software,
         slots: server.slots,
         leaving: matches!(server.state, StateRecord::Draining),
         models: server.models.into_iter().map(HeldModel::from).collect(),
--- a/src/relay/fleet/server_state.rs
+++ b/src/relay/fleet/server_state.rs
@@ -137,6 +137,7 @@
             name: entry.id.clone(),
             zone: entry.zone.clone(),
             address: entry.address,
+            software: entry.software.clone(),
             slots: entry.slots,
             report: LoadReport {
                 running: peer_requests,
--- a/src/relay/format.rs
+++ b/src/relay/format.rs
@@ -32,6 +32,15 @@
     pub deadline: Option<Duration>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event, if it resumes a stream and states that attempt.
+    pub resumes: Option<SmolStr>,
+}
+
+impl RequestMetadata {
+    /// Returns whether the caller resumes a stream of which it has events.
+    pub fn is_resumed(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
 }
 
 /// Metadata that the relay adds each time it sends a request to a backend server.
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -36,6 +36,8 @@
     pub service: SmolStr,
     pub address: SocketAddr,
     pub zone: SmolStr,
+    /// Version of its software. Streams that one version has begun go on at the same version only.
+    pub software: SmolStr,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     pub leaving: bool,
@@ -62,6 +64,10 @@
 
 /// A change of the list of backend servers.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "the largest variant is the most frequent one"
+)]
 pub enum ServerChange {
     /// The changes that follow come from this era of the store; they are ignored if the list is of a newer one.
     Era(StoreEra),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -34,6 +34,9 @@
     pub name: SmolStr,
     pub zone: SmolStr,
     pub address: SocketAddr,
+    /// Version of the server's software, which is another matter than that of the weights it holds; empty if it is not
+    /// known.
+    pub software: SmolStr,
     /// Maximum number of requests in the server's batch.
     pub slots: u32,
     /// Latest load report. The relay gets no load reports: there, `running` holds the requests that peers have in
@@ -87,6 +90,8 @@
     pub prefixes: Vec<u64>,
     /// Zone of this daemon.
     pub zone: SmolStr,
+    /// Software version of the only servers that may take the request; `None` for any.
+    pub software: Option<SmolStr>,
     /// Servers on which this request already failed.
     pub avoid: Vec<SmolStr>,
     /// Whether the answer will be late. Such a request takes only places that others do not need.
--- a/src/watch/server.rs
+++ b/src/watch/server.rs
@@ -228,6 +228,7 @@
             name: self.spec.name.clone(),
             zone: self.spec.zone.clone(),
             address: self.spec.address,
+            software: SmolStr::default(),
             slots,
             report: self.report.clone(),
             reported_at: self.reported_at,
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -207,6 +207,7 @@
         adapter: None,
         prefixes: Vec::new(),
         zone: "north".into(),
+        software: None,
         avoid: Vec::new(),
         late: false,
         deferred: false,
--- a/tests/cost.rs
+++ b/tests/cost.rs
@@ -128,6 +128,7 @@
         name: name.into(),
         zone: "z".into(),
         address: ([127, 0, 0, 1], 1).into(),
+        software: Default::default(),
         slots: 12,
         report: LoadReport {
             resident: vec![(item.clone(), 0)],
@@ -154,6 +155,7 @@
         output: 10,
     });
     let need = RouteNeed {
+        software: None,
         model: "m".into(),
         version: "v".into(),
         adapter: None,
--- a/tests/deferral.rs
+++ b/tests/deferral.rs
@@ -68,6 +68,7 @@
         name: format!("s{name}").into(),
         zone: "z".into(),
         address: ([127, 0, 0, 1], 1).into(),
+        software: Default::default(),
         slots: SLOTS,
         report: LoadReport {
             token_us: 20_000,
@@ -91,6 +92,7 @@
         prefixes: Vec::new(),
         zone: "z".into(),
         avoid: Vec::new(),
+        software: None,
         late: matches!(standing, Standing::Late | Standing::Deferred),
         cost: Default::default(),
         deferred: standing == Standing::Deferred && is_scarce,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -167,6 +167,7 @@
 
 fn need() -> RouteNeed {
     RouteNeed {
+        software: None,
         model: "drafter/m1".into(),
         version: SmolStr::default(),
         adapter: None,
--- a/tests/overload_recovery.rs
+++ b/tests/overload_recovery.rs
@@ -104,6 +104,7 @@
         name: format!("s{name}").into(),
         zone: "z".into(),
         address: ([127, 0, 0, 1], 1).into(),
+        software: Default::default(),
         slots: SLOTS,
         report: LoadReport {
             token_us: 20_000,
@@ -302,6 +303,7 @@
             let mut slot = None;
             let popped = state.queue.pop_next(now, |index| {
                 let need = RouteNeed {
+                    software: None,
                     model: "m".into(),
                     version: "v".into(),
                     adapter: None,
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -222,6 +222,7 @@
         service: "desk".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "north".into(),
+        software: "v1".into(),
         slots: 6,
         leaving,
         models: Vec::new(),
--- a/tests/refusing.rs
+++ b/tests/refusing.rs
@@ -186,6 +186,7 @@
 fn is_chosen(fleet: &Arc<RelayFleet>) -> bool {
     let policy = ExpectedTimePolicy::new(Arc::new(PrefixIndex::new()), 1);
     let need = RouteNeed {
+        software: None,
         model: "desk".into(),
         version: SmolStr::default(),
         adapter: None,
--- a/tests/regression/copy_of_an_earlier_era.rs
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -16,6 +16,7 @@
         service: "desk".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "north".into(),
+        software: "v1".into(),
         slots: 6,
         leaving: false,
         models: Vec::new(),
--- a/tests/regression/odd_entry_of_a_copy.rs
+++ b/tests/regression/odd_entry_of_a_copy.rs
@@ -22,6 +22,7 @@
         service: "desk".into(),
         address: SocketAddr::from(([10, 0, 0, 9], 8_080)),
         zone: "north".into(),
+        software: "v1".into(),
         slots: 4,
         leaving: false,
         models: Vec::new(),
--- a/tests/regression/suspect_reservation.rs
+++ b/tests/regression/suspect_reservation.rs
@@ -26,6 +26,7 @@
             name: "engine-1".into(),
             zone: "north".into(),
             address: ([127, 0, 0, 1], 1).into(),
+            software: Default::default(),
             slots: 8,
             report: LoadReport {
                 resident: vec![(item, 1)],
@@ -54,6 +55,7 @@
 fn need(fingerprint: &[u8]) -> ModelNeed {
     ModelNeed {
         route: RouteNeed {
+            software: None,
             model: "drafter".into(),
             version: "v1".into(),
             adapter: None,
--- a/tests/relay_planner.rs
+++ b/tests/relay_planner.rs
@@ -297,6 +297,7 @@
         service: "drafter".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9 + index as u16)),
         zone: format!("z{index}").into(),
+        software: "v1".into(),
         slots: 64,
         leaving: false,
         models: Vec::new(),
--- a/tests/relay_planner_era.rs
+++ b/tests/relay_planner_era.rs
@@ -122,6 +122,7 @@
         service: "drafter".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "z0".into(),
+        software: "v1".into(),
         slots: 64,
         leaving: false,
         models: Vec::new(),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -26,6 +26,7 @@
         name: format!("s{name}").into(),
         zone: zone.into(),
         address: ([127, 0, 0, 1], 1).into(),
+        software: Default::default(),
         slots: 8,
         report: LoadReport {
             token_us: 20_000,
@@ -43,6 +44,7 @@
 
 fn need(model: u8) -> RouteNeed {
     RouteNeed {
+        software: None,
         model: format!("m{model}").into(),
         version: "v1".into(),
         adapter: None,
--- a/tests/uneven_servers.rs
+++ b/tests/uneven_servers.rs
@@ -227,6 +227,7 @@
                     name: format!("s{server}").into(),
                     zone: "z".into(),
                     address: ([127, 0, 0, 1], 1).into(),
+                    software: Default::default(),
                     slots: SLOTS as u32,
                     report: LoadReport {
                         running: totals[server].0 - own.0,
@@ -295,6 +296,7 @@
                 adapter: None,
                 prefixes: Vec::new(),
                 zone: "z".into(),
+                software: None,
                 avoid: Vec::new(),
                 late: false,
                 deferred: false,
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -181,6 +181,7 @@
             prefixes: Vec::new(),
             zone: "z".into(),
             avoid: Vec::new(),
+            software: None,
             late: false,
             cost: Default::default(),
             deferred: false,
