Streams: an answer that broke off goes on at the software version that began it

What callers saw: after a server had crashed, one answer held events of two software versions, as the rest of it was asked of any server.

Cause: a request that is sent again may go to any server of its service; no requirement remained from the part that was forwarded.

Change: once an event was forwarded, the request needs servers of that software version (RouteNeed::software), in the choice of a server, in the question whether another one has room, and in the wait. When no lasting server of the version is left, the answer ends as broken at once.

--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -20,7 +20,7 @@
 use crate::peer::SuspectNotice;
 use crate::queue::{QueuePolicy, WaitEntry};
 use crate::retry::RetryBudget;
-use crate::routing::{RoutingPolicy, TrialRule};
+use crate::routing::{RouteNeed, RoutingPolicy, TrialRule};
 use crate::suspect::{SuspectTable, SuspectVerdict};
 
 /// Parts of an answer that are buffered for a caller that reads slowly.
@@ -28,6 +28,8 @@
 /// How long a request waits for a server other than those that failed it. Load reports arrive more often than that,
 /// and the only server of a model must get the request again.
 const AVOID_TIME: Duration = Duration::from_millis(500);
+/// Period in which a waiting request checks whether servers of the software version that it needs are left.
+const SOFTWARE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Time after which a charge stops borrowing tokens from peers.
 const BORROW_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -79,8 +81,8 @@
 
 /// Tells whether another server than the current one could take a request.
 pub trait OtherServers: Sync {
-    /// Returns whether the request would get a place at another server at once.
-    fn have_room(&self) -> bool;
+    /// Returns whether the request would get a place at another server of a software version at once; `None` for any.
+    fn have_room(&self, software: Option<SmolStr>) -> bool;
 }
 
 /// The servers of a model other than `current`.
@@ -91,8 +93,9 @@
 }
 
 impl<P: CoreParts> OtherServers for QueueServers<'_, P> {
-    fn have_room(&self) -> bool {
+    fn have_room(&self, software: Option<SmolStr>) -> bool {
         let mut route = self.need.route.clone();
+        route.software = software;
         route.avoid.push(self.current.clone());
         self.queues.has_room(route)
     }
@@ -119,6 +122,11 @@
         others: &O,
     ) -> impl Future<Output = Attempt> + Send;
 
+    /// Returns the software version of the only servers that may send the rest of the answer; `None` for any.
+    fn software(&self) -> Option<SmolStr> {
+        None
+    }
+
     /// Returns whether another server may be tried after `error`, and takes the retry from a budget. Called once per
     /// failed attempt.
     fn may_retry(&mut self, error: &Error) -> bool;
@@ -436,6 +444,7 @@
             RunVerdict::NotRun => exchange.work_time(),
             _ => WorkTime::NONE,
         };
+        job.need.route.software = exchange.software();
         let slot = self.acquire(&mut job.need, exchange);
         let slot = tokio::select! {
             slot = self.drain.run_unsent(work_time, slot) => slot,
@@ -481,12 +490,38 @@
     /// Returns whether a usable server, full or not, has not failed the request.
     fn has_other_server(&self, need: &ModelNeed) -> bool {
         let fleet = self.queues.fleet().snapshot();
-        let route = &need.route;
-        fleet.has_usable_server_besides(&route.model, &route.version, &route.avoid)
+        fleet.has_other_server(&need.route)
     }
 
-    /// Waits for a slot on a backend server, for [`AVOID_TIME`] only on those that have not failed this request.
+    /// Waits for a slot on a backend server, no longer than there are servers of the software version that the request needs.
     async fn acquire<X: Exchange>(&self, need: &mut ModelNeed, exchange: &X) -> Result<ServerSlot> {
+        if need.route.software.is_none() {
+            return self.acquire_any(need, exchange).await;
+        }
+        let route = need.route.clone();
+        tokio::select! {
+            biased;
+            () = self.software_gone(&route) => {
+                let message = "no backend server runs the software version that began the stream";
+                Err(Error::unavailable(message))
+            }
+            slot = self.acquire_any(need, exchange) => slot,
+        }
+    }
+
+    /// Completes when no lasting server can take a request that needs a software version.
+    async fn software_gone(&self, route: &RouteNeed) {
+        while self.queues.fleet().snapshot().has_lasting_server(route) {
+            tokio::time::sleep(SOFTWARE_CHECK_PERIOD).await;
+        }
+    }
+
+    /// Waits for a slot on a backend server, for [`AVOID_TIME`] only on those that have not failed this request.
+    async fn acquire_any<X: Exchange>(
+        &self,
+        need: &mut ModelNeed,
+        exchange: &X,
+    ) -> Result<ServerSlot> {
         if !need.route.avoid.is_empty() {
             let other = self.queues.acquire(need.clone(), exchange.wait_entry());
             if let Ok(slot) = tokio::time::timeout(AVOID_TIME, other).await {
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     /// Version that the server holds.
     pub version: SmolStr,
+    /// Version of the server's software.
+    pub software: SmolStr,
     /// Incarnation of the engine as last reported.
     pub incarnation: u64,
     guard: DispatchGuard,
@@ -411,6 +413,7 @@
         Some(ServerSlot {
             name: view.name.clone(),
             address: view.address,
+            software: view.software.clone(),
             version: route.version,
             incarnation: view.report.incarnation,
             guard: fleet.handle(position).begin_work(self.routing.cost_us(
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
+use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
 use crate::catalog::RequestClass;
@@ -97,6 +98,8 @@
     last_event: Option<u64>,
     /// Type of the stream whose head was sent to the caller.
     sent_type: Option<StreamType>,
+    /// Software version of the only servers that may send the rest of the stream, once an event was forwarded.
+    software: Option<SmolStr>,
     /// Complete events that the current server has sent.
     attempt_events: u32,
     /// When the request was sent to the current server.
@@ -127,6 +130,7 @@
             failed_connects: 0,
             refused_connects: 0,
             sent_type: None,
+            software: None,
             attempt_events: 0,
             sent: Instant::now(),
             timing: AttemptTiming::default(),
@@ -219,7 +223,7 @@
     fn reserve_retry(&mut self, others: &impl OtherServers) -> bool {
         self.retry_reserved = self.is_repeatable()
             && self.has_attempts_left()
-            && others.have_room()
+            && others.have_room(self.software())
             && self.budget.try_retry();
         self.retry_reserved
     }
@@ -530,6 +534,10 @@
         }
     }
 
+    fn software(&self) -> Option<SmolStr> {
+        self.software.clone()
+    }
+
     fn may_retry(&mut self, _error: &Error) -> bool {
         std::mem::take(&mut self.retry_reserved)
             || self.has_attempts_left() && self.budget.try_retry()
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -438,25 +438,47 @@
 
     /// Returns whether a server that is neither leaving nor suspected holds a version of a model.
     pub fn has_usable_server(&self, model: &SmolStr, version: &SmolStr) -> bool {
-        self.has_usable_server_besides(model, version, &[])
+        let mut holders = self.holders(model, version).iter();
+        holders.any(|position| self.is_usable(*position as usize))
+    }
+
+    /// Returns whether a usable server that has not failed the request, full or not, can take it.
+    pub fn has_other_server(&self, need: &RouteNeed) -> bool {
+        self.eligible(need).any(|position| {
+            self.is_usable(position) && !need.avoid.contains(&self.views[position].name)
+        })
+    }
+
+    /// Returns whether a server that is not leaving, usable now or not, can take the request.
+    pub fn has_lasting_server(&self, need: &RouteNeed) -> bool {
+        self.eligible(need).any(|position| {
+            let handle = &self.index.handles[position];
+            !handle.is_leaving()
+                && handle.availability() != Availability::Closed
+                && handle.standing() != ServerStanding::Displaced
+        })
+    }
+
+    /// Returns whether the server at `position` runs the software that a request needs.
+    pub(super) fn has_software(&self, position: usize, need: &RouteNeed) -> bool {
+        let software = need.software.as_ref();
+        software.is_none_or(|software| self.views[position].software == *software)
     }
 
-    /// Like [`Self::has_usable_server`], for servers other than those in `avoid`.
-    pub fn has_usable_server_besides(
-        &self,
-        model: &SmolStr,
-        version: &SmolStr,
-        avoid: &[SmolStr],
-    ) -> bool {
-        let holders = self.holders(model, version).iter();
-        let mut holders = holders.map(|position| *position as usize);
-        holders
-            .any(|position| self.is_usable(position) && !avoid.contains(&self.views[position].name))
+    /// Returns the positions of the servers that hold the version of the model and run the software that a request needs,
+    /// usable or not.
+    fn eligible<'a>(&'a self, need: &'a RouteNeed) -> impl Iterator<Item = usize> + 'a {
+        let holders = self.holders(&need.model, &need.version).iter();
+        let holders = holders.map(|position| *position as usize);
+        holders.filter(|position| self.has_software(*position, need))
     }
 
     /// Returns why no server can take a request, given that routing found none.
     pub fn unroutable_reason(&self, need: &RouteNeed) -> UnroutableReason {
-        let usable = |servers: &[u32]| servers.iter().any(|at| self.is_usable(*at as usize));
+        let usable = |servers: &[u32]| {
+            let mut servers = servers.iter().map(|position| *position as usize);
+            servers.any(|position| self.is_usable(position) && self.has_software(position, need))
+        };
         let model = self.model(&need.model, &need.version);
         let Some(model) = model.filter(|model| usable(&model.servers)) else {
             return UnroutableReason::NoModel;
@@ -472,17 +494,17 @@
 
     /// Returns the number of this daemon's requests at servers of a model that have not answered.
     pub(super) fn trials_in_flight(&self, need: &RouteNeed) -> u32 {
-        let holders = self.holders(&need.model, &need.version).iter();
-        let handles = holders.map(|position| &self.index.handles[*position as usize]);
+        let handles = self
+            .eligible(need)
+            .map(|position| &self.index.handles[position]);
         let unproven = handles.filter(|handle| handle.standing() != ServerStanding::Proven);
         unproven.map(|handle| handle.in_flight()).sum()
     }
 
     /// Returns whether a server that is not leaving and not in `avoid` holds a version of a model and has answered.
     pub(super) fn proven_servers(&self, need: &RouteNeed) -> ProvenServers {
-        let holders = self.holders(&need.model, &need.version).iter();
         let mut found = ProvenServers::None;
-        for position in holders.map(|position| *position as usize) {
+        for position in self.eligible(need) {
             let handle = &self.index.handles[position];
             if handle.standing() != ServerStanding::Proven
                 || handle.is_leaving()
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -387,6 +387,9 @@
             return None;
         }
         let position = *index as usize;
+        if !fleet.has_software(position, need) {
+            return None;
+        }
         let handle = fleet.handle(position);
         if handle.is_leaving()
             || handle.is_suspected()
