Origins of streams and versions of software listed lately, as decisions without I/O

Cause: nothing in the relay knows which software wrote a stream's first event, nor which versions of a service ran lately, so a stream is taken up at any server of the service.

Change: OriginTable remembers the origin of each stream and holders() names the daemons that are told of it or asked for it; VersionHistory remembers the versions that were listed in the last minute, and takes over what peers saw before a restart. Not used yet. A peer's knowledge counts only SETTLE_TIME after the first own list: reports leave out services with one version, so an older list of the peer's could lack the version that replaced it.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -30,6 +30,7 @@
 mod layout;
 mod lease;
 mod load_budget;
+mod origins;
 mod planner;
 mod planner_state;
 mod probes;
@@ -46,6 +47,7 @@
 mod store;
 mod trace;
 mod upstream;
+mod version_history;
 
 pub use self::absent::AbsentModels;
 pub use self::answer_memory::AnswerMemory;
@@ -89,6 +91,7 @@
     WriteAnswer,
 };
 pub use self::load_budget::{LoadBudget, LoadCeiling, OrderKey};
+pub use self::origins::{KnownOrigin, OriginKey, OriginNotice, OriginTable, StreamId, holders};
 pub use self::planner::{PlannerContext, ReplicaPlanner};
 pub use self::probes::spawn_probes;
 pub use self::pulse::{Pulse, PulseHandler, spawn_pulses};
@@ -106,3 +109,4 @@
 pub use self::start_gate::{ConfigKnowledge, StartGate};
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::upstream::{SendError, UpstreamAnswer, UpstreamPool};
+pub use self::version_history::{VersionHistory, VersionNotice, VersionReport};
