Streams: a caller's try goes on at the software version that began its stream, at any daemon

Cause: nobody but the daemon that was gone knew which version had begun the stream, and no daemon asked.

While several versions of a service are listed, or were, the daemon that passes the first event on tells up to four others; a daemon that gets a try asks them. If nobody knows, the try goes on only if the history of the list shows that one version alone can have begun the stream, and is refused at once otherwise. A new version gets streams only as a last resort for 3 s.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -4,14 +4,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::admin::{AdminServer, AdminSources, StateDump};
 use crate::blame::DaemonKey;
 use crate::daemon::crowd_report::spawn_crowd_report;
 use crate::daemon::descriptors::VmLimits;
 use crate::daemon::relay_peers::{
-    KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_placement_requests,
+    KnownPlanner, RelayPeerHandler, RelayPulseHandler, spawn_origin_questions,
+    spawn_placement_requests,
 };
 use crate::daemon::relay_state::RelayState;
 use crate::dispatch::{
@@ -32,11 +33,11 @@
 use crate::queue::WaitQueue;
 use crate::relay::{
     ConfigHolder, CopyTables, CrashDetector, CrashWatch, DaemonRecord, DaemonRegistry,
-    EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, PairSink, PlannerContext,
-    ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer,
-    ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth, StoreTable,
-    TableSink, UpstreamPool, bind_readiness, follow_configs, follow_copies, spawn_probes,
-    spawn_pulses, spawn_reader,
+    EvacuationSink, FollowPace, LeaseCandidate, LeaseManager, OriginQuestion, PairSink,
+    PlannerContext, ReaderElection, RegistrySettings, RelayContext, RelayDispatcher, RelayFleet,
+    RelayServer, ReplicaPlanner, RetryLimits, ServerSink, ServingConfig, StartGate, StoreHealth,
+    StoreTable, StreamOrigins, TableSink, UpstreamPool, bind_readiness, follow_configs,
+    follow_copies, spawn_probes, spawn_pulses, spawn_reader,
 };
 use crate::retry::RetryBudget;
 use crate::routing::{ColdBound, ExpectedFinishPolicy};
@@ -115,6 +116,7 @@
     pub(super) health: Arc<StoreHealth>,
     pub(super) lease: Arc<LeaseManager>,
     pub(super) cold_bound: ColdBound,
+    pub(super) origins: Arc<StreamOrigins>,
 }
 
 impl RelayServices {
@@ -164,7 +166,8 @@
     service_tasks: &TaskGroup,
     request_tasks: &TaskGroup,
 ) -> Result<RelayDaemon> {
-    let services = open_services(settings, service_tasks, request_tasks);
+    let (services, questions) = open_services(settings, service_tasks, request_tasks);
+    spawn_origin_questions(services.client.clone(), questions, service_tasks);
     let metrics = services.core.metrics().clone();
     let VmLimits {
         callers: limits,
@@ -180,6 +183,7 @@
         core: services.core.clone(),
         planner: services.planner.clone(),
         tables: services.tables(),
+        origins: services.origins.clone(),
     });
     PeerServer::bind_with_limits(service_tasks, settings.listen.peer, handler, peers).await?;
     let pulses = Arc::new(RelayPulseHandler::new(&services));
@@ -200,6 +204,7 @@
         fleet: services.fleet.clone(),
         crashes: services.crashes.clone(),
         watch: services.watch.clone(),
+        origins: services.origins.clone(),
         pool: services.pool.clone(),
         memory: memory.clone(),
         format: Arc::new(PlatformFormat),
@@ -283,7 +288,7 @@
     settings: &RelaySettings,
     service_tasks: &TaskGroup,
     request_tasks: &TaskGroup,
-) -> RelayServices {
+) -> (RelayServices, mpsc::UnboundedReceiver<OriginQuestion>) {
     let timer = TimerService::spawn(service_tasks);
     let store = Arc::new(StoreClient::open(settings.store.address));
     let configs = Arc::new(ConfigHolder::new(
@@ -356,7 +361,8 @@
         },
         &timer,
     );
-    RelayServices {
+    let (origins, questions) = StreamOrigins::open(fleet.clone(), registry.clone());
+    let services = RelayServices {
         client,
         planner,
         known_planner: Arc::default(),
@@ -376,7 +382,9 @@
         demand,
         pool,
         core,
-    }
+        origins,
+    };
+    (services, questions)
 }
 
 fn spawn_tasks(services: &RelayServices, group: &TaskGroup) {
@@ -453,12 +461,13 @@
 fn spawn_fleet(services: &RelayServices, group: &TaskGroup) {
     let (fleet, crashes) = (services.fleet.clone(), services.crashes.clone());
     let (watch, registry) = (services.watch.clone(), services.registry.clone());
-    let core = services.core.clone();
+    let (core, origins) = (services.core.clone(), services.origins.clone());
     let (configs, bound) = (services.configs.subscribe(), services.cold_bound);
     services
         .timer
         .spawn_periodic(group, "fleet-view", FLEET_PERIOD, move |now| {
             fleet.tick(now);
+            origins.tick(now);
             let cold = fleet.cold_servers();
             if cold > 0 {
                 update_cold_shares(&fleet, &registry, configs.borrow().as_deref(), bound, now);
--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
@@ -20,8 +22,9 @@
 };
 use crate::placement::DemandTracker;
 use crate::relay::{
-    ConfigHolder, CopyTables, CrashWatch, DaemonRegistry, PlacementChange, PlacementRequest, Pulse,
-    PulseHandler, QUARANTINE_TIME, ReaderElection, RefusalReport, RelayFleet,
+    ConfigHolder, CopyTables, CrashWatch, DaemonRegistry, KnownOrigin, OriginNotice,
+    OriginQuestion, PlacementChange, PlacementRequest, Pulse, PulseHandler, QUARANTINE_TIME,
+    ReaderElection, RefusalReport, RelayFleet, StreamId, StreamOrigins,
 };
 
 /// Time limit of one placement request to the planner.
@@ -31,6 +34,9 @@
 /// Delay between two attempts of a placement request.
 const PLACEMENT_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Time limit of the question which software began a stream. The caller is refused if nobody answers, and may come back.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time for which pulses repeat a notice about a suspect request: long enough to send a pulse to every peer in turn,
 /// even if one pulse is lost.
 const NOTICE_LIFETIME: Duration = Duration::from_secs(2);
@@ -122,12 +128,55 @@
     }
 }
 
+/// Starts the task that asks other daemons which software began a stream.
+pub(super) fn spawn_origin_questions(
+    client: Arc<PeerClient>,
+    mut questions: mpsc::UnboundedReceiver<OriginQuestion>,
+    group: &TaskGroup,
+) {
+    let parent = group.clone();
+    group.spawn_essential("origin-questions", async move {
+        while let Some(question) = questions.recv().await {
+            let client = client.clone();
+            // The asking request may have ended.
+            let task = async move {
+                let origin = ask_holders(&client, question.stream, &question.holders).await;
+                let _ = question.reply.send(origin);
+            };
+            parent.spawn_recoverable("origin-question", task, || {});
+        }
+    });
+}
+
+/// Asks all holders at once and returns the first answer that says something.
+async fn ask_holders(client: &PeerClient, stream: StreamId, holders: &[SocketAddr]) -> KnownOrigin {
+    let calls = holders.iter().map(|holder| {
+        let request = PeerRequest::FindOrigin(stream);
+        client.call(*holder, request, ORIGIN_TIMEOUT)
+    });
+    let mut replies: FuturesUnordered<_> = calls.collect();
+    while let Some(reply) = replies.next().await {
+        match reply {
+            Ok(PeerReply::Origin(KnownOrigin::Unknown)) => {}
+            Ok(PeerReply::Origin(origin)) => return origin,
+            Ok(_) => {
+                log::info!("a daemon answered another question than which software began a stream")
+            }
+            Err(error) => {
+                log::info!("a daemon could not be asked which software began a stream: {error}")
+            }
+        }
+    }
+    KnownOrigin::Unknown
+}
+
 /// Answers calls from other daemons.
 pub(super) struct RelayPeerHandler {
     pub(super) limits: Arc<LimitService<PeerClient>>,
     pub(super) core: Arc<Core>,
     pub(super) planner: Arc<Planner>,
     pub(super) tables: CopyTables,
+    pub(super) origins: Arc<StreamOrigins>,
 }
 
 impl PeerHandler for RelayPeerHandler {
@@ -145,6 +194,7 @@
                 self.core.apply_notices(&notices, QUARANTINE_TIME);
                 Ok(PeerReply::Done)
             }
+            PeerRequest::FindOrigin(stream) => Ok(PeerReply::Origin(self.origins.find(stream))),
             PeerRequest::Place(item) => Ok(PeerReply::Placed(self.planner.place(item).await)),
             request => self.tables.answer(request),
         }
@@ -179,6 +229,7 @@
     pub(super) known_planner: Arc<KnownPlanner>,
     pub(super) readers: Arc<ReaderElection>,
     pub(super) watch: Arc<CrashWatch>,
+    pub(super) origins: Arc<StreamOrigins>,
     notices: RecentNotices,
 }
 
@@ -196,6 +247,7 @@
             known_planner: services.known_planner.clone(),
             readers: services.readers.clone(),
             watch: services.watch.clone(),
+            origins: services.origins.clone(),
             notices: RecentNotices::default(),
         }
     }
@@ -242,6 +294,7 @@
             paces: self.fleet.take_pace_news(now),
             refusals: self.fleet.refusal_reports(now),
             list: self.fleet.position(),
+            versions: self.fleet.version_report(now),
         }
     }
 
@@ -286,8 +339,17 @@
         metrics.connects.get_or_create(&label).inc_by(used as u64);
     }
 
+    async fn take_origins(&self) -> HashMap<SocketAddr, Vec<OriginNotice>> {
+        self.origins.take_notices().await
+    }
+
+    fn handle_origins(&self, notices: Vec<OriginNotice>, now: Instant) {
+        self.origins.apply(&notices, now);
+    }
+
     fn handle_pulse(&self, pulse: Pulse, now: Instant) {
         self.readers.note_pulse(&pulse, now);
+        self.fleet.apply_version_report(&pulse.versions, now);
         self.fleet
             .record_peer_work(pulse.vm, &pulse.in_flight, &pulse.work);
         self.fleet
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -135,6 +135,10 @@
     pub config_versions: Family<KindLabels, Gauge>,
     /// Copies of another daemon's tables by kind (`whole`, `failed`).
     pub copies: Family<KindLabels, Counter>,
+    /// Streams that began while several software versions served (`begun`), and streams that callers took up: by how
+    /// their software version is known (`own`, `peer`, `sole`), or why they cannot go on (`unknown`, `conflicting`,
+    /// `gone`).
+    pub stream_tries: Family<KindLabels, Counter>,
     /// Records of backend servers that cannot be decoded.
     pub skipped_servers: SkipMetrics,
     /// Suspects and what is refused by kind (`suspect` and `quarantined` requests, `suspect_parts` and `blocked_parts` of
@@ -193,6 +197,7 @@
             config_next: Gauge::default(),
             config_versions: Family::default(),
             copies: Family::default(),
+            stream_tries: Family::default(),
             skipped_servers: SkipMetrics::default(),
             suspects: Family::default(),
             cold_servers: Gauge::default(),
@@ -343,6 +348,11 @@
             self.config_versions.clone(),
         );
         registry.register("copies", "Copies of tables", self.copies.clone());
+        registry.register(
+            "stream_tries",
+            "Streams by their software version",
+            self.stream_tries.clone(),
+        );
         registry.register(
             "skipped_server_keys",
             "Keys of backend servers whose newest record cannot be decoded",
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -24,7 +24,8 @@
 use crate::ids::{KeyDigest, LogOffset, VmId};
 use crate::limit::MAX_LOAN_LIFETIME;
 use crate::relay::{
-    ConfigChunk, ConfigRequest, CopyRequest, PlacementChange, PlacementRequest, TableCopy,
+    ConfigChunk, ConfigRequest, CopyRequest, KnownOrigin, PlacementChange, PlacementRequest,
+    StreamId, TableCopy,
 };
 
 /// Longest promise of a status, above any term of a member.
@@ -99,6 +100,8 @@
     FetchTables(CopyRequest),
     /// Asks for a part of a newer configuration of the users' platform.
     FetchConfig(ConfigRequest),
+    /// Asks which software began a stream on the users' platform.
+    FindOrigin(StreamId),
 }
 
 /// Answer to a [`PeerRequest`].
@@ -116,6 +119,7 @@
     Tables(TableCopy),
     /// `None` if the receiver has no newer configuration.
     Config(Option<ConfigChunk>),
+    Origin(KnownOrigin),
 }
 
 impl PeerReply {
--- a/src/relay/dispatcher.rs
+++ b/src/relay/dispatcher.rs
@@ -29,6 +29,8 @@
 use crate::relay::prompt::{prompt_fingerprint, shared_parts};
 use crate::relay::readers::ReaderElection;
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
+use crate::relay::resumption::StreamPlace;
+use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::upstream::UpstreamPool;
 use crate::retry::RetryBudget;
 use crate::returns::TimeLeftLog;
@@ -65,6 +67,7 @@
     pub fleet: Arc<RelayFleet>,
     pub crashes: Arc<CrashDetector>,
     pub watch: Arc<CrashWatch>,
+    pub origins: Arc<StreamOrigins>,
     pub pool: UpstreamPool,
     /// Memory for request bodies and answers.
     pub memory: MemoryAccount,
@@ -103,6 +106,8 @@
     absent: Mutex<AbsentModels>,
     /// Times that callers stated, by route.
     time_logs: Mutex<HashMap<SmolStr, TimeLeftLog>>,
+    /// Longest time that a caller stated, by route with streams that may be resumed.
+    pub(super) longest_waits: Mutex<HashMap<SmolStr, Duration>>,
 }
 
 /// An answer whose head has arrived.
@@ -145,6 +150,7 @@
             pool: context.pool.clone(),
             fleet: context.fleet.clone(),
             crashes: context.crashes.clone(),
+            origins: context.origins.clone(),
             watch: context.watch.clone(),
             times: AnswerTimes::default(),
             memory: AnswerMemory::new(&context.memory),
@@ -157,6 +163,7 @@
             budgets: Mutex::default(),
             absent: Mutex::default(),
             time_logs: Mutex::default(),
+            longest_waits: Mutex::default(),
         })
     }
 
@@ -165,6 +172,14 @@
         &self.context.core
     }
 
+    pub(super) fn fleet(&self) -> &Arc<RelayFleet> {
+        &self.context.fleet
+    }
+
+    pub(super) fn origins(&self) -> &StreamOrigins {
+        &self.context.origins
+    }
+
     /// Returns the memory for request bodies and answers.
     pub(super) fn memory(&self) -> &MemoryAccount {
         &self.context.memory
@@ -231,7 +246,12 @@
         self.context.core.check_suspect(&fingerprint)?;
         let parts = shared_parts(&call_digest, &metadata);
         self.context.watch.check_new(&parts)?;
-        let service = self.select_service(&config, &route)?;
+        let place = self.find_place(&config, &route, &metadata, attribution.team.as_ref());
+        let StreamPlace { stream, origin } = drain.run_unsent(|| WorkTime::NONE, place).await?;
+        let service = match &origin {
+            Some(origin) => declared_service(&config, &origin.service)?,
+            None => self.select_service(&config, &route)?,
+        };
         let work =
             self.exchanges
                 .estimate_work(&service.name, &route.name, &metadata, Instant::now());
@@ -289,6 +309,9 @@
                     caller_deadline,
                     deadline,
                     work,
+                    stream,
+                    software: origin.map(|origin| origin.software),
+                    service: service.name.clone(),
                     tokens,
                     priority,
                     deferrable,
@@ -465,7 +488,7 @@
     }
 
     /// Selects the service of a request by the weights of its route.
-    fn select_service<'a>(
+    pub(super) fn select_service<'a>(
         &self,
         config: &'a ServingConfig,
         route: &RouteConfig,
@@ -473,9 +496,7 @@
         let name = route
             .pick_service(rand::random())
             .ok_or_else(|| Error::unavailable("the route has no service"))?;
-        let service = config
-            .service(name)
-            .ok_or_else(|| Error::unavailable(format!("service `{name}` is not declared")))?;
+        let service = declared_service(config, name)?;
         if !self.context.fleet.has_service(name) {
             let message = match self.context.fleet.has_list() {
                 true => format!("service `{name}` has no backend server"),
@@ -542,6 +563,12 @@
     }
 }
 
+fn declared_service<'a>(config: &'a ServingConfig, name: &SmolStr) -> Result<&'a ServiceConfig> {
+    config
+        .service(name)
+        .ok_or_else(|| Error::unavailable(format!("service `{name}` is not declared")))
+}
+
 /// Finds the route and the team of a request in `config` and records them in `attribution`.
 fn match_in_config(
     config: Arc<ServingConfig>,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -33,6 +33,7 @@
 use crate::relay::fleet::RelayFleet;
 use crate::relay::format::{AnswerKind, RelayFormat, UpstreamMetadata};
 use crate::relay::request::{RelayPiece, RelayRequest, ResponseHead};
+use crate::relay::stream_origins::StreamOrigins;
 use crate::relay::upstream::{SendError, UpstreamAnswer, UpstreamPool};
 use crate::retry::RetryBudget;
 use crate::wire;
@@ -66,6 +67,7 @@
     pub(super) fleet: Arc<RelayFleet>,
     pub(super) crashes: Arc<CrashDetector>,
     pub(super) watch: Arc<CrashWatch>,
+    pub(super) origins: Arc<StreamOrigins>,
     pub(super) times: AnswerTimes,
     pub(super) memory: AnswerMemory,
     pub(super) outputs: OutputMemory,
@@ -98,7 +100,7 @@
     last_event: Option<u64>,
     /// Type of the stream whose head was sent to the caller.
     sent_type: Option<StreamType>,
-    /// Software version of the only servers that may send the rest of the stream, once an event was forwarded.
+    /// Software version of the only servers that may send the rest of the stream, if it has begun.
     software: Option<SmolStr>,
     /// Complete events that the current server has sent.
     attempt_events: u32,
@@ -121,6 +123,7 @@
     ) -> Self {
         Self {
             last_event: request.metadata.last_event,
+            software: request.software.clone(),
             request,
             context,
             budget,
@@ -130,7 +133,6 @@
             failed_connects: 0,
             refused_connects: 0,
             sent_type: None,
-            software: None,
             attempt_events: 0,
             sent: Instant::now(),
             timing: AttemptTiming::default(),
@@ -515,6 +517,7 @@
     ) -> Attempt {
         let attempt = self.send_to(slot, pieces, others).await;
         self.note_trial(slot, &attempt);
+        let attempt = self.check_origin(slot, attempt);
         if !std::mem::take(&mut self.broke_early) {
             return attempt;
         }
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -18,6 +18,7 @@
 };
 use crate::relay::format::RelayFormat;
 use crate::relay::request::RelayPiece;
+use crate::relay::stream_origins::StreamStart;
 use crate::relay::upstream::UpstreamAnswer;
 
 /// Status and media type of a stream. A server that resumes a stream answers with the same; any other answer is an
@@ -177,6 +178,60 @@
         }
     }
 
+    /// Notes the software that begins the stream, or goes on with it.
+    fn note_origin(&mut self, slot: &ServerSlot) {
+        // The server may have started anew since it was chosen.
+        let software = self.context.fleet.software_of(&slot.name);
+        let software = software.unwrap_or_else(|| slot.software.clone());
+        if let Some(stream) = self.request.stream {
+            let is_told = self.context.origins.begin(StreamStart {
+                stream,
+                service: &self.request.service,
+                software: &software,
+                deadline: self.request.caller_deadline,
+            });
+            if is_told {
+                let metrics = &self.context.metrics;
+                metrics.count(&metrics.stream_tries, "begun");
+                log::info!(
+                    "the stream begins at {} with software `{software}`, one of several versions",
+                    slot.name
+                );
+            }
+        }
+        self.software = Some(software);
+    }
+
+    /// Stops the request if the server that broke off the stream may have started anew with other software before it sent
+    /// events. Which software the caller has events of is not known then.
+    pub(super) fn check_origin(&self, slot: &ServerSlot, attempt: Attempt) -> Attempt {
+        let Attempt::Failed { error, .. } = &attempt else {
+            return attempt;
+        };
+        let software = self.context.fleet.software_of(&slot.name);
+        let has_changed = self.attempt_events > 0
+            && self.software.is_some()
+            && software.is_some()
+            && software != self.software;
+        if !has_changed {
+            return attempt;
+        }
+        let (stream, software) = (self.request.stream, software.unwrap_or_default());
+        if let Some(stream) = stream {
+            self.context.origins.begin(StreamStart {
+                stream,
+                service: &self.request.service,
+                software: &software,
+                deadline: self.request.caller_deadline,
+            });
+        }
+        log::warn!(
+            "server {} has started anew with software `{software}`",
+            slot.name
+        );
+        Attempt::Stopped(error.clone())
+    }
+
     /// Sends `bytes` to the caller, preceded by the head if it has not been sent yet. Returns `false` if the caller has
     /// closed the connection.
     async fn send_events(
@@ -188,7 +243,7 @@
     ) -> bool {
         if self.sent_type.is_none() {
             self.sent_type = Some(StreamType::of(&answer.head));
-            self.software = Some(slot.software.clone());
+            self.note_origin(slot);
             self.fallback = None;
             let head = RelayPiece::Head(response_head(answer));
             if pieces.send(Ok(head)).await.is_err() {
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -7,6 +7,7 @@
 mod records;
 mod refusals;
 mod server_state;
+mod versions;
 mod work;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -33,6 +34,7 @@
 use crate::relay::server_list::{
     HeldModel, ListPosition, ServerChange, ServerDelta, ServerEntry, holds_item,
 };
+use crate::relay::version_history::VersionHistory;
 use crate::routing::{Availability, FleetSnapshot, PaceTable, ReadParts, ServerHandle};
 
 /// Time for which a server that sends what is no answer, or an endless one, gets no work.
@@ -87,6 +89,8 @@
     peer_work: HashMap<VmId, HashMap<u32, u64>>,
     /// Sum of `peer_work` over all peers by server, as last published.
     peer_work_totals: HashMap<u32, u64>,
+    /// Software versions that were listed lately.
+    versions: VersionHistory,
     unreachable: bool,
     /// Grows with each change of the records.
     version: u64,
@@ -408,11 +412,12 @@
     fn publish(&self, state: &mut FleetState, now: Instant) {
         state.sum_peers(now);
         state.sum_peer_work();
-        state.update_availability(now);
         if state.standings_version != state.version {
             state.standings_version = state.version;
             state.update_standings();
+            state.update_versions(now);
         }
+        state.update_availability(now);
         let paces = self.paces();
         let servers = state.servers.values().map(|server| {
             let hash = server_id_hash(&server.entry.id);
--- a/src/relay/fleet/evacuations.rs
+++ b/src/relay/fleet/evacuations.rs
@@ -69,8 +69,18 @@
 
     /// Sets for each server whether requests may be sent to it.
     pub(super) fn update_availability(&mut self, now: Instant) {
+        let has_mixed = self.versions.has_mixed(now);
         for server in self.servers.values() {
-            let availability = self.evacuations.availability(&server.entry.zone, now);
+            let entry = &server.entry;
+            let evacuation = self.evacuations.availability(&entry.zone, now);
+            let is_settled =
+                !has_mixed || self.versions.settled(&entry.service, &entry.software, now);
+            // Other daemons may not know yet that several versions serve.
+            let version = match is_settled {
+                true => Availability::Open,
+                false => Availability::LastResort,
+            };
+            let availability = evacuation.max(version);
             if server.handle.set_availability(availability) && availability == Availability::Closed
             {
                 log::info!(
--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -62,7 +62,7 @@
 }
 
 /// What is known about the software that began a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KnownOrigin {
     Unknown,
     Known(OriginKey),
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -22,9 +22,11 @@
 use crate::relay::demand_log::{DemandLog, PeriodId};
 use crate::relay::engines::PlacementChange;
 use crate::relay::evacuation::ZoneNotice;
+use crate::relay::origins::OriginNotice;
 use crate::relay::refusing::RefusalReport;
 use crate::relay::registry::{DaemonRecord, DaemonRegistry};
 use crate::relay::server_list::ListPosition;
+use crate::relay::version_history::VersionReport;
 use crate::timer::{TimerService, TimerTicks};
 
 /// Period of pulses in a small fleet, well below the time in which a server's number of requests changes.
@@ -40,6 +42,8 @@
 const MAX_COUNT: u32 = 1 << 20;
 /// Maximum number of messages about crashes in one datagram.
 const MAX_BLAME_MESSAGES: usize = 16;
+/// Maximum number of notices of streams in one datagram.
+const MAX_ORIGIN_NOTICES: usize = 64;
 
 /// The state that a daemon reports to its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +90,8 @@
     pub refusals: Vec<RefusalReport>,
     /// Position of its list of backend servers; zero while it knows none.
     pub list: ListPosition,
+    /// What it knows of software versions.
+    pub versions: VersionReport,
 }
 
 /// Builds this daemon's pulses and handles those of peers.
@@ -106,6 +112,9 @@
     /// be cancelled without loss.
     fn take_refusals(&self) -> impl Future<Output = Vec<RefusalReport>> + Send;
 
+    /// Waits for notices of streams, by the pulse address of their receiver, and takes them. May be cancelled without loss.
+    fn take_origins(&self) -> impl Future<Output = HashMap<SocketAddr, Vec<OriginNotice>>> + Send;
+
     /// Handles the pulse of a peer.
     fn handle_pulse(&self, pulse: Pulse, now: Instant);
 
@@ -114,6 +123,9 @@
 
     /// Handles a peer's reports of servers that refuse connections.
     fn handle_refusals(&self, reports: Vec<RefusalReport>, now: Instant);
+
+    /// Handles a peer's notices of streams.
+    fn handle_origins(&self, notices: Vec<OriginNotice>, now: Instant);
 }
 
 /// Spawns tasks in `group` that send and receive pulses at `address`.
@@ -210,6 +222,10 @@
                     self.send_blame(messages).await;
                     continue;
                 }
+                notices = self.handler.take_origins() => {
+                    self.send_origins(notices).await;
+                    continue;
+                }
                 reports = self.handler.take_refusals() => {
                     self.send_to_all(DatagramKind::Refusals, &reports).await;
                     continue;
@@ -249,6 +265,19 @@
         }
     }
 
+    async fn send_origins(&self, notices: HashMap<SocketAddr, Vec<OriginNotice>>) {
+        for (address, notices) in notices {
+            for part in notices.chunks(MAX_ORIGIN_NOTICES) {
+                let Some(data) = encode(DatagramKind::Origins, &part) else {
+                    continue;
+                };
+                if let Err(error) = self.socket.send_to(&data, address).await {
+                    log::debug!("notices of streams were not sent to {address}: {error}");
+                }
+            }
+        }
+    }
+
     /// Sends one datagram to all peers.
     async fn send_to_all<T: Serialize>(&self, kind: DatagramKind, content: &T) {
         let Some(data) = encode(kind, content) else {
@@ -294,6 +323,7 @@
     Blame = 1,
     Refusals = 2,
     Pulse = 3,
+    Origins = 4,
 }
 
 /// Content of a datagram, whose numbers are checked once when it is decoded.
@@ -308,6 +338,7 @@
         let waiting = self.demand.iter().map(|demand| &demand.waiting);
         running.chain(waiting).all(|count| *count <= MAX_COUNT)
             && self.parts.iter().all(PartNotice::is_valid)
+            && self.versions.is_valid()
     }
 }
 
@@ -323,6 +354,12 @@
     }
 }
 
+impl DatagramContent for Vec<OriginNotice> {
+    fn is_valid(&self) -> bool {
+        self.iter().all(OriginNotice::is_valid)
+    }
+}
+
 /// Encodes the content of a datagram, or returns `None` if that is impossible, which is logged.
 fn encode<T: Serialize>(kind: DatagramKind, content: &T) -> Option<Vec<u8>> {
     let message = (kind as u8, content);
@@ -373,6 +410,8 @@
         decode(content).map(|messages| handler.handle_blame(messages, now))
     } else if *kind == DatagramKind::Refusals as u8 {
         decode(content).map(|reports| handler.handle_refusals(reports, now))
+    } else if *kind == DatagramKind::Origins as u8 {
+        decode(content).map(|notices| handler.handle_origins(notices, now))
     } else {
         Err(Error::invalid(format!("unknown kind {kind}")))
     };
--- a/src/relay/request.rs
+++ b/src/relay/request.rs
@@ -12,6 +12,7 @@
 use crate::relay::config::RouteConfig;
 use crate::relay::exchange::RequestWork;
 use crate::relay::format::RequestMetadata;
+use crate::relay::origins::StreamId;
 
 /// Status and headers of an answer as the backend server sent them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +55,11 @@
     pub(super) caller_deadline: Instant,
     /// Time by which the answer must be complete.
     pub(super) deadline: Instant,
+    /// The stream of the answer, if it may be resumed.
+    pub(super) stream: Option<StreamId>,
+    /// Software version of the only servers that may serve the request, as they have begun its stream.
+    pub(super) software: Option<SmolStr>,
+    pub(super) service: SmolStr,
     /// Estimated work.
     pub(super) work: RequestWork,
     /// Number of tokens charged.
--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -71,6 +71,12 @@
     updates: u64,
 }
 
+impl Default for VersionHistory {
+    fn default() -> Self {
+        Self::open(Instant::now())
+    }
+}
+
 impl VersionHistory {
     /// Time after which all daemons have read a new version from the list of servers.
     pub const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -130,6 +136,16 @@
         self.recent(service, Self::MAX_AGE, now).nth(1).is_some()
     }
 
+    /// Returns whether any service has several versions.
+    pub fn has_mixed(&self, now: Instant) -> bool {
+        let mut services = self.services.values();
+        services.any(|records| {
+            let recent = records.iter();
+            let mut recent = recent.filter(|record| record.is_recent(Self::MAX_AGE, now));
+            recent.nth(1).is_some()
+        })
+    }
+
     /// Returns the only version of a service that was listed in the last `age`; `None` if there were several or none, or
     /// if that is not known. That is never known for more than a minute.
     pub fn sole(&self, service: &str, age: Duration, now: Instant) -> Option<SmolStr> {
--- a/tests/pulse_support/mod.rs
+++ b/tests/pulse_support/mod.rs
@@ -30,5 +30,6 @@
         paces: Vec::new(),
         refusals: Vec::new(),
         list: ListPosition::default(),
+        versions: Default::default(),
     }
 }
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -24,8 +24,9 @@
 use foxtailhill::platform::{self, PlatformFormat};
 use foxtailhill::queue::WaitQueue;
 use foxtailhill::relay::{
-    ConfigHolder, CrashDetector, CrashWatch, ReaderElection, RelayContext, RelayDispatcher,
-    RelayFleet, RelayServer, RetryLimits, ServerChange, UpstreamPool, spawn_probes,
+    ConfigHolder, CrashDetector, CrashWatch, DaemonRecord, DaemonRegistry, ReaderElection,
+    RegistrySettings, RelayContext, RelayDispatcher, RelayFleet, RelayServer, RetryLimits,
+    ServerChange, StreamOrigins, UpstreamPool, spawn_probes,
 };
 use foxtailhill::retry::RetryBudget;
 use foxtailhill::routing::ExpectedFinishPolicy;
@@ -359,6 +360,7 @@
             fleet: fleet.clone(),
             crashes: crashes.clone(),
             watch,
+            origins: open_origins(&fleet),
             pool,
             memory: MemoryAccount::new(caller_limits.held()),
             format: Arc::new(PlatformFormat),
@@ -539,3 +541,20 @@
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// Returns the origins of streams of a daemon without peers.
+fn open_origins(fleet: &Arc<RelayFleet>) -> Arc<StreamOrigins> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let registry = DaemonRegistry::new(RegistrySettings {
+        name: "entry-0".into(),
+        record: DaemonRecord {
+            vm: VmId::random(),
+            zone: "north".into(),
+            peer: any,
+            pulse: any,
+        },
+        term: Duration::from_secs(30),
+        settle_time: Duration::ZERO,
+    });
+    StreamOrigins::open(fleet.clone(), Arc::new(registry)).0
+}
