Version history: peers' knowledge counts if their list has the same versions

Reports carry a digest of the listed versions, which proves that the peer's list is as new as the own one, so that a daemon that has just started knows the last minute from the first pulse rather than after SETTLE_TIME. A report also names the version of a service whose servers have all gone, which a later version would otherwise follow as the only one.

--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Maximum number of versions in one report, which must fit into a datagram.
 const MAX_NOTICES: usize = 64;
@@ -28,7 +28,9 @@
 pub struct VersionReport {
     /// Time for which the daemon knows all versions that were listed, in milliseconds.
     pub known_for_ms: u32,
-    /// The versions of the services with more than one version in that time.
+    /// The versions that are listed, as a digest.
+    pub listed: u64,
+    /// The versions of the services that had another version than the listed one in that time.
     pub mixed: Vec<VersionNotice>,
 }
 
@@ -69,6 +71,8 @@
     /// Since when all versions that were listed are known, from this daemon's list or from its peers.
     known_since: Instant,
     updates: u64,
+    /// Digest of the versions that are listed.
+    listed: u64,
 }
 
 impl VersionHistory {
@@ -84,6 +88,7 @@
             opened: None,
             known_since: now,
             updates: 0,
+            listed: 0,
         }
     }
 
@@ -103,10 +108,14 @@
             let records = self.services.entry(hash(service)).or_default();
             note_listed(records, software, self.updates, now);
         }
-        self.services.retain(|_, records| {
+        self.listed = 0;
+        self.services.retain(|service, records| {
             for record in records.iter_mut().filter(|record| record.is_listed) {
                 record.last = now;
                 record.is_listed = record.update == self.updates;
+                if record.is_listed {
+                    self.listed ^= digest(*service, record.hash);
+                }
             }
             records.retain(|record| record.is_recent(Self::MAX_AGE, now));
             !records.is_empty()
@@ -155,7 +164,8 @@
         for (service, records) in &self.services {
             let recent = records.iter();
             let recent = recent.filter(|record| record.is_recent(Self::MAX_AGE, now));
-            if recent.clone().nth(1).is_some() {
+            let is_single = recent.clone().nth(1).is_none();
+            if !is_single || recent.clone().any(|record| !record.is_listed) {
                 mixed.extend(recent.map(|record| VersionNotice {
                     service: *service,
                     software: record.hash,
@@ -174,15 +184,16 @@
             } else {
                 0
             },
+            listed: self.listed,
             mixed,
         }
     }
 
-    /// Applies a peer's report. What the peer saw counts as seen here. Once the own list has been read for
-    /// [`Self::SETTLE_TIME`], the knowledge reaches back as far as the peer's.
+    /// Applies a peer's report. What the peer saw counts as seen here. If the peer's list has the same versions as the own
+    /// one, the knowledge reaches back as far as the peer's.
     ///
-    /// A report does not name the only version of a service. So it tells that there was no other than the one listed here
-    /// only if the peer has read a list that is at least as new as this daemon's first one.
+    /// A report does not name the only version of a service. A peer whose list is older may have had another one than is
+    /// listed here.
     pub fn apply(&mut self, report: &VersionReport, now: Instant) {
         if !report.is_valid() {
             return;
@@ -194,13 +205,11 @@
                 note_seen(records, notice.software, seen);
             }
         }
-        let Some(opened) = self.opened else {
+        if self.opened.is_none() || report.listed != self.listed {
             return;
-        };
+        }
         let known_for = Duration::from_millis(report.known_for_ms.into());
-        if let Some(known_since) = now.checked_sub(known_for)
-            && now.saturating_duration_since(opened) >= Self::SETTLE_TIME
-        {
+        if let Some(known_since) = now.checked_sub(known_for) {
             self.known_since = self.known_since.min(known_since);
         }
     }
@@ -285,6 +294,10 @@
     });
 }
 
+fn digest(service: u32, software: u32) -> u64 {
+    xxh3_64_with_seed(&software.to_le_bytes(), service.into())
+}
+
 fn hash(text: &str) -> u32 {
     xxh3_64(text.as_bytes()) as u32
 }
