--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -125,13 +125,13 @@
     /// Returns whether other daemons know a version as well: it has been listed for [`Self::SETTLE_TIME`], or no other
     /// version of the service was listed before it. So versions in the first list that was read count as settled.
     pub fn settled(&self, service: &str, software: &str, now: Instant) -> bool {
-        let mut own = self.recent(service, Self::MAX_AGE, now);
-        let own = own.find(|record| record.is_named(software));
-        let since = own.map_or(now, |record| record.since);
-        let listed_for = own.map_or(Duration::ZERO, |record| record.listed_for(now));
         let mut others = self.recent(service, Self::MAX_AGE, now);
-        listed_for >= Self::SETTLE_TIME
-            || !others.any(|record| !record.is_named(software) && record.first < since)
+        let mut own = self.recent(service, Self::MAX_AGE, now);
+        let Some(own) = own.find(|record| record.is_named(software)) else {
+            return others.next().is_none();
+        };
+        own.listed_for(now) >= Self::SETTLE_TIME
+            || !others.any(|record| record.hash != own.hash && record.first < own.since)
     }
 
     /// Returns whether more than one version of a service is listed or was in the last minute.
