--- a/tests/soak/daemon.rs
+++ b/tests/soak/daemon.rs
@@ -58,6 +58,11 @@
 impl SoakDaemon {
     /// Reserves addresses and writes the settings of a daemon.
     pub async fn prepare(name: &str, store: SocketAddr) -> eyre::Result<Self> {
+        Self::prepare_in("north", name, store).await
+    }
+
+    /// Reserves addresses and writes the settings of a daemon in an availability zone.
+    pub async fn prepare_in(zone: &str, name: &str, store: SocketAddr) -> eyre::Result<Self> {
         let mut listeners = Vec::new();
         for _ in 0..4 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await?);
@@ -66,7 +71,7 @@
             listeners.iter().map(TcpListener::local_addr).collect();
         let addresses = addresses?;
         let settings = json!({
-            "vm": name, "zone": "north",
+            "vm": name, "zone": zone,
             "listen": {
                 "caller": addresses[0], "ready": addresses[1], "peer": addresses[2],
                 "pulse": addresses[2], "admin": addresses[3],
@@ -169,6 +174,16 @@
         self.start().await
     }
 
+    /// Kills the process.
+    #[allow(dead_code, reason = "used by other tests")]
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.check_running()?;
+        let from = Instant::now();
+        self.end_process();
+        self.disturbances.add(from);
+        Ok(())
+    }
+
     /// Kills the process and starts it again.
     pub async fn crash(&mut self) -> eyre::Result<()> {
         self.check_running()?;
