Streams: daemons of the tests on hosts of their own, and three more failing tests

A daemon of a test failed to start once, as another socket had taken its port while its process was gone ("cannot bind 127.0.0.1:36427: Address already in use", 1 of 70 tests). The daemons of these tests get loopback hosts of their own.

The new tests: an unknown stream after a version has just gone, daemons that never knew the version, and two killed daemons. On the present code each fails with streams of two versions. The test of one version waits for longer than any stream before it begins, so that no other version can have begun one.

--- a/tests/soak/daemon.rs
+++ b/tests/soak/daemon.rs
@@ -1,6 +1,6 @@
 //! Daemon processes that are stopped, killed, paused and restarted by signals.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -58,14 +58,20 @@
 impl SoakDaemon {
     /// Reserves addresses and writes the settings of a daemon.
     pub async fn prepare(name: &str, store: SocketAddr) -> eyre::Result<Self> {
-        Self::prepare_in("north", name, store).await
+        Self::prepare_in(Ipv4Addr::LOCALHOST, "north", name, store).await
     }
 
-    /// Reserves addresses and writes the settings of a daemon in an availability zone.
-    pub async fn prepare_in(zone: &str, name: &str, store: SocketAddr) -> eyre::Result<Self> {
+    /// Reserves addresses on a loopback host and writes the settings of a daemon in an availability zone. On a host of
+    /// its own, no other socket takes the daemon's ports while its process is gone.
+    pub async fn prepare_in(
+        host: Ipv4Addr,
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+    ) -> eyre::Result<Self> {
         let mut listeners = Vec::new();
         for _ in 0..4 {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await?);
+            listeners.push(TcpListener::bind((host, 0)).await?);
         }
         let addresses: Result<Vec<SocketAddr>, _> =
             listeners.iter().map(TcpListener::local_addr).collect();
@@ -80,7 +86,7 @@
             "timing": {"balancer_lag": "500ms", "drain": "2500ms"},
             "log": {"level": "warn"},
         });
-        let file = format!("foxtailhill-soak-{}.json", addresses[0].port());
+        let file = format!("foxtailhill-soak-{host}-{}.json", addresses[0].port());
         let file = std::env::temp_dir().join(file);
         std::fs::write(&file, settings.to_string())?;
         Ok(Self {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -17,7 +17,7 @@
 use futures_util::future::try_join_all;
 
 use crate::daemon::SoakDaemon;
-use crate::stream_support::caller::{Resumption, StreamCaller};
+use crate::stream_support::caller::{Resumption, STREAM_TIMEOUT, StreamCaller};
 use crate::stream_support::server::{LAST_EVENT, StreamServer};
 use crate::stream_support::{StreamFleet, check_all, check_complete, read_all, resume_all};
 
@@ -181,13 +181,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_one_version_go_on_anywhere() -> eyre::Result<()> {
     with_fleet("one", &["v1"], 3, async |mut fleet| {
-        for resumption in [Resumption::First, Resumption::Unnamed, UNKNOWN] {
+        // Longer than any stream, so that no other version can have begun one.
+        tokio::time::sleep(STREAM_TIMEOUT).await;
+        let resumed = [Resumption::First, Resumption::Unnamed, UNKNOWN].map(async |resumption| {
             let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
             callers.iter_mut().for_each(StreamCaller::hang_up);
             resume_all(&mut callers, &all(&fleet), resumption, LAST_EVENT).await?;
             read_all(&mut callers).await?;
-            check_all(&callers, check_complete)?;
-        }
+            check_all(&callers, check_complete)
+        });
+        try_join_all(resumed).await?;
         let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
         fleet.daemons[0].kill()?;
         fleet.daemons[1].kill()?;
@@ -330,7 +333,7 @@
 /// Guards against a daemon that was paused while a stream began and takes it up at a guessed software version.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_never_changes_its_version_at_a_daemon_that_was_paused() -> eyre::Result<()> {
-    /// Longer than a daemon counts as reachable without an answer.
+    /// Time for which the other daemons are paused before the streams begin.
     const PAUSE_TIME: Duration = Duration::from_secs(3);
     with_fleet("paused", &["v1", "v2"], 2, async |mut fleet| {
         for paused in [1, 2] {
@@ -378,6 +381,7 @@
         };
         let (resumed, ()) = tokio::join!(resumed, emptied);
         resumed?;
+        read_all(&mut callers).await?;
         check_all(&callers, StreamCaller::check_events)?;
         for caller in callers.iter_mut().filter(|caller| !caller.is_complete()) {
             let last = caller.tries.last().ok_or_eyre("no try")?;
@@ -418,3 +422,73 @@
     })
     .await
 }
+
+/// Guards against a stream of which nothing is known that goes on at the only software version left, although another
+/// one has just gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_unknown_version_is_refused_after_a_version_has_gone() -> eyre::Result<()> {
+    with_fleet("just-gone", &["v1", "v2"], 2, async |fleet| {
+        let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
+        callers.iter_mut().for_each(StreamCaller::hang_up);
+        let version = callers[0].version().to_owned();
+        callers.retain(|caller| caller.version() == version);
+        for server in fleet.servers_of(&version) {
+            server.leave(&fleet.store);
+        }
+        tokio::time::sleep(LIST_TIME).await;
+        for resumption in [UNKNOWN, Resumption::Unnamed] {
+            check_refused(&fleet, &mut callers, &all(&fleet), resumption)
+                .await
+                .wrap_err_with(|| resumption.to_string())?;
+        }
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against daemons that have never known the software version of a stream, as it left while they were down, and
+/// take the stream up at the only version that they know.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_refused_at_daemons_that_never_knew_its_version() -> eyre::Result<()> {
+    with_fleet("never-known", &["v1", "v2"], 2, async |mut fleet| {
+        let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
+        let version = callers[0].version().to_owned();
+        callers.retain(|caller| caller.version() == version);
+        for daemon in &mut fleet.daemons {
+            daemon.kill()?;
+        }
+        for server in fleet.servers_of(&version) {
+            server.leave(&fleet.store);
+        }
+        read_all(&mut callers).await?;
+        try_join_all(fleet.daemons.iter_mut().map(SoakDaemon::start)).await?;
+        tokio::time::sleep(RESTART_TIME).await;
+        for resumption in [Resumption::First, Resumption::Unnamed] {
+            check_refused(&fleet, &mut callers, &all(&fleet), resumption)
+                .await
+                .wrap_err_with(|| resumption.to_string())?;
+        }
+        Ok(())
+    })
+    .await
+}
+
+/// Guards against a third try that goes on at another software version after both daemons before it were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_never_changes_its_version_over_two_killed_daemons() -> eyre::Result<()> {
+    with_fleet("two-killed", &["v1", "v2"], 2, async |mut fleet| {
+        let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
+        fleet.daemons[0].kill()?;
+        read_all(&mut callers).await?;
+        let (second, third) = (fleet.caller(1), fleet.caller(2));
+        resume_all(&mut callers, &[second], Resumption::First, 2 * BREAK_EVENT).await?;
+        fleet.daemons[1].kill()?;
+        read_all(&mut callers).await?;
+        resume_all(&mut callers, &[third], Resumption::First, LAST_EVENT).await?;
+        read_all(&mut callers).await?;
+        check_all(&callers, StreamCaller::check_events)?;
+        callers.retain(|caller| !caller.is_complete());
+        check_all(&callers, |caller| fleet.check_refusal(caller))
+    })
+    .await
+}
