Streams: a stream ends at once when all servers of its version refuse connections

The stream of a version whose last servers have crashed was held for 3.7 s (answer_ends_broken_without_servers_of_its_version), as their records stay for three heartbeats. A version counts as served by any server of the service that accepts connections and is not leaving, also by one that must load the model first.

--- a/src/dispatch/request_core.rs
+++ b/src/dispatch/request_core.rs
@@ -10,7 +10,9 @@
 
 use crate::dispatch::demand::DemandMeter;
 use crate::dispatch::drain::{DrainClock, WorkTime};
-use crate::dispatch::room::{FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter};
+use crate::dispatch::room::{
+    FleetSource, ModelNeed, ModelQueues, ServerSlot, WaitCount, Waiter, service_of,
+};
 use crate::error::{Category, Error, Result, RunVerdict};
 use crate::history::{RequestHistory, RequestStage};
 use crate::ids::KeyDigest;
@@ -20,7 +22,7 @@
 use crate::peer::SuspectNotice;
 use crate::queue::{QueuePolicy, WaitEntry};
 use crate::retry::RetryBudget;
-use crate::routing::{RouteNeed, RoutingPolicy, TrialRule};
+use crate::routing::{RoutingPolicy, TrialRule};
 use crate::suspect::{SuspectTable, SuspectVerdict};
 
 /// Parts of an answer that are buffered for a caller that reads slowly.
@@ -498,10 +500,11 @@
         if need.route.software.is_none() {
             return self.acquire_any(need, exchange).await;
         }
-        let route = need.route.clone();
+        let service = service_of(&need.route.model).to_owned();
+        let software = need.route.software.clone().unwrap_or_default();
         tokio::select! {
             biased;
-            () = self.software_gone(&route) => {
+            () = self.software_gone(&service, &software) => {
                 let message = "no backend server runs the software version that began the stream";
                 Err(Error::unavailable(message))
             }
@@ -509,9 +512,9 @@
         }
     }
 
-    /// Completes when no lasting server can take a request that needs a software version.
-    async fn software_gone(&self, route: &RouteNeed) {
-        while self.queues.fleet().snapshot().has_lasting_server(route) {
+    /// Completes when no server of `service` that may take requests soon runs a software version.
+    async fn software_gone(&self, service: &str, software: &str) {
+        while self.queues.fleet().has_software(service, software) {
             tokio::time::sleep(SOFTWARE_CHECK_PERIOD).await;
         }
     }
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -28,6 +28,12 @@
 
     /// Notes that a call to a server failed, so that the server is suspected to be down.
     fn call_failed(&self, server: &str);
+
+    /// Returns whether a server of `service` with a software version may take requests soon, also one that must load the
+    /// model first.
+    fn has_software(&self, _service: &str, _software: &str) -> bool {
+        true
+    }
 }
 
 /// What a model call needs from a backend server.
@@ -528,6 +534,6 @@
 }
 
 /// Returns the service in a routing name, which is the name itself for a service without models.
-fn service_of(model: &str) -> &str {
+pub(super) fn service_of(model: &str) -> &str {
     model.split('/').next().unwrap_or(model)
 }
--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -459,6 +459,17 @@
     fn call_failed(&self, server: &str) {
         self.suspect(server, |state| state.note_failure());
     }
+
+    fn has_software(&self, service: &str, software: &str) -> bool {
+        let state = self.state();
+        state.servers.values().any(|server| {
+            let entry = &server.entry;
+            entry.service == service
+                && entry.software == software
+                && server.may_be_sent_to()
+                && !server.is_refusing
+        })
+    }
 }
 
 impl FleetState {
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -449,16 +449,6 @@
         })
     }
 
-    /// Returns whether a server that is not leaving, usable now or not, can take the request.
-    pub fn has_lasting_server(&self, need: &RouteNeed) -> bool {
-        self.eligible(need).any(|position| {
-            let handle = &self.index.handles[position];
-            !handle.is_leaving()
-                && handle.availability() != Availability::Closed
-                && handle.standing() != ServerStanding::Displaced
-        })
-    }
-
     /// Returns whether the server at `position` runs the software that a request needs.
     pub(super) fn has_software(&self, position: usize, need: &RouteNeed) -> bool {
         let software = need.software.as_ref();
