Planner: what an engine that refuses connections held is loaded elsewhere at once

Cause: an engine that had answered before counted in the layout until its record was gone, three heartbeats after its crash. A refused connection shows at once that its process has ended, and one that comes back holds nothing.

Change: engines that refuse connections are left out of the layout, as unproven ones were already.

--- a/src/relay/fleet/identities.rs
+++ b/src/relay/fleet/identities.rs
@@ -92,16 +92,15 @@
         counts
     }
 
-    /// Returns whether a listed server is not to be found at its address: another one answers there, or it has never answered
-    /// and connections are refused.
-    pub fn is_misplaced(&self, id: &str) -> bool {
+    /// Returns whether a listed server is not to be found at its address: another one answers there, or connections are
+    /// refused. One that comes back there holds nothing of what it held.
+    pub fn is_absent(&self, id: &str) -> bool {
         let state = self.state();
         let Some(server) = state.servers.get(id) else {
             return false;
         };
         match server.handle.standing() {
-            ServerStanding::Proven => false,
-            ServerStanding::Unproven => server.is_refusing,
+            ServerStanding::Proven | ServerStanding::Unproven => server.is_refusing,
             ServerStanding::Displaced => true,
         }
     }
--- a/src/relay/planner.rs
+++ b/src/relay/planner.rs
@@ -191,7 +191,7 @@
     ) -> Vec<EngineCall> {
         let of_service = servers.iter().filter(|server| server.service == *service);
         let layout: Vec<LayoutEngine> = of_service
-            .filter(|server| !server.leaving && !self.context.fleet.is_misplaced(&server.id))
+            .filter(|server| !server.leaving && !self.context.fleet.is_absent(&server.id))
             .filter_map(|server| {
                 let known = state.engines.get(&server.id);
                 let known = known.filter(|engine| engine.counts(now))?;
