Metrics: attempts at servers that had not answered, by outcome

Which share of the attempts was lost to records of other programs could not be read from the metrics: an attempt at a server of which only a record is known counted as any other. The counter `trials` counts them as `answered`, `failed` or `undecided`. No decision depends on it.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -121,6 +121,9 @@
     /// ones on which nothing was sent, `moved` for requests that another server took then, and `reported` for servers that
     /// are not used because of a peer's report.
     pub connects: Family<KindLabels, Counter>,
+    /// Attempts at servers that had not answered, by kind: `answered`, `failed`, and `undecided` for those that showed
+    /// neither.
+    pub trials: Family<KindLabels, Counter>,
     /// Claims by kind (`granted`, `recorded`, `conflict`, `released`, `unavailable`).
     pub claims: Family<KindLabels, Counter>,
     /// Orders to engines by kind (`sent`, `done`, `refused`, `fenced`, `repeated`).
@@ -186,6 +189,7 @@
             loans: Family::default(),
             retries: Family::default(),
             connects: Family::default(),
+            trials: Family::default(),
             claims: Family::default(),
             orders: Family::default(),
             currency_age: RatioGauge::default(),
@@ -298,6 +302,11 @@
             "Connections to backend servers for requests",
             self.connects.clone(),
         );
+        registry.register(
+            "trials",
+            "Attempts at backend servers that had not answered",
+            self.trials.clone(),
+        );
         registry.register("suspects", "Suspect requests", self.suspects.clone());
         registry.register(
             "cold_servers",
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -509,8 +509,9 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
         others: &O,
     ) -> Attempt {
+        let is_trial = !slot.is_proven();
         let attempt = self.send_to(slot, pieces, others).await;
-        self.note_trial(slot, &attempt);
+        self.note_trial(slot, &attempt, is_trial);
         if !std::mem::take(&mut self.broke_early) {
             return attempt;
         }
--- a/src/relay/exchange/connect.rs
+++ b/src/relay/exchange/connect.rs
@@ -47,18 +47,28 @@
         }
     }
 
-    /// Notes an attempt that failed for another reason than that the server is full.
-    pub(super) fn note_trial(&self, slot: &ServerSlot, attempt: &Attempt) {
+    /// Notes the outcome of an attempt. `is_trial` states whether the server had not answered before.
+    pub(super) fn note_trial(&self, slot: &ServerSlot, attempt: &Attempt, is_trial: bool) {
         let has_failed = match attempt {
             Attempt::Finished | Attempt::Cancelled => false,
             Attempt::Failed { error, .. } => error.category() != Category::Overloaded,
             Attempt::Stopped(error) => error.verdict() == RunVerdict::MayHaveRun,
             Attempt::NotResident | Attempt::Unsent(_) => true,
         };
-        if has_failed && !slot.is_proven() {
+        let is_proven = slot.is_proven();
+        if has_failed && !is_proven {
             let fleet = &self.context.fleet;
             fleet.note_failed_trial(&slot.name, slot.address);
         }
+        if is_trial {
+            let kind = match (is_proven, has_failed) {
+                (true, _) => "answered",
+                (false, true) => "failed",
+                (false, false) => "undecided",
+            };
+            let metrics = &self.context.metrics;
+            metrics.count(&metrics.trials, kind);
+        }
     }
 
     /// Handles a server that could not be connected to, so that no byte of the request was sent.
--- a/tests/unsent.rs
+++ b/tests/unsent.rs
@@ -175,6 +175,8 @@
     .await?;
     let answer = rig.send(&request("GET", "/check/1", "r4", "", "")).await?;
     assert!(is_served(&answer), "{answer}");
+    let trials = |kind| metrics.trials.get_or_create(&KindLabels { kind }).get();
+    assert_eq!((trials("failed"), trials("answered")), (1, 1));
     rig.shutdown().await;
     Ok(())
 }
