Identity: servers that renew their records go before those that do not

Cause: no server has answered after a start, so all records were used alike and each daemon paid for each false one. A failed trial set aside all servers that had not answered, true ones too. Beside servers that had answered, all trials went to false records.

Change: a server whose record was read again with a greater number, for the same start and address, is renewed. While none has answered, the renewed ones are used first; while a renewed one may be used, the others get trials only if there is no room. A failed trial at a server that is not renewed leaves renewed ones alone. Copies of the list name the renewed starts once. Without any renewal, such as without the store, all are used as before. The wire format of copies changes.

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -178,10 +178,12 @@
             since.is_some_and(|since| server.version > since)
                 && !state.servers.contains_key(&server.id)
         });
+        let renewed = changed.iter().filter(|server| server.handle.is_renewed());
         ServerDelta {
             version: state.version,
             position: state.list_position(),
             is_snapshot: since.is_none(),
+            renewed: renewed.map(|server| server.start).collect(),
             changed: changed
                 .into_iter()
                 .map(|server| server.entry.clone())
--- a/src/relay/fleet/identities.rs
+++ b/src/relay/fleet/identities.rs
@@ -37,7 +37,8 @@
 
     /// Notes that an attempt at the server `id` failed at `address`, other than because the server was full. If it has never
     /// answered, the servers at its address get no requests for a while, and the others of its service that have not answered
-    /// either get none for a shorter time, so that few requests fail however many there are.
+    /// either get none for a shorter time, so that few requests fail however many there are. Those whose records are renewed
+    /// only wait for such as themselves.
     pub fn note_failed_trial(&self, id: &str, address: SocketAddr) {
         let now = Instant::now();
         let mut state = self.state();
@@ -49,6 +50,7 @@
             return;
         }
         let service = server.entry.service.clone();
+        let was_renewed = server.handle.is_renewed();
         state.identities.note_failure(address, now);
         let of_service = state.servers.values();
         let mut of_service = of_service.filter(|server| server.entry.service == service);
@@ -68,7 +70,10 @@
                 && let Some(until) = state.identities.paused_until(claim)
             {
                 server.suspend_until(until);
-            } else if has_proven && server.entry.service == service {
+            } else if has_proven
+                && server.entry.service == service
+                && (was_renewed || !server.handle.is_renewed())
+            {
                 server.suspend_until(now + TRIAL_GAP);
             }
         }
--- a/src/relay/fleet/records.rs
+++ b/src/relay/fleet/records.rs
@@ -104,6 +104,14 @@
                     self.expire_later(&id, now + EXPIRY_GRACE);
                 }
             }
+            ServerChange::Renewed(starts) => {
+                let starts: HashSet<_> = starts.into_iter().collect();
+                for server in self.servers.values_mut() {
+                    if starts.contains(&server.start) {
+                        server.note_renewed(&mut self.version);
+                    }
+                }
+            }
             ServerChange::Put(entry) => {
                 self.note_reachable(now);
                 self.put(entry, now);
@@ -179,6 +187,7 @@
         let start = server_start(&entry);
         entry.leaving |= self.announcements.is_leaving(start);
         let known = self.servers.get(&entry.id);
+        let is_renewed = known.is_some_and(|server| entry.renews(&server.entry));
         let is_changed = known
             .is_none_or(|server| server.entry.differs_from(&entry) || server.expires_at.is_some());
         self.version += u64::from(is_changed);
@@ -194,6 +203,7 @@
             server.placed_at = now;
             server.placements.clear();
             server.is_refusing = false;
+            server.handle.set_renewed(false);
             server.update_suspected();
             self.refusals.forget(start);
             self.crashed.push(entry.id.clone());
@@ -221,6 +231,9 @@
         server.start = start;
         server.entry = entry;
         server.update_models(now);
+        if is_renewed {
+            server.note_renewed(&mut self.version);
+        }
     }
 
     /// Removes a server whose record is missing, or keeps it for [`EXPIRY_GRACE`] after an outage of the store in which
--- a/src/relay/fleet/server_state.rs
+++ b/src/relay/fleet/server_state.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Notes that the server has written its record again. The first time, `version` of the list grows, so that daemons that
+    /// copy the list learn of it.
+    pub(super) fn note_renewed(&mut self, version: &mut u64) {
+        if !self.handle.is_renewed() {
+            self.handle.set_renewed(true);
+            *version += 1;
+            self.changed = *version;
+        }
+    }
+
     /// Notes how long the server stays cold according to a new record.
     pub(super) fn note_cold(&self, entry: &ServerEntry, now: Instant) {
         let is_cold = !entry.cold_left.is_zero();
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::blame::ServerStart;
 use crate::error::{Error, Result};
 use crate::ids::{LogOffset, StoreEra};
 use crate::relay::engines::LoadItem;
@@ -76,6 +77,8 @@
     /// All servers with a record; others were removed, except for those that expire.
     Snapshot(Vec<ServerEntry>),
     Put(ServerEntry),
+    /// Starts of servers whose records were written again since they were first read. Those that are not listed are ignored.
+    Renewed(Vec<ServerStart>),
     Removed(SmolStr),
     /// The list cannot be read.
     Unreachable,
@@ -93,6 +96,8 @@
     pub changed: Vec<ServerEntry>,
     /// Servers without a record that are kept for a while; they are not in `changed`.
     pub expiring: Vec<SmolStr>,
+    /// Starts of those in `changed` whose records were written again since they were first read.
+    pub renewed: Vec<ServerStart>,
     pub removed: Vec<SmolStr>,
 }
 
@@ -114,14 +119,16 @@
         let ListPosition { era, offset } = self.position;
         let source = [ServerChange::Era(era), ServerChange::Position(offset)];
         let expiring = ServerChange::Expiring(self.expiring);
+        let renewed = ServerChange::Renewed(self.renewed);
         let source = source.into_iter().chain([expiring]);
         if self.is_snapshot {
             let snapshot = ServerChange::Snapshot(self.changed);
-            return source.chain([snapshot]).collect();
+            return source.chain([snapshot, renewed]).collect();
         }
         let removed = self.removed.into_iter().map(ServerChange::Removed);
         let changed = self.changed.into_iter().map(ServerChange::Put);
-        source.chain(removed).chain(changed).collect()
+        let changes = removed.chain(changed).chain([renewed]);
+        source.chain(changes).collect()
     }
 }
 
@@ -158,6 +165,11 @@
         (self.born_ms, self.seq)
     }
 
+    /// Returns whether this is a later record than `other` of the same server, start and address.
+    pub(super) fn renews(&self, other: &Self) -> bool {
+        self.address == other.address && self.born_ms == other.born_ms && self.seq > other.seq
+    }
+
     /// Returns whether two records of the same server differ in more than the number of writes and the rest of the time
     /// for which it is cold.
     pub(super) fn differs_from(&self, other: &Self) -> bool {
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -40,6 +40,18 @@
     Displaced,
 }
 
+/// What is known of the servers of a model that have not answered, and whether others have.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TrialCensus {
+    pub(super) proven: ProvenServers,
+    /// Whether a server whose record is renewed may be used, and so renewals arrive.
+    pub(super) has_renewed: bool,
+    /// This daemon's requests at unproven servers whose records are renewed.
+    pub(super) renewed_trials: u32,
+    /// This daemon's requests at the other unproven servers.
+    pub(super) other_trials: u32,
+}
+
 /// Whether a model has servers that have answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ProvenServers {
@@ -70,6 +82,7 @@
     availability: AtomicU8,
     /// A [`ServerStanding`].
     standing: AtomicU8,
+    renewed: AtomicBool,
     /// Whether `cold_gate` holds a gate.
     is_cold: AtomicBool,
     cold_gate: Mutex<Option<ColdGate>>,
@@ -230,6 +243,15 @@
         ServerStanding::from_code(previous)
     }
 
+    /// Returns whether the server's record was written again since it was first read.
+    pub fn is_renewed(&self) -> bool {
+        self.renewed.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_renewed(&self, renewed: bool) {
+        self.renewed.store(renewed, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_suspected(&self, suspected: bool) {
         self.suspected.store(suspected, Ordering::Relaxed);
     }
@@ -470,32 +492,39 @@
         }
     }
 
-    /// Returns the number of this daemon's requests at servers of a model that have not answered.
-    pub(super) fn trials_in_flight(&self, need: &RouteNeed) -> u32 {
-        let holders = self.holders(&need.model, &need.version).iter();
-        let handles = holders.map(|position| &self.index.handles[*position as usize]);
-        let unproven = handles.filter(|handle| handle.standing() != ServerStanding::Proven);
-        unproven.map(|handle| handle.in_flight()).sum()
-    }
-
-    /// Returns whether a server that is not leaving and not in `avoid` holds a version of a model and has answered.
-    pub(super) fn proven_servers(&self, need: &RouteNeed) -> ProvenServers {
+    /// Returns what is known of the servers of a model that are not in `avoid`, and the trials at all of them.
+    pub(super) fn trial_census(&self, need: &RouteNeed) -> TrialCensus {
+        let mut census = TrialCensus {
+            proven: ProvenServers::None,
+            has_renewed: false,
+            renewed_trials: 0,
+            other_trials: 0,
+        };
         let holders = self.holders(&need.model, &need.version).iter();
-        let mut found = ProvenServers::None;
         for position in holders.map(|position| *position as usize) {
             let handle = &self.index.handles[position];
-            if handle.standing() != ServerStanding::Proven
-                || handle.is_leaving()
-                || need.avoid.contains(&self.views[position].name)
+            let is_proven = handle.standing() == ServerStanding::Proven;
+            let is_renewed = handle.is_renewed();
+            match (is_proven, is_renewed) {
+                (true, _) => {}
+                (false, true) => census.renewed_trials += handle.in_flight(),
+                (false, false) => census.other_trials += handle.in_flight(),
+            }
+            let is_counted = is_proven && census.proven != ProvenServers::Usable
+                || is_renewed && !census.has_renewed;
+            if !is_counted || handle.is_leaving() || need.avoid.contains(&self.views[position].name)
             {
                 continue;
             }
-            if self.is_usable(position) {
-                return ProvenServers::Usable;
-            }
-            found = ProvenServers::Unusable;
+            let is_usable = self.is_usable(position);
+            census.has_renewed |= is_renewed && is_usable;
+            census.proven = match (is_proven, is_usable) {
+                (true, true) => ProvenServers::Usable,
+                (true, false) if census.proven == ProvenServers::None => ProvenServers::Unusable,
+                _ => census.proven,
+            };
         }
-        found
+        census
     }
 
     pub(super) fn hash(&self, position: usize) -> ServerHash {
--- a/tests/regression/copy_of_an_earlier_era.rs
+++ b/tests/regression/copy_of_an_earlier_era.rs
@@ -37,6 +37,7 @@
         is_snapshot: true,
         changed: servers.iter().map(|index| server(*index)).collect(),
         expiring: Vec::new(),
+        renewed: Vec::new(),
         removed: Vec::new(),
     }
 }
--- a/tests/server_identity.rs
+++ b/tests/server_identity.rs
@@ -342,6 +342,156 @@
     assert!(!later.fleet.is_suspected("i-2"));
 }
 
+fn renewed(id: &str, port: u16, seq: u64) -> ServerEntry {
+    ServerEntry {
+        seq,
+        ..entry(id, port, 1)
+    }
+}
+
+/// Returns entries of servers at ports 1 to `servers`, and 72 records of other programs.
+fn entries_beside_false_ones(servers: u16) -> Vec<ServerEntry> {
+    let servers = (1..=servers).map(|port| entry(&format!("i-{port}"), port, 1));
+    let others = (0..72).map(|number| entry(&format!("h-{number}"), number + 100, 1));
+    servers.chain(others).collect()
+}
+
+fn assert_none_at_false_records(fleet: &TrialFleet, trial: TrialRule) {
+    for _ in 0..60 {
+        let (id, _guard) = fleet.choose(trial, &[]).expect("a server");
+        assert!(id.starts_with("i-"), "{id} was chosen");
+    }
+}
+
+/// Guards against requests that are lost at records of other programs after a restart, as no server has answered yet.
+#[test]
+fn servers_that_renew_their_records_get_the_first_requests() {
+    let now = Instant::now();
+    let fleet = TrialFleet::new(entries_beside_false_ones(3), now);
+    // A record that is read again as it was shows nothing.
+    for entry in entries_beside_false_ones(3) {
+        fleet.put(entry);
+    }
+    for port in 1..4 {
+        fleet.put(renewed(&format!("i-{port}"), port, 2));
+    }
+    assert_none_at_false_records(&fleet, TrialRule::Allowed);
+    assert_none_at_false_records(&fleet, TrialRule::LastResort);
+    // They are full before the others get any.
+    let mut guards = Vec::new();
+    let mut false_ones = 0;
+    while let Some((id, guard)) = fleet.choose(TrialRule::Allowed, &[]) {
+        if id.starts_with("h-") {
+            assert!(guards.len() >= 24, "{} requests", guards.len());
+            false_ones += 1;
+        }
+        guards.push(guard);
+    }
+    assert_eq!(false_ones, 8);
+}
+
+/// Guards against trials at records of other programs, beside servers that have answered and one that has not.
+#[test]
+fn server_that_renews_its_record_gets_trials_before_others() {
+    let now = Instant::now();
+    let fleet = TrialFleet::new(entries_beside_false_ones(2), now);
+    fleet.put(renewed("i-1", 1, 2));
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    assert_none_at_false_records(&fleet, TrialRule::Allowed);
+    fleet.put(renewed("i-2", 2, 2));
+    assert_none_at_false_records(&fleet, TrialRule::Allowed);
+    let mut counts = HashMap::new();
+    let mut guards = Vec::new();
+    while let Some((id, guard)) = fleet.choose(TrialRule::Allowed, &[]) {
+        *counts.entry(id).or_insert(0) += 1;
+        guards.push(guard);
+        if guards.len() == 8 {
+            break;
+        }
+    }
+    assert_eq!(counts.get("i-2"), Some(&2), "an eighth of its slots");
+}
+
+/// Guards against requests at a record that is written under the id of a server for another address or start, as if the
+/// server had renewed it.
+#[test]
+fn record_of_another_address_or_start_is_no_renewal() {
+    let now = Instant::now();
+    for changed in [
+        renewed("h-1", 9, 2),
+        ServerEntry {
+            seq: 2,
+            ..entry("h-1", 101, 2)
+        },
+    ] {
+        let fleet = TrialFleet::new(entries_beside_false_ones(1), now);
+        fleet.put(renewed("h-1", 101, 2));
+        fleet.put(changed);
+        fleet.put(renewed("i-1", 1, 2));
+        assert_none_at_false_records(&fleet, TrialRule::Allowed);
+    }
+}
+
+/// Guards against a server that waits for the trials of records of other programs.
+#[test]
+fn failed_trial_does_not_set_aside_servers_that_renew_their_records() {
+    let now = Instant::now();
+    let fleet = TrialFleet::new(entries_beside_false_ones(3), now);
+    fleet.fleet.note_answer(&"i-1".into(), address(1), now);
+    for port in 1..4 {
+        fleet.put(renewed(&format!("i-{port}"), port, 2));
+    }
+    fleet.fleet.note_failed_trial("h-1", address(101));
+    assert!(fleet.fleet.is_suspected("h-2"));
+    assert!(!fleet.fleet.is_suspected("i-2"));
+    // A program that renews its record sets aside all.
+    fleet.fleet.note_failed_trial("i-3", address(3));
+    assert!(fleet.fleet.is_suspected("i-2"));
+}
+
+/// Guards against daemons that copy the list and do not learn which servers renew their records, and against a copy at each
+/// write of a server.
+#[test]
+fn copy_of_the_list_tells_once_which_servers_renew_their_records() {
+    let now = Instant::now();
+    let source = TrialFleet::new(entries_beside_false_ones(1), now);
+    let copied = TrialFleet::new(Vec::new(), now);
+    let copy = |target: &TrialFleet, since| {
+        let delta = source.fleet.changes_since(since);
+        let (version, count) = (delta.version, delta.changed.len());
+        let base = target.fleet.position();
+        assert!(target.fleet.apply_copy(delta, base, now));
+        (version, count)
+    };
+    let (first, _) = copy(&copied, None);
+    source.put(renewed("i-1", 1, 2));
+    let (second, count) = copy(&copied, Some(first));
+    assert!(second > first);
+    assert_eq!(count, 1);
+    assert_none_at_false_records(&copied, TrialRule::Allowed);
+    for seq in 3..6 {
+        source.put(renewed("i-1", 1, seq));
+    }
+    assert_eq!(copy(&copied, Some(second)), (second, 0));
+    // A daemon that has just started learns it with the list.
+    let started = TrialFleet::new(Vec::new(), now);
+    copy(&started, None);
+    assert_none_at_false_records(&started, TrialRule::Allowed);
+    // It does not hold for a later start of the server, which has renewed nothing.
+    let restarted = TrialFleet::new(vec![entry("i-1", 1, 2), entry("i-2", 2, 2)], now);
+    restarted.put(ServerEntry {
+        seq: 2,
+        ..entry("i-2", 2, 2)
+    });
+    let renewed = source.fleet.changes_since(None).renewed;
+    let change = ServerChange::Renewed(renewed);
+    restarted.fleet.apply(vec![change], now);
+    for _ in 0..20 {
+        let (id, _guard) = restarted.choose(TrialRule::Allowed, &[]).expect("a server");
+        assert_eq!(id, "i-2");
+    }
+}
+
 /// A step of a fleet in which two servers and records of other programs claim three addresses.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum ClaimStep {
