Connections: a request goes on past refused ones while its time lasts

Cause: a request gave up after 64 refused connections. Each closes its address to all requests, but after a start a single request may meet more than that before it reaches a server.

Change: the limit is 1,024 for one request, above the servers of the largest fleet. The time of the request ends it before, and the number only matters at servers that refuse some connections and accept others, which stay open.

--- a/src/relay/exchange/connect.rs
+++ b/src/relay/exchange/connect.rs
@@ -13,9 +13,10 @@
 /// Maximum number of connections that could not be opened for one request. After the loss of a quarter of the servers of
 /// a service, the chance that as many in a row are among them is below 1 in 50,000.
 const MAX_FAILED_CONNECTS: usize = 8;
-/// Maximum number of connections that were refused for one request. A refusal is found out at once and closes the server
-/// to all requests.
-const MAX_REFUSED_CONNECTS: usize = 64;
+/// Maximum number of connections that were refused for one request. A refusal is found out at once and closes its address to
+/// all requests, so the time of the request is the usual limit. This one exceeds the servers of the largest fleet, and ends a
+/// request at servers that refuse some connections and accept others, which stay open.
+const MAX_REFUSED_CONNECTS: usize = 1_024;
 
 impl<F: RelayFormat> RelayExchange<F> {
     /// Notes whether an answer came on a new connection, which shows that the server accepts connections.
--- a/tests/unsent.rs
+++ b/tests/unsent.rs
@@ -4,6 +4,7 @@
 
 use std::time::Instant;
 
+use eyre::OptionExt;
 use foxtailhill::metrics::KindLabels;
 use foxtailhill::relay::{RetryLimits, ServerChange};
 use foxtailhill::settings::LimitSettings;
@@ -118,6 +119,33 @@
     Ok(())
 }
 
+/// Guards against giving up a request after a number of refused connections, although a server behind them is healthy.
+#[tokio::test]
+async fn request_finds_a_server_behind_hundreds_that_refuse_connections() -> eyre::Result<()> {
+    let rig = rig_with_one_retry().await?;
+    let _socket = list_refusing(&rig, "i-0").await?;
+    let refusing = rig.fleet.servers();
+    let refusing = refusing.first().ok_or_eyre("no server is listed")?;
+    // The socket keeps its port from servers at all addresses.
+    let changes = (1..=300_u16).map(|index| {
+        let [high, low] = index.to_be_bytes();
+        let mut entry = refusing.clone();
+        entry.id = format!("i-0-{index}").into();
+        entry.address.set_ip([127, 1, high, low].into());
+        ServerChange::Put(entry)
+    });
+    rig.fleet.apply(changes.collect(), Instant::now());
+    let good = Script::Answer(whole("200 OK", "yes"));
+    let healthy = ScriptedServer::bind(&rig.group, "i-8", [good]).await?;
+    list_far(&rig, &healthy)?;
+    let answer = rig
+        .send(&request("POST", "/confirm/1", "r1", "", "x"))
+        .await?;
+    assert!(is_served(&answer), "{answer}");
+    rig.shutdown().await;
+    Ok(())
+}
+
 /// Guards against opening connections without end for one request when every server refuses them, and against an answer
 /// that does not say that the request has not run.
 #[tokio::test]
