--- a/src/relay/exchange/connect.rs
+++ b/src/relay/exchange/connect.rs
@@ -13,9 +13,10 @@
 /// Maximum number of connections that could not be opened for one request. After the loss of a quarter of the servers of
 /// a service, the chance that as many in a row are among them is below 1 in 50,000.
 const MAX_FAILED_CONNECTS: usize = 8;
-/// Maximum number of connections that were refused for one request. A refusal is found out at once and closes the server
-/// to all requests.
-const MAX_REFUSED_CONNECTS: usize = 64;
+/// Maximum number of connections that were refused for one request. A refusal is found out at once and closes its address to
+/// all requests, so the time of the request is the usual limit. This one exceeds the servers of the largest fleet, and ends a
+/// request at servers that refuse some connections and accept others, which stay open.
+const MAX_REFUSED_CONNECTS: usize = 1_024;
 
 impl<F: RelayFormat> RelayExchange<F> {
     /// Notes whether an answer came on a new connection, which shows that the server accepts connections.
@@ -47,18 +48,28 @@
         }
     }
 
-    /// Notes an attempt that failed for another reason than that the server is full.
-    pub(super) fn note_trial(&self, slot: &ServerSlot, attempt: &Attempt) {
+    /// Notes the outcome of an attempt. `is_trial` states whether the server had not answered before.
+    pub(super) fn note_trial(&self, slot: &ServerSlot, attempt: &Attempt, is_trial: bool) {
         let has_failed = match attempt {
             Attempt::Finished | Attempt::Cancelled => false,
             Attempt::Failed { error, .. } => error.category() != Category::Overloaded,
             Attempt::Stopped(error) => error.verdict() == RunVerdict::MayHaveRun,
             Attempt::NotResident | Attempt::Unsent(_) => true,
         };
-        if has_failed && !slot.is_proven() {
+        let is_proven = slot.is_proven();
+        if has_failed && !is_proven {
             let fleet = &self.context.fleet;
             fleet.note_failed_trial(&slot.name, slot.address);
         }
+        if is_trial {
+            let kind = match (is_proven, has_failed) {
+                (true, _) => "answered",
+                (false, true) => "failed",
+                (false, false) => "undecided",
+            };
+            let metrics = &self.context.metrics;
+            metrics.count(&metrics.trials, kind);
+        }
     }
 
     /// Handles a server that could not be connected to, so that no byte of the request was sent.
