Rates: a daemon that the store refused at its start registers later

Callers within their team's rate got 429 for up to half a minute after a restart of all daemons, long after the store served all of them again.

A daemon registers, and so gets its shares of rates, once it has read the table of daemons itself, to know whether the table lists it already. If the store refused that first read, and another daemon of the zone read the store meanwhile, the refused one ceased to read and took copies, which do not count as a read. It never registered, while the others kept its former record, and with it its shares, for the term of 30 s.

The table of daemons is now read until a read has succeeded, also by a daemon that does not read the store for its zone. Shares are taken up under the same conditions as before, so their sum is unchanged.

--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -136,7 +136,8 @@
     });
 }
 
-/// Reads `table` while `reading` is true and passes its changes to `sink`; waits while `reading` is false.
+/// Reads `table` while `reading` is true and passes its changes to `sink`; waits while `reading` is false. A table that is
+/// read at the start is read until a read has succeeded, whatever `reading` is.
 pub async fn follow_table<R: RecordStore, S: TableSink>(
     store: Arc<R>,
     table: StoreTable,
@@ -152,8 +153,9 @@
         false => ReadCause::Start,
     };
     let mut retry_pause = RetryPause::default();
+    let mut is_start = table.is_read_at_start();
     loop {
-        if !*reading.borrow_and_update() {
+        if !*reading.borrow_and_update() && !is_start {
             next = None;
             cause = ReadCause::Elected;
             if reading.changed().await.is_err() {
@@ -180,6 +182,7 @@
                     log::info!("table {table:?} of the store is readable again");
                 }
                 reachable = true;
+                is_start = false;
                 let pause = match outcome {
                     ReadOutcome::Read(position, change) => {
                         let is_first = next.is_none();
--- a/src/relay/store.rs
+++ b/src/relay/store.rs
@@ -44,6 +44,11 @@
     pub fn is_versioned(self) -> bool {
         self == Self::Configuration
     }
+
+    /// Returns whether a starting daemon must read this table once itself, even if another daemon reads it for its zone.
+    pub fn is_read_at_start(self) -> bool {
+        self == Self::Daemons
+    }
 }
 
 /// One record of a table.
--- a/tests/soak/daemon.rs
+++ b/tests/soak/daemon.rs
@@ -109,6 +109,12 @@
 
     /// Starts the process and waits until it is ready.
     pub async fn start(&mut self) -> eyre::Result<()> {
+        self.launch()?;
+        self.wait_ready().await
+    }
+
+    /// Starts the process.
+    pub fn launch(&mut self) -> eyre::Result<()> {
         let program = std::env::var_os(PROGRAM_VARIABLE);
         let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_foxtailhill").into());
         let child = Command::new(program)
@@ -118,6 +124,11 @@
             .stdout(Stdio::null())
             .spawn()?;
         self.child = Some(child);
+        Ok(())
+    }
+
+    /// Waits until the process is ready.
+    pub async fn wait_ready(&mut self) -> eyre::Result<()> {
         let end = Instant::now() + WAIT_TIMEOUT;
         while !is_ready(self.ready).await {
             self.check_running()?;
@@ -189,7 +200,8 @@
         Ok(())
     }
 
-    fn end_process(&mut self) {
+    /// Kills the process.
+    pub fn end_process(&mut self) {
         if let Some(mut child) = self.child.take() {
             // The process may have ended by itself.
             let _ = child.kill();
