Store: the time limit of a page follows the store's answer times

After all daemons had restarted beside a store that takes 2 s for each call, they served nothing as long as the store was slow.

A daemon that starts reads each table page by page and gave up on a page after 1.5 s without headers. A store that is slower never got a page across, whatever the number of tries, so that no daemon had a configuration or a list of servers, and none could copy them from another. Daemons that keep running still have theirs, so the fault shows only when all have started anew.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -17,13 +17,13 @@
 use crate::ids::{LogOffset, StoreEra, VmId};
 use crate::platform::headers::STORE_ERA;
 use crate::relay::{
-    KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable, TableRead,
-    WriteAnswer,
+    HeadLimit, KeyedRecord, LeaseRecord, LeaseState, LeaseStore, RecordStore, StoreTable,
+    TableRead, WriteAnswer,
 };
 use crate::wire::{self, CallTimeouts, HttpAnswer, HttpClient};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time limit of a call with a short answer, and of the wait for the headers of a page.
+/// Time limit of a call with a short answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Added to a read's wait for records to get the time limit of its headers, as the connection may be dead.
 const READ_MARGIN: Duration = Duration::from_millis(600);
@@ -53,6 +53,8 @@
     client: HttpClient,
     /// Newest era that an answer has named, for log lines.
     newest_era: Arc<AtomicU64>,
+    /// Time limit of the wait for the headers of a page.
+    page_limit: Arc<HeadLimit>,
 }
 
 /// A page of newest records. Its items are decoded one by one, so that one that is malformed does not hide the others.
@@ -104,6 +106,7 @@
             address,
             client: HttpClient::open(CONNECT_TIMEOUT),
             newest_era: Arc::default(),
+            page_limit: Arc::default(),
         }
     }
 
@@ -138,10 +141,18 @@
             path.push_str("&after=");
             path.extend(after.bytes().map(|byte| format!("%{byte:02X}")));
         }
-        let timeouts = long_answer(CALL_TIMEOUT, Duration::ZERO);
+        let limit = self.page_limit.current();
+        let timeouts = long_answer(limit, Duration::ZERO);
+        let asked_at = Instant::now();
         let answer = self
             .call(Method::GET, &path, Bytes::new(), timeouts)
-            .await?;
+            .await
+            .inspect_err(|error| {
+                if error.category() == Category::Timeout {
+                    self.page_limit.note_late(limit);
+                }
+            })?;
+        self.page_limit.note_answer(asked_at.elapsed());
         // Keys may be any bytes, also such that are no text.
         let text = String::from_utf8_lossy(&answer.body);
         let page: NewestPage<'_> = match answer.status {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod fleet;
 mod follower;
 mod format;
+mod head_limit;
 mod identity;
 mod keeper;
 mod layout;
@@ -81,6 +82,7 @@
 pub use self::format::{
     AnswerKind, PromptPart, RelayFormat, RequestMetadata, ServerNotice, UpstreamMetadata,
 };
+pub use self::head_limit::HeadLimit;
 pub use self::identity::{AddressClaim, IdentityTable};
 pub use self::keeper::{ConfigDecoder, ConfigHolder, ServerDecoder, ServerSink, SkipMetrics};
 pub use self::layout::{LayoutEngine, LayoutModel, LayoutMove, LayoutPolicy};
--- a/tests/store_link/mod.rs
+++ b/tests/store_link/mod.rs
@@ -1,6 +1,7 @@
 //! A connection to the store that can be disturbed for one daemon alone.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use foxtailhill::kernel::TaskGroup;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,6 +14,8 @@
     Open,
     /// Each call is answered with this text.
     Answer(&'static str),
+    /// Each call reaches the store after a delay.
+    Slow(Duration),
 }
 
 /// Status of a store that refuses a call.
@@ -60,14 +63,30 @@
     store: SocketAddr,
     state: LinkState,
 ) -> std::io::Result<()> {
+    let mut chunk = [0; 16 << 10];
     if let LinkState::Answer(answer) = state {
-        let mut chunk = [0; 16 << 10];
         while stream.read(&mut chunk).await? > 0 {
             stream.write_all(answer.as_bytes()).await?;
         }
         return Ok(());
     }
+    let (mut calls, mut answers) = stream.split();
     let mut upstream = TcpStream::connect(store).await?;
-    tokio::io::copy_bidirectional(&mut stream, &mut upstream).await?;
-    Ok(())
+    let (mut read_store, mut write_store) = upstream.split();
+    let forward_calls = async {
+        loop {
+            let length = calls.read(&mut chunk).await?;
+            if length == 0 {
+                return std::io::Result::Ok(());
+            }
+            if let LinkState::Slow(delay) = state {
+                tokio::time::sleep(delay).await;
+            }
+            write_store.write_all(&chunk[..length]).await?;
+        }
+    };
+    tokio::select! {
+        result = forward_calls => result,
+        result = tokio::io::copy(&mut read_store, &mut answers) => result.map(|_| ()),
+    }
 }
