--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -515,8 +515,9 @@
         pieces: &mpsc::Sender<Result<RelayPiece>>,
         others: &O,
     ) -> Attempt {
+        let is_trial = !slot.is_proven();
         let attempt = self.send_to(slot, pieces, others).await;
-        self.note_trial(slot, &attempt);
+        self.note_trial(slot, &attempt, is_trial);
         let attempt = self.check_origin(slot, attempt);
         if !std::mem::take(&mut self.broke_early) {
             return attempt;
--- a/src/relay/resumption.rs
+++ b/src/relay/resumption.rs
@@ -11,9 +11,10 @@
 use crate::relay::dispatcher::RelayDispatcher;
 use crate::relay::format::{RelayFormat, RequestMetadata};
 use crate::relay::origins::{KnownOrigin, StreamId};
+use crate::relay::version_history::VersionHistory;
 
-/// Added to the age of a stream, for a request that was on its way and for a new version that other daemons know first.
-const AGE_MARGIN: Duration = Duration::from_secs(2);
+/// Added to the age of a stream, for a new version that other daemons know first.
+const AGE_MARGIN: Duration = VersionHistory::SETTLE_TIME;
 /// Largest multiple of a route's timeout that a caller's time may be to count as the age of its stream.
 const MAX_TIMEOUT_FACTOR: u32 = 2;
 
