--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -418,3 +418,17 @@
         "{counts:?}"
     );
 }
+
+#[test]
+fn a_holder_sends_no_message_for_its_own_rank() {
+    for seed in 0..100 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let names = (0..9).map(|_| format_smolstr!("vm-{:08x}", rng.random::<u32>()));
+        let fleet: Vec<Daemon> = names.map(|name| (name, "zone-1".into())).collect();
+        let stream = StreamId(rng.random());
+        let counts = fleet.iter().map(|own| reached(&fleet, own, None, stream));
+        // The count includes the daemon itself.
+        let few = counts.filter(|daemons| daemons.len() == 2).count();
+        assert_eq!(few, 2, "seed {seed}");
+    }
+}
