--- a/tests/stream_support/caller.rs
+++ b/tests/stream_support/caller.rs
@@ -200,14 +200,19 @@
         Ok(())
     }
 
-    /// Reads the events of the last try until its answer ends.
-    pub async fn read_to_end(&mut self) -> eyre::Result<()> {
+    /// Reads the events of the last try up to `last`, or until its answer ends.
+    pub async fn read_to(&mut self, last: u64) -> eyre::Result<()> {
         match self.tries.last_mut() {
-            Some(last) => last.read_to(u64::MAX).await,
+            Some(entry) => entry.read_to(last).await,
             None => Ok(()),
         }
     }
 
+    /// Reads the events of the last try until its answer ends.
+    pub async fn read_to_end(&mut self) -> eyre::Result<()> {
+        self.read_to(u64::MAX).await
+    }
+
     /// Closes the connection of the last try.
     pub fn hang_up(&mut self) {
         if let Some(last) = self.tries.last_mut() {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -26,6 +26,8 @@
 const STREAMS: usize = 12;
 /// Last event that callers read before a disturbance.
 const BREAK_EVENT: u64 = 5;
+/// Requests to each daemon whose retry budget then allows as many retries as a test needs.
+const WARM_UP_STREAMS: usize = 60;
 /// Time in which all daemons know a change of the list of servers.
 const LIST_TIME: Duration = Duration::from_secs(1);
 /// Time in which an answer that cannot go on has ended.
@@ -66,6 +68,24 @@
         .collect()
 }
 
+/// Crashes the server of each version that serves most of the streams.
+fn crash_busiest(fleet: &StreamFleet, callers: &[StreamCaller]) -> eyre::Result<()> {
+    let mut interrupted = 0;
+    for version in ["v1", "v2"] {
+        let runs = |server: &&Arc<StreamServer>| {
+            let ids = callers.iter().map(|caller| &caller.tries[0].id);
+            ids.filter(|id| server.runs(id) > 0).count()
+        };
+        let servers = fleet.servers_of(version);
+        let busiest = servers.into_iter().max_by_key(runs);
+        let busiest = busiest.ok_or_eyre("no server")?;
+        interrupted += runs(&busiest);
+        busiest.crash();
+    }
+    println!("{interrupted} streams were interrupted");
+    Ok(())
+}
+
 /// Checks that all answers end broken in time, with events of one version.
 async fn check_broken(callers: &mut [StreamCaller]) -> eyre::Result<()> {
     let from = Instant::now();
@@ -113,8 +133,6 @@
 /// Guards against an answer that goes on at another software version after its server has crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_of_a_crashed_server_goes_on_at_its_version() -> eyre::Result<()> {
-    /// Enough for the retry budgets of all daemons.
-    const WARM_UP_STREAMS: usize = 60;
     /// Fewer than the retry budget allows to go on.
     const DAEMON_STREAMS: usize = 6;
     with_fleet("crash", &["v1", "v2"], 2, async |fleet| {
@@ -123,19 +141,27 @@
         for daemon in 0..DAEMONS {
             callers.extend(fleet.begin(daemon, DAEMON_STREAMS, BREAK_EVENT).await?);
         }
-        let mut interrupted = 0;
-        for version in ["v1", "v2"] {
-            let runs = |server: &&Arc<StreamServer>| {
-                let ids = callers.iter().map(|caller| &caller.tries[0].id);
-                ids.filter(|id| server.runs(id) > 0).count()
-            };
-            let servers = fleet.servers_of(version);
-            let busiest = servers.into_iter().max_by_key(runs);
-            let busiest = busiest.ok_or_eyre("no server")?;
-            interrupted += runs(&busiest);
-            busiest.crash();
-        }
-        println!("{interrupted} streams were interrupted");
+        crash_busiest(&fleet, &callers)?;
+        read_all(&mut callers).await?;
+        check_all(&callers, check_complete)
+    })
+    .await
+}
+
+/// Guards against a try that takes the version of the server that continued an answer for that of the first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_goes_on_at_its_version_after_a_crash_and_a_kill() -> eyre::Result<()> {
+    with_fleet("crash-kill", &["v1", "v2"], 2, async |mut fleet| {
+        fleet.warm_up(WARM_UP_STREAMS).await?;
+        let mut callers = fleet.begin(0, STREAMS, BREAK_EVENT).await?;
+        crash_busiest(&fleet, &callers)?;
+        let continued = callers
+            .iter_mut()
+            .map(|caller| caller.read_to(3 * BREAK_EVENT));
+        try_join_all(continued).await?;
+        fleet.daemons[0].kill()?;
+        read_all(&mut callers).await?;
+        resume_all(&mut callers, &others(&fleet), Resumption::First, LAST_EVENT).await?;
         read_all(&mut callers).await?;
         check_all(&callers, check_complete)
     })
