Copies: renewed starts are sent without the records

Each renewal that a copy told came with the server's record, which the copying daemon has: after a start of a daemon that reads the store, the whole list once more. Copies now name the starts alone.

--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -48,6 +48,8 @@
     start: ServerStart,
     /// Version of the list in which the entry changed last.
     changed: u64,
+    /// Version of the list in which its record was known as renewed.
+    renewed: u64,
     /// When the server was first listed.
     listed_at: Instant,
     /// When this start of it was first listed at its address.
@@ -178,7 +180,9 @@
             since.is_some_and(|since| server.version > since)
                 && !state.servers.contains_key(&server.id)
         });
-        let renewed = changed.iter().filter(|server| server.handle.is_renewed());
+        let renewed = state.servers.values().filter(|server| {
+            server.handle.is_renewed() && since.is_none_or(|since| server.renewed > since)
+        });
         ServerDelta {
             version: state.version,
             position: state.list_position(),
--- a/src/relay/fleet/server_state.rs
+++ b/src/relay/fleet/server_state.rs
@@ -38,6 +38,7 @@
             start: server_start(&entry),
             placements: Vec::new(),
             changed: version,
+            renewed: version,
             listed_at: now,
             placed_at: now,
             entry,
@@ -55,7 +56,7 @@
         if !self.handle.is_renewed() {
             self.handle.set_renewed(true);
             *version += 1;
-            self.changed = *version;
+            self.renewed = *version;
         }
     }
 
--- a/src/relay/server_list.rs
+++ b/src/relay/server_list.rs
@@ -96,7 +96,7 @@
     pub changed: Vec<ServerEntry>,
     /// Servers without a record that are kept for a while; they are not in `changed`.
     pub expiring: Vec<SmolStr>,
-    /// Starts of those in `changed` whose records were written again since they were first read.
+    /// Starts of servers, in `changed` or not, whose records were written again since they were first read.
     pub renewed: Vec<ServerStart>,
     pub removed: Vec<SmolStr>,
 }
--- a/tests/regression/older_server_list.rs
+++ b/tests/regression/older_server_list.rs
@@ -202,7 +202,9 @@
     // The first write after the one that was read shows once that the record is renewed.
     let version = fleet.version();
     fleet.apply(put(1, server(1, 6, false)), start);
-    assert_eq!(fleet.version(), version + 1);
+    let delta = fleet.changes_since(Some(version));
+    assert_eq!(delta.version, version + 1);
+    assert!(delta.changed.is_empty() && delta.renewed.len() == 1);
     let version = fleet.version();
     for seq in 7..10 {
         fleet.apply(put(1, server(1, seq, false)), start);
--- a/tests/server_identity.rs
+++ b/tests/server_identity.rs
@@ -458,21 +458,22 @@
     let copied = TrialFleet::new(Vec::new(), now);
     let copy = |target: &TrialFleet, since| {
         let delta = source.fleet.changes_since(since);
-        let (version, count) = (delta.version, delta.changed.len());
+        let version = delta.version;
+        let counts = (delta.changed.len(), delta.renewed.len());
         let base = target.fleet.position();
         assert!(target.fleet.apply_copy(delta, base, now));
-        (version, count)
+        (version, counts)
     };
     let (first, _) = copy(&copied, None);
     source.put(renewed("i-1", 1, 2));
-    let (second, count) = copy(&copied, Some(first));
+    let (second, counts) = copy(&copied, Some(first));
     assert!(second > first);
-    assert_eq!(count, 1);
+    assert_eq!(counts, (0, 1));
     assert_none_at_false_records(&copied, TrialRule::Allowed);
     for seq in 3..6 {
         source.put(renewed("i-1", 1, seq));
     }
-    assert_eq!(copy(&copied, Some(second)), (second, 0));
+    assert_eq!(copy(&copied, Some(second)), (second, (0, 0)));
     // A daemon that has just started learns it with the list.
     let started = TrialFleet::new(Vec::new(), now);
     copy(&started, None);
