--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod policy;
 mod prefix;
+mod trials;
 
 use std::net::SocketAddr;
 use std::time::Instant;
