Rates: renewals of registrations follow the store's answer times

After all daemons had restarted beside a store that takes 2 s for each call, callers within their team's rate got 429 for as long as the store was slow.

A daemon abandoned the write of its registration after 1.5 s, so it had no share of any rate, and there was no daemon to borrow from. The write now has the time limit of pages, which follows the answer times. The term of a registration still counts from the time at which the write was sent, so no share is used for longer.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -53,7 +53,7 @@
     client: HttpClient,
     /// Newest era that an answer has named, for log lines.
     newest_era: Arc<AtomicU64>,
-    /// Time limit of the wait for the headers of a page.
+    /// Time limit of the wait for the headers of a page or for the answer to a write.
     page_limit: Arc<HeadLimit>,
 }
 
@@ -272,7 +272,9 @@
     async fn put(&self, table: StoreTable, key: &str, value: Bytes) -> Result<()> {
         let path = format!("/api/log-append?topic={}&part=0", topic(table));
         let body = encode_record(key, &value)?;
-        let answer = self.call(Method::POST, &path, body, CALL_TIMEOUT).await?;
+        // A write is as slow as a read.
+        let limit = self.page_limit.current();
+        let answer = self.call(Method::POST, &path, body, limit).await?;
         match answer.status {
             StatusCode::OK => Ok(()),
             status => Err(unexpected_status(status)),
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -46,8 +46,8 @@
 const BURST_PER_HOME: u64 = 10_000;
 /// Smallest number of homes of a team, so that most of its rate is left when one of them fails.
 const MIN_HOMES: usize = 3;
-/// Longest wait for the answer to a renewal.
-const RENEW_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the answer to a renewal. The time left of the usual term suffices for another one.
+const RENEW_TIMEOUT: Duration = Duration::from_secs(6);
 /// Added to the term before a daemon that does not renew its record is dropped, because clocks of VMs run at slightly
 /// different speeds.
 const TERM_MARGIN: Duration = Duration::from_secs(3);
