--- a/tests/team_rates_after_restart.rs
+++ b/tests/team_rates_after_restart.rs
@@ -11,6 +11,7 @@
 #[path = "soak/store.rs"]
 #[allow(dead_code, reason = "used by the soak")]
 mod store;
+#[allow(dead_code, reason = "used by other tests")]
 mod store_link;
 
 use std::net::SocketAddr;
