Pulses: a daemon that its peers have dropped still hears them

What callers saw: a daemon that the store refused for longer than the term of its registration kept the list of servers that it had, and refused or failed requests once those servers had gone; teams with a rate got 429 there.

Cause: pulses go to registered daemons, and copies of the list, configurations and spare tokens follow from pulses. After its term the daemon was dropped and heard nobody, though it sent pulses to all.

Change: a daemon that was dropped because its term had ended still gets pulses as long as its own are heard. It has no share of any rate, as before, and borrows.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -298,6 +298,10 @@
         }
     }
 
+    fn heard(&self, now: Instant) -> HashSet<SmolStr> {
+        self.readers.live_names(now)
+    }
+
     fn planner(&self) -> Option<SocketAddr> {
         self.known_planner.address()
     }
--- a/src/relay/pulse.rs
+++ b/src/relay/pulse.rs
@@ -99,6 +99,9 @@
     /// Returns this daemon's pulse, with the changes and the demand since the last call.
     fn build_pulse(&self, now: Instant) -> Pulse;
 
+    /// Returns the names of the daemons whose pulses arrived recently.
+    fn heard(&self, now: Instant) -> HashSet<SmolStr>;
+
     /// Returns the peer address of the planner, if it is known.
     fn planner(&self) -> Option<SocketAddr>;
 
@@ -237,9 +240,11 @@
 
     /// Sends one pulse to the peers whose turn it is, or to all if it is urgent.
     async fn send(&mut self, urgent: bool) {
-        let mut pulse = self.handler.build_pulse(Instant::now());
+        let now = Instant::now();
+        let mut pulse = self.handler.build_pulse(now);
         self.demand.push(std::mem::take(&mut pulse.demand));
-        let peers = self.registry.peers();
+        let heard = self.handler.heard(now);
+        let peers = self.registry.pulse_receivers(|name| heard.contains(name));
         let vms: HashSet<VmId> = peers.iter().map(|(_, record)| record.vm).collect();
         self.demand.retain_peers(&vms);
         // Most receivers have been told of the demand up to the same period, so their datagrams are the same.
--- a/src/relay/readers.rs
+++ b/src/relay/readers.rs
@@ -304,6 +304,13 @@
         versions.max().unwrap_or(0)
     }
 
+    /// Returns the names of the daemons whose pulses arrived recently.
+    pub fn live_names(&self, now: Instant) -> HashSet<SmolStr> {
+        let peers = self.peers();
+        let live = self.live(&peers, now);
+        live.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns the peer addresses of the daemons whose pulses arrived recently.
     pub fn live_peers(&self, now: Instant) -> HashSet<SocketAddr> {
         let peers = self.peers();
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -52,6 +52,9 @@
 /// different speeds.
 const TERM_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time for which a daemon that was dropped is remembered. Far longer than a store refuses a daemon.
+const FORMER_TIME: Duration = Duration::from_secs(3_600);
+
 /// A daemon's record in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DaemonRecord {
@@ -103,9 +106,17 @@
     era: StoreEra,
 }
 
+/// A daemon whose term has ended without a renewal. It may run on while the store refuses it.
+struct FormerMember {
+    record: DaemonRecord,
+    dropped_at: Instant,
+}
+
 #[derive(Default)]
 struct RegistryState {
     members: BTreeMap<SmolStr, Member>,
+    /// Daemons that were dropped because their term had ended.
+    former: BTreeMap<SmolStr, FormerMember>,
     /// Start of the current period without a failed read; `None` after a failed read.
     readable_since: Option<Instant>,
     /// Whether the table contained a record of this VM before this process wrote its own; `None` until the table was
@@ -254,6 +265,19 @@
             .collect()
     }
 
+    /// Returns the names and records of the daemons that get pulses: the registered ones, and former ones that `is_heard`
+    /// says are running. These hold no share of any rate, but learn from their peers what the store does not tell them.
+    pub fn pulse_receivers(
+        &self,
+        is_heard: impl Fn(&SmolStr) -> bool,
+    ) -> Vec<(SmolStr, DaemonRecord)> {
+        let mut receivers = self.peers();
+        let state = self.state();
+        let former = state.former.iter().filter(|(name, _)| is_heard(name));
+        receivers.extend(former.map(|(name, member)| (name.clone(), member.record.clone())));
+        receivers
+    }
+
     /// Returns the newest era of the store in which the table was read.
     pub fn era(&self) -> StoreEra {
         self.state().era.unwrap_or_default()
@@ -333,13 +357,22 @@
             return;
         }
         let own = &self.settings.name;
-        state.retain(|name, member| {
-            let keep = name == own || member.seen_at + validity > now;
-            if !keep {
-                log::info!("dropping daemon {name}: its registration has expired");
-            }
-            keep
+        let is_valid =
+            |name: &SmolStr, member: &Member| name == own || member.seen_at + validity > now;
+        let expired = state.members.iter();
+        let expired = expired.filter(|(name, member)| !is_valid(name, member));
+        let former = expired.map(|(name, member)| {
+            log::info!("dropping daemon {name}: its registration has expired");
+            let record = member.record.clone();
+            let dropped_at = now;
+            (name.clone(), FormerMember { record, dropped_at })
         });
+        let former: Vec<_> = former.collect();
+        state.former.extend(former);
+        state.retain(is_valid);
+        state
+            .former
+            .retain(|_, member| member.dropped_at + FORMER_TIME > now);
     }
 
     fn state(&self) -> MutexGuard<'_, RegistryState> {
@@ -438,6 +471,7 @@
     fn insert(&mut self, name: SmolStr, member: Member) {
         let known = self.members.get(&name).map(|known| &known.record);
         self.version += u64::from(known != Some(&member.record));
+        self.former.remove(&name);
         self.members.insert(name, member);
     }
 
