Streams: the version of a server is checked before the first event of each attempt

The version that the record names when the first event arrives was only noted, not compared with the one that began the stream, and not looked at for a later attempt within one answer.

--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -56,6 +56,7 @@
         let mut splitter = EventSplitter::default();
         let mut lease = self.context.memory.lease(&slot.name);
         let is_resumed = self.sent_type.is_some();
+        let mut is_checked = false;
         loop {
             let frame = answer.body.frame();
             let frame = tokio::select! {
@@ -81,6 +82,11 @@
                 let error = Error::new(Category::Overloaded, message);
                 return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
             }
+            if !std::mem::replace(&mut is_checked, true) && !self.note_origin(slot) {
+                let message = "the backend server has started anew with other software";
+                let error = Error::new(Category::Protocol, message);
+                return self.failed_attempt(slot, error.with_verdict(RunVerdict::MayHaveRun));
+            }
             let events = self.attempt_events;
             let NewEvents {
                 bytes,
@@ -178,11 +184,17 @@
         }
     }
 
-    /// Notes the software that begins the stream, or goes on with it.
-    fn note_origin(&mut self, slot: &ServerSlot) {
+    /// Notes the software that begins the stream, or goes on with it, before any of its events is forwarded. Returns false if it
+    /// is not the one that began the stream.
+    fn note_origin(&mut self, slot: &ServerSlot) -> bool {
         // The server may have started anew since it was chosen.
         let software = self.context.fleet.software_of(&slot.name);
         let software = software.unwrap_or_else(|| slot.software.clone());
+        if let Some(required) = &self.software
+            && *required != software
+        {
+            return false;
+        }
         if let Some(stream) = self.request.stream {
             let is_told = self.context.origins.begin(StreamStart {
                 stream,
@@ -200,6 +212,7 @@
             }
         }
         self.software = Some(software);
+        true
     }
 
     /// Stops the request if the server that broke off the stream may have started anew with other software before it sent
@@ -243,7 +256,6 @@
     ) -> bool {
         if self.sent_type.is_none() {
             self.sent_type = Some(StreamType::of(&answer.head));
-            self.note_origin(slot);
             self.fallback = None;
             let head = RelayPiece::Head(response_head(answer));
             if pieces.send(Ok(head)).await.is_err() {
