--- a/src/relay/fleet.rs
+++ b/src/relay/fleet.rs
@@ -468,6 +468,10 @@
 
     fn has_software(&self, service: &str, software: &str) -> bool {
         let state = self.state();
+        // A server that has crashed comes back with the only software there is.
+        if !state.versions.is_mixed(service, Instant::now()) {
+            return true;
+        }
         state.servers.values().any(|server| {
             let entry = &server.entry;
             entry.service == service
