--- a/src/relay/origins.rs
+++ b/src/relay/origins.rs
@@ -11,8 +11,8 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Longest time for which a notice holds.
-const MAX_LIFE: Duration = Duration::from_secs(600);
+/// Longest time for which the origin of a stream is remembered.
+pub(super) const MAX_LIFE: Duration = Duration::from_secs(600);
 /// Number of daemons in the teller's own zone that know of a stream.
 const ZONE_HOLDERS: usize = 2;
 /// Number of zones of which one daemon each knows of a stream, whatever the zone of the teller.
--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -9,7 +9,9 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::relay::fleet::RelayFleet;
-use crate::relay::origins::{KnownOrigin, OriginKey, OriginNotice, OriginTable, StreamId, holders};
+use crate::relay::origins::{
+    KnownOrigin, MAX_LIFE, OriginKey, OriginNotice, OriginTable, StreamId, holders,
+};
 use crate::relay::registry::DaemonRegistry;
 
 /// Maximum number of streams whose origin is remembered.
@@ -71,7 +73,7 @@
         let now = Instant::now();
         let is_mixed = self.fleet.is_mixed(start.service, now);
         let origin = OriginKey::of(start.service, start.software);
-        let until = start.deadline + DEADLINE_MARGIN;
+        let until = (start.deadline + DEADLINE_MARGIN).min(now + MAX_LIFE);
         self.table()
             .note_begun(start.stream, origin, until, is_mixed);
         if is_mixed {
