--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -172,7 +172,7 @@
         health.reads().count(table, next.is_none(), cause);
         let (result, is_late) =
             notify_if_late(limit, read_once(&*store, table, next, pace), on_late).await;
-        if is_late && !*reading.borrow() && !table.is_versioned() {
+        if is_late && !*reading.borrow() && !table.is_versioned() && !is_start {
             // Another daemon reads the table now, and copies from it may be newer than this result.
             continue;
         }
