Copies: a copy during an outage adds daemons and drops none

Found by the review, not seen in a run: registrations, unlike lists, have no position, so a copy from a daemon that does not read the store could drop a daemon that had registered just before the outage, whose share would then be counted twice.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -8,7 +8,6 @@
 use crate::peer::{PeerCaller, PeerReply, PeerRequest};
 use crate::relay::config_copy::ConfigAssembler;
 use crate::relay::fleet::RelayFleet;
-use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::keeper::ConfigHolder;
 use crate::relay::readers::{
     CopyRequest, CopySource, FetchHistory, ReaderElection, SourceFailures, TableCopy,
@@ -79,12 +78,13 @@
     fn apply(&self, copy: TableCopy, base: ListPosition, reads_store: bool) -> bool {
         let now = Instant::now();
         let is_applied = self.fleet.apply_copy(copy.servers, base, now);
-        if let Some(daemons) = copy.daemons {
-            self.registry.apply_copy(daemons, now);
-        }
         if !reads_store {
             self.fleet.apply(vec![ServerChange::Unreachable], now);
-            self.registry.apply(TableChange::Unreachable);
+        }
+        match copy.daemons {
+            Some(daemons) if reads_store => self.registry.apply_copy(daemons, now),
+            Some(daemons) => self.registry.apply_unconfirmed(daemons, now),
+            None => {}
         }
         is_applied
     }
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -94,7 +94,7 @@
             } = self.new_events(&mut splitter, is_resumed);
             let arrived = Instant::now();
             self.note_events(slot, self.attempt_events - events, arrived);
-            if !bytes.is_empty() && !self.send_events(slot, &answer, bytes, pieces).await {
+            if !bytes.is_empty() && !self.send_events(&answer, bytes, pieces).await {
                 return Attempt::Cancelled;
             }
             self.note_caller_wait(arrived.elapsed());
@@ -110,7 +110,7 @@
             // The incomplete event is dropped, as the next server sends it again.
             return self.failed_attempt(slot, error);
         }
-        if !self.send_events(slot, &answer, rest, pieces).await
+        if !self.send_events(&answer, rest, pieces).await
             || pieces.send(Ok(RelayPiece::End)).await.is_err()
         {
             return Attempt::Cancelled;
@@ -249,7 +249,6 @@
     /// closed the connection.
     async fn send_events(
         &mut self,
-        slot: &ServerSlot,
         answer: &UpstreamAnswer,
         bytes: Bytes,
         pieces: &mpsc::Sender<Result<RelayPiece>>,
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -299,6 +299,23 @@
         }
     }
 
+    /// Adds the daemons that only a copy from another daemon names. That daemon does not read the store, so that the copy may
+    /// lack daemons and be older than what is known.
+    pub fn apply_unconfirmed(&self, copy: RegistryCopy, now: Instant) {
+        let mut state = self.state();
+        for copied in copy.registrations {
+            if state.members.contains_key(&copied.name) {
+                continue;
+            }
+            let member = Member {
+                record: copied.record,
+                seen_at: now.checked_sub(copied.age).unwrap_or(now),
+                era: copied.era,
+            };
+            state.insert(copied.name, member);
+        }
+    }
+
     /// Replaces the registered daemons by a copy from another daemon, unless the copy is of an older era of the store.
     pub fn apply_copy(&self, copy: RegistryCopy, now: Instant) {
         let mut state = self.state();
