Resumption: a stream's age is not judged by what its caller has left

Cause: the age of a stream was the longest known deadline less what the caller states to be left, so that it could be far too short.

Change: the history must reach back for the longest time that any stream of the route can have lasted. Once the system has started for the first time (bootstrap in the platform's settings), no stream is older than it, so that a young fleet refuses nothing for want of history.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -296,6 +296,10 @@
         platform::decode_config,
     ));
     let fleet = Arc::new(RelayFleet::new());
+    if settings.bootstrap {
+        log::info!("the system starts for the first time");
+        fleet.note_first_start();
+    }
     let registry = Arc::new(DaemonRegistry::new(RegistrySettings {
         name: settings.vm.clone(),
         record: DaemonRecord {
--- a/src/relay/fleet/versions.rs
+++ b/src/relay/fleet/versions.rs
@@ -48,6 +48,11 @@
         origins.collect::<HashSet<_>>().into_iter().collect()
     }
 
+    /// Notes that the whole system starts for the first time.
+    pub fn note_first_start(&self) {
+        self.state().versions.note_first_start();
+    }
+
     /// Returns what this daemon knows of versions, for its pulses.
     pub fn version_report(&self, now: Instant) -> VersionReport {
         self.state().versions.report(now)
--- a/src/relay/resumption.rs
+++ b/src/relay/resumption.rs
@@ -15,8 +15,6 @@
 
 /// Added to the age of a stream, for a new version that other daemons know first.
 const AGE_MARGIN: Duration = VersionHistory::SETTLE_TIME;
-/// Largest multiple of a route's timeout that a caller's time may be to count as the age of its stream.
-const MAX_TIMEOUT_FACTOR: u32 = 2;
 
 /// A software version of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,7 +109,7 @@
         let named = metadata.resumes.as_ref().filter(|id| !id.is_empty());
         let stream = named.map(|id| StreamId::of(team, id));
         let found = self
-            .find_origin(config, route, stream, age(longest, metadata))
+            .find_origin(config, route, stream, longest + AGE_MARGIN)
             .await;
         let kind = match &found {
             Ok((_, source)) => source.as_str(),
@@ -183,29 +181,24 @@
         listed.next().ok_or(TryRefusal::Gone)
     }
 
-    /// Notes how long a caller waits. Returns the longest time on the route, counted up to twice the route's timeout.
+    /// Notes how long a caller waits. Returns the longest time on the route, which is at least the route's timeout.
     fn note_wait(&self, route: &RouteConfig, wait: Option<Duration>) -> Duration {
         let wait = wait.unwrap_or_default();
-        let wait = wait.min(route.timeout * MAX_TIMEOUT_FACTOR);
         let mut waits = self
             .longest_waits
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        match waits.get_mut(&route.name) {
-            Some(longest) => {
+        // A longer one does not count: nothing is known for as long, so its caller's streams go on only if they are remembered.
+        if !waits.contains_key(&route.name) {
+            waits.insert(route.name.clone(), Duration::ZERO);
+        }
+        let known = waits.get_mut(&route.name);
+        let longest = known.map_or(Duration::ZERO, |longest| {
+            if wait <= VersionHistory::MAX_AGE - AGE_MARGIN {
                 *longest = wait.max(*longest);
-                *longest
-            }
-            None => {
-                let longest = wait.max(route.timeout);
-                waits.insert(route.name.clone(), longest);
-                longest
             }
-        }
+            *longest
+        });
+        longest.max(route.timeout).max(wait)
     }
 }
-
-/// Returns how long ago a stream can have begun whose caller waits for `longest` in all.
-fn age(longest: Duration, metadata: &RequestMetadata) -> Duration {
-    longest.saturating_sub(metadata.deadline.unwrap_or_default()) + AGE_MARGIN
-}
--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -70,6 +70,8 @@
     opened: Option<Instant>,
     /// Since when all versions that were listed are known, from this daemon's list or from its peers.
     known_since: Instant,
+    /// Whether no server was listed for any daemon before the first list.
+    is_first_start: bool,
     updates: u64,
     /// Digest of the versions that are listed.
     listed: u64,
@@ -93,11 +95,25 @@
             services: HashMap::new(),
             opened: None,
             known_since: now,
+            is_first_start: false,
             updates: 0,
             listed: 0,
         }
     }
 
+    /// Notes that the whole system starts for the first time, so that no stream began before.
+    pub fn note_first_start(&mut self) {
+        self.is_first_start = true;
+    }
+
+    /// Returns for how long all versions that were listed are known.
+    fn known_for(&self, now: Instant) -> Duration {
+        match self.is_first_start {
+            true => Self::MAX_AGE,
+            false => now.saturating_duration_since(self.known_since),
+        }
+    }
+
     /// Records the service and the version of all servers that are listed at `now`. A version that is missing was listed
     /// until now. The first list starts the knowledge.
     pub fn update<'a>(
@@ -159,7 +175,7 @@
     /// if that is not known. That is never known for more than a minute.
     pub fn sole(&self, service: &str, age: Duration, now: Instant) -> Option<SmolStr> {
         self.opened?;
-        let known_for = now.saturating_duration_since(self.known_since);
+        let known_for = self.known_for(now);
         if age > Self::MAX_AGE.min(known_for) {
             return None;
         }
@@ -170,10 +186,7 @@
 
     /// Returns the report for this daemon's pulses.
     pub fn report(&self, now: Instant) -> VersionReport {
-        let Some(known_for) = self
-            .opened
-            .map(|_| now.saturating_duration_since(self.known_since))
-        else {
+        let Some(known_for) = self.opened.map(|_| self.known_for(now)) else {
             return VersionReport::default();
         };
         let mut mixed = Vec::new();
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -23,6 +23,9 @@
     pub zone: SmolStr,
     pub listen: RelayListen,
     pub store: StoreSettings,
+    /// Whether the whole system starts for the first time, so that no caller has a stream of earlier daemons; default false.
+    #[serde(default)]
+    pub bootstrap: bool,
     #[serde(default)]
     pub capacity: VmCapacity,
     #[serde(default)]
