Registrations: a daemon's record says which software versions it has seen

Change: the record of a daemon carries its report of versions and is written again at once when they change, so that what a former daemon knew holds until its end. It is read with the table of daemons at the start. Releases without reports ignore them.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -472,6 +472,12 @@
         .spawn_periodic(group, "fleet-view", FLEET_PERIOD, move |now| {
             fleet.tick(now);
             origins.tick(now);
+            if fleet.has_list() {
+                for report in registry.take_reports() {
+                    fleet.apply_version_report(&report, now);
+                }
+                registry.set_report(fleet.version_report(now));
+            }
             let cold = fleet.cold_servers();
             if cold > 0 {
                 update_cold_shares(&fleet, &registry, configs.borrow().as_deref(), bound, now);
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -31,6 +31,7 @@
 use crate::peer::PeerCaller;
 use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
+use crate::relay::version_history::VersionReport;
 use crate::routing::divide_requests;
 use crate::timer::TimerService;
 
@@ -117,6 +118,10 @@
     members: BTreeMap<SmolStr, Member>,
     /// Daemons that were dropped because their term had ended.
     former: BTreeMap<SmolStr, FormerMember>,
+    /// What the records that were read say of software versions, by daemon.
+    reports: BTreeMap<SmolStr, VersionReport>,
+    /// What this daemon's record says.
+    own_report: VersionReport,
     /// Start of the current period without a failed read; `None` after a failed read.
     readable_since: Option<Instant>,
     /// Whether the table contained a record of this VM before this process wrote its own; `None` until the table was
@@ -278,6 +283,26 @@
         receivers
     }
 
+    /// Takes what daemons knew of software versions when they wrote their records, also former ones.
+    pub fn take_reports(&self) -> Vec<VersionReport> {
+        let reports = std::mem::take(&mut self.state().reports);
+        reports.into_values().collect()
+    }
+
+    /// Sets what this daemon knows of software versions. Its record is written again at once when the versions change, so that
+    /// a record holds as long as its daemon lived.
+    pub fn set_report(&self, report: VersionReport) {
+        let mut state = self.state();
+        let known = std::mem::replace(&mut state.own_report, report);
+        let new = &state.own_report;
+        let is_changed = known.listed != new.listed || known.mixed.len() != new.mixed.len();
+        let is_first = known.listed == 0;
+        drop(state);
+        if is_changed && !is_first {
+            self.lost.notify_one();
+        }
+    }
+
     /// Returns the newest era of the store in which the table was read.
     pub fn era(&self) -> StoreEra {
         self.state().era.unwrap_or_default()
@@ -505,7 +530,8 @@
                 continue;
             };
             match decode(&value) {
-                Ok(record) => {
+                Ok((record, report)) => {
+                    self.reports.insert(key.clone(), report);
                     let member = Member {
                         record,
                         seen_at: now,
@@ -520,18 +546,19 @@
 }
 
 async fn renew<R: RecordStore>(registry: Arc<DaemonRegistry>, store: Arc<R>) {
-    let value = match encode(&registry.settings.record) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!("this daemon cannot register: {error}");
-            return;
-        }
-    };
     // The table must be read first, to know whether it already contained a record of this VM.
     while registry.state().was_registered.is_none() {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     loop {
+        let report = registry.state().own_report.clone();
+        let value = match encode(&registry.settings.record, &report) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!("this daemon cannot register: {error}");
+                return;
+            }
+        };
         let sent_at = Instant::now();
         let put = store.put(StoreTable::Daemons, &registry.settings.name, value.clone());
         let pause = match tokio::time::timeout(RENEW_TIMEOUT, put).await {
@@ -552,14 +579,21 @@
     }
 }
 
-fn encode(record: &DaemonRecord) -> Result<Bytes> {
-    bincode::serde::encode_to_vec(record, bincode::config::standard())
+/// Encodes a record, followed by what its daemon knows of software versions. Releases without reports ignore what follows.
+fn encode(record: &DaemonRecord, report: &VersionReport) -> Result<Bytes> {
+    bincode::serde::encode_to_vec((record, report), bincode::config::standard())
         .map(Bytes::from)
         .map_err(|error| Error::internal(format!("daemon record cannot be encoded: {error}")))
 }
 
-fn decode(data: &[u8]) -> Result<DaemonRecord> {
-    bincode::serde::decode_from_slice(data, bincode::config::standard())
-        .map(|(record, _)| record)
-        .map_err(|error| Error::invalid(format!("daemon record cannot be decoded: {error}")))
+/// Decodes a record. A report that is missing or invalid says nothing.
+fn decode(data: &[u8]) -> Result<(DaemonRecord, VersionReport)> {
+    let config = bincode::config::standard();
+    let (record, length): (DaemonRecord, usize) =
+        bincode::serde::decode_from_slice(data, config)
+            .map_err(|error| Error::invalid(format!("daemon record cannot be decoded: {error}")))?;
+    let report = bincode::serde::decode_from_slice(&data[length..], config);
+    let report = report.map(|(report, _): (VersionReport, usize)| report);
+    let report = report.ok().filter(VersionReport::is_valid);
+    Ok((record, report.unwrap_or_default()))
 }
