Tests: each daemon process gets a loopback host of its own

Cause: tests reserve a daemon's ports on 127.0.0.1 by binding and closing listeners. Until the daemon binds them, and while it is killed and started again, another daemon of a test that runs beside it, or the local end of any outgoing connection, may take them. The daemon then waits 30 s for its address and ends, as it should, while the readiness check of its test is answered by the other daemon.

Change: foxtailhill_standins::unused_host, from which the soak's daemons and those of the crowds, floods and regressions take their addresses. Outgoing connections and servers use 127.0.0.1. No bound and no check is changed.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod weight_store;
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 pub use crate::balancer::{BalancerOptions, BalancerStandin, BalancerTarget};
 pub use crate::engine::{EngineOptions, EngineStandin};
@@ -36,6 +38,17 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
+/// Returns a loopback host that this process has not returned before.
+///
+/// No other socket takes the ports of a process on its own host, also while the process is gone: outgoing connections
+/// and servers on [`any_port`] use 127.0.0.1.
+pub fn unused_host() -> Ipv4Addr {
+    // Processes begin at different hosts.
+    static NEXT: LazyLock<AtomicU32> = LazyLock::new(|| AtomicU32::new(rand::random()));
+    let [_, second, third, fourth] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, 0x80 | (second & 0x3f), third, fourth)
+}
+
 /// Reserves a port without listening on it: connections are refused, and the system gives the port to no other process.
 ///
 /// A listener that allows the reuse of addresses, as tokio's does, can be opened on the port meanwhile.
--- a/tests/crowd_support/daemon.rs
+++ b/tests/crowd_support/daemon.rs
@@ -8,8 +8,8 @@
 use eyre::{OptionExt, bail, ensure};
 use foxtailhill::ids::KeyDigest;
 use foxtailhill::kernel::TaskGroup;
-use foxtailhill_standins::ServiceOptions;
 use foxtailhill_standins::cluster::{ClusterOptions, DaemonSpec, ServiceSpec, TestCluster};
+use foxtailhill_standins::{ServiceOptions, unused_host};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -276,9 +276,10 @@
     put_config(&store);
     let server = SoakServer::bind(group, "i-0".into(), Default::default()).await?;
     store.put("keyed.servers", &server.id, &server.record("ready", 1));
+    let host = unused_host();
     let mut listeners = Vec::new();
     for _ in 0..4 {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await?);
+        listeners.push(TcpListener::bind((host, 0)).await?);
     }
     let bound: Result<Vec<SocketAddr>, _> = listeners.iter().map(TcpListener::local_addr).collect();
     let bound = bound?;
--- a/tests/flood_support/mod.rs
+++ b/tests/flood_support/mod.rs
@@ -7,6 +7,7 @@
 
 use eyre::{OptionExt, ensure};
 use foxtailhill::kernel::TaskGroup;
+use foxtailhill_standins::unused_host;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -53,9 +54,10 @@
         put_config(&store);
         let server = SoakServer::bind(group, "i-0".into(), Default::default()).await?;
         store.put("keyed.servers", &server.id, &server.record("ready", 1));
+        let host = unused_host();
         let mut listeners = Vec::new();
         for _ in 0..4 {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await?);
+            listeners.push(TcpListener::bind((host, 0)).await?);
         }
         let addresses: Result<Vec<SocketAddr>, _> =
             listeners.iter().map(TcpListener::local_addr).collect();
--- a/tests/regression/address_in_use_at_start.rs
+++ b/tests/regression/address_in_use_at_start.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eyre::ensure;
+use foxtailhill_standins::unused_host;
 use tokio::net::TcpSocket;
 
 use crate::start_support::{StartedDaemon, settings};
@@ -30,7 +31,7 @@
 }
 
 fn free_addresses() -> eyre::Result<[SocketAddr; 5]> {
-    let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let local = IpAddr::V4(unused_host());
     let mut holders = Vec::new();
     let mut addresses = [SocketAddr::new(local, 0); 5];
     for address in &mut addresses {
--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -12,6 +12,7 @@
 use base64::engine::general_purpose::STANDARD;
 use eyre::ensure;
 use foxtailhill::kernel::TaskGroup;
+use foxtailhill_standins::unused_host;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -133,9 +134,10 @@
 
 impl DaemonProcess {
     pub(super) async fn start(store: &TableStore, drain: &str) -> eyre::Result<Self> {
+        let host = unused_host();
         let mut ports = Vec::new();
         for _ in 0..2 {
-            ports.push(TcpListener::bind("127.0.0.1:0").await?);
+            ports.push(TcpListener::bind((host, 0)).await?);
         }
         let (caller, ready) = (ports[0].local_addr()?, ports[1].local_addr()?);
         drop(ports);
--- a/tests/soak/daemon.rs
+++ b/tests/soak/daemon.rs
@@ -1,12 +1,13 @@
 //! Daemon processes that are stopped, killed, paused and restarted by signals.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use eyre::{OptionExt, ensure};
+use foxtailhill_standins::unused_host;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -56,19 +57,9 @@
 }
 
 impl SoakDaemon {
-    /// Reserves addresses and writes the settings of a daemon.
+    /// Chooses addresses on an unused loopback host and writes the settings of a daemon.
     pub async fn prepare(name: &str, store: SocketAddr) -> eyre::Result<Self> {
-        Self::prepare_in(Ipv4Addr::LOCALHOST, "north", name, store).await
-    }
-
-    /// Reserves addresses on a loopback host and writes the settings of a daemon in an availability zone. On a host of
-    /// its own, no other socket takes the daemon's ports while its process is gone.
-    pub async fn prepare_in(
-        host: Ipv4Addr,
-        zone: &str,
-        name: &str,
-        store: SocketAddr,
-    ) -> eyre::Result<Self> {
+        let host = unused_host();
         let mut listeners = Vec::new();
         for _ in 0..4 {
             listeners.push(TcpListener::bind((host, 0)).await?);
@@ -77,7 +68,7 @@
             listeners.iter().map(TcpListener::local_addr).collect();
         let addresses = addresses?;
         let settings = json!({
-            "vm": name, "zone": zone,
+            "vm": name, "zone": "north",
             "listen": {
                 "caller": addresses[0], "ready": addresses[1], "peer": addresses[2],
                 "pulse": addresses[2], "admin": addresses[3],
--- a/tests/stream_support/mod.rs
+++ b/tests/stream_support/mod.rs
@@ -3,7 +3,7 @@
 pub mod caller;
 pub mod server;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +55,7 @@
         for number in 0..daemons {
             let name = format!("streams-{name}-{number}");
             let store = fleet.store.address;
-            let daemon = SoakDaemon::prepare_in(loopback_host(), "north", &name, store).await?;
+            let daemon = SoakDaemon::prepare(&name, store).await?;
             fleet.daemons.push(daemon);
         }
         try_join_all(fleet.daemons.iter_mut().map(SoakDaemon::start)).await?;
@@ -137,12 +137,6 @@
     }
 }
 
-/// Returns a random loopback host other than that of the servers.
-fn loopback_host() -> Ipv4Addr {
-    let [second, third, fourth]: [u8; 3] = rand::random();
-    Ipv4Addr::new(127, second | 0x80, third, fourth.clamp(1, 254))
-}
-
 /// Takes streams up at daemons in turn and reads their events up to `last`, or until the answers end.
 pub async fn resume_all(
     callers: &mut [StreamCaller],
