Versions in registrations count from the time at which they were written

What callers saw: nothing yet; found by reading. A registration stays in the store when its daemon has gone for good. Each daemon that started took the versions in it as listed at that moment: one that was written during a release made a service with one version count as mixed for a minute, at all daemons that heard of it, with notices for each stream and refusals of streams that nobody remembers. One from before a release that was taken back could vouch for a time that it does not cover.

Cause: VersionReport holds ages, which are right in a datagram and wrong in a record that is read later.

Change: DatedReport, the report with the time of day of its write. Ages count from there; a report says nothing after the minute for which versions are remembered, if it is ahead of the clock by more than 5 s, if it is invalid, or if it has no time, as those of the release before. It is read when it is applied, not when it arrives, as that may wait for the list.

--- a/src/daemon/relay_peers.rs
+++ b/src/daemon/relay_peers.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -396,7 +396,7 @@
     if !fleet.has_list() {
         return;
     }
-    for report in registry.take_reports() {
+    for report in registry.take_reports(SystemTime::now()) {
         fleet.apply_version_report(&report, now);
     }
     registry.set_report(fleet.version_report(now));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -115,4 +115,4 @@
 pub use self::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
 pub use self::stream_origins::{OriginQuestion, StreamOrigins, StreamStart};
 pub use self::upstream::{SendError, UpstreamAnswer, UpstreamPool};
-pub use self::version_history::{VersionHistory, VersionNotice, VersionReport};
+pub use self::version_history::{DatedReport, VersionHistory, VersionNotice, VersionReport};
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -31,7 +31,7 @@
 use crate::peer::PeerCaller;
 use crate::relay::follower::{TableChange, TableSink};
 use crate::relay::store::{KeyedRecord, RecordStore, StoreTable, TableRead};
-use crate::relay::version_history::VersionReport;
+use crate::relay::version_history::{DatedReport, VersionReport};
 use crate::routing::divide_requests;
 use crate::timer::TimerService;
 
@@ -119,7 +119,7 @@
     /// Daemons that were dropped because their term had ended.
     former: BTreeMap<SmolStr, FormerMember>,
     /// What the records that were read say of software versions, by daemon.
-    reports: BTreeMap<SmolStr, VersionReport>,
+    reports: BTreeMap<SmolStr, DatedReport>,
     /// What this daemon's record says.
     own_report: VersionReport,
     /// Start of the current period without a failed read; `None` after a failed read.
@@ -283,10 +283,10 @@
         receivers
     }
 
-    /// Takes what daemons knew of software versions when they wrote their records, also former ones.
-    pub fn take_reports(&self) -> Vec<VersionReport> {
+    /// Takes what daemons, also former ones, wrote of software versions with their records, as of `today`.
+    pub fn take_reports(&self, today: SystemTime) -> Vec<VersionReport> {
         let reports = std::mem::take(&mut self.state().reports);
-        reports.into_values().collect()
+        reports.values().map(|report| report.at(today)).collect()
     }
 
     /// Sets what this daemon knows of software versions. Its record is written again at once when the versions change, so that
@@ -531,7 +531,9 @@
             };
             match decode(&value) {
                 Ok((record, report)) => {
-                    self.reports.insert(key.clone(), report);
+                    if let Some(report) = report {
+                        self.reports.insert(key.clone(), report);
+                    }
                     let member = Member {
                         record,
                         seen_at: now,
@@ -552,6 +554,7 @@
     }
     loop {
         let report = registry.state().own_report.clone();
+        let report = DatedReport::new(report, SystemTime::now());
         let value = match encode(&registry.settings.record, &report) {
             Ok(value) => value,
             Err(error) => {
@@ -580,20 +583,19 @@
 }
 
 /// Encodes a record, followed by what its daemon knows of software versions. Releases without reports ignore what follows.
-fn encode(record: &DaemonRecord, report: &VersionReport) -> Result<Bytes> {
+fn encode(record: &DaemonRecord, report: &DatedReport) -> Result<Bytes> {
     bincode::serde::encode_to_vec((record, report), bincode::config::standard())
         .map(Bytes::from)
         .map_err(|error| Error::internal(format!("daemon record cannot be encoded: {error}")))
 }
 
-/// Decodes a record. A report that is missing or invalid says nothing.
-fn decode(data: &[u8]) -> Result<(DaemonRecord, VersionReport)> {
+/// Decodes a record, and its report if there is one whose time of writing is known.
+fn decode(data: &[u8]) -> Result<(DaemonRecord, Option<DatedReport>)> {
     let config = bincode::config::standard();
     let (record, length): (DaemonRecord, usize) =
         bincode::serde::decode_from_slice(data, config)
             .map_err(|error| Error::invalid(format!("daemon record cannot be decoded: {error}")))?;
     let report = bincode::serde::decode_from_slice(&data[length..], config);
-    let report = report.map(|(report, _): (VersionReport, usize)| report);
-    let report = report.ok().filter(VersionReport::is_valid);
-    Ok((record, report.unwrap_or_default()))
+    let report = report.map(|(report, _): (DatedReport, usize)| report);
+    Ok((record, report.ok()))
 }
--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -5,7 +5,7 @@
 //! has just started learns from its peers what was listed before.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -23,6 +23,12 @@
     pub age_ms: u32,
 }
 
+impl VersionNotice {
+    fn is_recent(&self) -> bool {
+        Duration::from_millis(self.age_ms.into()) <= VersionHistory::MAX_AGE
+    }
+}
+
 /// What a daemon tells its peers about the versions that it saw listed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionReport {
@@ -37,11 +43,58 @@
 impl VersionReport {
     /// Returns whether the report is within its bounds of size and age.
     pub fn is_valid(&self) -> bool {
-        let is_recent =
-            |millis: u32| Duration::from_millis(millis.into()) <= VersionHistory::MAX_AGE;
-        is_recent(self.known_for_ms)
+        Duration::from_millis(self.known_for_ms.into()) <= VersionHistory::MAX_AGE
             && self.mixed.len() <= MAX_NOTICES
-            && self.mixed.iter().all(|notice| is_recent(notice.age_ms))
+            && self.mixed.iter().all(VersionNotice::is_recent)
+    }
+}
+
+/// A report with the time of its writing, for the store, which keeps it after its daemon has gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DatedReport {
+    report: VersionReport,
+    /// Time of day, in milliseconds since the Unix epoch.
+    written_ms: u64,
+}
+
+impl DatedReport {
+    /// Longest time by which the clock of the daemon that wrote a report may be ahead.
+    const CLOCK_MARGIN: Duration = Duration::from_secs(5);
+
+    /// Returns a report that is written at `today`.
+    pub fn new(report: VersionReport, today: SystemTime) -> Self {
+        let since_epoch = today.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self {
+            report,
+            written_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Returns the report with its ages as of `today`. An invalid one says nothing, nor does one that was written longer ago
+    /// than versions are remembered, or that is ahead of the clock.
+    pub fn at(&self, today: SystemTime) -> VersionReport {
+        let age = self
+            .age(today)
+            .filter(|age| *age <= VersionHistory::MAX_AGE);
+        let Some(age) = age.filter(|_| self.report.is_valid()) else {
+            return VersionReport::default();
+        };
+        let mut report = self.report.clone();
+        for notice in &mut report.mixed {
+            // Cannot truncate, given the maximum age.
+            notice.age_ms += age.as_millis() as u32;
+        }
+        report.mixed.retain(VersionNotice::is_recent);
+        report
+    }
+
+    /// Returns the time since the report was written; `None` if it is ahead of the clock.
+    fn age(&self, today: SystemTime) -> Option<Duration> {
+        let written = UNIX_EPOCH.checked_add(Duration::from_millis(self.written_ms))?;
+        match today.duration_since(written) {
+            Ok(age) => Some(age),
+            Err(ahead) => (ahead.duration() <= Self::CLOCK_MARGIN).then_some(Duration::ZERO),
+        }
     }
 }
 
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -48,4 +48,5 @@
 mod unreadable_record_in_a_whole_read;
 mod unsent_request_at_shutdown;
 mod usage_exit_code;
+mod version_report_of_a_former_daemon;
 mod wait_in_engine;
