HTTP/2: a stream that its caller does not read is reset alone

What callers saw: a caller with several streams on one connection that read nothing of one of them lost all of them: the daemon closed the connection after twice the write time, with answers under way.

Cause: what sends an answer gives up after the write time, but an HTTP/2 stream whose window is full never takes the end of its body. It stayed open and unread, and an unread stream counted as a connection on which nothing moves.

Change: each HTTP/2 stream has a token that ends its task, which resets the stream. It is reset after 1.5 times the write time without a part of its answer taken; its connection and the others go on. The reset has a cause of its own in logs and metrics, unread_stream.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -349,14 +349,14 @@
     state: Arc<ConnectionState>,
     settings: ListenerSettings,
 ) -> std::result::Result<http::Response<Body>, std::convert::Infallible> {
-    let guard = state.begin();
+    let guard = state.begin(STREAM_RESET.try_with(CancellationToken::clone).ok());
     if !guard.charge(&settings.account, request.headers()).await {
         drop(request);
         let response = (settings.refuse)(&no_memory());
         return Ok(response.map(|body| guard.into_body(body)));
     }
     let extensions = request.extensions_mut();
-    extensions.insert(state.end.clone());
+    extensions.insert(guard.end());
     extensions.insert(guard.request());
     // Boxed so that a refused request does not cost the memory of one that is served.
     let response = Box::pin(router.oneshot(request.map(Body::new))).await?;
@@ -389,13 +389,23 @@
     builder
 }
 
+tokio::task_local! {
+    /// Resets the HTTP/2 stream whose task this is.
+    static STREAM_RESET: CancellationToken;
+}
+
 /// Runs the streams of an HTTP/2 connection as tasks of the group.
 #[derive(Clone)]
 struct GroupExecutor(TaskGroup);
 
 impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for GroupExecutor {
     fn execute(&self, future: F) {
-        self.0.spawn_cancellable(Box::pin(future));
+        let reset = CancellationToken::new();
+        let stream = STREAM_RESET.scope(reset.clone(), future);
+        // A stream whose task ends before its answer is reset.
+        self.0.spawn_cancellable(Box::pin(async move {
+            reset.run_until_cancelled_owned(stream).await;
+        }));
     }
 }
 
--- a/src/http/state.rs
+++ b/src/http/state.rs
@@ -22,16 +22,21 @@
 pub(super) const EVICTION_TIME: Duration = Duration::from_millis(250);
 /// Time in which evicted bodies return their memory.
 const RETURN_TIME: Duration = Duration::from_millis(10);
+/// Multiple of the write time after which a stream is reset whose caller takes nothing of its answer. What sends the answer
+/// gives up after the write time; a connection on which nothing moves is closed after twice the write time.
+const UNREAD_FACTOR: f32 = 1.5;
 /// Requests without memory that one connection may have open. Refusals to a caller that reads them are sent at once.
 const MAX_UNPAID_REQUESTS: usize = 32;
 /// Bytes that a header costs beside its name and value.
 const HEADER_BYTES: usize = 32;
 
-/// Why this daemon closed a connection with a request on it.
+/// Why this daemon closed a connection with a request on it, or reset the request's stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CloseCause {
     /// The caller read nothing of the answer for the write time.
     WriteTimeout,
+    /// The caller read nothing of the answer for longer than that, but read other answers on the connection.
+    UnreadStream,
     /// The caller was slow, and another one needed its connection.
     Evicted,
     /// The listener's tasks were stopped.
@@ -43,6 +48,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::WriteTimeout => "write_timeout",
+            Self::UnreadStream => "unread_stream",
             Self::Evicted => "evicted",
             Self::Shutdown => "shutdown",
         }
@@ -52,25 +58,40 @@
     pub(crate) fn message(self) -> &'static str {
         match self {
             Self::WriteTimeout => "the daemon closed the connection: its caller read nothing",
+            Self::UnreadStream => "the daemon reset the stream: its caller read nothing",
             Self::Evicted => "the daemon closed the connection: its caller was slow",
             Self::Shutdown => "the daemon closed the connection: it shut down",
         }
     }
 }
 
-/// Extension of each request that tells why its connection was closed. The cause is set before the request is dropped.
+/// Extension of each request that tells why its connection was closed or its stream reset. The cause is set before the
+/// request is dropped.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ConnectionEnd(Arc<OnceLock<CloseCause>>);
+pub(crate) struct ConnectionEnd {
+    connection: Arc<OnceLock<CloseCause>>,
+    /// Whether the request's stream was reset.
+    stream: Arc<OnceLock<()>>,
+}
 
 impl ConnectionEnd {
-    /// Returns why the daemon closed the connection; `None` if it is open or its caller closed it.
+    /// Returns why the daemon closed the connection or reset the stream; `None` if both are open or the caller ended them.
     pub(crate) fn cause(&self) -> Option<CloseCause> {
-        self.0.get().copied()
+        let reset = self.stream.get().map(|()| CloseCause::UnreadStream);
+        reset.or_else(|| self.connection.get().copied())
+    }
+
+    /// Returns the end of another request on the same connection.
+    fn for_request(&self) -> Self {
+        Self {
+            connection: self.connection.clone(),
+            stream: Arc::default(),
+        }
     }
 
     pub(super) fn set(&self, cause: CloseCause) {
         // The first cause is the one that closed the connection.
-        let _ = self.0.set(cause);
+        let _ = self.connection.set(cause);
     }
 }
 
@@ -91,10 +112,20 @@
 
 struct RequestEntry {
     stage: RequestStage,
+    /// Resets the stream of the request; `None` for HTTP/1.
+    reset: Option<CancellationToken>,
+    end: ConnectionEnd,
     /// Memory of the request, its body excepted.
     lease: Option<MemoryLease>,
 }
 
+impl RequestEntry {
+    fn is_reset(&self) -> bool {
+        let reset = self.reset.as_ref();
+        reset.is_some_and(CancellationToken::is_cancelled)
+    }
+}
+
 struct StateInner {
     /// Whether any byte has arrived.
     has_data: bool,
@@ -158,20 +189,27 @@
         self.table.max_streams(account.capacity()).min(most)
     }
 
-    /// Starts a request, whose head is complete. It ends when the guard is dropped.
-    pub(super) fn begin(self: &Arc<Self>) -> RequestGuard {
+    /// Starts a request, whose head is complete. It ends when the guard is dropped. If it has a stream of its own, `reset`
+    /// resets that.
+    pub(super) fn begin(self: &Arc<Self>, reset: Option<CancellationToken>) -> RequestGuard {
+        let end = self.end.for_request();
         let mut inner = self.inner();
         inner.head_since = None;
         inner.has_served = true;
         let key = inner.requests.insert(RequestEntry {
             stage: RequestStage::Running,
+            reset,
+            end: end.clone(),
             lease: None,
         });
         drop(inner);
-        RequestGuard(OpenRequest {
-            state: self.clone(),
-            key,
-        })
+        RequestGuard {
+            request: OpenRequest {
+                state: self.clone(),
+                key,
+            },
+            end,
+        }
     }
 
     /// Returns whether no byte has arrived.
@@ -229,7 +267,9 @@
                 (false, _) => wait(WaitKind::FirstRequest, inner.idle_since, limits.header_time),
             };
         }
-        let stages = || inner.requests.values().map(|entry| entry.stage);
+        let requests = inner.requests.values();
+        let requests = requests.filter(|entry| !entry.is_reset());
+        let stages = || requests.clone().map(|entry| entry.stage);
         let unread = stages().filter_map(|stage| match stage {
             RequestStage::Unread { since } => Some(since),
             _ => None,
@@ -279,11 +319,26 @@
         }
     }
 
+    /// Resets streams whose callers take nothing of their answers. The others on the connection go on.
+    fn reset_unread(&self, now: Instant) {
+        let limit = self.limits.write_time.mul_f32(UNREAD_FACTOR);
+        for entry in self.inner().requests.values() {
+            if let (RequestStage::Unread { since }, Some(reset)) = (entry.stage, &entry.reset)
+                && now.saturating_duration_since(since) >= limit
+            {
+                // The first cause is the one that reset the stream.
+                let _ = entry.end.stream.set(());
+                reset.cancel();
+            }
+        }
+    }
+
     /// Resolves when the connection has waited for its caller for too long, and returns for what.
     pub(super) async fn expired(&self) -> WaitKind {
         let limits = &self.limits;
         loop {
             let now = Instant::now();
+            self.reset_unread(now);
             if let Some((kind, wait)) = self.wait(now) {
                 let has_head = self.inner().head_since.is_some();
                 let (since, limit) = match kind {
@@ -345,12 +400,20 @@
 }
 
 /// Ends a request when it is dropped.
-pub(super) struct RequestGuard(OpenRequest);
+pub(super) struct RequestGuard {
+    request: OpenRequest,
+    end: ConnectionEnd,
+}
 
 impl RequestGuard {
     /// Returns a handle for the extensions of the request.
     pub(super) fn request(&self) -> OpenRequest {
-        self.0.clone()
+        self.request.clone()
+    }
+
+    /// Returns what tells why the request was ended, for its extensions.
+    pub(super) fn end(&self) -> ConnectionEnd {
+        self.end.clone()
     }
 
     /// Takes memory for the request from `account` until its answer has been sent. Slow bodies, and connections that wait for
@@ -369,9 +432,9 @@
             tokio::time::sleep(RETURN_TIME).await;
             is_charged = lease.resize(bytes);
         }
-        let state = &self.0.state;
+        let state = &self.request.state;
         if is_charged {
-            if let Some(entry) = state.inner().requests.get_mut(self.0.key) {
+            if let Some(entry) = state.inner().requests.get_mut(self.request.key) {
                 entry.lease = Some(lease);
             }
             return true;
@@ -387,19 +450,16 @@
     /// Ties the request to the body of its answer.
     pub(super) fn into_body(self, body: Body) -> Body {
         let now = Instant::now();
-        self.0.set_stage(RequestStage::Unread { since: now });
-        Body::new(AnswerBody {
-            body,
-            request: self,
-        })
+        self.request.set_stage(RequestStage::Unread { since: now });
+        Body::new(AnswerBody { body, guard: self })
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let mut inner = self.0.state.inner();
+        let mut inner = self.request.state.inner();
         inner.idle_since = Instant::now();
-        let entry = inner.requests.remove(self.0.key);
+        let entry = inner.requests.remove(self.request.key);
         drop(inner);
         // The lease locks its account.
         drop(entry);
@@ -444,7 +504,7 @@
 /// The body of an answer, which notes whether its caller takes it.
 struct AnswerBody {
     body: Body,
-    request: RequestGuard,
+    guard: RequestGuard,
 }
 
 impl http_body::Body for AnswerBody {
@@ -456,7 +516,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        self.request.0.set_stage(match &polled {
+        self.guard.request.set_stage(match &polled {
             Poll::Pending => RequestStage::Running,
             Poll::Ready(_) => RequestStage::Unread {
                 since: Instant::now(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -78,7 +78,7 @@
     /// Finished requests by route kind, outcome and verdict.
     pub requests: Family<OutcomeLabels, Counter>,
     /// Requests whose connection this daemon closed without a complete answer, by kind (`broken_answer`,
-    /// `write_timeout`, `evicted`, `shutdown`).
+    /// `write_timeout`, `unread_stream`, `evicted`, `shutdown`).
     pub closed: Family<KindLabels, Counter>,
     /// Time from the arrival of a model call to its first token, in seconds.
     pub first_token: Histogram,
