--- a/src/main.rs
+++ b/src/main.rs
@@ -192,6 +192,9 @@
     );
 }
 
+/// Variable that may be `true` in the place of the setting `bootstrap`.
+const BOOTSTRAP_VARIABLE: &str = "FOXTAILHILL_BOOTSTRAP";
+
 /// Why a daemon's process ends.
 enum ProcessEnd {
     /// A signal of this name, after the shutdown.
@@ -233,7 +236,12 @@
 
 fn read_settings(file: &Path) -> eyre::Result<ServeSettings> {
     Ok(match RelaySettings::recognizes(&read_text(file)?) {
-        true => ServeSettings::Relay(Box::new(RelaySettings::read(file)?)),
+        true => {
+            let mut settings = RelaySettings::read(file)?;
+            settings.bootstrap |=
+                std::env::var_os(BOOTSTRAP_VARIABLE).is_some_and(|text| text == "true");
+            ServeSettings::Relay(Box::new(settings))
+        }
         false => ServeSettings::Product(Box::new(DaemonSettings::read(file)?)),
     })
 }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -20,6 +20,7 @@
 mod endless_answer;
 mod engine_that_dies_under_many_requests;
 mod error_inside_resumed_stream;
+mod first_start;
 mod hangup;
 mod hangup_during_start;
 mod key_in_debug_form;
--- a/tests/relay_records.rs
+++ b/tests/relay_records.rs
@@ -226,19 +226,19 @@
         let section = if is_rendered { section } else { "" };
         format!("{before}{section}{after}")
     };
-    let first_start = render_section(template, "bootstrap", true);
-    let first_start = render(&render_section(&first_start, "bounds.cold-over", false));
-    assert!(RelaySettings::parse("settings", &first_start)?.bootstrap);
-    let template = render_section(template, "bootstrap", false);
-    let with_cold = render(&render_section(&template, "bounds.cold-over", true));
+    let with_cold = render(&render_section(template, "bounds.cold-over", true));
     let with_cold = with_cold.replace("{{bounds.cold-over}}", "1.5");
     let with_cold = with_cold.replace("{{bounds.cold-slack}}", "5");
     let settings = RelaySettings::parse("settings", &with_cold)?;
     assert_eq!((settings.cold.over, settings.cold.slack), (1.5, 5));
-    let rendered = render(&render_section(&template, "bounds.cold-over", false));
+    let rendered = render(&render_section(template, "bounds.cold-over", false));
+    // The scripts of the reviews know no other fields.
+    assert!(!rendered.contains("{{"), "{rendered}");
     let settings = RelaySettings::parse("settings", &rendered)?;
     assert!(!settings.bootstrap);
     assert_eq!((settings.cold.over, settings.cold.slack), (1.0, 0));
+    let first_start = rendered.replacen('{', "{ \"bootstrap\": true,", 1);
+    assert!(RelaySettings::parse("settings", &first_start)?.bootstrap);
     assert_eq!(settings.retries.extra, 54);
     assert_eq!(settings.capacity.weight(), 25);
     assert_eq!(settings.timing.lease, Duration::from_secs(3));
--- a/tests/start_support/mod.rs
+++ b/tests/start_support/mod.rs
@@ -39,6 +39,11 @@
 impl StartedDaemon {
     /// Starts a daemon with `settings`.
     pub fn spawn(settings: &str) -> eyre::Result<Self> {
+        Self::spawn_with(settings, &[])
+    }
+
+    /// Starts a daemon with `settings` and environment variables.
+    pub fn spawn_with(settings: &str, variables: &[(&str, &str)]) -> eyre::Result<Self> {
         static COUNT: AtomicUsize = AtomicUsize::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let name = format!("foxtailhill-start-{}-{number}", std::process::id());
@@ -47,6 +52,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_foxtailhill"))
             .args(["serve", "--settings"])
             .arg(&file)
+            .envs(variables.iter().copied())
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()?;
