Tests: files of daemons are named by their whole addresses

Found by a review: with a host for each daemon, two daemons may have the same port, by which their settings files were named. One would read the addresses of the other. The addresses of tests at which nobody listens are taken from unused hosts as well: on 127.0.0.1 another test could take them.

--- a/tests/believed_records.rs
+++ b/tests/believed_records.rs
@@ -16,6 +16,7 @@
 
 use eyre::ensure;
 use foxtailhill::kernel::TaskGroup;
+use foxtailhill_standins::unused_host;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -168,7 +169,7 @@
 async fn daemons_serve_beside_many_records_at_dead_addresses() -> eyre::Result<()> {
     let mut dead = Vec::new();
     for _ in 0..130 {
-        dead.push(TcpListener::bind("127.0.0.1:0").await?);
+        dead.push(TcpListener::bind((unused_host(), 0)).await?);
     }
     let addresses: Result<Vec<_>, _> = dead.iter().map(TcpListener::local_addr).collect();
     let addresses = addresses?;
--- a/tests/crowd_support/daemon.rs
+++ b/tests/crowd_support/daemon.rs
@@ -301,7 +301,7 @@
         "timing": {"balancer_lag": "200ms"},
     });
     add_sections(&mut settings, sections);
-    let name = |kind: &str| format!("foxtailhill-crowd-{}.{kind}", addresses.caller.port());
+    let name = |kind: &str| format!("foxtailhill-crowd-{}.{kind}", addresses.caller);
     let file = std::env::temp_dir().join(name("json"));
     let output = std::env::temp_dir().join(name("log"));
     std::fs::write(&file, settings.to_string())?;
--- a/tests/flood_support/mod.rs
+++ b/tests/flood_support/mod.rs
@@ -73,7 +73,7 @@
             "limits": limits,
             "log": {"level": "warn"},
         });
-        let file = format!("foxtailhill-flood-{}.json", addresses[0].port());
+        let file = format!("foxtailhill-flood-{}.json", addresses[0]);
         let file = std::env::temp_dir().join(file);
         std::fs::write(&file, settings.to_string())?;
         // The shell replaces itself by the daemon, which thus has the id of the child.
--- a/tests/odd_addresses.rs
+++ b/tests/odd_addresses.rs
@@ -16,6 +16,7 @@
 
 use eyre::ensure;
 use foxtailhill::kernel::TaskGroup;
+use foxtailhill_standins::unused_host;
 use futures_util::future::try_join_all;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -328,7 +329,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_serve_after_records_with_another_address_under_the_ids_of_servers()
 -> eyre::Result<()> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let listener = TcpListener::bind((unused_host(), 0)).await?;
     let dead = listener.local_addr()?;
     drop(listener);
     check_beneath("beneath-moved", move |server| {
--- a/tests/regression/unsent_request_at_shutdown.rs
+++ b/tests/regression/unsent_request_at_shutdown.rs
@@ -151,7 +151,7 @@
             "store": {"address": store.address.to_string()},
             "timing": {"balancer_lag": "500ms", "drain": drain},
         });
-        let name = format!("foxtailhill-shutdown-{}", caller.port());
+        let name = format!("foxtailhill-shutdown-{caller}");
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, settings.to_string())?;
         let mut child = Command::new(env!("CARGO_BIN_EXE_foxtailhill"))
