A registration vouches for known versions for 30 s only

Found by a review: the report of a daemon that has ended still showed for up to a minute that all versions until now were known, although others may have seen a release since then that was taken back.

Change: from 30 s on, twice the period of the writes, a report still tells of versions, and no longer since when all are known. A restart of all daemons within that time goes on with its streams as before.

Result: an_older_report_vouches_for_no_time, new with the change.

--- a/src/relay/version_history.rs
+++ b/src/relay/version_history.rs
@@ -58,6 +58,9 @@
 }
 
 impl DatedReport {
+    /// Age up to which a report shows since when all versions are known. Daemons write their records more often than that,
+    /// so that an older one is of a daemon that has ended or cannot write, while others may have seen more.
+    const MAX_KNOWN_AGE: Duration = Duration::from_secs(30);
     /// Longest time by which the clock of the daemon that wrote a report may be ahead.
     const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 
@@ -80,6 +83,9 @@
             return VersionReport::default();
         };
         let mut report = self.report.clone();
+        if age > Self::MAX_KNOWN_AGE {
+            report.known_for_ms = 0;
+        }
         for notice in &mut report.mixed {
             // Cannot truncate, given the maximum age.
             notice.age_ms += age.as_millis() as u32;
--- a/tests/regression/version_report_of_a_former_daemon.rs
+++ b/tests/regression/version_report_of_a_former_daemon.rs
@@ -92,6 +92,16 @@
     Ok(())
 }
 
+/// Guards against a daemon that has ended and vouches for the time since then, in which others may have seen more.
+#[test]
+fn an_older_report_vouches_for_no_time() -> eyre::Result<()> {
+    let learned = learn((record(1), report(), TODAY_MS - 30_000))?;
+    assert_eq!((learned.known_for_ms, learned.mixed.len()), (60_000, 1));
+    let learned = learn((record(1), report(), TODAY_MS - 30_001))?;
+    assert_eq!((learned.known_for_ms, learned.mixed.len()), (0, 1));
+    Ok(())
+}
+
 /// Guards against reports that are out of their bounds.
 #[test]
 fn an_invalid_report_says_nothing() -> eyre::Result<()> {
