HTTP/2: unread streams are reset only where other answers are read

Found by a review of: a caller with small windows that reads nothing of one stream has no window left on the connection. All its answers would have been reset, one by one, on a connection that was never closed. And what a reset stream has buffered stays until its caller reads or the connection ends, for any number of streams.

Change: a stream is reset alone only if the caller has taken a part of another answer since, and at most four times on a connection. Otherwise the connection is closed after twice the write time, as before.

The cases of the review have no tests of their own. The wait for the reset in the test is limited.

--- a/src/http/state.rs
+++ b/src/http/state.rs
@@ -25,6 +25,9 @@
 /// Multiple of the write time after which a stream is reset whose caller takes nothing of its answer. What sends the answer
 /// gives up after the write time; a connection on which nothing moves is closed after twice the write time.
 const UNREAD_FACTOR: f32 = 1.5;
+/// Streams of one connection that are reset for that reason. Each may leave data that its caller does not take, until the
+/// connection ends.
+const MAX_RESET_STREAMS: usize = 4;
 /// Requests without memory that one connection may have open. Refusals to a caller that reads them are sent at once.
 const MAX_UNPAID_REQUESTS: usize = 32;
 /// Bytes that a header costs beside its name and value.
@@ -136,6 +139,9 @@
     head_since: Option<Instant>,
     /// Since when no byte of an answer can be sent.
     blocked_since: Option<Instant>,
+    /// When the caller last took a part of any answer.
+    taken_at: Option<Instant>,
+    reset_streams: usize,
     requests: SlotMap<RequestKey, RequestEntry>,
 }
 
@@ -168,6 +174,8 @@
                 idle_since: Instant::now(),
                 head_since: None,
                 blocked_since: None,
+                taken_at: None,
+                reset_streams: 0,
                 requests: SlotMap::with_key(),
             }),
             is_http2: AtomicBool::new(false),
@@ -319,13 +327,24 @@
         }
     }
 
-    /// Resets streams whose callers take nothing of their answers. The others on the connection go on.
+    /// Resets streams of which the caller takes nothing while it takes other answers, which go on. A connection on which it
+    /// takes nothing at all may have no window left, and is not spared.
     fn reset_unread(&self, now: Instant) {
         let limit = self.limits.write_time.mul_f32(UNREAD_FACTOR);
-        for entry in self.inner().requests.values() {
+        let mut inner = self.inner();
+        let StateInner {
+            requests,
+            taken_at,
+            reset_streams,
+            ..
+        } = &mut *inner;
+        for entry in requests.values().filter(|entry| !entry.is_reset()) {
             if let (RequestStage::Unread { since }, Some(reset)) = (entry.stage, &entry.reset)
                 && now.saturating_duration_since(since) >= limit
+                && taken_at.is_some_and(|taken| taken > since)
+                && *reset_streams < MAX_RESET_STREAMS
             {
+                *reset_streams += 1;
                 // The first cause is the one that reset the stream.
                 let _ = entry.end.stream.set(());
                 reset.cancel();
@@ -494,6 +513,10 @@
         self.state.evicted().await;
     }
 
+    fn note_taken(&self) {
+        self.state.inner().taken_at = Some(Instant::now());
+    }
+
     fn set_stage(&self, stage: RequestStage) {
         if let Some(entry) = self.state.inner().requests.get_mut(self.key) {
             entry.stage = stage;
@@ -516,6 +539,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
+        // The next part is asked for once the caller can take it.
+        self.guard.request.note_taken();
         self.guard.request.set_stage(match &polled {
             Poll::Pending => RequestStage::Running,
             Poll::Ready(_) => RequestStage::Unread {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -571,7 +571,9 @@
         assert!(body.ends_with(b"data: [DONE]\n\n"));
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    assert_reset(&stalled.into_body().collect().await.unwrap_err());
+    let rest = stalled.into_body().collect();
+    let rest = tokio::time::timeout(WAIT_TIMEOUT, rest).await.unwrap();
+    assert_reset(&rest.unwrap_err());
     edge.group.shutdown().await;
 }
 
