SIGHUP compares the settings with those of the start, first start included

A daemon that was told of the first start by its variable logged at SIGHUP that its settings had changed. Found by a review; no test of its own.

--- a/src/main.rs
+++ b/src/main.rs
@@ -236,16 +236,17 @@
 
 fn read_settings(file: &Path) -> eyre::Result<ServeSettings> {
     Ok(match RelaySettings::recognizes(&read_text(file)?) {
-        true => {
-            let mut settings = RelaySettings::read(file)?;
-            settings.bootstrap |=
-                std::env::var_os(BOOTSTRAP_VARIABLE).is_some_and(|text| text == "true");
-            ServeSettings::Relay(Box::new(settings))
-        }
+        true => ServeSettings::Relay(Box::new(read_relay_settings(file)?)),
         false => ServeSettings::Product(Box::new(DaemonSettings::read(file)?)),
     })
 }
 
+fn read_relay_settings(file: &Path) -> foxtailhill::Result<RelaySettings> {
+    let mut settings = RelaySettings::read(file)?;
+    settings.bootstrap |= std::env::var_os(BOOTSTRAP_VARIABLE).is_some_and(|text| text == "true");
+    Ok(settings)
+}
+
 /// Reads settings that cannot be used a few times more, as the file may be in the middle of being replaced.
 fn read_settings_again(file: &Path) -> eyre::Result<ServeSettings> {
     let end = Instant::now() + SETTINGS_TIMEOUT;
@@ -299,7 +300,7 @@
     file: &Path,
     mut signals: DaemonSignals,
 ) -> eyre::Result<ProcessEnd> {
-    let on_hangup = || log_settings_change(&settings, RelaySettings::read(file));
+    let on_hangup = || log_settings_change(&settings, read_relay_settings(file));
     let opened = daemon::open_relay(settings.clone());
     let daemon = match signals.wait_while(&on_hangup, opened).await {
         Ok(opened) => opened?,
