An answer without length or chunks is whole only if its server outlives it by 50 ms

Cause: such an answer ends with its connection, as does one of a process that is killed. The daemon asked at once whether the server still accepts connections. The sockets of a killed process close one after the other, its listener last.

Change: it asks 50 ms later. The time of the answer is taken before, so that routing does not count the wait.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -106,6 +106,8 @@
     attempt_events: u32,
     /// When the request was sent to the current server.
     sent: Instant,
+    /// When the answer of the current server ended.
+    ended: Option<Instant>,
     timing: AttemptTiming,
     /// Whether the connection to the current server broke before the server had begun the answer.
     broke_early: bool,
@@ -135,6 +137,7 @@
             sent_type: None,
             attempt_events: 0,
             sent: Instant::now(),
+            ended: None,
             timing: AttemptTiming::default(),
             broke_early: false,
             retry_reserved: false,
@@ -149,7 +152,8 @@
         self.context
             .watch
             .note_progress(&self.request.parts, self.sent);
-        let now = Instant::now();
+        // The check of the answer's end takes no time of the server.
+        let now = self.ended.unwrap_or_else(Instant::now);
         self.note_end(slot, now);
         let time = now.saturating_duration_since(self.sent);
         self.context
@@ -464,13 +468,14 @@
     }
 
     /// Checks that the end of an answer's body is the end of the answer. The connections of a process that crashes end in
-    /// the same way as an answer with neither a length nor chunks, so that its server must still accept connections.
+    /// the same way as an answer with neither a length nor chunks, so that its server must outlive it.
     ///
     /// # Errors
     ///
     /// `Unavailable` if the answer may have been cut off.
-    async fn check_answer_end(&self, answer: &UpstreamAnswer, slot: &ServerSlot) -> Result<()> {
-        if !answer.ends_with_connection || self.context.pool.accepts_connections(slot.address).await
+    async fn check_answer_end(&mut self, answer: &UpstreamAnswer, slot: &ServerSlot) -> Result<()> {
+        self.ended = Some(Instant::now());
+        if !answer.ends_with_connection || self.context.pool.outlives_connection(slot.address).await
         {
             return Ok(());
         }
--- a/src/relay/exchange/stream.rs
+++ b/src/relay/exchange/stream.rs
@@ -128,7 +128,7 @@
     /// `Unavailable` if the stream ended inside an event. If it has neither a length nor chunks, also if it had no event
     /// at all or its server has ended.
     async fn check_stream_end(
-        &self,
+        &mut self,
         answer: &UpstreamAnswer,
         rest: &[u8],
         slot: &ServerSlot,
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -27,6 +27,8 @@
 
 /// Covers a few round trips within a region. A server that is cut off does not answer at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time in which the sockets of a killed process close, one after the other and the listener last.
+const DYING_TIME: Duration = Duration::from_millis(50);
 /// Time for which an idle connection is kept if its server states none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// Maximum time for which an idle connection is kept.
@@ -169,8 +171,10 @@
         self.probe(address).await == ProbeOutcome::Refused
     }
 
-    /// Returns whether a server still listens at `address`.
-    pub async fn accepts_connections(&self, address: SocketAddr) -> bool {
+    /// Returns whether a server that has just closed a connection listens on at `address`. One that is being killed may do so
+    /// for a moment.
+    pub async fn outlives_connection(&self, address: SocketAddr) -> bool {
+        tokio::time::sleep(DYING_TIME).await;
         self.probe(address).await == ProbeOutcome::Accepted
     }
 
--- a/tests/regression/server_that_ends_with_its_answer.rs
+++ b/tests/regression/server_that_ends_with_its_answer.rs
@@ -39,6 +39,30 @@
     Ok(())
 }
 
+/// Guards against an answer that is framed as complete because its server, which is being killed, still accepts
+/// connections at that instant.
+#[tokio::test]
+async fn answer_of_a_server_that_is_being_killed_is_not_complete() -> eyre::Result<()> {
+    let cases = [
+        ("/batch/1", event(1)),
+        ("/batch/1", event(1) + &event(2)),
+        ("/check/1", "half of an answer".to_owned()),
+    ];
+    for (path, body) in cases {
+        let killed = Script::AnswerAndDie(format!("{HEAD_WITHOUT_LENGTH}{body}"));
+        let (rig, servers) = RelayRig::with_servers(vec![vec![killed]]).await?;
+        let answer = rig.send(&request("POST", path, "r1", "", "x")).await?;
+        let is_success = answer.starts_with("HTTP/1.1 200");
+        assert!(
+            !is_success || path == "/batch/1" && !answer.ends_with(LAST_CHUNK),
+            "{path} {body:?}: {answer}"
+        );
+        assert_eq!(servers[0].requests().len(), 1, "{path} {body:?}");
+        rig.shutdown().await;
+    }
+    Ok(())
+}
+
 /// Guards against the same where the server lives on: a stream without a length and without an event is not complete.
 #[tokio::test]
 async fn stream_without_length_and_events_is_not_complete() -> eyre::Result<()> {
--- a/tests/relay_support/mod.rs
+++ b/tests/relay_support/mod.rs
@@ -53,6 +53,8 @@
     AnswerAndClose(String),
     /// Writes bytes and crashes: no connection is accepted any more and this one ends in an orderly way.
     AnswerAndCrash(String),
+    /// Writes bytes and crashes as a killed process does: this connection ends first, and a moment later the listener.
+    AnswerAndDie(String),
     /// Writes bytes and resets the connection.
     Reset(String),
     /// Writes bytes with a pause after each part, and resets the connection.
@@ -75,6 +77,9 @@
     CrashOn { trigger: String, answer: String },
 }
 
+/// Time in which the sockets of a killed process close, one after the other.
+const DYING_TIME: Duration = Duration::from_millis(10);
+
 /// A backend server that follows a script.
 pub struct ScriptedServer {
     pub id: String,
@@ -195,6 +200,13 @@
                 }
                 return stream.shutdown().await;
             }
+            Script::AnswerAndDie(text) => {
+                stream.write_all(&bytes(&text)).await?;
+                stream.shutdown().await?;
+                tokio::time::sleep(DYING_TIME).await;
+                crash.cancel();
+                return Ok(());
+            }
             Script::Reset(text) => {
                 stream.write_all(&bytes(&text)).await?;
                 // A reset discards bytes that have not arrived.
