Comments: kinds of copies, and why the cause of a reset is set first

The metric of copies named two of its three kinds, and a comment spoke of the first of several causes where there is one. Comments only; formatter, linter and tests/http.rs pass.

--- a/src/http/state.rs
+++ b/src/http/state.rs
@@ -345,7 +345,7 @@
                 && *reset_streams < MAX_RESET_STREAMS
             {
                 *reset_streams += 1;
-                // The first cause is the one that reset the stream.
+                // Set before the task ends, which logs the cause. Cannot be set already.
                 let _ = entry.end.stream.set(());
                 reset.cancel();
             }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -136,7 +136,8 @@
     pub config_next: Gauge,
     /// Versions of the configuration by kind (`in_force`, `known` for the newest that a peer has).
     pub config_versions: Family<KindLabels, Gauge>,
-    /// Copies of another daemon's tables by kind (`whole`, `failed`).
+    /// Copies of another daemon's tables by kind (`whole`, `unconfirmed` if that daemon does not read the store either,
+    /// `failed`).
     pub copies: Family<KindLabels, Counter>,
     /// Streams that began while several software versions served (`begun`), and streams that callers took up: by how
     /// their software version is known (`own`, `peer`, `sole`), or why they cannot go on (`unknown`, `conflicting`,
