--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -1,8 +1,7 @@
 fn run_case(case: &str, root: &Path, directory: &Path, trouble: bool) -> Res<bool> {
     match case {
         "poison" => poison(root, directory, trouble),
-        "late" => late(root, directory, trouble),
-        "prompts" => prompts(root, directory, trouble),
+        "parts" => parts(root, directory, trouble),
         "unknown" => unknown(root, directory, trouble),
         "memory" => memory(root, directory, trouble),
         _ => Err(format!("there is no case {case}")),
@@ -83,9 +82,6 @@
     Ok(late <= 3)
 }
 
-/// Connections of the clients with long prompts.
-const CROWD: u64 = 1000;
-
 fn outcome(answered: &Res<Message>) -> String {
     match answered {
         Ok(answer) => format!("answered {}", answer.status()),
@@ -256,133 +252,77 @@
     Ok(starved as f64 <= allowed)
 }
 
-/// Clients ask one daemon for an adapter that does not exist, in requests with prompts of many parts, one at a time on each
-/// connection.
-fn prompts(root: &Path, directory: &Path, trouble: bool) -> Res<bool> {
-    let specs = vec![engine("gpu-1", "catania"), engine("gpu-2", "palermo"), engine("gpu-3", "siracusa")];
-    let setting = open(root, directory, 3, specs)?;
-    let record = setting.record.clone();
-    let end = Instant::now() + ms(50_000);
-    let daemon = setting.fleet.daemons[0].clone();
-    let (stop, odd) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-    let counts: Arc<Mutex<(u64, u64)>> = Arc::default();
-    let mut threads = Vec::new();
-    for _ in 0..4 {
-        let (daemon, counts, record, stop) = (daemon.clone(), counts.clone(), record.clone(), stop.clone());
-        threads.push(thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) && Instant::now() < end {
-                let id = next_id("c");
-                let head = head("POST", "/draft/itinerary", &id, KEY, 4_000, "Model: m2\r\nToken-Count: 800,80\r\n");
-                let begin = Instant::now();
-                let answered = call(daemon.caller, &head, format!("a day in Palermo, {id}").as_bytes(), ms(5_000));
-                record.note(&format!("{id} after {:.1} s: {}", begin.elapsed().as_secs_f64(), outcome(&answered)));
-                let mut counts = counts.lock().unwrap();
-                counts.0 += 1;
-                counts.1 += u64::from(answered.is_ok_and(|answer| answer.status() == 200));
-                drop(counts);
-                thread::sleep(ms(300));
-            }
-        }));
+/// Requests with a prompt part that crashes the servers which answer them. The servers are processes.
+fn parts(root: &Path, directory: &Path, trouble: bool) -> Res<bool> {
+    let record = Record::open(&directory.join("record.txt"))?;
+    let (store, address) = Store::open()?;
+    store.put("keyed.op", "config", &config());
+    let runs: Arc<Mutex<Vec<(String, f64, bool)>>> = Arc::default();
+    let mut servers = Vec::new();
+    for name in ["gpu-1", "gpu-2", "gpu-3", "gpu-4", "gpu-5", "gpu-6"] {
+        let store = (store.clone(), address);
+        servers.push(ServerProcess::open(name, "m1,m2,m3", store, &record, &runs)?);
     }
-    if trouble {
-        let prompt: Vec<String> = (0..2_300).map(|part| format!("{part:x}:0")).collect();
-        let prompt = Arc::new(prompt.join(","));
-        for connection in 0..CROWD {
-            let (daemon, prompt, record) = (daemon.clone(), prompt.clone(), record.clone());
-            let (stop, odd) = (stop.clone(), odd.clone());
-            threads.push(thread::spawn(move || {
-                // The clients come within five seconds.
-                thread::sleep(ms(5_000 * connection / CROWD));
-                while !stop.load(Ordering::Relaxed) && Instant::now() < end {
-                    let id = next_id("o");
-                    let extra = format!("Model: m1/none\r\nToken-Count: 1,1\r\nPrompt-Prefix: {prompt}\r\n");
-                    let head = head("POST", "/draft/itinerary", &id, ODD_KEY, 4_000, &extra);
-                    let answered = call(daemon.caller, &head, format!("a day in Palermo, {id}").as_bytes(), ms(6_000));
-                    record.note(&format!("{id} of 2,300 prompt parts: {}", outcome(&answered)));
-                    odd.fetch_add(1, Ordering::Relaxed);
-                    thread::sleep(ms(1000));
-                }
-            }));
-        }
-    }
-    let mut is_kept = true;
-    let begin = Instant::now();
-    let mut next_line = begin;
-    let mut early = (0, 0);
-    while Instant::now() < end && is_kept {
-        is_kept = keep_memory(&setting);
-        if begin.elapsed() < ms(10_000) {
-            early = *counts.lock().unwrap();
-        }
-        if Instant::now() >= next_line {
-            next_line += ms(2_500);
-            let (asked, served) = *counts.lock().unwrap();
-            record.say(&format!(
-                "resident {} MB, processor seconds {:.1}; odd requests answered {}; ordinary requests at this daemon: {served} of {asked} served",
-                daemon.resident_kb() / 1_024, daemon.cpu_s(), odd.load(Ordering::Relaxed)
-            ));
-        }
-        thread::sleep(ms(50));
+    thread::sleep(ms(500));
+    let mut fleet = Fleet::new(root, address, &record)?;
+    for zone in ZONES {
+        fleet.start(&format!("front-{zone}-1"), zone)?;
     }
-    stop.store(true, Ordering::Relaxed);
-    for thread in threads {
-        let _ = thread.join();
-    }
-    let (asked, served) = *counts.lock().unwrap();
-    record.say(&format!("ordinary requests at this daemon: {served} of {asked} served"));
-    // The first ten seconds, in which the crowd comes, do not count.
-    let (late_asked, late_served) = (asked - early.0, served - early.1);
-    record.say(&format!("of these after the first 10 s: {late_served} of {late_asked} served; fewer than a quarter break the rule"));
-    if !trouble && late_served < 200 {
-        return Err("the ordinary requests were not served".into());
-    }
-    Ok(is_kept && late_served * 4 >= late_asked)
-}
-
-/// An order without an answer is carried out late, by a server that has started again under its id.
-fn late(root: &Path, directory: &Path, trouble: bool) -> Res<bool> {
-    let one = |name, zone, model| ServerSpec { models: vec![model], keeps_id: true, ..engine(name, zone) };
-    let mut specs = vec![one("gpu-1", "catania", "m1"), one("gpu-2", "palermo", "m2"), one("gpu-3", "siracusa", "m3")];
-    if trouble {
-        specs[0].late_order = Some(("a9", ms(11_500)));
-    }
-    // An engine has room for one model and its adapters.
-    let setting = open_with(root, directory, 3, specs, 40_000)?;
-    let record = setting.record.clone();
-    let begin = Instant::now();
-    let end = begin + ms(40_000);
+    fleet.wait_ready(ms(20_000))?;
+    thread::sleep(ms(7_000));
+    let end = Instant::now() + ms(70_000);
     let counts = Arc::new((AtomicU64::new(0), AtomicU64::new(0)));
     let mut threads = Vec::new();
-    // Ordinary callers: eight adapters of one model.
-    for index in 0..8 {
-        let daemon = setting.fleet.daemons[index % 3].clone();
-        let (counts, record) = (counts.clone(), record.clone());
+    for client in 0..6 {
+        let daemon = fleet.daemons[client % 3].clone();
+        let (record, counts) = (record.clone(), counts.clone());
         threads.push(thread::spawn(move || {
             while Instant::now() < end {
                 let id = next_id("c");
-                let extra = format!("Model: m1/a{}\r\nToken-Count: 800,80\r\n", 1 + index);
+                let extra = format!("Model: m{}\r\nToken-Count: 800,80\r\nPrompt-Prefix: 5c1e07a2:400,{}:400\r\n", 1 + client % 3, &id[1..]);
                 let head = head("POST", "/draft/itinerary", &id, KEY, 4_000, &extra);
                 let answered = call(daemon.caller, &head, format!("day {id}").as_bytes(), ms(5_000));
-                record.note(&format!("{id} for a{}: {}", 1 + index, outcome(&answered)));
+                record.note(&format!("{id}: {}", outcome(&answered)));
                 counts.0.fetch_add(1, Ordering::Relaxed);
                 counts.1.fetch_add(u64::from(answered.is_ok_and(|answer| answer.status() == 200)), Ordering::Relaxed);
-                thread::sleep(ms(200));
+                thread::sleep(ms(300));
             }
         }));
     }
-    thread::sleep(ms(5_000));
-    // One caller wants a ninth one.
-    let head = head("POST", "/draft/itinerary", &next_id("n"), KEY, 4_000, "Model: m1/a9\r\nToken-Count: 800,80\r\n");
-    let answered = call(setting.fleet.daemons[0].caller, &head, format!("a day in Palermo, {}", next_id("b")).as_bytes(), ms(5_000));
-    record.say(&format!("the request for a9: {}", outcome(&answered)));
     if trouble {
-        thread::sleep(ms(500));
-        setting.servers[0].crash();
+        // No two of these requests are alike; one comes every two seconds, at one daemon after the other.
+        let daemons = fleet.daemons.clone();
+        let record = record.clone();
+        threads.push(thread::spawn(move || {
+            let mut turn = 0;
+            while Instant::now() < end {
+                let daemon = &daemons[turn % daemons.len()];
+                turn += 1;
+                let id = next_id("p");
+                let extra = format!("Model: m{}\r\nToken-Count: 800,80\r\nPrompt-Prefix: 91bd3f06:410,{}:390\r\n", 1 + turn % 3, &id[1..]);
+                let head = head("POST", "/draft/itinerary", &id, KEY, 4_000, &extra);
+                let next = Instant::now() + ms(2_000);
+                let answered = call(daemon.caller, &head, format!("poison {id}").as_bytes(), ms(5_000));
+                record.note(&format!("{id} with the part, sent to {}: {}", daemon.name, outcome(&answered)));
+                thread::sleep(next.saturating_duration_since(Instant::now()));
+            }
+        }));
     }
     for thread in threads {
         let _ = thread.join();
     }
+    for server in &servers {
+        server.stop();
+        record.note(&format!("server {} is stopped", server.name));
+    }
     let (asked, served) = (counts.0.load(Ordering::Relaxed), counts.1.load(Ordering::Relaxed));
-    record.say(&format!("ordinary requests: {served} of {asked} served"));
-    Ok(setting.servers.iter().all(|server| !server.is_overfull.load(Ordering::Relaxed)))
+    let crashes: Vec<f64> = runs.lock().unwrap().iter().filter(|(_, _, poison)| *poison).map(|(_, at, _)| *at).collect();
+    record.say(&format!("crashes at {crashes:.1?}"));
+    record.say(&format!("sound requests: {served} of {asked} served"));
+    let late = crashes.get(4).map_or(0, |fifth| crashes.iter().filter(|at| **at > fifth + 3.0).count());
+    record.say(&format!("requests with the part that reached servers later than 3 s after the fifth crash: {late}, allowed 3"));
+    if !trouble && served < 500 {
+        return Err("the sound requests were not served".into());
+    }
+    Ok(late <= 3)
 }
